--- /dev/null
+++ b/src/main/java/dapplestair/cli/CheckConfigCommand.java
@@ -0,0 +1,23 @@
+package dapplestair.cli;
+
+import dapplestair.settings.SettingsException;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/** Says whether settings can be used. */
+@Command(name = "check-config", description = "Check settings files and say what is wrong.")
+final class CheckConfigCommand implements Callable<Integer> {
+  @Mixin private SettingsOptions files;
+
+  @Override
+  public Integer call() {
+    try {
+      System.out.println("settings of " + files.settings().member() + " are good");
+      files.operator();
+      return 0;
+    } catch (SettingsException e) {
+      return SettingsOptions.refuse(e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package dapplestair.cli;
--- /dev/null
+++ b/src/main/java/dapplestair/fleet/MachineTypes.java
@@ -0,0 +1,57 @@
+package dapplestair.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import dapplestair.submissions.Submission;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** The machine types known to this controller. */
+public final class MachineTypes {
+  private Map<String, MachineType> types = Map.of();
+
+  /** Reads the cloud's answer or our own record of it. False when there is nothing in it. */
+  public boolean read(JsonNode body) {
+    Map<String, MachineType> fresh = new LinkedHashMap<>();
+    for (JsonNode n : body.path("hulls")) {
+      MachineType t = MachineType.parse(n);
+      if (t != null) {
+        fresh.put(t.name(), t);
+      }
+    }
+    if (fresh.isEmpty()) {
+      return false;
+    }
+    types = fresh;
+    return true;
+  }
+
+  ObjectNode toJson() {
+    ObjectNode o = Json.object();
+    var hulls = o.putArray("hulls");
+    types.values().forEach(t -> hulls.add(t.toJson()));
+    return o;
+  }
+
+  /** False until types have been read. */
+  public boolean known() {
+    return !types.isEmpty();
+  }
+
+  /** A type by name, or null. */
+  public MachineType get(String name) {
+    return types.get(name);
+  }
+
+  /** All types. */
+  public Collection<MachineType> all() {
+    return types.values();
+  }
+
+  /** True when some type can hold a task of this job. */
+  public boolean anySuits(Submission s) {
+    return types.values().stream().anyMatch(t -> t.suits(s));
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Machines: their types, renting, returning, and what the cloud says of them. */
+package dapplestair.fleet;
--- /dev/null
+++ b/src/main/java/dapplestair/json/package-info.java
@@ -0,0 +1,2 @@
+/** Reading and writing JSON. */
+package dapplestair.json;
--- /dev/null
+++ b/src/main/java/dapplestair/leadership/Leadership.java
@@ -0,0 +1,284 @@
+package dapplestair.leadership;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.json.Json;
+import dapplestair.peers.Peers;
+import dapplestair.ports.Cancellable;
+import dapplestair.ports.Clock;
+import dapplestair.ports.Timers;
+import dapplestair.settings.Settings;
+import dapplestair.state.Keys;
+import dapplestair.state.Outcome;
+import dapplestair.state.Replica;
+import dapplestair.state.StateClient;
+import dapplestair.state.Txn;
+import java.util.UUID;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One leader a term. Winning is a transaction that raises the term and attaches the leader key to
+ * the winner's hold; every write of a leader is conditional on that key's stamp, so taking over
+ * from a leader that still lives is harmless to the rules: its late writes fail.
+ */
+public final class Leadership implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
+
+  /** Told on the loop when this controller's role changes. */
+  public interface Listener {
+    /** This controller leads; the replica holds all that earlier terms wrote. */
+    void lead(long term);
+
+    /** This controller leads no more. */
+    void follow();
+  }
+
+  private final Clock clock;
+  private final Timers timers;
+  private final UniformRandomProvider random;
+  private final Settings settings;
+  private final StateClient state;
+  private final Peers peers;
+  private final Listener listener;
+  private final String incarnation;
+  private final long ttlMs;
+  private Replica replica;
+
+  private long termSeen;
+  private String leaderSeen;
+  private String leaderIncarnation;
+  private long leaderSeenAt;
+  private long hold;
+  private long leaderStamp;
+  private long term;
+  private boolean leading;
+  private boolean busy;
+  private Cancellable timer = () -> {};
+
+  /** Not yet taking part; see {@link #start}. */
+  public Leadership(
+      Clock clock,
+      Timers timers,
+      UniformRandomProvider random,
+      Settings settings,
+      StateClient state,
+      Peers peers,
+      Listener listener) {
+    this.clock = clock;
+    this.timers = timers;
+    this.random = random;
+    this.settings = settings;
+    this.state = state;
+    this.peers = peers;
+    this.listener = listener;
+    this.incarnation = new UUID(random.nextLong(), random.nextLong()).toString();
+    this.ttlMs = settings.workers().reportMs();
+  }
+
+  /** Takes part from now on. */
+  public void start(Replica r) {
+    replica = r;
+    tick();
+  }
+
+  /** True while this controller may act as leader, as far as it knows. */
+  public boolean leading() {
+    return leading;
+  }
+
+  /** Term of this leader. */
+  public long term() {
+    return term;
+  }
+
+  /** Highest term known. */
+  public long termSeen() {
+    return termSeen;
+  }
+
+  /** Who leads as far as known, or null. */
+  public String leader() {
+    return leading ? settings.member() : leaderSeen;
+  }
+
+  /** Adds the condition that makes a write of a former leader fail. */
+  public Txn guard(Txn txn) {
+    return txn.when(Keys.LEADER, leaderStamp);
+  }
+
+  /** Told by the replica. */
+  public void leaderKey(JsonNode value, long stamp) {
+    if (value == null) {
+      leaderSeen = null;
+      leaderIncarnation = null;
+      if (leading) {
+        stepDown("the hold has ended");
+      }
+      return;
+    }
+    String member = Json.text(value, "member");
+    long seenTerm = Json.number(value, "term", 0);
+    termSeen = Math.max(termSeen, seenTerm);
+    leaderSeen = member;
+    leaderIncarnation = Json.text(value, "incarnation");
+    leaderSeenAt = clock.now();
+    if (leading && stamp > leaderStamp) {
+      stepDown("term " + seenTerm + " belongs to " + member);
+    }
+  }
+
+  /** A higher term shown by anyone ends ours at once. */
+  public void termShown(long shown) {
+    termSeen = Math.max(termSeen, shown);
+    if (leading && shown > term) {
+      stepDown("somebody knows of term " + shown);
+    }
+  }
+
+  /** Some write found that the leader key is not ours any more. */
+  public void guardFailed() {
+    if (leading) {
+      stepDown("a guarded write was refused");
+    }
+  }
+
+  private void stepDown(String why) {
+    LOG.info("leading no more: {}", why);
+    leading = false;
+    if (settings.member().equals(leaderSeen)) {
+      leaderSeen = null;
+    }
+    listener.follow();
+  }
+
+  private void tick() {
+    if (leading) {
+      extend();
+    } else if (replica.ready() && state.reachable() && !busy && vacant()) {
+      campaign();
+    }
+    long every = leading ? ttlMs / 4 : ttlMs / 40;
+    timer = timers.after(every / 2 + random.nextLong(Math.max(1, every)), this::tick);
+  }
+
+  private boolean vacant() {
+    if (replica.stamp(Keys.LEADER) == 0) {
+      return true;
+    }
+    if (settings.member().equals(leaderSeen) && !incarnation.equals(leaderIncarnation)) {
+      // Our own earlier life.
+      return true;
+    }
+    return leaderSeen != null
+        && clock.now() - leaderSeenAt > ttlMs
+        && peers.seemsEnded(leaderSeen);
+  }
+
+  private void extend() {
+    if (busy) {
+      return;
+    }
+    busy = true;
+    long extending = hold;
+    state.extend(
+        extending,
+        status -> {
+          busy = false;
+          if (status == 404 && leading && hold == extending) {
+            hold = 0;
+            stepDown("the hold was not extended in time");
+          }
+        });
+  }
+
+  private void campaign() {
+    busy = true;
+    state.hold(
+        ttlMs,
+        opened -> {
+          if (opened == 0) {
+            busy = false;
+            return;
+          }
+          hold = opened;
+          run(opened);
+        });
+  }
+
+  private void run(long withHold) {
+    if (!vacant()) {
+      // Somebody won while the hold was being opened: the stamps below would let us depose it.
+      busy = false;
+      return;
+    }
+    long next = termSeen + 1;
+    var leaderValue =
+        Json.object()
+            .put("member", settings.member())
+            .put("incarnation", incarnation)
+            .put("term", next);
+    Txn txn =
+        new Txn()
+            .when(Keys.LEADER, replica.stamp(Keys.LEADER))
+            .when(Keys.TERM, replica.stamp(Keys.TERM))
+            .put(Keys.LEADER, leaderValue, withHold)
+            .put(Keys.TERM, Json.object().put("term", next));
+    state.commit(
+        txn,
+        StateClient.Priority.USER,
+        ttlMs / 3,
+        outcome -> {
+          if (outcome instanceof Outcome.Applied a) {
+            won(next, a.stamp());
+          } else if (outcome instanceof Outcome.Unknown) {
+            state.get(Keys.LEADER, read -> settle(next, read));
+          } else {
+            // Somebody else was quicker, or the replica is behind: the next tick sees.
+            busy = false;
+          }
+        });
+  }
+
+  private void settle(long next, StateClient.Read read) {
+    boolean ours =
+        read.exists()
+            && incarnation.equals(Json.text(read.value(), "incarnation"))
+            && Json.number(read.value(), "term", 0) == next;
+    if (ours) {
+      won(next, read.stamp());
+    } else {
+      busy = false;
+    }
+  }
+
+  private void won(long wonTerm, long stamp) {
+    term = wonTerm;
+    termSeen = Math.max(termSeen, wonTerm);
+    leaderStamp = stamp;
+    // Everything that earlier terms wrote was written before our key: pass a barrier, then act.
+    replica.barrier(
+        passed -> {
+          busy = false;
+          if (!passed || replica.stamp(Keys.LEADER) != stamp || termSeen > wonTerm) {
+            LOG.info("term {} won but lost again before it began", wonTerm);
+            return;
+          }
+          leading = true;
+          LOG.info("leading term {}", wonTerm);
+          listener.lead(wonTerm);
+        });
+  }
+
+  /** Told by the replica. */
+  public void termKey(JsonNode value) {
+    if (value != null) {
+      termSeen = Math.max(termSeen, Json.number(value, "term", 0));
+    }
+  }
+
+  @Override
+  public void close() {
+    timer.cancel();
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/ledger/Attempt.java
@@ -0,0 +1,159 @@
+package dapplestair.ledger;
+
+import dapplestair.submissions.Submission;
+import dapplestair.workers.Report;
+
+/** One try at running one task on one machine, from its planning until its absence is proved. */
+public final class Attempt {
+  /** How far an attempt's launch has come. */
+  public enum Phase {
+    /** In memory only: it may be dropped freely. */
+    PLANNED,
+    /** Recorded, its launch not sent: it may still be dropped freely. */
+    COMMITTED,
+    /** Its launch may be on its way or done. */
+    SENT
+  }
+
+  /** A launch whose outcome is open: no report proves anything yet. */
+  static final long OPEN = Long.MAX_VALUE;
+
+  final Job job;
+  final int step;
+  final long number;
+  final String host;
+  final String zone;
+  final long session;
+  final long plannedAt;
+  Phase phase = Phase.PLANNED;
+
+  /**
+   * A report proves this attempt's absence only if its token is at least this. {@link #OPEN} while
+   * the launch is under way; a raised fence after a launch without answer; 0 once answered.
+   */
+  long neededToken;
+
+  Report.Status status;
+  long statusAt;
+  boolean exited;
+  boolean done;
+  boolean halting;
+  long haltAt;
+  private long lastHaltAt;
+  private double windDownS;
+
+  Attempt(Job job, int step, long number, String host, String zone, long session, long now) {
+    this.job = job;
+    this.step = step;
+    this.number = number;
+    this.host = host;
+    this.zone = zone;
+    this.session = session;
+    this.plannedAt = now;
+  }
+
+  /** The task's name on the wire. */
+  public String key() {
+    return job.spec().ref() + "/" + step;
+  }
+
+  /** Its job. */
+  public Job job() {
+    return job;
+  }
+
+  /** The job's description. */
+  public Submission spec() {
+    return job.spec();
+  }
+
+  /** Index of the task in its job. */
+  public int step() {
+    return step;
+  }
+
+  /** Number of this try. */
+  public long number() {
+    return number;
+  }
+
+  /** Its machine. */
+  public String host() {
+    return host;
+  }
+
+  /** The worker's session it was launched in. */
+  public long session() {
+    return session;
+  }
+
+  /** What its machine last said, or null. */
+  public Report.Status status() {
+    return status;
+  }
+
+  /** Since when it is in that state, as seen here. */
+  public long statusAt() {
+    return statusAt;
+  }
+
+  /** True once its launch may be under way. */
+  public boolean sent() {
+    return phase == Phase.SENT;
+  }
+
+  /** True when a stop was asked for. */
+  public boolean halting() {
+    return halting;
+  }
+
+  /** True once it has ended on its machine: it holds no room there. */
+  public boolean exited() {
+    return exited;
+  }
+
+  /** The launch left for the worker. */
+  public void launchSent() {
+    phase = Phase.SENT;
+    neededToken = OPEN;
+  }
+
+  /** The worker answered: it has executed the launch, or refused the whole message. */
+  public void launchAnswered() {
+    neededToken = 0;
+  }
+
+  /** The launch was surely not sent. */
+  public void launchNotSent() {
+    phase = Phase.COMMITTED;
+  }
+
+  /**
+   * No answer. The launch may still be executed, however late, until the worker has shown a token
+   * that is at least {@code fence}.
+   */
+  public void launchUnknown(long fence) {
+    neededToken = fence;
+  }
+
+  /** A stop was sent. */
+  public void haltSent(long now, double newWindDownS) {
+    lastHaltAt = now;
+    windDownS = newWindDownS;
+  }
+
+  /** When a stop was last sent. */
+  public long lastHaltAt() {
+    return lastHaltAt;
+  }
+
+  /** When a stop was first asked for. */
+  public long haltAt() {
+    return haltAt;
+  }
+
+  /** Time it was given to save. */
+  public double windDownS() {
+    return windDownS;
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/ledger/Chunk.java
@@ -0,0 +1,109 @@
+package dapplestair.ledger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import java.util.BitSet;
+
+/** The attempts and completions of a run of consecutive tasks, kept under one key. */
+final class Chunk {
+  final int index;
+  final int from;
+  final int size;
+
+  /** Steps completed, relative to {@link #from}. */
+  final BitSet done = new BitSet();
+
+  /** Attempts whose absence is not proved, by absolute step. */
+  final Int2ObjectOpenHashMap<Attempt> live = new Int2ObjectOpenHashMap<>();
+
+  long lastNumber;
+  long stamp;
+  boolean dirty;
+  boolean urgent;
+  boolean inFlight;
+
+  Chunk(int index, int chunkSize, int steps) {
+    this.index = index;
+    this.from = index * chunkSize;
+    this.size = Math.min(chunkSize, steps - from);
+  }
+
+  boolean free(int step) {
+    return !done.get(step - from) && !live.containsKey(step);
+  }
+
+  boolean empty() {
+    return live.isEmpty();
+  }
+
+  /** First step at or after {@code step} that is neither done nor held, or -1. */
+  int nextFree(int step) {
+    for (int i = done.nextClearBit(step - from); i < size; i = done.nextClearBit(i + 1)) {
+      if (!live.containsKey(from + i)) {
+        return from + i;
+      }
+    }
+    return -1;
+  }
+
+  ObjectNode toJson() {
+    ObjectNode o = Json.object().put("t", lastNumber);
+    if (!done.isEmpty()) {
+      ArrayNode d = o.putArray("d");
+      for (int i = done.nextSetBit(0); i >= 0; ) {
+        int end = done.nextClearBit(i);
+        d.add(i).add(end);
+        i = done.nextSetBit(end);
+      }
+    }
+    ArrayNode l = o.putArray("l");
+    for (Attempt a : live.values()) {
+      // An attempt seen to complete needs no record of its own: its step is done.
+      if (!a.done) {
+        l.addArray().add(a.step).add(a.number).add(a.host).add(a.zone).add(a.session);
+      }
+    }
+    return o;
+  }
+
+  /** Reads a record, giving each attempt in it to {@code attempts}. */
+  void read(JsonNode value, long newStamp, RecordedAttempts attempts) {
+    stamp = newStamp;
+    lastNumber = Json.number(value, "t", 0);
+    JsonNode d = value.path("d");
+    for (int i = 0; i + 1 < d.size(); i += 2) {
+      done.set(d.get(i).asInt(), d.get(i + 1).asInt());
+    }
+    for (JsonNode e : value.path("l")) {
+      attempts.attempt(
+          e.path(0).asInt(),
+          e.path(1).asLong(),
+          e.path(2).asText(),
+          e.path(3).asText(),
+          e.path(4).asLong());
+    }
+  }
+
+  /** Receives the attempts of a record. */
+  interface RecordedAttempts {
+    void attempt(int step, long number, String host, String zone, long session);
+  }
+
+  /** Completed steps of a record, without building it. */
+  static int countDone(JsonNode value) {
+    JsonNode d = value.path("d");
+    int n = 0;
+    for (int i = 0; i + 1 < d.size(); i += 2) {
+      n += d.get(i + 1).asInt() - d.get(i).asInt();
+    }
+    return n;
+  }
+
+  /** Attempts in a record, without building it. */
+  static int countLive(JsonNode value) {
+    return value.path("l").size();
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -0,0 +1,804 @@
+package dapplestair.ledger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import dapplestair.leadership.Baton;
+import dapplestair.leadership.Leadership;
+import dapplestair.ports.Clock;
+import dapplestair.ports.Timers;
+import dapplestair.settings.Settings;
+import dapplestair.state.Keys;
+import dapplestair.state.Outcome;
+import dapplestair.state.StateClient;
+import dapplestair.state.StateClient.Priority;
+import dapplestair.state.Txn;
+import dapplestair.submissions.Submission;
+import dapplestair.workers.Host;
+import dapplestair.workers.Report;
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * All jobs that are not over and all attempts whose absence is not proved. Followers keep the raw
+ * records, so that a new leader has them at hand; only the leader builds attempts from them.
+ */
+public final class Ledger {
+  private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
+
+  /** What the ledger asks of the other duties. */
+  public interface Hooks {
+    /** The attempt is recorded: its launch may be sent. */
+    void launch(Attempt attempt);
+
+    /** Stop it; {@code windDownS} 0 for at once. */
+    void halt(Attempt attempt, double windDownS);
+
+    /** An exited attempt need not be reported any more. */
+    void clear(String host, String key, long number);
+
+    /** Room or waiting work has changed. */
+    void changed();
+
+    /** A job is over. */
+    void ended(String ref, boolean done);
+
+    /** A task runs. */
+    void started(Attempt attempt);
+
+    /** A task completed after running this long. */
+    void completed(Attempt attempt, Host host, double seconds);
+
+    /** A task failed by itself. */
+    void failed(Attempt attempt, Host host);
+
+    /** The machine of this name, known or not. */
+    Host host(String id);
+  }
+
+  private record Row(JsonNode value, long stamp) {}
+
+  private static final int BYTES_PER_ATTEMPT = 64;
+
+  private final Clock clock;
+  private final Timers timers;
+  private final Settings settings;
+  private final StateClient state;
+  private final Leadership leadership;
+  private final Hooks hooks;
+  private final int chunkSize;
+  private final long gatherMs;
+  private final long retryMs;
+
+  private final Map<String, Job> jobs = new LinkedHashMap<>();
+  private final Map<String, Int2ObjectOpenHashMap<Row>> rows = new HashMap<>();
+  private final Map<String, double[]> teamUse = new HashMap<>();
+  private final Set<Chunk> gathering = new HashSet<>();
+  private long term;
+  private boolean building;
+  private boolean armed;
+  private int orphans;
+
+  /** An empty ledger. */
+  public Ledger(
+      Clock clock,
+      Timers timers,
+      Settings settings,
+      StateClient state,
+      Leadership leadership,
+      Hooks hooks) {
+    this.clock = clock;
+    this.timers = timers;
+    this.settings = settings;
+    this.state = state;
+    this.leadership = leadership;
+    this.hooks = hooks;
+    this.chunkSize = Math.max(1, settings.state().valueBytes() / BYTES_PER_ATTEMPT);
+    this.gatherMs = settings.workers().reportMs() / 8;
+    this.retryMs = settings.workers().reportMs() / 12;
+  }
+
+  // ---- what the replica says ----
+
+  /** A job's key has this value. */
+  public void jobPut(String ref, JsonNode value, long stamp) {
+    Job known = jobs.get(ref);
+    if (known != null) {
+      known.stamp = stamp;
+      return;
+    }
+    Job job = readJob(value, stamp);
+    if (job != null) {
+      jobs.put(ref, job);
+      if (armed) {
+        hooks.changed();
+      }
+    }
+  }
+
+  private Job readJob(JsonNode value, long stamp) {
+    try {
+      return new Job(
+          Submission.parse(value.path("job")),
+          Json.number(value, "at", 0),
+          (int) Json.number(value, "chunk", chunkSize),
+          stamp);
+    } catch (Submission.Malformed e) {
+      LOG.error("a recorded job cannot be read: {}", e.getMessage());
+      return null;
+    }
+  }
+
+  /** The form in which an accepted job is recorded. */
+  public ObjectNode record(Submission s) {
+    ObjectNode o = Json.object().put("at", clock.wall()).put("chunk", chunkSize);
+    o.set("job", s.toJson());
+    return o;
+  }
+
+  /** The form in which a job that is over is recorded. */
+  public ObjectNode overRecord(Job job, String status) {
+    return record(job.spec())
+        .put("status", status)
+        .put("chunk", job.chunkSize())
+        .put("at", job.acceptedWall());
+  }
+
+  /** A job's key is gone: it was withdrawn or is done. */
+  public void jobRemoved(String ref) {
+    Job job = jobs.get(ref);
+    if (job == null) {
+      return;
+    }
+    if (!building) {
+      jobs.remove(ref);
+      return;
+    }
+    endJob(job);
+  }
+
+  private void endJob(Job job) {
+    if (job.over) {
+      return;
+    }
+    job.over = true;
+    job.finishing = false;
+    job.stamp = 0;
+    job.overAt = clock.now();
+    for (Chunk c : job.chunks.values()) {
+      for (Attempt a : List.copyOf(c.live.values())) {
+        if (!a.sent() || a.done) {
+          dropEnded(a);
+        } else {
+          halt(a, 0);
+        }
+      }
+    }
+    cleanUp(job);
+    hooks.changed();
+  }
+
+  private void dropEnded(Attempt a) {
+    retire(a);
+    if (a.done) {
+      hooks.clear(a.host, a.key(), a.number);
+    }
+  }
+
+  /** A record of attempts has this value. */
+  public void runPut(String ref, int chunk, JsonNode value, long stamp) {
+    // A leader's own memory is ahead of its records.
+    if (!building) {
+      rows.computeIfAbsent(ref, r -> new Int2ObjectOpenHashMap<>())
+          .put(chunk, new Row(value, stamp));
+    }
+  }
+
+  /** A record of attempts is gone. */
+  public void runRemoved(String ref, int chunk) {
+    if (!building) {
+      Int2ObjectOpenHashMap<Row> of = rows.get(ref);
+      if (of != null) {
+        of.remove(chunk);
+        if (of.isEmpty()) {
+          rows.remove(ref);
+        }
+      }
+    }
+  }
+
+  // ---- taking and giving up the lead ----
+
+  /** Builds attempts from the records; launches begin once nothing is unaccounted for. */
+  public void lead(long newTerm) {
+    term = newTerm;
+    building = true;
+    List<String> refs = List.copyOf(rows.keySet());
+    orphans = 1;
+    for (String ref : refs) {
+      Job job = jobs.get(ref);
+      if (job != null) {
+        build(job, rows.get(ref));
+      } else {
+        orphans++;
+        fetchOrphan(newTerm, ref);
+      }
+    }
+    orphanFound();
+  }
+
+  /** Attempts of a job that is over still use its team's share: its description is needed. */
+  private void fetchOrphan(long forTerm, String ref) {
+    state.get(
+        Keys.over(ref),
+        read -> {
+          if (!building || term != forTerm) {
+            return;
+          }
+          Job job = read.exists() ? readJob(read.value(), 0) : null;
+          if (job == null) {
+            if (read.known()) {
+              LOG.error("attempts of {} are recorded, but no such job", ref);
+            }
+            timers.after(retryMs, () -> fetchOrphan(forTerm, ref));
+            return;
+          }
+          jobs.put(ref, job);
+          build(job, rows.get(ref));
+          endJob(job);
+          orphanFound();
+        });
+  }
+
+  private void orphanFound() {
+    if (--orphans == 0) {
+      armed = true;
+      rows.clear();
+      LOG.info("ledger ready: {} jobs, {} attempts", jobs.size(), attemptCount());
+      for (Job job : List.copyOf(jobs.values())) {
+        finishIfDone(job);
+      }
+      hooks.changed();
+    }
+  }
+
+  private void build(Job job, Int2ObjectOpenHashMap<Row> of) {
+    of.forEach(
+        (index, row) -> {
+          Chunk c = job.chunk(index);
+          c.read(
+              row.value(),
+              row.stamp(),
+              (step, number, host, zone, session) -> {
+                Attempt a = new Attempt(job, step, number, host, zone, session, clock.now());
+                // Its launch may still be on its way from an earlier leader: only a report
+                // under a token of this term proves anything about it.
+                a.phase = Attempt.Phase.SENT;
+                a.neededToken = Baton.of(term, 0);
+                enter(c, a);
+              });
+        });
+  }
+
+  /** Forgets everything: the replica will tell it again. */
+  public void clear() {
+    jobs.clear();
+    rows.clear();
+    teamUse.clear();
+    gathering.clear();
+    building = false;
+    armed = false;
+    term = 0;
+  }
+
+  /** True when launches may be planned. */
+  public boolean armed() {
+    return armed && leadership.leading();
+  }
+
+  // ---- views ----
+
+  /** A job that is not over or not cleaned up, or null. */
+  public Job job(String ref) {
+    return jobs.get(ref);
+  }
+
+  /** All such jobs, oldest known first. */
+  public Collection<Job> jobs() {
+    return jobs.values();
+  }
+
+  /** Tasks completed and tasks with an attempt, for display. */
+  public int[] counts(Job job) {
+    if (building) {
+      return new int[] {job.doneCount(), job.liveCount()};
+    }
+    int[] out = new int[2];
+    Int2ObjectOpenHashMap<Row> of = rows.get(job.spec().ref());
+    if (of != null) {
+      for (Row r : of.values()) {
+        out[0] += Chunk.countDone(r.value());
+        out[1] += Chunk.countLive(r.value());
+      }
+    }
+    return out;
+  }
+
+  /** Attempts whose absence is not proved. */
+  public int attemptCount() {
+    return jobs.values().stream().mapToInt(Job::held).sum();
+  }
+
+  /** CPUs that a team's attempts use. */
+  public double teamCpus(String team) {
+    double[] u = teamUse.get(team);
+    return u == null ? 0 : u[0];
+  }
+
+  // ---- the door ----
+
+  /** True when the team has room for one more task of this size. */
+  public boolean teamAllows(Submission s) {
+    Settings.Team team = settings.teams().get(s.team());
+    if (team == null) {
+      return false;
+    }
+    double[] u = teamUse.getOrDefault(s.team(), new double[2]);
+    return (team.cpusMax() <= 0 || u[0] + s.cpus() <= team.cpusMax() + 1e-6)
+        && (team.gpusMax() <= 0 || u[1] + s.gpus() <= team.gpusMax() + 1e-6);
+  }
+
+  /** True when the job's other attempts leave room for one more in this zone. */
+  public boolean zoneAllows(Job job, String zone) {
+    Submission s = job.spec();
+    // Attempts out of reach count as well: they may still be there.
+    if (s.apart() && job.inZone(zone) >= s.mostPerZone()) {
+      return false;
+    }
+    return !s.together() || job.held() == 0 || job.inZone(zone) == job.held();
+  }
+
+  /** True when the job's rules let one more of its tasks start on this machine now. */
+  public boolean mayStart(Job job, Host host) {
+    Submission s = job.spec();
+    return host.allowed(s) && host.fits(s) && zoneAllows(job, host.zone()) && teamAllows(s);
+  }
+
+  /**
+   * Plans an attempt, the only way in which a launch begins. Whoever proposes it, it is refused
+   * here unless every rule holds in the latest view.
+   */
+  public boolean launch(Job job, int step, Host host) {
+    if (!armed() || job.over() || host.closed() || !mayStart(job, host)) {
+      return false;
+    }
+    Chunk c = job.chunkOf(step);
+    // An earlier attempt without proof of absence may still run somewhere.
+    if (!c.free(step)) {
+      return false;
+    }
+    Attempt a =
+        new Attempt(
+            job, step, ++c.lastNumber, host.id(), host.zone(), host.session(), clock.now());
+    enter(c, a);
+    dirty(job, c, true);
+    return true;
+  }
+
+  private void enter(Chunk c, Attempt a) {
+    c.live.put(a.step, a);
+    a.job.held++;
+    a.job.perZone.addTo(a.zone, 1);
+    double[] u = teamUse.computeIfAbsent(a.spec().team(), t -> new double[2]);
+    u[0] += a.spec().cpus();
+    u[1] += a.spec().gpus();
+    hooks.host(a.host).hold(a);
+  }
+
+  /** Asks for a stop; repeated by the workers' duty until it is proved. */
+  public void halt(Attempt a, double windDownS) {
+    if (!a.sent()) {
+      retire(a);
+      return;
+    }
+    if (!a.halting) {
+      a.haltAt = clock.now();
+    }
+    a.halting = true;
+    hooks.halt(a, windDownS);
+  }
+
+  /** An attempt stops counting: it has exited, or its absence is proved. */
+  private void vacate(Attempt a) {
+    if (a.exited) {
+      return;
+    }
+    a.exited = true;
+    Job job = a.job;
+    job.perZone.addTo(a.zone, -1);
+    double[] u = teamUse.get(a.spec().team());
+    u[0] -= a.spec().cpus();
+    u[1] -= a.spec().gpus();
+    hooks.host(a.host).vacate(a, clock.now());
+  }
+
+  private void retire(Attempt a) {
+    vacate(a);
+    Chunk c = a.job.chunkOf(a.step);
+    if (c.live.get(a.step) == a) {
+      c.live.remove(a.step);
+      a.job.held--;
+    }
+    hooks.host(a.host).forget(a);
+    if (a.job.over) {
+      cleanUp(a.job);
+    } else {
+      dirty(a.job, c, false);
+    }
+    hooks.changed();
+  }
+
+  // ---- what workers say ----
+
+  /** Applies a machine's newest report. Returns tasks in it that no attempt accounts for. */
+  public List<Report.Task> report(Host host, Report r) {
+    List<Report.Task> strays = new ArrayList<>();
+    Set<Attempt> seen = new HashSet<>();
+    for (Report.Task t : r.tasks()) {
+      Attempt a = host.attempt(t.key());
+      if (a == null || a.number != t.attempt() || a.session != r.session()) {
+        strays.add(t);
+      } else {
+        seen.add(a);
+        seen(host, a, t);
+      }
+    }
+    for (Attempt a : List.copyOf(host.attempts())) {
+      if (!seen.contains(a) && provedAbsent(a, r)) {
+        if (a.done) {
+          continue;
+        }
+        LOG.debug("{} try {} is not on {} any more", a.key(), a.number, host.id());
+        retire(a);
+      }
+    }
+    return armed ? strays : List.of();
+  }
+
+  private static boolean provedAbsent(Attempt a, Report r) {
+    // A later session has killed all that the earlier one ran, and refuses launches meant for it.
+    if (r.session() > a.session) {
+      return true;
+    }
+    // Otherwise the report must come after the last moment at which a launch could be executed.
+    return a.sent() && r.session() == a.session && r.token() >= a.neededToken;
+  }
+
+  private void seen(Host host, Attempt a, Report.Task t) {
+    if (!a.sent()) {
+      // Recorded but not sent cannot be there; an earlier life of this record can.
+      a.phase = Attempt.Phase.SENT;
+    }
+    a.neededToken = 0;
+    if (a.status != t.status()) {
+      a.status = t.status();
+      long before = a.statusAt;
+      a.statusAt = clock.now();
+      if (t.status() == Report.Status.RUNNING) {
+        hooks.started(a);
+        host.imageSeen(a.spec().image(), clock.now());
+      } else if (t.status() == Report.Status.EXITED) {
+        exited(host, a, t.cause(), before == 0 ? 0 : (a.statusAt - before) / 1000.0);
+      }
+    }
+  }
+
+  private void exited(Host host, Attempt a, String cause, double ranS) {
+    LOG.debug("{} try {} exited on {}: {}", a.key(), a.number, host.id(), cause);
+    Chunk c = a.job.chunkOf(a.step);
+    if (cause.equals("done") && !a.spec().service()) {
+      a.done = true;
+      vacate(a);
+      c.done.set(a.step - c.from);
+      hooks.completed(a, host, ranS);
+      if (a.job.over) {
+        dropEnded(a);
+      } else if (!finishIfDone(a.job)) {
+        // Recorded before it is cleared: until then the report is the only proof.
+        dirty(a.job, c, false);
+      }
+      hooks.changed();
+      return;
+    }
+    if (cause.equals("error")) {
+      a.job.failedOn.addTo(host.id(), 1);
+      hooks.failed(a, host);
+    } else if (cause.equals("unknown") || cause.equals("busy")) {
+      holdBack(a.job, settings.workers().reportMs() / 3);
+    }
+    retire(a);
+    hooks.clear(a.host, a.key(), a.number);
+  }
+
+  /** Keeps a job from starting tasks for a while. */
+  public void holdBack(Job job, long ms) {
+    job.heldBackUntil = Math.max(job.heldBackUntil, clock.now() + ms);
+    timers.after(ms + 1, hooks::changed);
+  }
+
+  /** On how many machines this job failed. */
+  public int failedMachines(Job job) {
+    return job.failedOn.size();
+  }
+
+  /** Doubles the pause of a job that fails wherever it runs. */
+  public void backOff(Job job, long firstMs, long mostMs) {
+    job.backoffMs = Math.min(mostMs, Math.max(firstMs, job.backoffMs * 2));
+    holdBack(job, job.backoffMs);
+  }
+
+  /** The machine is proved to be gone, or its lease to have run out: so is all that was on it. */
+  public void allAbsent(Host host) {
+    for (Attempt a : List.copyOf(host.attempts())) {
+      retire(a);
+    }
+  }
+
+  // ---- records ----
+
+  private void dirty(Job job, Chunk c, boolean urgent) {
+    if (!building) {
+      return;
+    }
+    c.dirty = true;
+    c.urgent |= urgent;
+    if (c.inFlight || (gathering.contains(c) && !urgent)) {
+      return;
+    }
+    gathering.add(c);
+    timers.after(urgent ? 0 : gatherMs, () -> flush(job, c));
+  }
+
+  private void flush(Job job, Chunk c) {
+    gathering.remove(c);
+    if (!building || c.inFlight || !c.dirty || job.over() || !leadership.leading()) {
+      return;
+    }
+    boolean urgent = c.urgent;
+    c.inFlight = true;
+    c.dirty = false;
+    c.urgent = false;
+    String ref = job.spec().ref();
+    String key = Keys.run(ref, c.index);
+    List<Attempt> planned = new ArrayList<>();
+    List<Attempt> completed = new ArrayList<>();
+    for (Attempt a : c.live.values()) {
+      if (a.phase == Attempt.Phase.PLANNED) {
+        planned.add(a);
+      }
+      if (a.done) {
+        completed.add(a);
+      }
+    }
+    // The job's own stamp: nothing starts for a job that was withdrawn meanwhile.
+    Txn txn =
+        leadership
+            .guard(new Txn())
+            .when(key, c.stamp)
+            .when(Keys.job(ref), job.stamp)
+            .put(key, c.toJson());
+    long flushTerm = term;
+    state.commit(
+        txn,
+        urgent ? Priority.LAUNCH : Priority.BOOKKEEPING,
+        settings.workers().reportMs(),
+        outcome -> {
+          if (!building || term != flushTerm) {
+            return;
+          }
+          c.inFlight = false;
+          written(job, c, key, outcome, planned, completed);
+        });
+  }
+
+  private void written(
+      Job job, Chunk c, String key, Outcome outcome, List<Attempt> planned, List<Attempt> done) {
+    if (outcome instanceof Outcome.Applied applied) {
+      c.stamp = applied.stamp();
+      if (job.over) {
+        cleanUp(job);
+        return;
+      }
+      for (Attempt a : planned) {
+        if (c.live.get(a.step) == a && a.phase == Attempt.Phase.PLANNED) {
+          a.phase = Attempt.Phase.COMMITTED;
+          hooks.launch(a);
+        }
+      }
+      for (Attempt a : done) {
+        if (c.live.get(a.step) == a) {
+          c.live.remove(a.step);
+          job.held--;
+          hooks.host(a.host).forget(a);
+          hooks.clear(a.host, a.key(), a.number);
+        }
+      }
+      if (!finishIfDone(job) && c.dirty) {
+        dirty(job, c, c.urgent);
+      }
+      return;
+    }
+    c.dirty = true;
+    c.urgent |= !planned.isEmpty();
+    if (outcome instanceof Outcome.Conflict conflict) {
+      if (conflict.failed().contains(Keys.LEADER)) {
+        leadership.guardFailed();
+        return;
+      }
+      if (conflict.failed().contains(Keys.job(job.spec().ref()))) {
+        // Withdrawn: the replica will say so; what was not sent never will be.
+        for (Attempt a : planned) {
+          if (c.live.get(a.step) == a && !a.sent()) {
+            retire(a);
+          }
+        }
+        return;
+      }
+    }
+    if (outcome instanceof Outcome.Conflict || outcome instanceof Outcome.Unknown) {
+      readBack(job, c, key);
+    } else {
+      timers.after(retryMs, () -> flush(job, c));
+    }
+  }
+
+  /**
+   * An unanswered write may have been applied, or may be later. Each write is conditional on the
+   * stamp of the one before, so once a newer one has succeeded, the lost one cannot follow.
+   */
+  private void readBack(Job job, Chunk c, String key) {
+    long readTerm = term;
+    c.inFlight = true;
+    state.get(
+        key,
+        read -> {
+          if (!building || term != readTerm) {
+            return;
+          }
+          c.inFlight = false;
+          if (read.known()) {
+            c.stamp = read.stamp();
+          }
+          if (job.over) {
+            cleanUp(job);
+          } else {
+            timers.after(read.known() ? 0 : retryMs, () -> flush(job, c));
+          }
+        });
+  }
+
+  private boolean finishIfDone(Job job) {
+    if (job.over() || !armed || !job.allDone()) {
+      return job.over();
+    }
+    job.finishing = true;
+    finish(job);
+    return true;
+  }
+
+  private void finish(Job job) {
+    if (!building || job.over || !leadership.leading()) {
+      return;
+    }
+    String ref = job.spec().ref();
+    Txn txn =
+        leadership
+            .guard(new Txn())
+            .when(Keys.job(ref), job.stamp)
+            .put(Keys.over(ref), overRecord(job, "done"))
+            .remove(Keys.job(ref));
+    List<Chunk> removed = new ArrayList<>();
+    for (Chunk c : job.chunks.values()) {
+      if (c.stamp != 0 && !c.inFlight && txn.size() < settings.state().txnOps()) {
+        txn.when(Keys.run(ref, c.index), c.stamp).remove(Keys.run(ref, c.index));
+        removed.add(c);
+      }
+    }
+    long finishTerm = term;
+    state.commit(
+        txn,
+        Priority.LAUNCH,
+        settings.workers().reportMs(),
+        outcome -> {
+          if (!building || term != finishTerm || job.over) {
+            return;
+          }
+          finished(job, removed, outcome);
+        });
+  }
+
+  private void finished(Job job, List<Chunk> removed, Outcome outcome) {
+    String ref = job.spec().ref();
+    if (outcome instanceof Outcome.Applied) {
+      removed.forEach(c -> c.stamp = 0);
+      hooks.ended(ref, true);
+      endJob(job);
+      return;
+    }
+    if (outcome instanceof Outcome.Conflict conflict) {
+      if (conflict.failed().contains(Keys.LEADER)) {
+        leadership.guardFailed();
+        return;
+      }
+      if (conflict.failed().contains(Keys.job(ref))) {
+        // Withdrawn before, or our own unanswered write was applied: over/ tells which.
+        endJob(job);
+        return;
+      }
+      for (Chunk c : removed) {
+        if (conflict.failed().contains(Keys.run(ref, c.index))) {
+          readBack(job, c, Keys.run(ref, c.index));
+        }
+      }
+    }
+    timers.after(retryMs, () -> finish(job));
+  }
+
+  /** Deletes the records of a job that is over, each once nothing in it can be running. */
+  private void cleanUp(Job job) {
+    if (!building) {
+      return;
+    }
+    boolean left = false;
+    for (Chunk c : job.chunks.values()) {
+      if (!c.empty() || c.stamp != 0 || c.inFlight) {
+        left = true;
+      }
+      if (c.empty() && c.stamp != 0 && !c.inFlight) {
+        removeRecord(job, c);
+      }
+    }
+    if (!left) {
+      jobs.remove(job.spec().ref(), job);
+    }
+  }
+
+  private void removeRecord(Job job, Chunk c) {
+    c.inFlight = true;
+    String key = Keys.run(job.spec().ref(), c.index);
+    Txn txn = leadership.guard(new Txn()).when(key, c.stamp).remove(key);
+    long removeTerm = term;
+    state.commit(
+        txn,
+        Priority.BOOKKEEPING,
+        settings.workers().leaseMs(),
+        outcome -> {
+          if (!building || term != removeTerm) {
+            return;
+          }
+          c.inFlight = false;
+          if (outcome instanceof Outcome.Applied) {
+            c.stamp = 0;
+            cleanUp(job);
+          } else if (outcome instanceof Outcome.Conflict conflict
+              && conflict.failed().contains(Keys.LEADER)) {
+            leadership.guardFailed();
+          } else if (outcome instanceof Outcome.Refused) {
+            timers.after(4 * retryMs, () -> cleanUp(job));
+          } else {
+            c.inFlight = true;
+            timers.after(retryMs, () -> readBack(job, c, key));
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/metrics/Metrics.java
@@ -0,0 +1,57 @@
+package dapplestair.metrics;
+
+import org.HdrHistogram.Histogram;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Histograms and counters since the last summary. */
+public final class Metrics {
+  private static final Logger LOG = LoggerFactory.getLogger(Metrics.class);
+  private final Histogram accept = new Histogram(60_000, 2);
+  private final Histogram start = new Histogram(3_600_000, 2);
+  private long shed;
+  private long launches;
+  private long lost;
+
+  /** A submission was accepted after this long. */
+  public void accepted(long ms) {
+    accept.recordValue(Math.min(60_000, Math.max(0, ms)));
+  }
+
+  /** A task runs, this long after its job was accepted. */
+  public void started(long ms) {
+    launches++;
+    start.recordValue(Math.min(3_600_000, Math.max(0, ms)));
+  }
+
+  /** A request was turned away. */
+  public void shed() {
+    shed++;
+  }
+
+  /** An attempt ended without completing and without being asked to. */
+  public void lost() {
+    lost++;
+  }
+
+  /** Writes one line and begins anew. */
+  public void summarise(String more) {
+    LOG.info(
+        "summary: accepted {} (p50 {} ms, p99 {} ms), turned away {}, started {} (p50 {} ms,"
+            + " p90 {} ms), lost {}; {}",
+        accept.getTotalCount(),
+        accept.getValueAtPercentile(50),
+        accept.getValueAtPercentile(99),
+        shed,
+        launches,
+        start.getValueAtPercentile(50),
+        start.getValueAtPercentile(90),
+        lost,
+        more);
+    accept.reset();
+    start.reset();
+    shed = 0;
+    launches = 0;
+    lost = 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** What the controller measures of itself, summarised in the log. */
+package dapplestair.metrics;
--- /dev/null
+++ b/src/main/java/dapplestair/netty/Loop.java
@@ -0,0 +1,91 @@
+package dapplestair.netty;
+
+import dapplestair.ports.Background;
+import dapplestair.ports.Cancellable;
+import dapplestair.ports.Clock;
+import dapplestair.ports.Timers;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Future;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The one thread that owns all state, with its clock, its timers and a helper for long work. */
+public final class Loop implements Clock, Timers, Background, AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
+
+  private final NioEventLoopGroup group =
+      new NioEventLoopGroup(1, new DefaultThreadFactory("loop", true));
+  private final ThreadPoolExecutor helper =
+      new ThreadPoolExecutor(
+          0,
+          1,
+          30,
+          TimeUnit.SECONDS,
+          new ArrayBlockingQueue<>(4),
+          new DefaultThreadFactory("planning", true));
+  private final long zero = System.nanoTime();
+
+  NioEventLoopGroup group() {
+    return group;
+  }
+
+  /** Where everything runs. */
+  public Executor executor() {
+    return eventLoop();
+  }
+
+  EventLoop eventLoop() {
+    return group.next();
+  }
+
+  @Override
+  public long now() {
+    return (System.nanoTime() - zero) / 1_000_000;
+  }
+
+  @Override
+  public long wall() {
+    return System.currentTimeMillis();
+  }
+
+  @Override
+  public Cancellable after(long delayMs, Runnable task) {
+    Future<?> f = eventLoop().schedule(guarded(task), Math.max(0, delayMs), TimeUnit.MILLISECONDS);
+    return () -> f.cancel(false);
+  }
+
+  @Override
+  public <R> void compute(Supplier<R> work, Consumer<R> done) {
+    helper.execute(
+        guarded(
+            () -> {
+              R result = work.get();
+              eventLoop().execute(guarded(() -> done.accept(result)));
+            }));
+  }
+
+  /** Keeps one failing task from ending the loop or its own repetition unseen. */
+  static Runnable guarded(Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException e) {
+        LOG.error("a task failed", e);
+      }
+    };
+  }
+
+  @Override
+  public void close() {
+    helper.shutdownNow();
+    group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/netty/PeerLinks.java
@@ -0,0 +1,185 @@
+package dapplestair.netty;
+
+import dapplestair.peers.PeerCodec;
+import dapplestair.peers.PeerHello;
+import dapplestair.ports.PeerNetwork;
+import dapplestair.settings.Settings;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.net.ConnectException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Links between controllers. Each controller opens one connection to every other and speaks on it;
+ * it listens on those that others opened.
+ */
+public final class PeerLinks implements PeerNetwork {
+  private static final Logger LOG = LoggerFactory.getLogger(PeerLinks.class);
+  private static final int CONNECT_MS = 1000;
+  private static final long RECONNECT_MS = 150;
+  private static final int MOST_UNSENT = 1 << 20;
+
+  private final Loop loop;
+  private final Settings settings;
+  private final PeerCodec codec = new PeerCodec();
+  private final Map<String, Channel> outgoing = new HashMap<>();
+  private final Map<String, Settings.Peer> peers = new HashMap<>();
+  private Listener listener;
+
+  /** Links to the peers of the settings. */
+  public PeerLinks(Loop loop, Settings settings) {
+    this.loop = loop;
+    this.settings = settings;
+    settings.peers().forEach(p -> peers.put(p.member(), p));
+  }
+
+  @Override
+  public void listen(Listener l) {
+    listener = l;
+  }
+
+  @Override
+  public void start() {
+    new ServerBootstrap()
+        .group(loop.group())
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(framed(Incoming::new))
+        .bind(settings.peerBind().host(), settings.peerBind().port())
+        .addListener(
+            f -> {
+              if (!f.isSuccess()) {
+                LOG.error("cannot listen for peers on {}", settings.peerBind(), f.cause());
+              }
+            });
+    peers.values().forEach(this::connect);
+  }
+
+  private ChannelInitializer<SocketChannel> framed(
+      java.util.function.Supplier<SimpleChannelInboundHandler<ByteBuf>> handler) {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(SocketChannel ch) {
+        ch.pipeline()
+            .addLast(new LengthFieldBasedFrameDecoder(PeerCodec.LARGEST_FRAME, 0, 4, 0, 4))
+            .addLast(new LengthFieldPrepender(4))
+            .addLast(handler.get());
+      }
+    };
+  }
+
+  private void connect(Settings.Peer peer) {
+    new Bootstrap()
+        .group(loop.group())
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+        .handler(framed(Outgoing::new))
+        .connect(peer.endpoint().host(), peer.endpoint().port())
+        .addListener(
+            (io.netty.channel.ChannelFutureListener)
+                f -> {
+                  if (f.isSuccess()) {
+                    linked(peer, f.channel());
+                  } else {
+                    if (f.cause() instanceof ConnectException && isRefusal(f.cause())) {
+                      listener.refused(peer.member());
+                    }
+                    reconnect(peer);
+                  }
+                });
+  }
+
+  private static boolean isRefusal(Throwable cause) {
+    String message = String.valueOf(cause.getMessage());
+    return message.contains("refused");
+  }
+
+  private void linked(Settings.Peer peer, Channel channel) {
+    outgoing.put(peer.member(), channel);
+    channel.writeAndFlush(
+        Unpooled.wrappedBuffer(codec.encode(new PeerHello(settings.member()))));
+    listener.up(peer.member());
+    channel
+        .closeFuture()
+        .addListener(
+            c -> {
+              outgoing.remove(peer.member(), channel);
+              listener.down(peer.member());
+              connect(peer);
+            });
+  }
+
+  private void reconnect(Settings.Peer peer) {
+    long jitter = ThreadLocalRandom.current().nextLong(RECONNECT_MS);
+    loop.after(RECONNECT_MS + jitter, () -> connect(peer));
+  }
+
+  @Override
+  public void send(String member, Object message) {
+    Channel channel = outgoing.get(member);
+    if (channel == null) {
+      return;
+    }
+    if (channel.unsafe().outboundBuffer() != null
+        && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MOST_UNSENT) {
+      // A silent peer must not cost memory: it is linked anew.
+      channel.close();
+      return;
+    }
+    channel.writeAndFlush(Unpooled.wrappedBuffer(codec.encode(message)));
+  }
+
+  /** The far side never speaks on a connection that we opened. */
+  private static final class Outgoing extends SimpleChannelInboundHandler<ByteBuf> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+      ctx.close();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+
+  private final class Incoming extends SimpleChannelInboundHandler<ByteBuf> {
+    private String member;
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+      Object message = codec.decode(ByteBufUtil.getBytes(frame));
+      if (member == null && message instanceof PeerHello h && peers.containsKey(h.member())) {
+        member = h.member();
+      } else if (member != null && message != null) {
+        listener.message(member, message);
+      } else {
+        LOG.debug("garbled frame from {}", ctx.channel().remoteAddress());
+        ctx.close();
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -0,0 +1,328 @@
+package dapplestair.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.fleet.Fleet;
+import dapplestair.fleet.MachineTypes;
+import dapplestair.json.Json;
+import dapplestair.leadership.Leadership;
+import dapplestair.ledger.Attempt;
+import dapplestair.ledger.Ledger;
+import dapplestair.metrics.Metrics;
+import dapplestair.peers.PeerStatus;
+import dapplestair.peers.Peers;
+import dapplestair.placement.Estimates;
+import dapplestair.placement.Placer;
+import dapplestair.planning.Planning;
+import dapplestair.ports.Cancellable;
+import dapplestair.ports.Exchange;
+import dapplestair.settings.Operator;
+import dapplestair.settings.Settings;
+import dapplestair.state.Keys;
+import dapplestair.state.Replica;
+import dapplestair.state.StateClient;
+import dapplestair.submissions.SubmissionDesk;
+import dapplestair.workers.Host;
+import dapplestair.workers.WorkerDesk;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller. All of it runs on one loop. */
+public final class Controller implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+  private static final String SUBMISSIONS = "/submissions";
+
+  private final Outside outside;
+  private final Settings settings;
+  private final StateClient state;
+  private final MachineTypes types = new MachineTypes();
+  private final Metrics metrics = new Metrics();
+  private final Estimates estimates = new Estimates();
+  private final Peers peers;
+  private final Leadership leadership;
+  private final Ledger ledger;
+  private final WorkerDesk workers;
+  private final Fleet fleet;
+  private final Placer placer;
+  private final Planning planning;
+  private final Replica replica;
+  private final SubmissionDesk submissions;
+  private Cancellable summary = () -> {};
+
+  /** Wires the duties; nothing runs before {@link #start}. */
+  public Controller(Settings settings, Operator operator, Outside outside) {
+    this.outside = outside;
+    this.settings = settings;
+    var clock = outside.clock();
+    var timers = outside.timers();
+    state = new StateClient(clock, timers, outside.http(), settings);
+    peers =
+        new Peers(clock, timers, outside.peers(), settings, this::ownStatus, this::peerStatus);
+    leadership =
+        new Leadership(
+            clock, timers, outside.random(), settings, state, peers, new RoleChanges());
+    ledger = new Ledger(clock, timers, settings, state, leadership, new LedgerHooks());
+    workers =
+        new WorkerDesk(
+            clock,
+            timers,
+            outside.http(),
+            settings,
+            leadership,
+            types,
+            ledger,
+            this::hostChanged);
+    fleet =
+        new Fleet(
+            clock, timers, outside.http(), settings, state, leadership, types, workers);
+    placer = new Placer(clock, timers, settings, ledger, workers, estimates);
+    planning = new Planning(timers, operator, ledger, fleet, types);
+    replica =
+        new Replica(state, timers, outside.random(), leadership::leading, new ReplicaEvents());
+    submissions =
+        new SubmissionDesk(clock, settings, state, replica, ledger, types, metrics);
+  }
+
+  /** Begins to take part. */
+  public void start() {
+    LOG.info("{} in {} starts", settings.member(), settings.zone());
+    replica.reload();
+    peers.start();
+    leadership.start(replica);
+    summarise();
+  }
+
+  private void summarise() {
+    summary = outside.timers().after(20 * settings.workers().reportMs(), this::summarise);
+    int jobs = ledger.jobs().size();
+    metrics.summarise(
+        "%s, %d jobs, %d attempts, %d machines, %d transactions waiting"
+            .formatted(
+                leadership.leading() ? "leading" : "following " + leadership.leader(),
+                jobs,
+                ledger.attemptCount(),
+                workers.hosts().size(),
+                state.queued()));
+  }
+
+  // ---- requests ----
+
+  /** Answers a request of a user, a worker or a health check. */
+  public void handle(Exchange x) {
+    String path = x.path();
+    if (path.equals("/agent/beat")) {
+      if (method(x, "POST")) {
+        workers.beat(x);
+      }
+    } else if (path.equals("/up")) {
+      if (method(x, "GET")) {
+        up(x);
+      }
+    } else if (path.equals(SUBMISSIONS)) {
+      if (method(x, "POST")) {
+        submissions.submit(x);
+      }
+    } else if (path.startsWith(SUBMISSIONS + "/")) {
+      oneSubmission(x, path.substring(SUBMISSIONS.length() + 1));
+    } else {
+      error(x, 404, "no such path");
+    }
+  }
+
+  private void oneSubmission(Exchange x, String rest) {
+    int slash = rest.indexOf('/');
+    if (slash < 0) {
+      if (method(x, "GET")) {
+        submissions.poll(x, rest);
+      }
+    } else if (rest.substring(slash).equals("/withdraw")) {
+      if (method(x, "POST")) {
+        submissions.withdraw(x, rest.substring(0, slash));
+      }
+    } else {
+      error(x, 404, "no such path");
+    }
+  }
+
+  /**
+   * Unhealthy only while another controller can do better: in an outage of all, users are told when
+   * to come back instead of finding nobody.
+   */
+  private void up(Exchange x) {
+    boolean able = replica.ready() && types.known() && state.unreachableMs() == 0;
+    boolean healthy = able || !peers.anyServed();
+    x.reply(healthy ? 200 : 503, Json.bytes(Json.object().put("up", healthy)), 0);
+  }
+
+  private static boolean method(Exchange x, String wanted) {
+    if (x.method().equals(wanted)) {
+      return true;
+    }
+    error(x, 405, "use " + wanted);
+    return false;
+  }
+
+  private static void error(Exchange x, int status, String why) {
+    x.reply(status, Json.bytes(Json.object().put("error", why)), 0);
+  }
+
+  // ---- between the duties ----
+
+  private PeerStatus ownStatus() {
+    return new PeerStatus(
+        leadership.leading() ? leadership.term() : leadership.termSeen(),
+        leadership.leader(),
+        state.reachable(),
+        replica.ready() && types.known());
+  }
+
+  private void peerStatus(PeerStatus status) {
+    leadership.termShown(status.term());
+  }
+
+  private void hostChanged(Host host) {
+    placer.nudge();
+  }
+
+  private final class RoleChanges implements Leadership.Listener {
+    @Override
+    public void lead(long term) {
+      state.leading(true);
+      fleet.lead();
+      ledger.lead(term);
+      workers.lead();
+      planning.lead();
+      peers.tell();
+    }
+
+    @Override
+    public void follow() {
+      state.leading(false);
+      planning.clear();
+      fleet.clear();
+      ledger.clear();
+      workers.clear();
+      // What was in memory may not be what was recorded: read all of it again.
+      replica.restart();
+      peers.tell();
+    }
+  }
+
+  private final class ReplicaEvents implements Replica.Listener {
+    @Override
+    public void put(String key, JsonNode value, long stamp) {
+      if (key.startsWith(Keys.RUN)) {
+        int slash = key.lastIndexOf('/');
+        ledger.runPut(
+            key.substring(Keys.RUN.length(), slash),
+            Integer.parseInt(key.substring(slash + 1)),
+            value,
+            stamp);
+      } else if (key.startsWith(Keys.JOB)) {
+        ledger.jobPut(key.substring(Keys.JOB.length()), value, stamp);
+      } else if (key.startsWith(Keys.RENTAL)) {
+        if (!leadership.leading()) {
+          fleet.rentalPut(key.substring(Keys.RENTAL.length()), value, stamp);
+        }
+      } else if (key.equals(Keys.LEADER)) {
+        leadership.leaderKey(value, stamp);
+      } else if (key.equals(Keys.TERM)) {
+        leadership.termKey(value);
+      } else if (key.equals(Keys.TYPES)) {
+        fleet.typesKey(value, stamp);
+      }
+    }
+
+    @Override
+    public void removed(String key) {
+      if (key.startsWith(Keys.RUN)) {
+        int slash = key.lastIndexOf('/');
+        ledger.runRemoved(
+            key.substring(Keys.RUN.length(), slash), Integer.parseInt(key.substring(slash + 1)));
+      } else if (key.startsWith(Keys.JOB)) {
+        ledger.jobRemoved(key.substring(Keys.JOB.length()));
+      } else if (key.startsWith(Keys.RENTAL)) {
+        fleet.rentalRemoved(key.substring(Keys.RENTAL.length()));
+      } else if (key.equals(Keys.LEADER)) {
+        leadership.leaderKey(null, 0);
+      } else if (key.equals(Keys.TYPES)) {
+        fleet.typesKey(null, 0);
+      }
+    }
+
+    @Override
+    public void loaded() {
+      placer.nudge();
+    }
+  }
+
+  private final class LedgerHooks implements Ledger.Hooks {
+    @Override
+    public void launch(Attempt attempt) {
+      workers.launch(attempt);
+    }
+
+    @Override
+    public void halt(Attempt attempt, double windDownS) {
+      workers.halt(attempt, windDownS);
+    }
+
+    @Override
+    public void clear(String host, String key, long number) {
+      workers.clear(host, key, number);
+    }
+
+    @Override
+    public void changed() {
+      placer.nudge();
+    }
+
+    @Override
+    public void ended(String ref, boolean done) {
+      submissions.ended(ref, done);
+    }
+
+    @Override
+    public void started(Attempt attempt) {
+      metrics.started(outside.clock().wall() - attempt.job().acceptedWall());
+    }
+
+    @Override
+    public void completed(Attempt attempt, Host host, double seconds) {
+      host.taskCompleted();
+      double expected = estimates.runS(attempt.spec());
+      if (expected > 0 && seconds > 0) {
+        host.observeSlowness(seconds / expected);
+      }
+      estimates.observe(attempt.spec(), seconds);
+    }
+
+    @Override
+    public void failed(Attempt attempt, Host host) {
+      metrics.lost();
+      long first = settings.workers().reportMs();
+      // Two machines agree: it is the job. Two jobs agree: it is the machine.
+      if (ledger.failedMachines(attempt.job()) >= 2) {
+        ledger.backOff(attempt.job(), first, 20 * first);
+      }
+      if (host.taskFailed(attempt.spec().ref()) >= 2 && !host.draining()) {
+        LOG.info("{} fails what it starts: it is emptied", host.id());
+        host.setDraining(true);
+      }
+    }
+
+    @Override
+    public Host host(String id) {
+      return workers.host(id);
+    }
+  }
+
+  @Override
+  public void close() {
+    summary.cancel();
+    planning.close();
+    fleet.close();
+    workers.close();
+    leadership.close();
+    peers.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/node/package-info.java
@@ -0,0 +1,2 @@
+/** One controller: its duties, wired together over the ports. */
+package dapplestair.node;
--- /dev/null
+++ b/src/main/java/dapplestair/peers/PeerCodec.java
@@ -0,0 +1,46 @@
+package dapplestair.peers;
+
+import com.esotericsoftware.kryo.Kryo;
+import com.esotericsoftware.kryo.KryoException;
+import com.esotericsoftware.kryo.io.Input;
+import com.esotericsoftware.kryo.io.Output;
+
+/** Kryo with registered classes only; the version is the first byte of every frame. */
+public final class PeerCodec {
+  /** Raised whenever a message changes; other versions are not understood. */
+  public static final int VERSION = 1;
+
+  /** Frames above this are refused. */
+  public static final int LARGEST_FRAME = 512 * 1024;
+
+  private final Kryo kryo = new Kryo();
+  private final Output out = new Output(1024, LARGEST_FRAME);
+
+  /** A codec for one thread. */
+  public PeerCodec() {
+    kryo.setRegistrationRequired(true);
+    kryo.setReferences(false);
+    kryo.register(PeerHello.class);
+    kryo.register(PeerStatus.class);
+  }
+
+  /** Encodes a message. */
+  public byte[] encode(Object message) {
+    out.reset();
+    out.writeByte(VERSION);
+    kryo.writeClassAndObject(out, message);
+    return out.toBytes();
+  }
+
+  /** Decodes a message, or gives null when it is garbled or of another version. */
+  public Object decode(byte[] frame) {
+    if (frame.length < 2 || frame[0] != VERSION) {
+      return null;
+    }
+    try {
+      return kryo.readClassAndObject(new Input(frame, 1, frame.length - 1));
+    } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException e) {
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/peers/PeerStatus.java
@@ -0,0 +1,11 @@
+package dapplestair.peers;
+
+/**
+ * What a controller says of itself, several times a second.
+ *
+ * @param term highest term it knows of
+ * @param leader the leader of that term as it knows it, or null
+ * @param stateReachable whether the state service serves it
+ * @param ready whether it can take requests
+ */
+public record PeerStatus(long term, String leader, boolean stateReachable, boolean ready) {}
--- /dev/null
+++ b/src/main/java/dapplestair/peers/Peers.java
@@ -0,0 +1,134 @@
+package dapplestair.peers;
+
+import dapplestair.ports.Cancellable;
+import dapplestair.ports.Clock;
+import dapplestair.ports.PeerNetwork;
+import dapplestair.ports.Timers;
+import dapplestair.settings.Settings;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Which peers live and what they last said. */
+public final class Peers implements PeerNetwork.Listener, AutoCloseable {
+  private static final class Peer {
+    boolean up;
+    boolean gone;
+    long heardAt = Long.MIN_VALUE / 2;
+    PeerStatus status;
+  }
+
+  private final Clock clock;
+  private final Timers timers;
+  private final PeerNetwork network;
+  private final Supplier<PeerStatus> own;
+  private final Consumer<PeerStatus> heard;
+  private final long everyMs;
+  private final Map<String, Peer> peers = new HashMap<>();
+  private Cancellable timer = () -> {};
+
+  /** {@code own} is what to say; {@code heard} is told of what others say. */
+  public Peers(
+      Clock clock,
+      Timers timers,
+      PeerNetwork network,
+      Settings settings,
+      Supplier<PeerStatus> own,
+      Consumer<PeerStatus> heard) {
+    this.clock = clock;
+    this.timers = timers;
+    this.network = network;
+    this.own = own;
+    this.heard = heard;
+    this.everyMs = settings.workers().reportMs() / 8;
+    settings.peers().forEach(p -> peers.put(p.member(), new Peer()));
+  }
+
+  /** Begins to connect and to speak. */
+  public void start() {
+    network.listen(this);
+    network.start();
+    tick();
+  }
+
+  private void tick() {
+    tell();
+    timer = timers.after(everyMs, this::tick);
+  }
+
+  /** Says at once what is new. */
+  public void tell() {
+    PeerStatus status = own.get();
+    peers.keySet().forEach(m -> network.send(m, status));
+  }
+
+  @Override
+  public void message(String member, Object message) {
+    Peer peer = peers.get(member);
+    if (peer != null && message instanceof PeerStatus status) {
+      peer.gone = false;
+      peer.heardAt = clock.now();
+      peer.status = status;
+      heard.accept(status);
+    }
+  }
+
+  @Override
+  public void up(String member) {
+    Peer peer = peers.get(member);
+    if (peer != null) {
+      peer.up = true;
+      peer.gone = false;
+    }
+  }
+
+  @Override
+  public void down(String member) {
+    Peer peer = peers.get(member);
+    if (peer != null) {
+      peer.up = false;
+    }
+  }
+
+  @Override
+  public void refused(String member) {
+    Peer peer = peers.get(member);
+    if (peer != null && !alive(member)) {
+      peer.gone = true;
+    }
+  }
+
+  /** True when this peer spoke within the last few turns. */
+  public boolean alive(String member) {
+    Peer peer = peers.get(member);
+    return peer != null && clock.now() - peer.heardAt < 4 * everyMs;
+  }
+
+  /** True when this peer's process has very probably ended: silent, and its port refuses. */
+  public boolean seemsEnded(String member) {
+    Peer peer = peers.get(member);
+    return peer != null && peer.gone && !peer.up && !alive(member);
+  }
+
+  /** True when a living peer is served by the state service. */
+  public boolean anyServed() {
+    return peers.entrySet().stream()
+        .anyMatch(
+            e ->
+                alive(e.getKey())
+                    && e.getValue().status != null
+                    && e.getValue().status.stateReachable()
+                    && e.getValue().status.ready());
+  }
+
+  /** True when no peer is known to live. */
+  public boolean alone() {
+    return peers.keySet().stream().noneMatch(this::alive);
+  }
+
+  @Override
+  public void close() {
+    timer.cancel();
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/placement/Estimates.java
@@ -0,0 +1,31 @@
+package dapplestair.placement;
+
+import dapplestair.submissions.Submission;
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+
+/** How long tasks take: the owners' guesses, corrected by what was seen of each class. */
+public final class Estimates {
+  private static final double WEIGHT = 0.1;
+  private final Object2DoubleOpenHashMap<String> correction = new Object2DoubleOpenHashMap<>();
+
+  /** No corrections yet. */
+  public Estimates() {
+    correction.defaultReturnValue(1);
+  }
+
+  /** A task of this class took {@code seconds} where its owner guessed otherwise. */
+  public void observe(Submission s, double seconds) {
+    if (s.guessS() <= 0 || seconds <= 0) {
+      return;
+    }
+    // In logarithms, so that twice too long and twice too short weigh the same.
+    double ratio = Math.max(0.1, Math.min(10, seconds / s.guessS()));
+    double old = correction.getDouble(s.jobClass());
+    correction.put(s.jobClass(), old * Math.pow(ratio / old, WEIGHT));
+  }
+
+  /** Run time to expect on an ordinary machine. */
+  public double runS(Submission s) {
+    return s.guessS() * correction.getDouble(s.jobClass());
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -0,0 +1,247 @@
+package dapplestair.placement;
+
+import dapplestair.ledger.Attempt;
+import dapplestair.ledger.Job;
+import dapplestair.ledger.Ledger;
+import dapplestair.ports.Clock;
+import dapplestair.ports.Timers;
+import dapplestair.settings.Settings;
+import dapplestair.submissions.Rank;
+import dapplestair.submissions.Submission;
+import dapplestair.workers.Host;
+import dapplestair.workers.WorkerDesk;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** Starts each waiting task where it completes earliest, the most pressing first. */
+public final class Placer {
+  private final Clock clock;
+  private final Timers timers;
+  private final Settings settings;
+  private final Ledger ledger;
+  private final WorkerDesk desk;
+  private final Estimates estimates;
+  private final long pauseMs;
+  private boolean due;
+
+  /** Places what the ledger holds on what the desk knows. */
+  public Placer(
+      Clock clock,
+      Timers timers,
+      Settings settings,
+      Ledger ledger,
+      WorkerDesk desk,
+      Estimates estimates) {
+    this.clock = clock;
+    this.timers = timers;
+    this.settings = settings;
+    this.ledger = ledger;
+    this.desk = desk;
+    this.estimates = estimates;
+    this.pauseMs = settings.workers().reportMs() / 150;
+  }
+
+  /** Something changed: look again soon, once for all changes of the moment. */
+  public void nudge() {
+    if (!due) {
+      due = true;
+      timers.after(
+          pauseMs,
+          () -> {
+            due = false;
+            place();
+          });
+    }
+  }
+
+  private void place() {
+    if (!ledger.armed()) {
+      return;
+    }
+    List<Host> usable = new ArrayList<>();
+    for (Host h : desk.hosts()) {
+      if (!h.closed() && desk.fresh(h)) {
+        usable.add(h);
+      }
+    }
+    for (Job job : ordered()) {
+      if (job.spec().together()) {
+        placeGang(job, usable);
+      } else {
+        placeEach(job, usable);
+      }
+    }
+  }
+
+  /** Waiting jobs: by rank, guaranteed ones before borrowers, then by least slack. */
+  private List<Job> ordered() {
+    long now = clock.now();
+    List<Job> waiting = new ArrayList<>();
+    for (Job job : ledger.jobs()) {
+      if (!job.over() && job.heldBackUntil() <= now && job.nextFree(0) >= 0) {
+        waiting.add(job);
+      }
+    }
+    Map<Job, Double> slack = new HashMap<>();
+    waiting.forEach(j -> slack.put(j, slackS(j)));
+    waiting.sort(
+        Comparator.<Job>comparingInt(j -> urgency(j.spec()))
+            .thenComparing(j -> !guaranteed(j))
+            .thenComparingDouble(slack::get)
+            .thenComparing(j -> j.spec().ref()));
+    return waiting;
+  }
+
+  private static int urgency(Submission s) {
+    return 2 * s.rank().ordinal() + (s.service() ? 0 : 1);
+  }
+
+  private boolean guaranteed(Job job) {
+    Settings.Team team = settings.teams().get(job.spec().team());
+    return team != null
+        && team.cpus() > 0
+        && ledger.teamCpus(team.name()) + job.spec().cpus() <= team.cpus() + 1e-6;
+  }
+
+  private double slackS(Job job) {
+    Submission s = job.spec();
+    double age = (clock.wall() - job.acceptedWall()) / 1000.0;
+    double due = Double.isFinite(s.dueS()) ? s.dueS() : 10 * estimates.runS(s) + 60;
+    return due - age - estimates.runS(s);
+  }
+
+  private void placeEach(Job job, List<Host> usable) {
+    int step = job.nextFree(0);
+    while (step >= 0) {
+      Host best = best(job, usable);
+      if (best == null || !ledger.launch(job, step, best)) {
+        break;
+      }
+      step = job.nextFree(step + 1);
+    }
+    if (step >= 0 && ledger.teamAllows(job.spec())) {
+      makeRoom(job, usable);
+    }
+  }
+
+  /** A gang starts only when all of it fits into one zone now. */
+  private void placeGang(Job job, List<Host> usable) {
+    Submission s = job.spec();
+    Set<String> zones = new TreeSet<>();
+    usable.forEach(h -> zones.add(h.zone()));
+    int need = job.waiting();
+    for (String zone : zones) {
+      int room = 0;
+      for (Host h : usable) {
+        if (zone.equals(h.zone()) && ledger.mayStart(job, h)) {
+          room += roomFor(h, s);
+        }
+      }
+      if (room >= need) {
+        placeEach(job, usable.stream().filter(h -> zone.equals(h.zone())).toList());
+        return;
+      }
+    }
+  }
+
+  private static int roomFor(Host h, Submission s) {
+    double n = Math.min(h.cpusFree() / s.cpus(), h.memoryFree() / Math.max(1e-9, s.memoryGb()));
+    if (s.gpus() > 0) {
+      n = Math.min(n, h.gpusFree() / s.gpus());
+    }
+    return (int) Math.floor(n + 1e-9);
+  }
+
+  private Host best(Job job, List<Host> usable) {
+    Host best = null;
+    double bestScore = Double.POSITIVE_INFINITY;
+    for (Host h : usable) {
+      if (!h.closed() && ledger.mayStart(job, h)) {
+        double score = score(job, h);
+        if (score < bestScore) {
+          bestScore = score;
+          best = h;
+        }
+      }
+    }
+    return best;
+  }
+
+  /** Seconds until completion there; ties go to cheap, then to full machines. */
+  private double score(Job job, Host h) {
+    Submission s = job.spec();
+    double fetch = h.hasImage(s.image()) ? 0 : s.imageGb() / h.type().fetchGbPerS();
+    double run = s.service() ? 0 : estimates.runS(s) * h.slowness();
+    double tieBreak = h.cpusFree() / h.type().cpus();
+    if (!s.service() && !h.spot()) {
+      // Steady machines are left to those who need them, if completion is about the same.
+      tieBreak += 1;
+    }
+    return fetch + run + tieBreak;
+  }
+
+  /** Stops work of a lower rank where that makes room for one task. */
+  private void makeRoom(Job job, List<Host> usable) {
+    Submission s = job.spec();
+    List<Attempt> cheapest = null;
+    double cheapestLoss = Double.POSITIVE_INFINITY;
+    for (Host h : usable) {
+      if (!h.allowed(s) || !ledger.zoneAllows(job, h.zone())) {
+        continue;
+      }
+      List<Attempt> victims = victims(s, h);
+      if (victims != null) {
+        double loss = victims.stream().mapToDouble(this::loss).sum();
+        if (loss < cheapestLoss) {
+          cheapestLoss = loss;
+          cheapest = victims;
+        }
+      }
+    }
+    if (cheapest != null) {
+      cheapest.forEach(a -> ledger.halt(a, a.spec().saves() ? 2 * a.spec().saveS() : 0));
+    }
+  }
+
+  private List<Attempt> victims(Submission s, Host h) {
+    double cpus = s.cpus() - h.cpusFree();
+    double memory = s.memoryGb() - h.memoryFree();
+    double gpus = s.gpus() - h.gpusFree();
+    List<Attempt> lower = new ArrayList<>();
+    for (Attempt a : h.attempts()) {
+      if (a.halting() && !a.exited()) {
+        // Room is on its way there already; do not stop more for the same need.
+        cpus -= a.spec().cpus();
+        memory -= a.spec().memoryGb();
+        gpus -= a.spec().gpus();
+      } else if (!a.exited() && s.rank().above(a.spec().rank())) {
+        lower.add(a);
+      }
+    }
+    lower.sort(Comparator.comparingDouble(this::loss));
+    List<Attempt> victims = new ArrayList<>();
+    for (Attempt a : lower) {
+      if (cpus <= 1e-9 && memory <= 1e-9 && gpus <= 1e-9) {
+        break;
+      }
+      victims.add(a);
+      cpus -= a.spec().cpus();
+      memory -= a.spec().memoryGb();
+      gpus -= a.spec().gpus();
+    }
+    return cpus <= 1e-9 && memory <= 1e-9 && gpus <= 1e-9 ? victims : null;
+  }
+
+  /** Work that stopping an attempt would throw away, in CPU seconds. */
+  private double loss(Attempt a) {
+    double ran = a.statusAt() == 0 ? 0 : (clock.now() - a.statusAt()) / 1000.0;
+    double lost = a.spec().saves() ? Math.min(ran, a.spec().saveS()) : ran;
+    double rank = (Rank.values().length - a.spec().rank().ordinal()) * 1e6;
+    return rank + lost * a.spec().cpus();
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Which waiting task goes to which machine: earliest completion, guarantees, preemption. */
+package dapplestair.placement;
--- /dev/null
+++ b/src/main/java/dapplestair/ports/HttpCaller.java
@@ -0,0 +1,15 @@
+package dapplestair.ports;
+
+import java.util.function.Consumer;
+
+/** Requests to the outside. Every call ends with exactly one reply, on the loop. */
+public interface HttpCaller {
+  /** Sends one request; {@code body} may be null. */
+  void call(
+      String endpoint,
+      String method,
+      String path,
+      byte[] body,
+      long timeoutMs,
+      Consumer<HttpReply> done);
+}
--- /dev/null
+++ b/src/main/java/dapplestair/ports/PeerNetwork.java
@@ -0,0 +1,28 @@
+package dapplestair.ports;
+
+/** Messages between controllers: ordered while a link lasts, lost when it breaks. */
+public interface PeerNetwork {
+  /** Sends if a link is up; otherwise the message is dropped. */
+  void send(String member, Object message);
+
+  /** Sets who is told; called once, before {@link #start}. */
+  void listen(Listener listener);
+
+  /** Begins to connect and accept. */
+  void start();
+
+  /** What happens on the links. */
+  interface Listener {
+    /** A message arrived. */
+    void message(String member, Object message);
+
+    /** The link to this peer came up. */
+    void up(String member);
+
+    /** The link to this peer broke. */
+    void down(String member);
+
+    /** The peer's machine answered that nobody listens there. */
+    void refused(String member);
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/settings/Operator.java
@@ -0,0 +1,16 @@
+package dapplestair.settings;
+
+/** Operators' own choices, with the values that hold when nothing is said. */
+public record Operator(
+    long planIntervalMs,
+    int population,
+    int evaluations,
+    double budgetPerHour,
+    double budgetRatio,
+    int returnAfterRounds) {
+
+  /** What holds without an operator file. */
+  public static Operator defaults() {
+    return new Operator(10_000, 20, 300, 0, 3.0, 3);
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's settings and the operators' own, checked when read. */
+package dapplestair.settings;
--- /dev/null
+++ b/src/main/java/dapplestair/state/Keys.java
@@ -0,0 +1,55 @@
+package dapplestair.state;
+
+/**
+ * Names of keys. What is replicated lives under {@link #LIVE}; jobs that are over move out of it,
+ * so that the replica and a start's listing stay small however long the cluster runs.
+ */
+public final class Keys {
+  /** Prefix of all that controllers replicate. */
+  public static final String LIVE = "live/";
+
+  /** The leading controller, attached to its hold. */
+  public static final String LEADER = LIVE + "leader";
+
+  /** The last term, never deleted. */
+  public static final String TERM = LIVE + "term";
+
+  /** Machine types as last seen. */
+  public static final String TYPES = LIVE + "types";
+
+  /** The applied plan and the parting of work. */
+  public static final String PLAN = LIVE + "plan";
+
+  /** Prefix of jobs that are not over. */
+  public static final String JOB = LIVE + "job/";
+
+  /** Prefix of attempts. */
+  public static final String RUN = LIVE + "run/";
+
+  /** Prefix of rentals. */
+  public static final String RENTAL = LIVE + "rental/";
+
+  private static final String OVER = "over/";
+
+  private Keys() {}
+
+  /** A job that is not over. */
+  public static String job(String ref) {
+    return JOB + ref;
+  }
+
+  /** A job that is over. */
+  public static String over(String ref) {
+    return OVER + ref;
+  }
+
+  /** One chunk of a job's attempts. */
+  public static String run(String ref, int chunk) {
+    return RUN + ref + "/" + chunk;
+  }
+
+  /** One rental. */
+  public static String rental(String name) {
+    return RENTAL + name;
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/state/package-info.java
@@ -0,0 +1,2 @@
+/** The state service: requests within its limits, transactions, and a replica that follows it. */
+package dapplestair.state;
--- /dev/null
+++ b/src/main/java/dapplestair/submissions/Rank.java
@@ -0,0 +1,31 @@
+package dapplestair.submissions;
+
+/** A job's priority, highest first. */
+public enum Rank {
+  /** Before everything. */
+  CRITICAL,
+  /** Before ordinary work. */
+  HIGH,
+  /** Ordinary work. */
+  STANDARD,
+  /** Whenever there is room. */
+  LOW;
+
+  static Rank of(String wire) {
+    for (Rank r : values()) {
+      if (r.wire().equals(wire)) {
+        return r;
+      }
+    }
+    return null;
+  }
+
+  String wire() {
+    return name().toLowerCase(java.util.Locale.ROOT);
+  }
+
+  /** True when this one may take the other's room. */
+  public boolean above(Rank other) {
+    return ordinal() < other.ordinal();
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/submissions/Submission.java
@@ -0,0 +1,221 @@
+package dapplestair.submissions;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A job as its user described it.
+ *
+ * @param service true when tasks run until the job is withdrawn
+ * @param types allowed machine types, or null for any
+ * @param zone the only allowed zone, or null
+ * @param together all tasks in one zone
+ * @param apart at most half of the tasks, rounded up, in one zone
+ * @param spot may use machines that can be taken back
+ * @param dueS deadline from submission, or infinity
+ */
+public record Submission(
+    String ref,
+    String jobClass,
+    String team,
+    boolean service,
+    Rank rank,
+    int steps,
+    double cpus,
+    double gpus,
+    double memoryGb,
+    String image,
+    double imageGb,
+    List<String> types,
+    String zone,
+    boolean together,
+    boolean apart,
+    boolean spot,
+    double guessS,
+    double saveEveryS,
+    double saveS,
+    double dueS) {
+
+  private static final int MOST_STEPS = 100_000;
+
+  /** What is wrong with a body; the message names the field. */
+  public static final class Malformed extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    Malformed(String message) {
+      super(message, null, false, false);
+    }
+  }
+
+  /** Most tasks that may be in one zone. */
+  public int mostPerZone() {
+    return apart ? (steps + 1) / 2 : steps;
+  }
+
+  /** True when a stopped task can keep its progress. */
+  public boolean saves() {
+    return saveEveryS > 0;
+  }
+
+  /** Reads and checks a user's body. */
+  public static Submission parse(JsonNode body) throws Malformed {
+    if (!body.isObject()) {
+      throw new Malformed("the body is not a JSON object");
+    }
+    String ref = text(body, "ref");
+    if (!validRef(ref)) {
+      throw new Malformed("ref: not a job id");
+    }
+    String shape = text(body, "shape");
+    if (!shape.equals("sweep") && !shape.equals("daemon")) {
+      throw new Malformed("shape: must be sweep or daemon");
+    }
+    Rank rank = Rank.of(text(body, "rank"));
+    if (rank == null) {
+      throw new Malformed("rank: must be critical, high, standard or low");
+    }
+    JsonNode steps = body.path("steps");
+    if (!steps.isIntegralNumber()
+        || !steps.canConvertToInt()
+        || steps.intValue() < 1
+        || steps.intValue() > MOST_STEPS) {
+      throw new Malformed("steps: must be a whole number from 1 to " + MOST_STEPS);
+    }
+    double cpus = amount(body, "vcpus");
+    double memory = amount(body, "memoryGb");
+    if (cpus <= 0) {
+      throw new Malformed("vcpus: must be above 0");
+    }
+    JsonNode due = body.path("dueS");
+    return new Submission(
+        ref,
+        text(body, "jobclass"),
+        text(body, "owner"),
+        shape.equals("daemon"),
+        rank,
+        steps.intValue(),
+        cpus,
+        amount(body, "accelerators"),
+        memory,
+        text(body, "bundle"),
+        amount(body, "imageGb"),
+        types(body.path("hulls")),
+        optionalText(body, "basin"),
+        flag(body, "together"),
+        flag(body, "apart"),
+        flag(body, "loaners"),
+        amount(body, "guessS"),
+        amount(body, "snapshotEveryS"),
+        amount(body, "snapshotS"),
+        due.isNull() || due.isMissingNode() ? Double.POSITIVE_INFINITY : amount(body, "dueS"));
+  }
+
+  /** True for anything that can be a job id. */
+  static boolean validRef(String ref) {
+    int dash = ref.indexOf('-');
+    if (dash < 1 || dash > 32 || dash + 1 >= ref.length() || ref.length() - dash > 20) {
+      return false;
+    }
+    for (int i = 0; i < ref.length(); i++) {
+      char c = ref.charAt(i);
+      boolean digit = c >= '0' && c <= '9';
+      boolean letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+      if (i < dash ? !(digit || letter) : i > dash && !digit) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** The form kept in the state service, which {@link #parse} reads back. */
+  public ObjectNode toJson() {
+    ObjectNode o =
+        Json.object()
+            .put("ref", ref)
+            .put("jobclass", jobClass)
+            .put("owner", team)
+            .put("shape", service ? "daemon" : "sweep")
+            .put("rank", rank.wire())
+            .put("steps", steps)
+            .put("vcpus", cpus)
+            .put("accelerators", gpus)
+            .put("memoryGb", memoryGb)
+            .put("bundle", image)
+            .put("imageGb", imageGb);
+    if (types != null) {
+      types.forEach(o.putArray("hulls")::add);
+    }
+    if (zone != null) {
+      o.put("basin", zone);
+    }
+    o.put("together", together)
+        .put("apart", apart)
+        .put("loaners", spot)
+        .put("guessS", guessS)
+        .put("snapshotEveryS", saveEveryS)
+        .put("snapshotS", saveS);
+    if (Double.isFinite(dueS)) {
+      o.put("dueS", dueS);
+    }
+    return o;
+  }
+
+  private static List<String> types(JsonNode v) throws Malformed {
+    if (v.isNull() || v.isMissingNode()) {
+      return null;
+    }
+    List<String> out = new ArrayList<>();
+    if (v.isArray()) {
+      for (JsonNode t : v) {
+        if (!t.isTextual()) {
+          throw new Malformed("hulls: must hold names");
+        }
+        out.add(t.textValue());
+      }
+      return List.copyOf(out);
+    }
+    throw new Malformed("hulls: must be an array or null");
+  }
+
+  private static String text(JsonNode body, String field) throws Malformed {
+    String v = optionalText(body, field);
+    if (v == null || v.isEmpty()) {
+      throw new Malformed(field + ": missing");
+    }
+    return v;
+  }
+
+  private static String optionalText(JsonNode body, String field) throws Malformed {
+    JsonNode v = body.path(field);
+    if (v.isNull() || v.isMissingNode()) {
+      return null;
+    }
+    if (!v.isTextual() || v.textValue().length() > 200) {
+      throw new Malformed(field + ": must be a text of at most 200 characters");
+    }
+    return v.textValue();
+  }
+
+  private static double amount(JsonNode body, String field) throws Malformed {
+    JsonNode v = body.path(field);
+    if (v.isNull() || v.isMissingNode()) {
+      throw new Malformed(field + ": missing");
+    }
+    double d = v.isNumber() ? v.doubleValue() : Double.NaN;
+    if (!Double.isFinite(d) || d < 0 || d > 1e9) {
+      throw new Malformed(field + ": must be a number from 0 to 1e9");
+    }
+    return d;
+  }
+
+  private static boolean flag(JsonNode body, String field) throws Malformed {
+    JsonNode v = body.path(field);
+    if (!v.isBoolean()) {
+      throw new Malformed(field + ": must be true or false");
+    }
+    return v.booleanValue();
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/submissions/SubmissionDesk.java
@@ -0,0 +1,321 @@
+package dapplestair.submissions;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.fleet.MachineTypes;
+import dapplestair.json.Json;
+import dapplestair.ledger.Job;
+import dapplestair.ledger.Ledger;
+import dapplestair.metrics.Metrics;
+import dapplestair.ports.Clock;
+import dapplestair.ports.Exchange;
+import dapplestair.settings.Settings;
+import dapplestair.state.Keys;
+import dapplestair.state.Outcome;
+import dapplestair.state.Replica;
+import dapplestair.state.StateClient;
+import dapplestair.state.StateClient.Priority;
+import dapplestair.state.Txn;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/**
+ * Answers users. Nothing is confirmed before it is known to be in the state service, and nothing is
+ * told from memory alone unless it can never change.
+ */
+public final class SubmissionDesk {
+  private static final int MOST_OVER_KEPT = 20_000;
+  private static final int MOST_PENDING = 400;
+
+  private final Clock clock;
+  private final Settings settings;
+  private final StateClient state;
+  private final Replica replica;
+  private final Ledger ledger;
+  private final MachineTypes types;
+  private final Metrics metrics;
+  private final long patienceMs;
+  private final Map<String, Boolean> over =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+          return size() > MOST_OVER_KEPT;
+        }
+      };
+  private int pending;
+
+  /** Serves users of this controller. */
+  public SubmissionDesk(
+      Clock clock,
+      Settings settings,
+      StateClient state,
+      Replica replica,
+      Ledger ledger,
+      MachineTypes types,
+      Metrics metrics) {
+    this.clock = clock;
+    this.settings = settings;
+    this.state = state;
+    this.replica = replica;
+    this.ledger = ledger;
+    this.types = types;
+    this.metrics = metrics;
+    this.patienceMs = settings.workers().reportMs();
+  }
+
+  /** A job is over for good; {@code done} or withdrawn. */
+  public void ended(String ref, boolean done) {
+    over.put(ref, done);
+  }
+
+  // ---- POST /submissions ----
+
+  /** A user submits. */
+  public void submit(Exchange x) {
+    Submission s;
+    try {
+      JsonNode body = Json.parse(x.body());
+      if (body.isMissingNode()) {
+        error(x, 400, "the body is not JSON");
+        return;
+      }
+      String ref = Json.text(body, "ref");
+      if (ref != null && Submission.validRef(ref)) {
+        // A known job is answered with its state, whatever else the retry holds.
+        if (over.containsKey(ref)) {
+          status(x, 200, ref, over.get(ref) ? "done" : "aborted", null);
+          return;
+        }
+        if (ledger.job(ref) != null && !ledger.job(ref).over()) {
+          look(x, ref, 200);
+          return;
+        }
+      }
+      s = Submission.parse(body);
+    } catch (Submission.Malformed e) {
+      refuseUnlessKnown(x, 400, e.getMessage());
+      return;
+    }
+    if (!replica.ready() || !types.known() || !state.reachable() || pending > MOST_PENDING) {
+      busy(x);
+      return;
+    }
+    String impossible = impossible(s);
+    if (impossible != null) {
+      refuseUnlessKnown(x, 422, impossible);
+      return;
+    }
+    accept(x, s, clock.now() + patienceMs, clock.now());
+  }
+
+  /** A repeated submission of an accepted job is never told 400 or 422. */
+  private void refuseUnlessKnown(Exchange x, int status, String why) {
+    String ref = Json.text(Json.parse(x.body()), "ref");
+    if (ref == null || !Submission.validRef(ref)) {
+      error(x, status, why);
+      return;
+    }
+    find(
+        ref,
+        (known, found) -> {
+          if (!known) {
+            busy(x);
+          } else if (found == null) {
+            error(x, status, why);
+          } else {
+            answer(x, 200, ref, found);
+          }
+        });
+  }
+
+  private String impossible(Submission s) {
+    Settings.Team team = settings.teams().get(s.team());
+    if (team == null) {
+      return "owner: unknown team " + s.team();
+    }
+    int atOnce = s.service() ? s.steps() : 1;
+    if (team.cpusMax() > 0 && s.cpus() * atOnce > team.cpusMax() + 1e-6) {
+      return "vcpus: more than the team's limit of " + team.cpusMax();
+    }
+    if (team.gpusMax() > 0 && s.gpus() * atOnce > team.gpusMax() + 1e-6) {
+      return "accelerators: more than the team's limit of " + team.gpusMax();
+    }
+    if (!types.anySuits(s)) {
+      return "no allowed machine type in an allowed zone holds a task of this size";
+    }
+    return null;
+  }
+
+  private void accept(Exchange x, Submission s, long deadline, long began) {
+    pending++;
+    Txn txn =
+        new Txn()
+            .when(Keys.job(s.ref()), 0)
+            .when(Keys.over(s.ref()), 0)
+            .put(Keys.job(s.ref()), ledger.record(s));
+    state.commit(
+        txn,
+        Priority.USER,
+        Math.max(0, deadline - clock.now()),
+        outcome -> {
+          pending--;
+          if (outcome instanceof Outcome.Applied) {
+            metrics.accepted(clock.now() - began);
+            status(x, 201, s.ref(), "queued", null);
+          } else if (outcome instanceof Outcome.Conflict) {
+            look(x, s.ref(), 200);
+          } else if (outcome instanceof Outcome.Unknown && clock.now() < deadline) {
+            // The same conditions again: if the lost one was applied after all, this one is
+            // refused and the job is found; both can never be.
+            accept(x, s, deadline, began);
+          } else {
+            busy(x);
+          }
+        });
+  }
+
+  // ---- GET /submissions/{id} ----
+
+  /** A user polls. */
+  public void poll(Exchange x, String ref) {
+    look(x, ref, 200);
+  }
+
+  private void look(Exchange x, String ref, int status) {
+    find(
+        ref,
+        (known, found) -> {
+          if (!known) {
+            busy(x);
+          } else if (found == null) {
+            error(x, 404, "no such job");
+          } else {
+            answer(x, status, ref, found);
+          }
+        });
+  }
+
+  /** What is known of a job: live, or how it ended. */
+  private record Found(Job job, boolean done) {}
+
+  /**
+   * Finds a job. Final states are known for ever; everything else is told only after a read
+   * barrier, so that no controller gives an older answer than one already given.
+   */
+  private void find(String ref, BiConsumer<Boolean, Found> done) {
+    if (over.containsKey(ref)) {
+      done.accept(true, new Found(null, over.get(ref)));
+      return;
+    }
+    if (!Submission.validRef(ref)) {
+      done.accept(true, null);
+      return;
+    }
+    replica.barrier(
+        passed -> {
+          if (!passed) {
+            done.accept(false, null);
+          } else if (replica.stamp(Keys.job(ref)) != 0 && ledger.job(ref) != null) {
+            done.accept(true, new Found(ledger.job(ref), false));
+          } else {
+            findOver(ref, done);
+          }
+        });
+  }
+
+  private void findOver(String ref, BiConsumer<Boolean, Found> done) {
+    // Not live as of the barrier: over before now, or never accepted before now.
+    state.get(
+        Keys.over(ref),
+        read -> {
+          if (!read.known()) {
+            done.accept(false, null);
+          } else if (!read.exists()) {
+            done.accept(true, null);
+          } else {
+            boolean finished = "done".equals(Json.text(read.value(), "status"));
+            ended(ref, finished);
+            done.accept(true, new Found(null, finished));
+          }
+        });
+  }
+
+  private void answer(Exchange x, int status, String ref, Found found) {
+    if (found.job() == null) {
+      status(x, status, ref, found.done() ? "done" : "aborted", null);
+      return;
+    }
+    int[] counts = ledger.counts(found.job());
+    status(x, status, ref, counts[1] > 0 ? "running" : "queued", counts);
+  }
+
+  // ---- POST /submissions/{id}/withdraw ----
+
+  /** A user withdraws. */
+  public void withdraw(Exchange x, String ref) {
+    withdraw(x, ref, clock.now() + patienceMs);
+  }
+
+  private void withdraw(Exchange x, String ref, long deadline) {
+    find(
+        ref,
+        (known, found) -> {
+          if (!known) {
+            busy(x);
+          } else if (found == null) {
+            error(x, 404, "no such job");
+          } else if (found.job() == null) {
+            answer(x, 200, ref, found);
+          } else {
+            abort(x, found.job(), deadline);
+          }
+        });
+  }
+
+  private void abort(Exchange x, Job job, long deadline) {
+    String ref = job.spec().ref();
+    ObjectNode value = ledger.overRecord(job, "aborted");
+    Txn txn =
+        new Txn()
+            .when(Keys.job(ref), replica.stamp(Keys.job(ref)))
+            .put(Keys.over(ref), value)
+            .remove(Keys.job(ref));
+    state.commit(
+        txn,
+        Priority.USER,
+        Math.max(0, deadline - clock.now()),
+        outcome -> {
+          if (outcome instanceof Outcome.Applied) {
+            ended(ref, false);
+            status(x, 200, ref, "aborted", null);
+          } else if (outcome instanceof Outcome.Refused || clock.now() >= deadline) {
+            busy(x);
+          } else {
+            // Done meanwhile, withdrawn elsewhere, or unanswered: look again.
+            withdraw(x, ref, deadline);
+          }
+        });
+  }
+
+  // ---- answers ----
+
+  private static void status(Exchange x, int status, String ref, String word, int[] counts) {
+    ObjectNode o = Json.object().put("ref", ref).put("status", word);
+    if (counts != null) {
+      o.put("done", counts[0]).put("running", counts[1]);
+    }
+    x.reply(status, Json.bytes(o), 0);
+  }
+
+  private static void error(Exchange x, int status, String why) {
+    x.reply(status, Json.bytes(Json.object().put("error", why)), 0);
+  }
+
+  private void busy(Exchange x) {
+    metrics.shed();
+    x.reply(503, Json.bytes(Json.object().put("error", "cannot tell now, ask again")), 1);
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/submissions/package-info.java
@@ -0,0 +1,2 @@
+/** What users ask: submitting, polling and withdrawing jobs, on any controller. */
+package dapplestair.submissions;
--- /dev/null
+++ b/src/main/java/dapplestair/workers/Order.java
@@ -0,0 +1,49 @@
+package dapplestair.workers;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+
+/** One command to a worker. */
+sealed interface Order {
+  /** The task, as in reports. */
+  String key();
+
+  /** Which attempt at it. */
+  long attempt();
+
+  /** The wire form. */
+  ObjectNode toJson();
+
+  /** The same for the same order, so that repeating it does not queue it twice. */
+  default String id() {
+    return getClass().getSimpleName() + key() + "#" + attempt();
+  }
+
+  /** Start this attempt. */
+  record Launch(String key, long attempt) implements Order {
+    @Override
+    public ObjectNode toJson() {
+      return base("launch", this);
+    }
+  }
+
+  /** Stop this attempt, leaving it {@code windDownS} to save. */
+  record Halt(String key, long attempt, double windDownS) implements Order {
+    @Override
+    public ObjectNode toJson() {
+      return base("halt", this).put("windDownS", windDownS);
+    }
+  }
+
+  /** Take an exited attempt out of the reports. */
+  record Clear(String key, long attempt) implements Order {
+    @Override
+    public ObjectNode toJson() {
+      return base("clear", this);
+    }
+  }
+
+  private static ObjectNode base(String verb, Order o) {
+    return Json.object().put("verb", verb).put("step", o.key()).put("try", o.attempt());
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/workers/Report.java
@@ -0,0 +1,104 @@
+package dapplestair.workers;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.json.Json;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What a worker says of its machine.
+ *
+ * @param session rises each time the worker's lease has run out ({@code tenure} on the wire)
+ * @param tick rises with every report of a session
+ * @param token highest token the worker has seen ({@code baton})
+ * @param recallS seconds until the cloud takes the machine, or NaN
+ */
+public record Report(
+    String host,
+    String endpoint,
+    String type,
+    String zone,
+    boolean spot,
+    long session,
+    long tick,
+    long token,
+    double recallS,
+    List<Task> tasks) {
+
+  /** State of a task on its machine. */
+  public enum Status {
+    FETCHING,
+    RUNNING,
+    FLUSHING,
+    EXITED
+  }
+
+  /** One task; {@code cause} is null unless it has exited. */
+  public record Task(String key, long attempt, Status status, String cause) {}
+
+  /** Reads a report, or gives null when it makes no sense. */
+  public static Report parse(JsonNode n) {
+    String host = Json.text(n, "host");
+    String type = Json.text(n, "hull");
+    String zone = Json.text(n, "basin");
+    String endpoint = Json.text(n, "endpoint");
+    long session = Json.number(n, "tenure", -1);
+    long tick = Json.number(n, "tick", -1);
+    if (host == null || type == null || zone == null || endpoint == null || session < 0
+        || tick < 0 || !addressLike(endpoint) || !n.path("steps").isArray()) {
+      return null;
+    }
+    List<Task> tasks = new ArrayList<>();
+    for (JsonNode t : n.get("steps")) {
+      Task task = task(t);
+      if (task == null) {
+        return null;
+      }
+      tasks.add(task);
+    }
+    return new Report(
+        host,
+        endpoint,
+        type,
+        zone,
+        Json.flag(n, "loaners"),
+        session,
+        tick,
+        Json.number(n, "baton", 0),
+        Json.decimal(n, "recallS", Double.NaN),
+        tasks);
+  }
+
+  private static Task task(JsonNode t) {
+    String key = Json.text(t, "step");
+    long attempt = Json.number(t, "try", -1);
+    String status = Json.text(t, "status");
+    if (key == null || attempt < 0 || status == null) {
+      return null;
+    }
+    return switch (status) {
+      case "fetching" -> new Task(key, attempt, Status.FETCHING, null);
+      case "running" -> new Task(key, attempt, Status.RUNNING, null);
+      case "flushing" -> new Task(key, attempt, Status.FLUSHING, null);
+      case "exited" -> {
+        String cause = Json.text(t, "cause");
+        yield new Task(key, attempt, Status.EXITED, cause == null ? "stopped" : cause);
+      }
+      // A state that we do not know of still occupies the machine.
+      default -> new Task(key, attempt, Status.RUNNING, null);
+    };
+  }
+
+  private static boolean addressLike(String endpoint) {
+    int colon = endpoint.lastIndexOf(':');
+    if (colon < 1 || endpoint.length() - colon > 6) {
+      return false;
+    }
+    for (int i = colon + 1; i < endpoint.length(); i++) {
+      if (!Character.isDigit(endpoint.charAt(i))) {
+        return false;
+      }
+    }
+    return colon + 1 < endpoint.length();
+  }
+}
