--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -469,7 +469,8 @@
     return n;
   }
 
-  private static boolean counts(Host h, Slot slot) {
+  /** True when a machine is, or will be, of use in this slot. */
+  public static boolean counts(Host h, Slot slot) {
     return !h.gone()
         && !h.releasing()
         && !h.draining()
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -47,6 +47,9 @@
     /** An exited attempt need not be reported any more. */
     void clear(String host, String key, long number);
 
+    /** A job was accepted. */
+    void arrived(Job job);
+
     /** Room or waiting work has changed. */
     void changed();
 
@@ -120,6 +123,11 @@
     Job job = readJob(value, stamp);
     if (job != null) {
       jobs.put(ref, job);
+      // Followers count arrivals too, so that a new leader knows what to expect. What a listing
+      // brings at a start is older than that.
+      if (clock.wall() - job.acceptedWall() < settings.workers().reportMs()) {
+        hooks.arrived(job);
+      }
       if (armed) {
         hooks.changed();
       }
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -6,12 +6,14 @@
 import dapplestair.json.Json;
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Attempt;
+import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
 import dapplestair.metrics.Metrics;
 import dapplestair.peers.PeerStatus;
 import dapplestair.peers.Peers;
 import dapplestair.placement.Estimates;
 import dapplestair.placement.Placer;
+import dapplestair.planning.DemandView;
 import dapplestair.planning.Planning;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Exchange;
@@ -43,6 +45,7 @@
   private final WorkerDesk workers;
   private final Fleet fleet;
   private final Placer placer;
+  private final DemandView demand;
   private final Planning planning;
   private final Replica replica;
   private final SubmissionDesk submissions;
@@ -75,9 +78,21 @@
         new Fleet(
             clock, timers, outside.http(), settings, state, leadership, types, workers);
     placer = new Placer(clock, timers, settings, ledger, workers, estimates);
-    planning = new Planning(timers, operator, ledger, fleet, types);
+    demand = new DemandView(clock, settings, ledger, workers, fleet, types, estimates);
     replica =
         new Replica(state, timers, outside.random(), leadership::leading, new ReplicaEvents());
+    planning =
+        new Planning(
+            timers,
+            outside.background(),
+            outside.random(),
+            operator,
+            leadership,
+            state,
+            replica,
+            fleet,
+            types,
+            demand);
     submissions =
         new SubmissionDesk(clock, settings, state, replica, ledger, types, metrics);
   }
@@ -271,6 +286,11 @@
       workers.clear(host, key, number);
     }
 
+    @Override
+    public void arrived(Job job) {
+      demand.arrived(job.spec());
+    }
+
     @Override
     public void changed() {
       placer.nudge();
--- /dev/null
+++ b/src/main/java/dapplestair/planning/Arrivals.java
@@ -0,0 +1,47 @@
+package dapplestair.planning;
+
+import dapplestair.submissions.Submission;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Jobs that arrived lately, class by class: what may be expected of the next moments. */
+final class Arrivals {
+  private static final int MOST_PER_CLASS = 256;
+
+  private record Arrival(long at, Submission job) {}
+
+  private final long windowMs;
+  private final Map<String, ArrayDeque<Arrival>> classes = new HashMap<>();
+
+  Arrivals(long windowMs) {
+    this.windowMs = windowMs;
+  }
+
+  void arrived(Submission s, long now) {
+    ArrayDeque<Arrival> of = classes.computeIfAbsent(s.jobClass(), c -> new ArrayDeque<>());
+    of.addLast(new Arrival(now, s));
+    if (of.size() > MOST_PER_CLASS) {
+      of.removeFirst();
+    }
+  }
+
+  /** Jobs to expect within {@code aheadMs}, spread over it, if things go on as they were. */
+  List<Submission> expected(long now, long aheadMs) {
+    List<Submission> out = new ArrayList<>();
+    for (ArrayDeque<Arrival> of : classes.values()) {
+      while (!of.isEmpty() && of.peekFirst().at < now - windowMs) {
+        of.removeFirst();
+      }
+      // The latest stand for the next ones.
+      long n = Math.round(of.size() * (double) aheadMs / windowMs);
+      var it = of.descendingIterator();
+      for (int i = 0; i < n && it.hasNext(); i++) {
+        out.add(it.next().job);
+      }
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/planning/DemandView.java
@@ -0,0 +1,276 @@
+package dapplestair.planning;
+
+import dapplestair.fleet.Fleet;
+import dapplestair.fleet.MachineType;
+import dapplestair.fleet.MachineTypes;
+import dapplestair.fleet.Slot;
+import dapplestair.ledger.Attempt;
+import dapplestair.ledger.Job;
+import dapplestair.ledger.Ledger;
+import dapplestair.placement.Estimates;
+import dapplestair.planning.FleetProblem.DryTask;
+import dapplestair.planning.FleetProblem.SlotState;
+import dapplestair.ports.Clock;
+import dapplestair.settings.Operator;
+import dapplestair.settings.Settings;
+import dapplestair.submissions.Submission;
+import dapplestair.workers.Host;
+import dapplestair.workers.WorkerDesk;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** What there is to do and to do it with, as one immutable problem for the search. */
+public final class DemandView {
+  private static final int MOST_TASKS = 250;
+  private static final int WINDOWS = 10;
+  private static final double FOR_EVER_S = 1e6;
+
+  private final Clock clock;
+  private final Ledger ledger;
+  private final WorkerDesk desk;
+  private final Fleet fleet;
+  private final MachineTypes types;
+  private final Estimates estimates;
+  private final Arrivals arrivals;
+  private final long windowMs;
+
+  /** Looks at the leader's duties. */
+  public DemandView(
+      Clock clock,
+      Settings settings,
+      Ledger ledger,
+      WorkerDesk desk,
+      Fleet fleet,
+      MachineTypes types,
+      Estimates estimates) {
+    this.clock = clock;
+    this.ledger = ledger;
+    this.desk = desk;
+    this.fleet = fleet;
+    this.types = types;
+    this.estimates = estimates;
+    this.windowMs = 20 * settings.workers().reportMs();
+    this.arrivals = new Arrivals(2 * windowMs);
+  }
+
+  /** A job was accepted just now. */
+  public void arrived(Submission s) {
+    arrivals.arrived(s, clock.now());
+  }
+
+  boolean ready() {
+    return ledger.armed();
+  }
+
+  FleetProblem problem(Operator operator) {
+    List<MachineType> kinds = List.copyOf(types.all());
+    double longestBootS = kinds.stream().mapToDouble(MachineType::bootS).max().orElse(0);
+    List<Submission> soon =
+        arrivals.expected(clock.now(), Math.round(longestBootS * 1000));
+    double laneCpus = laneCpus(soon);
+    List<SlotState> slots = new ArrayList<>();
+    for (MachineType t : kinds) {
+      slots.add(slot(t, false, laneCpus));
+      slots.add(slot(t, true, laneCpus));
+    }
+    slots = withRoomForServices(slots, soon);
+    List<DryTask> tasks = tasks(slots, soon, laneCpus, longestBootS);
+    return new FleetProblem(slots, tasks, laneCpus, budget(operator, slots, soon));
+  }
+
+  /** Half of a typical task: fine enough to pack, coarse enough to be quick. */
+  private double laneCpus(List<Submission> soon) {
+    double[] sizes =
+        java.util.stream.Stream.concat(
+                ledger.jobs().stream().filter(j -> !j.over()).map(Job::spec), soon.stream())
+            .filter(s -> !s.service())
+            .mapToDouble(Submission::cpus)
+            .sorted()
+            .toArray();
+    return sizes.length == 0 ? 1 : Math.max(0.25, sizes[sizes.length / 2] / 2);
+  }
+
+  private SlotState slot(MachineType t, boolean spot, double laneCpus) {
+    Slot slot = new Slot(t.name(), spot);
+    List<Host> up = new ArrayList<>();
+    List<Double> booting = new ArrayList<>();
+    int busy = 0;
+    for (Host h : desk.hosts()) {
+      if (!Fleet.counts(h, slot)) {
+        continue;
+      }
+      if (h.up()) {
+        up.add(h);
+        if (!h.idle()) {
+          busy++;
+        }
+      } else {
+        double age = (clock.now() - h.rentedAt()) / 1000.0;
+        booting.add(Math.max(1, t.bootS() - Math.max(0, age)));
+      }
+    }
+    up.sort(Comparator.comparingDouble(Host::cpusUsed).reversed());
+    booting.sort(Comparator.naturalOrder());
+    List<double[]> until = up.stream().map(h -> busyUntil(h, laneCpus)).toList();
+    int most = Math.max(busy, fleet.capacity(slot, Math.max(2, fleet.holding(slot))));
+    return new SlotState(
+        t,
+        spot,
+        busy,
+        most,
+        until,
+        booting,
+        fleet.price(t, spot),
+        fleet.takeBackChance(slot, windowMs, WINDOWS));
+  }
+
+  private double[] busyUntil(Host h, double laneCpus) {
+    double services = 0;
+    List<Double> until = new ArrayList<>();
+    for (Attempt a : h.attempts()) {
+      if (a.exited()) {
+        continue;
+      }
+      if (a.spec().service()) {
+        services += a.spec().cpus();
+        continue;
+      }
+      double ran = a.statusAt() == 0 ? 0 : (clock.now() - a.statusAt()) / 1000.0;
+      double left = Math.max(1, estimates.runS(a.spec()) * h.slowness() - ran);
+      for (long l = Math.max(1, Math.round(a.spec().cpus() / laneCpus)); l > 0; l--) {
+        until.add(left);
+      }
+    }
+    for (long l = (long) Math.ceil(services / laneCpus); l > 0; l--) {
+      until.add(FOR_EVER_S);
+    }
+    return until.stream().mapToDouble(Double::doubleValue).toArray();
+  }
+
+  /**
+   * Steady machines are counted as busy up to what services use, what is expected of them within a
+   * boot, and one machine more, so that replicas lost with a machine start again at once. Work that
+   * may be stopped fills that room meanwhile.
+   */
+  private List<SlotState> withRoomForServices(List<SlotState> slots, List<Submission> soon) {
+    double need = 0;
+    for (Job j : ledger.jobs()) {
+      if (!j.over() && !j.spec().spot()) {
+        need += j.spec().cpus() * (j.waiting() + j.held());
+      }
+    }
+    for (Submission s : soon) {
+      if (!s.spot()) {
+        need += s.cpus() * s.steps();
+      }
+    }
+    double room = 0;
+    double largest = 0;
+    for (SlotState s : slots) {
+      if (!s.spot() && s.least() > 0) {
+        room += s.least() * s.type().cpus();
+        largest = Math.max(largest, s.type().cpus());
+      }
+    }
+    if (need > 0 && largest == 0) {
+      largest = slots.stream().mapToDouble(s -> s.type().cpus()).min().orElse(0);
+    }
+    need += need > 0 ? largest : 0;
+    List<SlotState> out = new ArrayList<>(slots);
+    while (room < need) {
+      int cheapest = -1;
+      for (int i = 0; i < out.size(); i++) {
+        SlotState s = out.get(i);
+        if (!s.spot() && s.least() < s.most()
+            && (cheapest < 0 || perCpu(s) < perCpu(out.get(cheapest)))) {
+          cheapest = i;
+        }
+      }
+      if (cheapest < 0) {
+        break;
+      }
+      SlotState s = out.get(cheapest);
+      out.set(cheapest, withLeast(s, s.least() + 1));
+      room += s.type().cpus();
+    }
+    return out;
+  }
+
+  private static SlotState withLeast(SlotState s, int least) {
+    return new SlotState(
+        s.type(), s.spot(), least, s.most(), s.busyUntilS(), s.bootingS(), s.price(), s.takeBack());
+  }
+
+  private static double perCpu(SlotState s) {
+    return s.price() / s.type().cpus();
+  }
+
+  private record Pending(Submission job, int count, double slackS, double arrivesS) {}
+
+  private List<DryTask> tasks(
+      List<SlotState> slots, List<Submission> soon, double laneCpus, double aheadS) {
+    List<Pending> pending = new ArrayList<>();
+    for (Job j : ledger.jobs()) {
+      int n = j.waiting();
+      if (n > 0) {
+        double age = (clock.wall() - j.acceptedWall()) / 1000.0;
+        pending.add(new Pending(j.spec(), n, slack(j.spec()) - age, 0));
+      }
+    }
+    for (int i = 0; i < soon.size(); i++) {
+      double arrives = aheadS * (i + 0.5) / soon.size();
+      Submission s = soon.get(i);
+      pending.add(new Pending(s, s.steps(), slack(s) + arrives, arrives));
+    }
+    pending.sort(Comparator.comparingDouble(Pending::slackS));
+    List<DryTask> out = new ArrayList<>();
+    for (Pending p : pending) {
+      Submission s = p.job();
+      boolean[] allowed = new boolean[slots.size()];
+      for (int i = 0; i < allowed.length; i++) {
+        SlotState slot = slots.get(i);
+        allowed[i] = slot.type().suits(s) && (s.spot() || !slot.spot());
+      }
+      int lanes = (int) Math.max(1, Math.round(s.cpus() / laneCpus));
+      double run = s.service() ? windowMs / 1000.0 : estimates.runS(s);
+      DryTask task = new DryTask(allowed, lanes, run, s.imageGb(), p.arrivesS());
+      for (int i = 0; i < p.count() && out.size() < MOST_TASKS; i++) {
+        out.add(task);
+      }
+    }
+    return out;
+  }
+
+  private double slack(Submission s) {
+    double run = estimates.runS(s);
+    return (Double.isFinite(s.dueS()) ? s.dueS() : 10 * run + 60) - run;
+  }
+
+  /** The operators' budget, or a ratio to what all present work costs where it is cheapest. */
+  private double budget(Operator operator, List<SlotState> slots, List<Submission> soon) {
+    if (operator.budgetPerHour() > 0) {
+      return operator.budgetPerHour();
+    }
+    double floor = slots.stream().mapToDouble(s -> s.least() * s.price()).sum();
+    double demand = 0;
+    for (Job j : ledger.jobs()) {
+      if (!j.over()) {
+        demand += cheapest(slots, j.spec()) * j.spec().cpus() * (j.waiting() + j.held());
+      }
+    }
+    for (Submission s : soon) {
+      demand += cheapest(slots, s) * s.cpus() * s.steps();
+    }
+    double oneMore = slots.stream().mapToDouble(SlotState::price).max().orElse(0);
+    return Math.max(operator.budgetRatio() * demand, floor + oneMore);
+  }
+
+  private static double cheapest(List<SlotState> slots, Submission job) {
+    return slots.stream()
+        .filter(s -> s.type().suits(job) && (job.spot() || !s.spot()))
+        .mapToDouble(DemandView::perCpu)
+        .min()
+        .orElse(0);
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/planning/Nsga2.java
@@ -0,0 +1,249 @@
+package dapplestair.planning;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * NSGA-II: binary tournament on rank and crowding, simulated binary crossover, polynomial mutation,
+ * survival by non-dominated fronts. Individuals that break a constraint are dropped.
+ */
+public final class Nsga2 {
+  /** What is minimised. */
+  public interface Problem {
+    /** Least value of each variable. */
+    double[] lower();
+
+    /** Greatest value of each variable. */
+    double[] upper();
+
+    /** The costs of a candidate, or null when it breaks a constraint. */
+    double[] evaluate(double[] x);
+  }
+
+  /** A candidate with its costs. */
+  public static final class Individual {
+    private final double[] x;
+    private final double[] costs;
+    private int rank;
+    private double crowding;
+
+    Individual(double[] x, double[] costs) {
+      this.x = x;
+      this.costs = costs;
+    }
+
+    /** Its variables. */
+    public double[] x() {
+      return x;
+    }
+
+    /** Its costs. */
+    public double[] costs() {
+      return costs;
+    }
+  }
+
+  // The usual values of the operators' distribution indices.
+  private static final double CROSSOVER_INDEX = 15;
+  private static final double MUTATION_INDEX = 20;
+  private static final double CROSSOVER_CHANCE = 0.9;
+
+  private final UniformRandomProvider random;
+  private final int population;
+  private final int evaluations;
+  private int spent;
+
+  /** A search of a given size. */
+  public Nsga2(UniformRandomProvider random, int population, int evaluations) {
+    this.random = random;
+    this.population = population;
+    this.evaluations = evaluations;
+  }
+
+  /** Searches, beginning from the given candidates and random ones; returns the first front. */
+  public List<Individual> search(Problem problem, List<double[]> seeds) {
+    spent = 0;
+    List<Individual> parents = new ArrayList<>();
+    for (double[] seed : seeds) {
+      add(parents, problem, clip(seed.clone(), problem));
+    }
+    while (parents.size() < population && spent < evaluations) {
+      add(parents, problem, randomIn(problem));
+    }
+    rank(parents);
+    while (spent < evaluations && parents.size() > 1) {
+      List<Individual> all = new ArrayList<>(parents);
+      for (int i = 0; i < population && spent < evaluations; i += 2) {
+        double[][] children = crossover(tournament(parents).x, tournament(parents).x, problem);
+        for (double[] child : children) {
+          if (spent < evaluations) {
+            mutate(child, problem);
+            add(all, problem, child);
+          }
+        }
+      }
+      parents = survivors(all);
+    }
+    return parents.stream().filter(i -> i.rank == 0).toList();
+  }
+
+  private void add(List<Individual> to, Problem problem, double[] x) {
+    spent++;
+    double[] costs = problem.evaluate(x);
+    if (costs != null) {
+      to.add(new Individual(x, costs));
+    }
+  }
+
+  private double[] randomIn(Problem p) {
+    double[] x = new double[p.lower().length];
+    for (int i = 0; i < x.length; i++) {
+      x[i] = p.lower()[i] + random.nextDouble() * (p.upper()[i] - p.lower()[i]);
+    }
+    return x;
+  }
+
+  private static double[] clip(double[] x, Problem p) {
+    for (int i = 0; i < x.length; i++) {
+      x[i] = Math.max(p.lower()[i], Math.min(p.upper()[i], x[i]));
+    }
+    return x;
+  }
+
+  private Individual tournament(List<Individual> from) {
+    Individual a = from.get(random.nextInt(from.size()));
+    Individual b = from.get(random.nextInt(from.size()));
+    if (a.rank != b.rank) {
+      return a.rank < b.rank ? a : b;
+    }
+    return a.crowding >= b.crowding ? a : b;
+  }
+
+  private double[][] crossover(double[] a, double[] b, Problem p) {
+    double[] c = a.clone();
+    double[] d = b.clone();
+    if (random.nextDouble() < CROSSOVER_CHANCE) {
+      for (int i = 0; i < c.length; i++) {
+        if (random.nextBoolean()) {
+          double u = random.nextDouble();
+          double power = 1 / (CROSSOVER_INDEX + 1);
+          double beta = u <= 0.5 ? Math.pow(2 * u, power) : Math.pow(1 / (2 * (1 - u)), power);
+          c[i] = 0.5 * ((1 + beta) * a[i] + (1 - beta) * b[i]);
+          d[i] = 0.5 * ((1 - beta) * a[i] + (1 + beta) * b[i]);
+        }
+      }
+    }
+    return new double[][] {clip(c, p), clip(d, p)};
+  }
+
+  private void mutate(double[] x, Problem p) {
+    for (int i = 0; i < x.length; i++) {
+      double range = p.upper()[i] - p.lower()[i];
+      if (range > 0 && random.nextDouble() < 1.0 / x.length) {
+        double u = random.nextDouble();
+        double power = 1 / (MUTATION_INDEX + 1);
+        double delta =
+            u < 0.5 ? Math.pow(2 * u, power) - 1 : 1 - Math.pow(2 * (1 - u), power);
+        x[i] += delta * range;
+      }
+    }
+    clip(x, p);
+  }
+
+  private List<Individual> survivors(List<Individual> all) {
+    List<Individual> out = new ArrayList<>();
+    for (List<Individual> front : rank(all)) {
+      if (out.size() + front.size() <= population) {
+        out.addAll(front);
+      } else {
+        List<Individual> spread = new ArrayList<>(front);
+        spread.sort(Comparator.comparingDouble((Individual i) -> i.crowding).reversed());
+        out.addAll(spread.subList(0, population - out.size()));
+        break;
+      }
+    }
+    return out;
+  }
+
+  /** Sorts into non-dominated fronts and sets each one's rank and crowding. */
+  static List<List<Individual>> rank(List<Individual> all) {
+    List<List<Individual>> fronts = new ArrayList<>();
+    List<Individual> left = new ArrayList<>(all);
+    while (!left.isEmpty()) {
+      List<Individual> front = new ArrayList<>();
+      for (Individual a : left) {
+        if (left.stream().noneMatch(b -> dominates(b.costs, a.costs))) {
+          front.add(a);
+        }
+      }
+      for (Individual i : front) {
+        i.rank = fronts.size();
+      }
+      crowd(front);
+      fronts.add(front);
+      left.removeAll(front);
+    }
+    return fronts;
+  }
+
+  private static void crowd(List<Individual> front) {
+    front.forEach(i -> i.crowding = 0);
+    int costs = front.get(0).costs.length;
+    for (int m = 0; m < costs; m++) {
+      int k = m;
+      List<Individual> sorted = new ArrayList<>(front);
+      sorted.sort(Comparator.comparingDouble(i -> i.costs[k]));
+      Individual first = sorted.get(0);
+      Individual last = sorted.get(sorted.size() - 1);
+      first.crowding = Double.POSITIVE_INFINITY;
+      last.crowding = Double.POSITIVE_INFINITY;
+      double range = last.costs[k] - first.costs[k];
+      for (int i = 1; i + 1 < sorted.size() && range > 0; i++) {
+        sorted.get(i).crowding +=
+            (sorted.get(i + 1).costs[k] - sorted.get(i - 1).costs[k]) / range;
+      }
+    }
+  }
+
+  /** True when {@code a} is nowhere worse than {@code b} and somewhere better. */
+  static boolean dominates(double[] a, double[] b) {
+    boolean better = false;
+    for (int i = 0; i < a.length; i++) {
+      if (a[i] > b[i]) {
+        return false;
+      }
+      better |= a[i] < b[i];
+    }
+    return better;
+  }
+
+  /**
+   * The member of a front nearest the origin, each cost first divided by its greatest value on the
+   * front; a cost that is zero all over the front is left out.
+   */
+  public static Individual nearestOrigin(List<Individual> front) {
+    int costs = front.get(0).costs.length;
+    double[] greatest = new double[costs];
+    for (Individual i : front) {
+      for (int m = 0; m < costs; m++) {
+        greatest[m] = Math.max(greatest[m], i.costs[m]);
+      }
+    }
+    return front.stream()
+        .min(Comparator.comparingDouble(i -> distance(i.costs, greatest)))
+        .orElseThrow();
+  }
+
+  private static double distance(double[] costs, double[] greatest) {
+    double sum = 0;
+    for (int m = 0; m < costs.length; m++) {
+      if (greatest[m] > 0) {
+        double c = costs[m] / greatest[m];
+        sum += c * c;
+      }
+    }
+    return Math.sqrt(sum);
+  }
+}
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -1,106 +1,187 @@
 package dapplestair.planning;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.fleet.Fleet;
-import dapplestair.fleet.MachineType;
 import dapplestair.fleet.MachineTypes;
 import dapplestair.fleet.Slot;
-import dapplestair.ledger.Job;
-import dapplestair.ledger.Ledger;
+import dapplestair.json.Json;
+import dapplestair.leadership.Leadership;
+import dapplestair.ports.Background;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Timers;
 import dapplestair.settings.Operator;
+import dapplestair.state.Keys;
+import dapplestair.state.Outcome;
+import dapplestair.state.Replica;
+import dapplestair.state.StateClient;
+import dapplestair.state.StateClient.Priority;
+import dapplestair.state.Txn;
 import dapplestair.workers.Host;
-import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** Plans the fleet at a steady interval and applies the plan. */
+/**
+ * The autoscaler: at a steady interval it searches for plans, takes the one nearest the origin,
+ * records it, rents what it holds beyond the fleet, and returns machines only after several rounds
+ * wanting fewer.
+ */
 public final class Planning implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(Planning.class);
+
   private final Timers timers;
+  private final Background background;
+  private final UniformRandomProvider random;
   private final Operator operator;
-  private final Ledger ledger;
+  private final Leadership leadership;
+  private final StateClient state;
+  private final Replica replica;
   private final Fleet fleet;
   private final MachineTypes types;
+  private final DemandView demand;
   private final Map<Slot, Integer> fewer = new HashMap<>();
+  private Map<Slot, Integer> plan = Map.of();
+  private ObjectNode lastWritten;
+  private boolean writing;
   private Cancellable timer = () -> {};
+  private int generation;
 
-  /** Plans for what the ledger holds. */
+  /** Plans for what {@code demand} sees. */
   public Planning(
-      Timers timers, Operator operator, Ledger ledger, Fleet fleet, MachineTypes types) {
+      Timers timers,
+      Background background,
+      UniformRandomProvider random,
+      Operator operator,
+      Leadership leadership,
+      StateClient state,
+      Replica replica,
+      Fleet fleet,
+      MachineTypes types,
+      DemandView demand) {
     this.timers = timers;
+    this.background = background;
+    this.random = random;
     this.operator = operator;
-    this.ledger = ledger;
+    this.leadership = leadership;
+    this.state = state;
+    this.replica = replica;
     this.fleet = fleet;
     this.types = types;
+    this.demand = demand;
   }
 
   /** Begins. */
   public void lead() {
+    generation++;
     round();
   }
 
   /** Stops. */
   public void clear() {
+    generation++;
     timer.cancel();
     fewer.clear();
+    plan = Map.of();
+    lastWritten = null;
+    writing = false;
   }
 
   private void round() {
-    if (ledger.armed() && types.known()) {
-      apply(plan());
+    timer = timers.after(operator.planIntervalMs(), this::round);
+    if (!demand.ready() || !types.known()) {
+      // Nothing can be planned yet: look again soon rather than a whole round later.
+      timer.cancel();
+      timer = timers.after(operator.planIntervalMs() / 10, this::round);
+      return;
     }
-    timer = timers.after(operator.planIntervalMs() / 5, this::round);
+    FleetProblem problem = demand.problem(operator);
+    Nsga2 search = new Nsga2(random, operator.population(), operator.evaluations());
+    List<double[]> seeds = List.of(problem.lower(), held(problem));
+    int planned = generation;
+    background.compute(
+        () -> best(search, problem, seeds),
+        counts -> {
+          if (planned == generation && leadership.leading()) {
+            apply(problem, counts);
+          }
+        });
+  }
+
+  private double[] held(FleetProblem problem) {
+    return problem.slots().stream()
+        .mapToDouble(s -> fleet.holding(new Slot(s.type().name(), s.spot())))
+        .toArray();
   }
 
-  private Map<Slot, Integer> plan() {
-    double steady = 0;
-    double either = 0;
-    for (Job job : ledger.jobs()) {
-      if (!job.over()) {
-        double cpus = job.spec().cpus() * (job.waiting() + job.held());
-        if (job.spec().spot()) {
-          either += cpus;
-        } else {
-          steady += cpus;
-        }
-      }
+  private static int[] best(Nsga2 search, FleetProblem problem, List<double[]> seeds) {
+    List<Nsga2.Individual> front = search.search(problem, seeds);
+    return FleetProblem.counts(
+        front.isEmpty() ? problem.lower() : Nsga2.nearestOrigin(front).x());
+  }
+
+  private void apply(FleetProblem problem, int[] counts) {
+    Map<Slot, Integer> next = new LinkedHashMap<>();
+    for (int i = 0; i < counts.length; i++) {
+      FleetProblem.SlotState s = problem.slots().get(i);
+      next.put(new Slot(s.type().name(), s.spot()), counts[i]);
+    }
+    if (!next.equals(plan)) {
+      LOG.debug("plan {}", next);
     }
-    Map<Slot, Integer> out = new HashMap<>();
-    fill(out, false, steady * 1.25 + 16);
-    double missing = fill(out, true, either * 1.1 + 64);
-    fill(out, false, steady * 1.25 + 16 + missing);
-    return out;
+    plan = next;
+    record();
+    next.forEach(this::steer);
   }
 
-  private double fill(Map<Slot, Integer> out, boolean spot, double cpus) {
-    List<MachineType> byPrice =
-        types.all().stream()
-            .sorted(Comparator.comparingDouble(t -> t.price(spot) / t.cpus()))
-            .toList();
-    double left = cpus;
-    for (MachineType t : byPrice) {
-      Slot slot = new Slot(t.name(), spot);
-      int most = fleet.capacity(slot, 4);
-      int n = (int) Math.min(most, Math.ceil(Math.max(0, left) / t.cpus()));
-      out.put(slot, n);
-      left -= n * t.cpus();
+  private void steer(Slot slot, int want) {
+    int have = fleet.holding(slot);
+    if (want > have) {
+      fleet.rent(slot, want - have);
+    }
+    if (want >= have) {
+      fewer.remove(slot);
+    } else if (fewer.merge(slot, 1, Integer::sum) >= operator.returnAfterRounds()) {
+      List<Host> idle = fleet.returnable(slot);
+      idle.stream().limit(have - want).forEach(fleet::release);
     }
-    return Math.max(0, left);
   }
 
-  private void apply(Map<Slot, Integer> plan) {
+  /** The plan is one value in the state service, written when it changes. */
+  private void record() {
+    ObjectNode value = Json.object().put("term", leadership.term());
+    ArrayNode counts = value.putArray("machines");
     plan.forEach(
-        (slot, want) -> {
-          int have = fleet.holding(slot);
-          if (want > have) {
-            fleet.rent(slot, want - have);
+        (slot, n) ->
+            counts.addObject().put("type", slot.type()).put("spot", slot.spot()).put("count", n));
+    if (writing || value.equals(lastWritten)) {
+      return;
+    }
+    writing = true;
+    int written = generation;
+    Txn txn =
+        leadership
+            .guard(new Txn())
+            .when(Keys.PLAN, replica.stamp(Keys.PLAN))
+            .put(Keys.PLAN, value);
+    state.commit(
+        txn,
+        Priority.BOOKKEEPING,
+        operator.planIntervalMs(),
+        outcome -> {
+          if (written != generation) {
+            return;
           }
-          if (want >= have) {
-            fewer.remove(slot);
-          } else if (fewer.merge(slot, 1, Integer::sum) >= 5 * operator.returnAfterRounds()) {
-            List<Host> idle = fleet.returnable(slot);
-            idle.stream().limit(have - want).forEach(fleet::release);
+          writing = false;
+          if (outcome instanceof Outcome.Applied) {
+            lastWritten = value;
+          } else if (outcome instanceof Outcome.Conflict c
+              && c.failed().contains(Keys.LEADER)) {
+            leadership.guardFailed();
           }
         });
   }
--- a/src/main/java/dapplestair/settings/Operator.java
+++ b/src/main/java/dapplestair/settings/Operator.java
@@ -11,6 +11,6 @@
 
   /** What holds without an operator file. */
   public static Operator defaults() {
-    return new Operator(10_000, 20, 300, 0, 3.0, 3);
+    return new Operator(3_000, 20, 300, 0, 2.5, 4);
   }
 }
--- a/src/main/java/dapplestair/submissions/Submission.java
+++ b/src/main/java/dapplestair/submissions/Submission.java
@@ -71,7 +71,7 @@
     }
     String shape = text(body, "shape");
     if (!shape.equals("sweep") && !shape.equals("daemon")) {
-      throw new Malformed("shape: must be sweep or daemon");
+      throw new Malformed("shape: " + shape + ": must be sweep or daemon");
     }
     Rank rank = Rank.of(text(body, "rank"));
     if (rank == null) {
--- a/src/main/java/dapplestair/submissions/SubmissionDesk.java
+++ b/src/main/java/dapplestair/submissions/SubmissionDesk.java
@@ -19,12 +19,15 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Answers users. Nothing is confirmed before it is known to be in the state service, and nothing is
  * told from memory alone unless it can never change.
  */
 public final class SubmissionDesk {
+  private static final Logger LOG = LoggerFactory.getLogger(SubmissionDesk.class);
   private static final int MOST_OVER_KEPT = 20_000;
   private static final int MOST_PENDING = 400;
 
@@ -113,6 +116,7 @@
 
   /** A repeated submission of an accepted job is never told 400 or 422. */
   private void refuseUnlessKnown(Exchange x, int status, String why) {
+    LOG.debug("{}: {}", status, why);
     String ref = Json.text(Json.parse(x.body()), "ref");
     if (ref == null || !Submission.validRef(ref)) {
       error(x, status, why);
