--- a/src/main/java/dapplestair/ledger/Job.java
+++ b/src/main/java/dapplestair/ledger/Job.java
@@ -2,6 +2,7 @@
 
 import dapplestair.submissions.Submission;
 import it.unimi.dsi.fastutil.ints.Int2ObjectAVLTreeMap;
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 
 /** A job that is not over, or whose attempts are not all gone. */
@@ -19,6 +20,8 @@
   boolean finishing;
   long overAt;
   int held;
+  long gangNumber;
+  final IntOpenHashSet gangSteps = new IntOpenHashSet();
   private int firstOpen;
 
   // Failures count by machine, so that one faulty machine does not make a job look wrong.
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -357,13 +357,18 @@
 
   /** True when the team has room for one more task of this size. */
   public boolean teamAllows(Submission s) {
+    return teamAllows(s, 1);
+  }
+
+  /** True when the team has room for so many more tasks of this size. */
+  public boolean teamAllows(Submission s, int tasks) {
     Settings.Team team = settings.teams().get(s.team());
     if (team == null) {
       return false;
     }
     double[] u = teamUse.getOrDefault(s.team(), new double[2]);
-    return (team.cpusMax() <= 0 || u[0] + s.cpus() <= team.cpusMax() + 1e-6)
-        && (team.gpusMax() <= 0 || u[1] + s.gpus() <= team.gpusMax() + 1e-6);
+    return (team.cpusMax() <= 0 || u[0] + tasks * s.cpus() <= team.cpusMax() + 1e-6)
+        && (team.gpusMax() <= 0 || u[1] + tasks * s.gpus() <= team.gpusMax() + 1e-6);
   }
 
   /** True when the job's other attempts leave room for one more in this zone. */
@@ -392,17 +397,36 @@
     }
     Chunk c = job.chunkOf(step);
     // An earlier attempt without proof of absence may still run somewhere.
-    if (!c.free(step)) {
+    if (!c.free(step) || (job.spec().gang() && !joinsGang(job, step))) {
       return false;
     }
+    long number = number(job, c);
     Attempt a =
-        new Attempt(
-            job, step, ++c.lastNumber, host.id(), host.zone(), host.session(), clock.now());
+        new Attempt(job, step, number, host.id(), host.zone(), host.session(), clock.now());
     enter(c, a);
     dirty(job, c, true);
     return true;
   }
 
+  /** A number that no earlier attempt at this task has; a gang's members share theirs. */
+  private static long number(Job job, Chunk c) {
+    c.lastNumber = job.spec().gang() ? job.gangNumber : c.lastNumber + 1;
+    return c.lastNumber;
+  }
+
+  /**
+   * Workers let only members with equal numbers meet, so a gang starts as a whole: a member lost
+   * later cannot be replaced under the old number, which its lost attempt has used.
+   */
+  private static boolean joinsGang(Job job, int step) {
+    if (job.held == 0) {
+      long highest = job.chunks.values().stream().mapToLong(c -> c.lastNumber).max().orElse(0);
+      job.gangNumber = highest + 1;
+      job.gangSteps.clear();
+    }
+    return job.gangNumber > 0 && job.gangSteps.add(step);
+  }
+
   private void enter(Chunk c, Attempt a) {
     c.live.put(a.step, a);
     a.job.held++;
--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -70,7 +70,7 @@
       }
     }
     for (Job job : ordered()) {
-      if (job.spec().together()) {
+      if (job.spec().together() || job.spec().gang()) {
         placeGang(job, usable);
       } else {
         placeEach(job, usable);
@@ -129,26 +129,45 @@
     }
   }
 
-  /** A gang starts only when all of it fits into one zone now. */
+  /** A gang starts only when all of it fits now, in one zone where its job wants that. */
   private void placeGang(Job job, List<Host> usable) {
     Submission s = job.spec();
+    if (!ledger.teamAllows(s, job.waiting()) || (s.gang() && job.held() > 0)) {
+      return;
+    }
+    if (!s.together()) {
+      if (room(job, usable) >= job.waiting()) {
+        placeEach(job, usable);
+      }
+      return;
+    }
     Set<String> zones = new TreeSet<>();
     usable.forEach(h -> zones.add(h.zone()));
-    int need = job.waiting();
     for (String zone : zones) {
-      int room = 0;
-      for (Host h : usable) {
-        if (zone.equals(h.zone()) && ledger.mayStart(job, h)) {
-          room += roomFor(h, s);
-        }
-      }
-      if (room >= need) {
-        placeEach(job, usable.stream().filter(h -> zone.equals(h.zone())).toList());
+      List<Host> there = usable.stream().filter(h -> zone.equals(h.zone())).toList();
+      if (room(job, there) >= job.waiting()) {
+        placeEach(job, there);
         return;
       }
     }
   }
 
+  /** How many more of the job's tasks these machines can take together. */
+  private int room(Job job, List<Host> machines) {
+    Submission s = job.spec();
+    Map<String, Integer> perZone = new HashMap<>();
+    for (Host h : machines) {
+      if (ledger.mayStart(job, h)) {
+        perZone.merge(h.zone(), roomFor(h, s), Integer::sum);
+      }
+    }
+    int sum = 0;
+    for (Map.Entry<String, Integer> zone : perZone.entrySet()) {
+      sum += Math.min(zone.getValue(), s.mostPerZone() - job.inZone(zone.getKey()));
+    }
+    return sum;
+  }
+
   private static int roomFor(Host h, Submission s) {
     double n = Math.min(h.cpusFree() / s.cpus(), h.memoryFree() / Math.max(1e-9, s.memoryGb()));
     if (s.gpus() > 0) {
--- a/src/main/java/dapplestair/submissions/Submission.java
+++ b/src/main/java/dapplestair/submissions/Submission.java
@@ -9,7 +9,7 @@
 /**
  * A job as its user described it.
  *
- * @param service true when tasks run until the job is withdrawn
+ * @param shape how its tasks belong together
  * @param types allowed machine types, or null for any
  * @param zone the only allowed zone, or null
  * @param together all tasks in one zone
@@ -21,7 +21,7 @@
     String ref,
     String jobClass,
     String team,
-    boolean service,
+    Shape shape,
     Rank rank,
     int steps,
     double cpus,
@@ -50,6 +50,21 @@
     }
   }
 
+  /** True when its tasks run until it is withdrawn. */
+  public boolean service() {
+    return shape == Shape.SERVICE;
+  }
+
+  /** True when none of its tasks is of use before all of them run. */
+  public boolean gang() {
+    return shape == Shape.GANG;
+  }
+
+  /** Tasks that must have room at the same time for the job to make sense. */
+  public int atOnce() {
+    return shape == Shape.ARRAY ? 1 : steps;
+  }
+
   /** Most tasks that may be in one zone. */
   public int mostPerZone() {
     return apart ? (steps + 1) / 2 : steps;
@@ -69,9 +84,9 @@
     if (!validRef(ref)) {
       throw new Malformed("ref: not a job id");
     }
-    String shape = text(body, "shape");
-    if (!shape.equals("sweep") && !shape.equals("daemon")) {
-      throw new Malformed("shape: " + shape + ": must be sweep or daemon");
+    Shape shape = Shape.of(text(body, "shape"));
+    if (shape == null) {
+      throw new Malformed("shape: must be sweep, gang or daemon");
     }
     Rank rank = Rank.of(text(body, "rank"));
     if (rank == null) {
@@ -94,7 +109,7 @@
         ref,
         text(body, "jobclass"),
         text(body, "owner"),
-        shape.equals("daemon"),
+        shape,
         rank,
         steps.intValue(),
         cpus,
@@ -137,7 +152,7 @@
             .put("ref", ref)
             .put("jobclass", jobClass)
             .put("owner", team)
-            .put("shape", service ? "daemon" : "sweep")
+            .put("shape", shape.wire())
             .put("rank", rank.wire())
             .put("steps", steps)
             .put("vcpus", cpus)
--- a/src/main/java/dapplestair/submissions/SubmissionDesk.java
+++ b/src/main/java/dapplestair/submissions/SubmissionDesk.java
@@ -140,11 +140,10 @@
     if (team == null) {
       return "owner: unknown team " + s.team();
     }
-    int atOnce = s.service() ? s.steps() : 1;
-    if (team.cpusMax() > 0 && s.cpus() * atOnce > team.cpusMax() + 1e-6) {
+    if (team.cpusMax() > 0 && s.cpus() * s.atOnce() > team.cpusMax() + 1e-6) {
       return "vcpus: more than the team's limit of " + team.cpusMax();
     }
-    if (team.gpusMax() > 0 && s.gpus() * atOnce > team.gpusMax() + 1e-6) {
+    if (team.gpusMax() > 0 && s.gpus() * s.atOnce() > team.gpusMax() + 1e-6) {
       return "accelerators: more than the team's limit of " + team.gpusMax();
     }
     if (!types.anySuits(s)) {
