--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -15,8 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
+import java.util.TreeMap;
 
 /** Starts each waiting task where it completes earliest, the most pressing first. */
 public final class Placer {
@@ -70,14 +69,47 @@
       }
     }
     for (Job job : ordered()) {
-      if (job.spec().together() || job.spec().gang()) {
-        placeGang(job, usable);
+      if (job.spec().gang()) {
+        if (!placeGang(job, usable) && starving(job)) {
+          // Machines must empty for it: what is less pressing would fill them again for ever.
+          return;
+        }
+      } else if (job.spec().together()) {
+        placeTogether(job, usable);
       } else {
         placeEach(job, usable);
       }
     }
   }
 
+  private boolean starving(Job job) {
+    return job.held() == 0
+        && ledger.teamAllows(job.spec(), job.waiting())
+        && clock.wall() - job.acceptedWall() > 10 * settings.workers().reportMs();
+  }
+
+  /** The first task chooses the zone for all: the one with the most room for them. */
+  private void placeTogether(Job job, List<Host> usable) {
+    String best = null;
+    int most = 0;
+    for (Map.Entry<String, List<Host>> zone : byZone(usable).entrySet()) {
+      int room = room(job, zone.getValue());
+      if (room > most) {
+        most = room;
+        best = zone.getKey();
+      }
+    }
+    if (best != null) {
+      placeEach(job, byZone(usable).get(best));
+    }
+  }
+
+  private static Map<String, List<Host>> byZone(List<Host> machines) {
+    Map<String, List<Host>> out = new TreeMap<>();
+    machines.forEach(h -> out.computeIfAbsent(h.zone(), z -> new ArrayList<>()).add(h));
+    return out;
+  }
+
   /** Waiting jobs: by rank, guaranteed ones before borrowers, then by least slack. */
   private List<Job> ordered() {
     long now = clock.now();
@@ -130,26 +162,20 @@
   }
 
   /** A gang starts only when all of it fits now, in one zone where its job wants that. */
-  private void placeGang(Job job, List<Host> usable) {
+  private boolean placeGang(Job job, List<Host> usable) {
     Submission s = job.spec();
-    if (!ledger.teamAllows(s, job.waiting()) || (s.gang() && job.held() > 0)) {
-      return;
-    }
-    if (!s.together()) {
-      if (room(job, usable) >= job.waiting()) {
-        placeEach(job, usable);
-      }
-      return;
+    if (!ledger.teamAllows(s, job.waiting()) || job.held() > 0) {
+      return false;
     }
-    Set<String> zones = new TreeSet<>();
-    usable.forEach(h -> zones.add(h.zone()));
-    for (String zone : zones) {
-      List<Host> there = usable.stream().filter(h -> zone.equals(h.zone())).toList();
-      if (room(job, there) >= job.waiting()) {
-        placeEach(job, there);
-        return;
+    List<List<Host>> choices =
+        s.together() ? List.copyOf(byZone(usable).values()) : List.of(usable);
+    for (List<Host> machines : choices) {
+      if (room(job, machines) >= job.waiting()) {
+        placeEach(job, machines);
+        return true;
       }
     }
+    return false;
   }
 
   /** How many more of the job's tasks these machines can take together. */
--- a/src/main/java/dapplestair/planning/DemandView.java
+++ b/src/main/java/dapplestair/planning/DemandView.java
@@ -74,7 +74,7 @@
       slots.add(slot(t, false, laneCpus));
       slots.add(slot(t, true, laneCpus));
     }
-    slots = withRoomForServices(slots, soon);
+    slots = withRoomForGangs(withRoomForServices(slots, soon));
     List<DryTask> tasks = tasks(slots, soon, laneCpus, longestBootS);
     return new FleetProblem(slots, tasks, laneCpus, budget(operator, slots, soon));
   }
@@ -197,6 +197,36 @@
     return out;
   }
 
+  /**
+   * A gang that has waited a while gets machines for all of it at once; the search alone might
+   * settle for fewer for ever. Machines are spread over the zones, so one that must be in one zone
+   * needs as many in each.
+   */
+  private List<SlotState> withRoomForGangs(List<SlotState> slots) {
+    List<SlotState> out = new ArrayList<>(slots);
+    for (Job j : ledger.jobs()) {
+      Submission s = j.spec();
+      if (!s.gang() || j.held() > 0 || j.waiting() == 0
+          || clock.wall() - j.acceptedWall() < windowMs / 4) {
+        continue;
+      }
+      double need = s.cpus() * j.waiting();
+      boolean zones = s.together() && s.zone() == null;
+      for (int i = 0; i < out.size() && need > 0; i++) {
+        SlotState slot = out.get(i);
+        if (slot.type().suits(s) && (s.spot() || !slot.spot())) {
+          double perMachine = Math.floor(slot.type().cpus() / s.cpus()) * s.cpus();
+          int want = (int) Math.ceil(need / perMachine);
+          want *= zones ? Math.max(1, slot.type().zones().size()) : 1;
+          int least = Math.max(slot.least(), Math.min(slot.most(), want));
+          out.set(i, withLeast(slot, least));
+          need -= least * perMachine / (zones ? slot.type().zones().size() : 1);
+        }
+      }
+    }
+    return out;
+  }
+
   private static SlotState withLeast(SlotState s, int least) {
     return new SlotState(
         s.type(), s.spot(), least, s.most(), s.busyUntilS(), s.bootingS(), s.price(), s.takeBack());
--- a/src/main/java/dapplestair/state/Replica.java
+++ b/src/main/java/dapplestair/state/Replica.java
@@ -152,9 +152,11 @@
           if (gen != generation) {
             return;
           }
-          if (!apply(reply)) {
-            retry(() -> catchUp(gen, target));
-          } else if (position < target) {
+          boolean applied = apply(reply);
+          if (gen != generation) {
+            return;
+          }
+          if (!applied || position < target) {
             retry(() -> catchUp(gen, target));
           } else {
             ready = true;
@@ -202,7 +204,13 @@
     if (body == null || !body.has("epoch")) {
       return false;
     }
+    int gen = generation;
     for (JsonNode n : body.path("news")) {
+      // A change can make this controller lead no more and the replica begin again: what follows
+      // must not be applied to the emptied replica, nor a barrier pass on it.
+      if (gen != generation) {
+        return false;
+      }
       long stamp = Json.number(n, "stamp", 0);
       String removed = Json.text(n, "remove");
       String key = removed != null ? removed : Json.text(n, "put");
@@ -219,6 +227,9 @@
         listener.put(key, n.get("value"), stamp);
       }
     }
+    if (gen != generation) {
+      return false;
+    }
     position = Math.max(position, Json.number(body, "epoch", position));
     return true;
   }
--- /dev/null
+++ b/src/test/java/dapplestair/world/Checker.java
@@ -0,0 +1,118 @@
+package dapplestair.world;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** The rules of the protocol, checked on the world itself, knowing nothing of the product. */
+final class Checker {
+  private final World world;
+  private final Set<String> completed = new HashSet<>();
+  int started;
+  String broken;
+
+  Checker(World world) {
+    this.world = world;
+  }
+
+  void broken(String what) {
+    if (broken == null) {
+      broken = "at " + world.sim.now() + " ms: " + what;
+    }
+  }
+
+  void completed(String key) {
+    completed.add(key);
+  }
+
+  private static String ref(String key) {
+    return key.substring(0, key.indexOf('/'));
+  }
+
+  /** A task has just started: it is running on {@code w} already. */
+  void started(StandInWorker w, StandInWorker.Task task) {
+    started++;
+    Users.Told job = world.users.told.get(ref(task.key));
+    double teamCpus = 0;
+    Map<String, Integer> perZone = new HashMap<>();
+    int copies = 0;
+    for (StandInWorker m : world.cloud.machines.values()) {
+      for (StandInWorker.Task t : m.tasks.values()) {
+        if (m.gone || !t.onMachine()) {
+          continue;
+        }
+        Users.Told other = world.users.told.get(ref(t.key));
+        if (other.body.path("owner").equals(job.body.path("owner"))) {
+          teamCpus += other.cpus;
+        }
+        if (t.key.equals(task.key)) {
+          copies++;
+        }
+        if (other == job) {
+          perZone.merge(m.zone, 1, Integer::sum);
+        }
+      }
+    }
+    if (copies > 1) {
+      broken("ran_twice: " + task.key + " started on " + w.id);
+    }
+    if (teamCpus > World.TEAM_LIMIT + 1e-6) {
+      broken("quota: " + teamCpus + " CPUs of " + job.body.path("owner"));
+    }
+    if (w.spot && !job.body.path("loaners").asBoolean()) {
+      broken("wrong_place: " + task.key + " on a spot machine");
+    }
+    if (job.body.path("apart").asBoolean() && perZone.get(w.zone) > (job.steps + 1) / 2) {
+      broken("wrong_place: " + task.key + " crowds " + w.zone);
+    }
+    if (job.body.path("together").asBoolean() && perZone.size() > 1) {
+      broken("wrong_place: " + task.key + " is not with the others");
+    }
+  }
+
+  /** After each step. */
+  void check() {
+    for (StandInWorker m : world.cloud.machines.values()) {
+      if (m.gone) {
+        continue;
+      }
+      for (StandInWorker.Task t : m.tasks.values()) {
+        Users.Told job = t.onMachine() ? world.users.told.get(ref(t.key)) : null;
+        if (job != null && job.aborted && world.sim.now() > job.abortedAt + World.CANCEL_MS) {
+          broken("ran_cancelled: " + t.key + " on " + m.id);
+        }
+      }
+    }
+    if (world.state.violation != null) {
+      broken(world.state.violation);
+    }
+    if (world.cloud.violation != null) {
+      broken(world.cloud.violation);
+    }
+  }
+
+  /** A user was told the state of a job, having been told {@code before} when it asked. */
+  void told(Users.Told job, String before, String status) {
+    if (before != null && !before.equals(status)) {
+      broken("went_back: " + job.ref + " is called " + status);
+    }
+    if (status.equals("aborted")) {
+      if (!job.withdrawAsked) {
+        broken("went_back: " + job.ref + " is called aborted, but nobody asked");
+      }
+      if (!job.aborted) {
+        job.aborted = true;
+        job.abortedAt = world.sim.now();
+      }
+    }
+    if (status.equals("done")) {
+      for (int i = 0; i < job.steps; i++) {
+        if (!completed.contains(job.ref + "/" + i)) {
+          broken("not_done: " + job.ref + " lacks task " + i);
+        }
+      }
+      job.done = true;
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/dapplestair/world/Network.java
@@ -0,0 +1,116 @@
+package dapplestair.world;
+
+import dapplestair.ports.HttpReply;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Carries requests between named places, with delay, and through cuts that drop or hold back. What
+ * is held back arrives once the cut ends, even if nobody waits for an answer any more.
+ */
+final class Network {
+  /** A place that answers requests; it may answer later. */
+  interface Place {
+    void request(String from, String method, String path, byte[] body, Consumer<HttpReply> reply);
+  }
+
+  private record Pair(String a, String b) {}
+
+  private final Sim sim;
+  private final Map<String, Place> places = new HashMap<>();
+  private final Map<Pair, List<Runnable>> held = new HashMap<>();
+  private final Set<Pair> dropping = new HashSet<>();
+  double loss = 0.001;
+
+  Network(Sim sim) {
+    this.sim = sim;
+  }
+
+  void place(String name, Place place) {
+    places.put(name, place);
+  }
+
+  void remove(String name) {
+    places.remove(name);
+  }
+
+  private static Pair pair(String a, String b) {
+    return a.compareTo(b) < 0 ? new Pair(a, b) : new Pair(b, a);
+  }
+
+  void cut(String a, String b, boolean hold) {
+    if (hold) {
+      held.putIfAbsent(pair(a, b), new ArrayList<>());
+    } else {
+      dropping.add(pair(a, b));
+    }
+  }
+
+  void heal(String a, String b) {
+    dropping.remove(pair(a, b));
+    List<Runnable> late = held.remove(pair(a, b));
+    if (late != null) {
+      late.forEach(r -> sim.after(sim.between(1, 40), r));
+    }
+  }
+
+  private void carry(String a, String b, Runnable arrive) {
+    Pair p = pair(a, b);
+    if (dropping.contains(p) || sim.chance(loss)) {
+      return;
+    }
+    List<Runnable> waiting = held.get(p);
+    if (waiting != null) {
+      waiting.add(() -> carry(a, b, arrive));
+      return;
+    }
+    sim.after(1 + (sim.chance(0.02) ? sim.between(20, 400) : sim.between(0, 4)), () -> {
+      List<Runnable> w = held.get(p);
+      if (w != null) {
+        w.add(arrive);
+      } else if (!dropping.contains(p)) {
+        arrive.run();
+      }
+    });
+  }
+
+  void call(
+      String from,
+      String to,
+      String method,
+      String path,
+      byte[] body,
+      long timeoutMs,
+      Consumer<HttpReply> done) {
+    boolean[] ended = {false};
+    Consumer<HttpReply> once =
+        r -> {
+          if (!ended[0]) {
+            ended[0] = true;
+            done.accept(r);
+          }
+        };
+    sim.after(timeoutMs, () -> once.accept(HttpReply.of(HttpReply.UNKNOWN)));
+    carry(
+        from,
+        to,
+        () -> {
+          Place p = places.get(to);
+          if (p == null) {
+            carry(to, from, () -> once.accept(HttpReply.of(HttpReply.NOT_SENT)));
+          } else {
+            p.request(from, method, path, body, r -> carry(to, from, () -> once.accept(r)));
+          }
+        });
+  }
+
+  /** One-way message. */
+  void tell(String from, String to, Runnable arrive) {
+    carry(from, to, arrive);
+  }
+}
--- /dev/null
+++ b/src/test/java/dapplestair/world/SeededDaysTest.java
@@ -0,0 +1,45 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Whole days with random troubles: the rules hold after every step, and all work ends. */
+class SeededDaysTest {
+  private static final long ROUGH_MS = 240_000;
+  private static final long CALM_MS = 150_000;
+
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+  void rulesHoldWhateverFails(long seed) {
+    play(seed, 6000);
+  }
+
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {101, 102, 103, 104, 105, 106})
+  void rulesHoldWhenTroublesOverlap(long seed) {
+    play(seed, 2500);
+  }
+
+  static void play(long seed, long troubleEveryMs) {
+    World world = new World(seed);
+    try {
+      Troubles troubles = new Troubles(world);
+      world.run(10_000);
+      troubles.begin(troubleEveryMs);
+      world.run(ROUGH_MS);
+      troubles.end();
+      world.users.quiet = true;
+      world.run(CALM_MS);
+      for (Users.Told job : world.users.told.values()) {
+        assertTrue(
+            !job.accepted || job.service || job.done || job.aborted,
+            () -> job.ref + " was accepted but never ended: " + job.body);
+      }
+      assertTrue(world.checker.started > 100, "only " + world.checker.started + " tasks started");
+    } catch (AssertionError e) {
+      throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/dapplestair/world/Troubles.java
@@ -0,0 +1,106 @@
+package dapplestair.world;
+
+import java.util.List;
+
+/** Troubles of every kind at random times, alone and overlapping. */
+final class Troubles {
+  private final World w;
+  private boolean over;
+
+  Troubles(World w) {
+    this.w = w;
+  }
+
+  void begin(long everyMs) {
+    w.sim.after(
+        w.sim.between(everyMs / 2, everyMs * 3 / 2),
+        () -> {
+          if (!over) {
+            one((int) w.sim.between(0, 13));
+            begin(everyMs);
+          }
+        });
+  }
+
+  void end() {
+    over = true;
+  }
+
+  private StandInWorker someMachine() {
+    List<StandInWorker> all =
+        w.cloud.machines.values().stream().filter(m -> !m.gone).toList();
+    return all.isEmpty() ? null : all.get((int) w.sim.between(0, all.size() - 1));
+  }
+
+  private void one(int kind) {
+    World.Node node = w.nodes.get((int) w.sim.between(0, 2));
+    String name = "node-" + node.index;
+    long ms = w.sim.between(2000, 25_000);
+    StandInWorker m = someMachine();
+    boolean hold = w.sim.chance(0.6);
+    switch (kind) {
+      case 0, 1 -> node.crash(w.sim.between(800, 6000));
+      case 2 -> w.nodes.forEach(n -> n.crash(w.sim.between(800, 6000)));
+      case 3 -> {
+        w.state.down = true;
+        w.sim.after(ms, w.state::recover);
+      }
+      case 4 -> {
+        w.state.refused.add(name);
+        w.sim.after(ms, () -> w.state.refused.remove(name));
+      }
+      case 5, 6 -> cut(name, "state:1", hold, ms);
+      case 7 -> {
+        for (StandInWorker each : List.copyOf(w.cloud.machines.values())) {
+          if (w.sim.chance(0.5)) {
+            cut(name, each.endpoint, hold, ms);
+            cut(World.client(node.index), each.endpoint, hold, ms);
+          }
+        }
+      }
+      case 8 -> {
+        for (World.Node other : w.nodes) {
+          if (other != node) {
+            cut(name, "node-" + other.index, hold, ms);
+          }
+        }
+      }
+      case 9 -> {
+        if (m != null) {
+          m.end();
+        }
+      }
+      case 10 -> {
+        if (m != null) {
+          m.hang(ms);
+        }
+      }
+      case 11 -> {
+        for (StandInWorker each : w.cloud.machines.values()) {
+          if (each.spot && w.sim.chance(0.4)) {
+            each.recall(w.sim.chance(0.5) ? 0 : w.sim.between(2000, 15_000));
+          }
+        }
+      }
+      case 12 -> {
+        w.cloud.down = w.sim.chance(0.5);
+        w.cloud.short_ = !w.cloud.down;
+        w.sim.after(ms, () -> {
+          w.cloud.down = false;
+          w.cloud.short_ = false;
+        });
+      }
+      default -> {
+        if (m != null) {
+          m.sick = true;
+        }
+        cut(name, "cloud:1", hold, ms);
+      }
+    }
+  }
+
+  private void cut(String a, String b, boolean hold, long ms) {
+    w.net.cut(a, b, hold);
+    w.sim.after(ms, () -> w.net.heal(a, b));
+  }
+}
--- /dev/null
+++ b/src/test/java/dapplestair/world/Users.java
@@ -0,0 +1,170 @@
+package dapplestair.world;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import dapplestair.ports.HttpReply;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Users who submit, poll and withdraw, repeat what failed, and remember what they were told. */
+final class Users {
+  /** A job with all that any user was told of it. */
+  static final class Told {
+    final String ref;
+    final JsonNode body;
+    final int steps;
+    final double cpus;
+    final boolean service;
+    final double runS;
+    boolean accepted;
+    boolean done;
+    boolean aborted;
+    boolean withdrawAsked;
+    long abortedAt;
+    long lastAnswer;
+
+    String finalState() {
+      return done ? "done" : aborted ? "aborted" : null;
+    }
+
+    Told(JsonNode body) {
+      this.body = body;
+      this.ref = body.path("ref").asText();
+      this.steps = body.path("steps").asInt();
+      this.cpus = body.path("vcpus").asDouble();
+      this.service = body.path("shape").asText().equals("daemon");
+      this.runS = body.path("guessS").asDouble();
+    }
+  }
+
+  final Map<String, Told> told = new LinkedHashMap<>();
+  private final World world;
+  private int made;
+  boolean quiet;
+
+  Users(World world) {
+    this.world = world;
+    world.sim.after(500, this::next);
+    world.sim.after(3000, this::askForUnknown);
+  }
+
+  private void next() {
+    if (!quiet) {
+      submitNew();
+      world.sim.after(world.sim.between(300, 4000), this::next);
+    }
+  }
+
+  private void submitNew() {
+    boolean service = world.sim.chance(0.3);
+    int steps = service ? (int) world.sim.between(1, 3) : (int) world.sim.between(1, 12);
+    boolean apart = service || world.sim.chance(0.2);
+    ObjectNode b =
+        Json.object()
+            .put("ref", String.format("wk-%06d", ++made))
+            .put("jobclass", service ? "serve" : "batch")
+            .put("owner", world.sim.chance(0.5) ? "one" : "two")
+            .put("shape", service ? "daemon" : world.sim.chance(0.15) ? "gang" : "sweep")
+            .put("rank", service ? "critical" : world.sim.chance(0.5) ? "high" : "low")
+            .put("steps", steps)
+            .put("vcpus", service ? 1.0 : 2.0)
+            .put("accelerators", 0.0)
+            .put("memoryGb", 1.0)
+            .put("bundle", "img-" + world.sim.between(1, 3))
+            .put("imageGb", 0.5)
+            .put("together", !apart && world.sim.chance(0.2))
+            .put("apart", apart)
+            .put("loaners", !service)
+            .put("guessS", service ? 0.0 : world.sim.between(1, 12))
+            .put("snapshotEveryS", world.sim.chance(0.5) ? 2.0 : 0.0)
+            .put("snapshotS", 1.0);
+    Told t = new Told(b);
+    told.put(t.ref, t);
+    submit(t, world.sim.now() + 60_000);
+    if (service || world.sim.chance(0.15)) {
+      world.sim.after(world.sim.between(500, service ? 60_000 : 8_000), () -> withdraw(t));
+    }
+  }
+
+  private String someNode() {
+    return World.client((int) world.sim.between(0, world.nodes.size() - 1));
+  }
+
+  private void submit(Told t, long until) {
+    // Answers are held against what had been told when the question was asked: two questions at
+    // once may be answered in either order.
+    String before = t.finalState();
+    call("POST", "/submissions", Json.bytes(t.body), 5000, r -> {
+      if (r.status() == 201 || r.status() == 200) {
+        t.accepted = true;
+        heard(t, before, r);
+        if (world.sim.chance(0.1)) {
+          // A retry that comes much later.
+          world.sim.after(world.sim.between(1000, 90_000), () -> submit(t, 0));
+        }
+        world.sim.after(5000, () -> poll(t));
+      } else if (r.status() == 400 || r.status() == 422) {
+        world.checker.broken("forgotten: " + t.ref + " is answered " + r.status());
+      } else if (world.sim.now() < until || t.accepted) {
+        world.sim.after(1000 + world.sim.between(0, 500), () -> submit(t, until));
+      }
+    });
+  }
+
+  private void poll(Told t) {
+    String before = t.finalState();
+    call("GET", "/submissions/" + t.ref, null, 2000, r -> {
+      if (r.status() == 404) {
+        world.checker.broken("forgotten: " + t.ref + " gets 404");
+      } else if (r.status() == 200) {
+        t.lastAnswer = world.sim.now();
+        heard(t, before, r);
+      }
+      if (!t.done && !t.aborted || world.sim.chance(0.7)) {
+        world.sim.after(world.sim.between(4000, 6000), () -> poll(t));
+      }
+    });
+  }
+
+  private void withdraw(Told t) {
+    if (!t.accepted) {
+      world.sim.after(1000, () -> {
+        if (!quiet || t.accepted) {
+          withdraw(t);
+        }
+      });
+      return;
+    }
+    t.withdrawAsked = true;
+    String before = t.finalState();
+    call("POST", "/submissions/" + t.ref + "/withdraw", null, 5000, r -> {
+      if (r.status() == 200) {
+        heard(t, before, r);
+      } else if (r.status() == 404) {
+        world.checker.broken("forgotten: withdrawing " + t.ref + " gets 404");
+      } else {
+        world.sim.after(1000, () -> withdraw(t));
+      }
+    });
+  }
+
+  private void askForUnknown() {
+    call("GET", "/submissions/zz-" + world.sim.between(1, 99), null, 2000, r -> {
+      if (r.status() == 200) {
+        world.checker.broken("invented: a job nobody submitted");
+      }
+      world.sim.after(7000, this::askForUnknown);
+    });
+  }
+
+  private void call(
+      String method, String path, byte[] body, long timeout, java.util.function.Consumer<HttpReply> done) {
+    world.net.call("users", someNode(), method, path, body, timeout, done);
+  }
+
+  private void heard(Told t, String before, HttpReply r) {
+    JsonNode body = Json.parse(r.body());
+    world.checker.told(t, before, body.path("status").asText());
+  }
+}
--- /dev/null
+++ b/src/test/java/dapplestair/world/World.java
@@ -0,0 +1,257 @@
+package dapplestair.world;
+
+import dapplestair.node.Controller;
+import dapplestair.node.Outside;
+import dapplestair.ports.Background;
+import dapplestair.ports.Cancellable;
+import dapplestair.ports.Clock;
+import dapplestair.ports.Exchange;
+import dapplestair.ports.HttpReply;
+import dapplestair.ports.PeerNetwork;
+import dapplestair.ports.Timers;
+import dapplestair.settings.Operator;
+import dapplestair.settings.Settings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Controllers, as they are, in a world of stand-ins on virtual time. */
+final class World {
+  static final List<String> ZONES = List.of("a", "b", "c");
+  static final double CPUS = 8;
+  static final double TEAM_LIMIT = 40;
+  static final long REPORT_MS = 3000;
+  static final long LEASE_MS = 17_000;
+  static final long CANCEL_MS = 47_000;
+  static final long LAG_MS = 4000;
+
+  final Sim sim;
+  final Network net;
+  final StandInState state;
+  final StandInCloud cloud;
+  final Users users;
+  final Checker checker;
+  final List<Node> nodes = new ArrayList<>();
+
+  World(long seed) {
+    sim = new Sim(seed);
+    net = new Network(sim);
+    state = new StandInState(sim, 24, 8192);
+    net.place("state:1", state);
+    for (int i = 0; i < 3; i++) {
+      nodes.add(new Node(i));
+    }
+    checker = new Checker(this);
+    cloud = new StandInCloud(this);
+    net.place("cloud:1", cloud);
+    users = new Users(this);
+    nodes.forEach(Node::start);
+  }
+
+  static String client(int node) {
+    return "node-" + node + ":8080";
+  }
+
+  int index(String member) {
+    return Integer.parseInt(member.substring(member.indexOf('-') + 1));
+  }
+
+  private static Settings settings(int i) {
+    List<Settings.Peer> peers = new ArrayList<>();
+    for (int k = 0; k < 3; k++) {
+      if (k != i) {
+        peers.add(new Settings.Peer("node-" + k, "a", new Settings.Address("node-" + k, 8081)));
+      }
+    }
+    return new Settings(
+        "node-" + i,
+        "a",
+        new Settings.Address("node-" + i, 8080),
+        new Settings.Address("node-" + i, 8081),
+        peers,
+        "cloud:1",
+        "state:1",
+        ZONES,
+        Map.of(
+            "one", new Settings.Team("one", 20, TEAM_LIMIT, 0, 0),
+            "two", new Settings.Team("two", 20, TEAM_LIMIT, 0, 0)),
+        List.of(),
+        new Settings.Workers(REPORT_MS, LEASE_MS, CANCEL_MS),
+        new Settings.State(200, 50, 8192, 24),
+        new Settings.Cloud(5, LAG_MS),
+        new Settings.Resources(0.425, 263, 1800));
+  }
+
+  /** Runs for a while, checking the rules after each step. */
+  void run(long ms) {
+    long end = sim.now() + ms;
+    sim.runUntil(
+        end,
+        () -> {
+          checker.check();
+          if (checker.broken != null) {
+            throw new AssertionError(checker.broken);
+          }
+        });
+  }
+
+  /** A controller's machine: its process may end and begin again. */
+  final class Node implements Network.Place {
+    final int index;
+    final Settings settings;
+    private Life life;
+
+    Node(int index) {
+      this.index = index;
+      this.settings = World.settings(index);
+      net.place(client(index), this);
+    }
+
+    void start() {
+      life = new Life(this);
+      life.begin();
+    }
+
+    boolean up() {
+      return life != null;
+    }
+
+    void crash(long backAfterMs) {
+      if (life != null) {
+        life.dead = true;
+        life = null;
+        for (Node n : nodes) {
+          if (n.life != null) {
+            n.life.listener.down("node-" + index);
+          }
+        }
+        sim.after(backAfterMs, this::start);
+      }
+    }
+
+    @Override
+    public void request(
+        String from, String method, String path, byte[] body, Consumer<HttpReply> reply) {
+      if (life == null) {
+        reply.accept(HttpReply.of(HttpReply.NOT_SENT));
+      } else {
+        life.controller.handle(new Request(method, path, body, reply));
+      }
+    }
+  }
+
+  private record Request(String method, String path, byte[] body, Consumer<HttpReply> to)
+      implements Exchange {
+    @Override
+    public byte[] body() {
+      return body == null ? new byte[0] : body;
+    }
+
+    @Override
+    public void reply(int status, byte[] answer, int retryAfterS) {
+      to.accept(new HttpReply(status, answer));
+    }
+  }
+
+  /** One process: everything it set in motion ends with it, except what has left it. */
+  private final class Life implements Clock, Timers, Background, PeerNetwork {
+    final Node node;
+    final Controller controller;
+    final double drift = 1 + sim.random.nextDouble() * 0.0005;
+    final long zero = sim.now();
+    boolean dead;
+    PeerNetwork.Listener listener;
+
+    Life(Node node) {
+      this.node = node;
+      Outside outside =
+          new Outside(
+              this,
+              this,
+              this,
+              (endpoint, method, path, body, timeoutMs, done) ->
+                  net.call(
+                      "node-" + node.index,
+                      endpoint,
+                      method,
+                      path,
+                      body,
+                      timeoutMs,
+                      r -> {
+                        if (!dead) {
+                          done.accept(r);
+                        }
+                      }),
+              this,
+              RandomSource.XO_RO_SHI_RO_128_PP.create(sim.random.nextLong()));
+      controller = new Controller(node.settings, Operator.defaults(), outside);
+    }
+
+    void begin() {
+      controller.start();
+    }
+
+    @Override
+    public long now() {
+      return Math.round((sim.now() - zero) * drift);
+    }
+
+    @Override
+    public long wall() {
+      return 1_700_000_000_000L + sim.now();
+    }
+
+    @Override
+    public Cancellable after(long delayMs, Runnable task) {
+      return sim.after(
+          delayMs,
+          () -> {
+            if (!dead) {
+              task.run();
+            }
+          });
+    }
+
+    @Override
+    public <R> void compute(Supplier<R> work, Consumer<R> done) {
+      R result = work.get();
+      after(sim.between(5, 60), () -> done.accept(result));
+    }
+
+    @Override
+    public void send(String member, Object message) {
+      Node to = nodes.get(index(member));
+      net.tell(
+          "node-" + node.index,
+          member,
+          () -> {
+            if (to.life != null) {
+              to.life.listener.message("node-" + node.index, message);
+            }
+          });
+    }
+
+    @Override
+    public void listen(PeerNetwork.Listener l) {
+      listener = l;
+    }
+
+    @Override
+    public void start() {
+      probe();
+    }
+
+    /** A dead process's port refuses, as its peers soon notice. */
+    private void probe() {
+      for (Node n : nodes) {
+        if (n != node && n.life == null) {
+          listener.refused("node-" + n.index);
+        }
+      }
+      after(200, this::probe);
+    }
+  }
+}
