--- a/src/test/java/dapplestair/world/StandInWorker.java
+++ b/src/test/java/dapplestair/world/StandInWorker.java
@@ -100,7 +100,8 @@
   }
 
   private void checkLease() {
-    if (!gone && !hanging && world.sim.now() - leaseFrom > World.LEASE_MS) {
+    // A hanging machine may resume only within its lease: past it, its tasks are gone as well.
+    if (!gone && world.sim.now() - leaseFrom > World.LEASE_MS) {
       tasks.clear();
       tenure++;
       generation++;
