--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -41,18 +41,18 @@
     final String name;
     final Place place;
     final int count;
-    long at;
+    final long wall;
     List<String> hosts;
     long stamp;
     boolean writing;
     boolean asking;
     boolean refused;
 
-    Rental(String name, Place place, int count, long at) {
+    Rental(String name, Place place, int count, long wall) {
       this.name = name;
       this.place = place;
       this.count = count;
-      this.at = at;
+      this.wall = wall;
     }
   }
 
@@ -81,6 +81,7 @@
   private final Map<Slot, ArrayDeque<double[]>> prices = new HashMap<>();
   private boolean releasing;
   private boolean leading;
+  private long leadingSince;
   private long counter;
   private long typesStamp;
   private long listedAt = Long.MIN_VALUE / 2;
@@ -127,7 +128,12 @@
           new Place(
               new Slot(value.path("hull").asText(), Json.flag(value, "loaners")),
               value.path("basin").asText());
-      r = new Rental(name, place, value.path("howMany").asInt(), clock.now());
+      r =
+          new Rental(
+              name,
+              place,
+              value.path("howMany").asInt(),
+              Json.number(value, "at", clock.wall()));
       rentals.put(name, r);
     }
     r.stamp = stamp;
@@ -152,8 +158,8 @@
     leading = true;
     counter = 0;
     long now = clock.now();
+    leadingSince = now;
     for (Rental r : List.copyOf(rentals.values())) {
-      r.at = now;
       if (r.hosts == null) {
         // An earlier leader asked, and the answer is not recorded: asking again rents nothing new.
         ask(r);
@@ -335,7 +341,7 @@
    * as gone only once it has been listed for longer than any list can lag.
    */
   private void missing(long askedAt, Set<String> seen) {
-    long longestLag = Math.round(2.2 * settings.cloud().listLagMs()) + 1000;
+    long longestLag = longestLag();
     for (Host h : List.copyOf(desk.hosts())) {
       if (!seen.contains(h.id())
           && h.firstListedAt() != Long.MAX_VALUE
@@ -357,9 +363,12 @@
       LOG.info("{} is silent: returning it", h.id());
       noteTaken(h);
       forceRelease(h);
-    } else if (!h.up() && bootOverdue(h, now)) {
+    } else if (!h.expectedUp() && bootOverdue(h, now)) {
       LOG.info("{} does not come up: returning it", h.id());
       forceRelease(h);
+    } else if (neverListed(h, now)) {
+      LOG.info("{} is recorded but not listed: returning it", h.id());
+      forceRelease(h);
     } else if (unstoppable(h, now)) {
       LOG.info("{} still holds withdrawn work: returning it", h.id());
       forceRelease(h);
@@ -386,13 +395,32 @@
     return others == 0 && desk.hosts().stream().anyMatch(desk::fresh);
   }
 
+  /**
+   * Only for machines that no list calls running. To a leader that has just begun, every machine is
+   * one that it has not heard yet: those that run must not be taken for late ones.
+   */
   private boolean bootOverdue(Host h, long now) {
-    long since = Math.min(h.rentedAt(), h.knownSince());
+    if (h.firstListedAt() == Long.MAX_VALUE || now - leadingSince < longestLag()) {
+      return false;
+    }
     double boot =
         h.type() != null
             ? h.type().bootS()
             : types.all().stream().mapToDouble(MachineType::bootS).max().orElse(60);
-    return now - since > BOOT_OVERDUE * boot * 1000;
+    return now - h.rentedAt() > BOOT_OVERDUE * boot * 1000;
+  }
+
+  /** Recorded by an earlier leader, and gone before any list of this one could hold it. */
+  private boolean neverListed(Host h, long now) {
+    return !h.up()
+        && h.firstListedAt() == Long.MAX_VALUE
+        && listedAt - h.knownSince() > longestLag()
+        && now - h.rentedAt() > longestLag();
+  }
+
+  /** Lists lag by up to twice the stated time; a margin is added. */
+  private long longestLag() {
+    return Math.round(2.2 * settings.cloud().listLagMs()) + 1000;
   }
 
   /** Withdrawn work must be gone in time, reachable or not: a release is always a proof. */
@@ -539,7 +567,7 @@
   private void begin(Place place, int count) {
     // Names hold the term, so that no other controller ever uses the same one.
     String name = "r-" + leadership.term() + "-" + ++counter;
-    Rental r = new Rental(name, place, count, clock.now());
+    Rental r = new Rental(name, place, count, clock.wall());
     rentals.put(name, r);
     write(r, true);
   }
@@ -550,7 +578,8 @@
             .put("hull", r.place.slot.type())
             .put("basin", r.place.zone)
             .put("loaners", r.place.slot.spot())
-            .put("howMany", r.count);
+            .put("howMany", r.count)
+            .put("at", r.wall);
     if (r.hosts != null) {
       ArrayNode hosts = o.putArray("hosts");
       r.hosts.forEach(hosts::add);
@@ -664,7 +693,7 @@
       if (!desk.isGone(id)) {
         Host h = desk.host(id);
         h.describe(null, types.get(r.place.slot.type()), r.place.zone, r.place.slot.spot());
-        h.setRentedAt(r.at);
+        h.setRentedAt(clock.now() - Math.max(0, clock.wall() - r.wall));
       }
     }
   }
@@ -684,7 +713,14 @@
     for (Rental r : List.copyOf(rentals.values())) {
       boolean over =
           r.refused || (r.hosts != null && r.hosts.stream().allMatch(h -> desk.known(h) == null));
-      if (!over || r.writing || r.asking) {
+      if (r.writing || r.asking) {
+        continue;
+      }
+      if (!over) {
+        // Kept exact, so that a new leader does not count on machines that are gone.
+        if (r.hosts != null && r.hosts.removeIf(h -> desk.known(h) == null)) {
+          write(r, false);
+        }
         continue;
       }
       if (r.stamp == 0) {
--- a/src/main/java/dapplestair/workers/Host.java
+++ b/src/main/java/dapplestair/workers/Host.java
@@ -191,7 +191,7 @@
   }
 
   /** True when its worker should answer. */
-  boolean expectedUp() {
+  public boolean expectedUp() {
     return up() || saidUp;
   }
 
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -57,6 +57,8 @@
   private final Set<String> flushing = new HashSet<>();
   private Cancellable timer = () -> {};
   private boolean leading;
+  private long tickDue;
+  private long judgeAgainAt;
 
   /** A desk without machines. */
   public WorkerDesk(
@@ -126,7 +128,8 @@
   public boolean silent(Host host) {
     return host.expectedUp()
         && clock.now() - Math.max(host.heardAt, host.knownSince()) > 2.4 * reportMs
-        && host.failedCalls >= 2;
+        && host.failedCalls >= 2
+        && clock.now() > judgeAgainAt;
   }
 
   // ---- leading ----
@@ -137,6 +140,8 @@
     for (Host h : hosts.values()) {
       reach(h);
     }
+    tickDue = clock.now();
+    judgeAgainAt = clock.now() + reportMs;
     tick();
   }
 
@@ -162,6 +167,10 @@
 
   private void tick() {
     long now = clock.now();
+    if (now - tickDue > reportMs / 6) {
+      // This process itself was held up: answers wait unread, so silence proves nothing for now.
+      judgeAgainAt = now + 2 * reportMs;
+    }
     for (Host h : List.copyOf(hosts.values())) {
       if (leaseOver(h, now)) {
         LOG.info("the lease of {} has run out", h.id());
@@ -179,6 +188,7 @@
         send(h, false);
       }
     }
+    tickDue = now + reportMs / 8;
     timer = timers.after(reportMs / 8, this::tick);
   }
 
--- a/src/test/java/dapplestair/world/SeededDaysTest.java
+++ b/src/test/java/dapplestair/world/SeededDaysTest.java
@@ -1,5 +1,6 @@
 package dapplestair.world;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.params.ParameterizedTest;
@@ -22,6 +23,21 @@
     play(seed, 2500);
   }
 
+  /** Found in a recorded day: a new leader took every machine it had not heard yet for a late one. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {201, 202, 203, 204})
+  void aNewLeaderKeepsTheMachinesThatRun(long seed) {
+    World world = new World(seed);
+    world.net.loss = 0;
+    world.run(60_000);
+    for (int i = 0; i < 3; i++) {
+      world.nodes.forEach(n -> n.crash(world.sim.between(1000, 6000)));
+      world.run(40_000);
+    }
+    assertEquals(0, world.cloud.killedByRelease, "tasks killed by returning their machines");
+    assertTrue(world.checker.started > 100, "only " + world.checker.started + " tasks started");
+  }
+
   static void play(long seed, long troubleEveryMs) {
     World world = new World(seed);
     try {
--- a/src/test/java/dapplestair/world/StandInCloud.java
+++ b/src/test/java/dapplestair/world/StandInCloud.java
@@ -27,6 +27,7 @@
   boolean down;
   boolean short_;
   String violation;
+  int killedByRelease;
   private int made;
 
   StandInCloud(World world) {
@@ -46,7 +47,7 @@
                     .put("hull", w.type)
                     .put("basin", w.zone)
                     .put("loaners", w.spot)
-                    .put("status", "running")
+                    .put("status", w.booted ? "running" : "booting")
                     .put("ageS", (world.sim.now() - rentedAt.get(id)) / 1000.0));
           }
         });
@@ -67,6 +68,8 @@
       for (JsonNode h : Json.parse(body).path("hosts")) {
         StandInWorker w = machines.remove(h.asText());
         if (w != null) {
+          killedByRelease +=
+              (int) w.tasks.values().stream().filter(StandInWorker.Task::onMachine).count();
           w.end();
         }
       }
--- a/src/test/java/dapplestair/world/StandInWorker.java
+++ b/src/test/java/dapplestair/world/StandInWorker.java
@@ -39,6 +39,7 @@
   final Map<String, Task> tasks = new LinkedHashMap<>();
   private final List<Runnable> whileHanging = new ArrayList<>();
   boolean gone;
+  boolean booted;
   boolean hanging;
   boolean sick;
   private long tenure = 1;
@@ -60,6 +61,7 @@
   }
 
   void boot() {
+    booted = true;
     leaseFrom = world.sim.now();
     node = (int) world.sim.between(0, world.nodes.size() - 1);
     world.net.place(endpoint, this);
