--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -410,12 +410,15 @@
     return now - h.rentedAt() > BOOT_OVERDUE * boot * 1000;
   }
 
-  /** Recorded by an earlier leader, and gone before any list of this one could hold it. */
+  /**
+   * Recorded by an earlier leader, in a rental or as the place of an attempt, and gone before any
+   * list of this one could hold it. Its release is the proof that its attempts need.
+   */
   private boolean neverListed(Host h, long now) {
     return !h.up()
         && h.firstListedAt() == Long.MAX_VALUE
         && listedAt - h.knownSince() > longestLag()
-        && now - h.rentedAt() > longestLag();
+        && now - Math.min(h.rentedAt(), h.knownSince()) > longestLag();
   }
 
   /** Lists lag by up to twice the stated time; a margin is added. */
--- a/src/main/java/dapplestair/planning/DemandView.java
+++ b/src/main/java/dapplestair/planning/DemandView.java
@@ -255,7 +255,11 @@
     }
     pending.sort(Comparator.comparingDouble(Pending::slackS));
     List<DryTask> out = new ArrayList<>();
+    int job = 0;
     for (Pending p : pending) {
+      if (out.size() >= MOST_TASKS) {
+        break;
+      }
       Submission s = p.job();
       boolean[] allowed = new boolean[slots.size()];
       for (int i = 0; i < allowed.length; i++) {
@@ -264,7 +268,7 @@
       }
       int lanes = (int) Math.max(1, Math.round(s.cpus() / laneCpus));
       double run = s.service() ? windowMs / 1000.0 : estimates.runS(s);
-      DryTask task = new DryTask(allowed, lanes, run, s.imageGb(), p.arrivesS());
+      DryTask task = new DryTask(allowed, lanes, run, s.imageGb(), p.arrivesS(), job++);
       for (int i = 0; i < p.count() && out.size() < MOST_TASKS; i++) {
         out.add(task);
       }
--- a/src/main/java/dapplestair/planning/FleetProblem.java
+++ b/src/main/java/dapplestair/planning/FleetProblem.java
@@ -16,6 +16,9 @@
 record FleetProblem(List<SlotState> slots, List<DryTask> tasks, double laneCpus, double budget)
     implements Nsga2.Problem {
 
+  // How much longer a job counts as taking when a plan has no place at all for one of its tasks.
+  private static final double NOWHERE = 10;
+
   /**
    * One variable.
    *
@@ -41,8 +44,10 @@
    *
    * @param allowed for each variable whether the task may run there
    * @param arrivesS when it is there, 0 for waiting ones
+   * @param job index of its job
    */
-  record DryTask(boolean[] allowed, int lanes, double runS, double fetchGb, double arrivesS) {}
+  record DryTask(
+      boolean[] allowed, int lanes, double runS, double fetchGb, double arrivesS, int job) {}
 
   @Override
   public double[] lower() {
@@ -79,7 +84,11 @@
     return new double[] {makespan(n), spend, risk};
   }
 
-  /** Places the tasks in order, each where it completes earliest; seconds until the last is done. */
+  /**
+   * Places the tasks in order, each where it completes earliest; the mean of the jobs' makespans.
+   * The paper has one workflow, whose last task counts. Here each job is its user's workflow: with
+   * one makespan over all of them, a single long task would hide how long all others wait.
+   */
   double makespan(int[] n) {
     double[][] free = new double[n.length][];
     int[] old = new int[n.length];
@@ -87,7 +96,8 @@
       free[i] = lanes(slots.get(i), n[i]);
       old[i] = Math.min(n[i], slots.get(i).busyUntilS().size());
     }
-    double last = 0;
+    int jobs = tasks.isEmpty() ? 0 : tasks.stream().mapToInt(DryTask::job).max().getAsInt() + 1;
+    double[] ends = new double[jobs];
     for (DryTask t : tasks) {
       int best = -1;
       double bestEnd = Double.POSITIVE_INFINITY;
@@ -106,13 +116,13 @@
       }
       if (best < 0) {
         // Nowhere to run under this plan: worse than any place.
-        last += t.runS() + 60;
+        ends[t.job()] = Math.max(ends[t.job()], NOWHERE * (t.runS() + t.arrivesS() + 1));
         continue;
       }
       occupy(free[best], t.lanes(), bestEnd);
-      last = Math.max(last, bestEnd);
+      ends[t.job()] = Math.max(ends[t.job()], bestEnd - t.arrivesS());
     }
-    return last;
+    return jobs == 0 ? 0 : Arrays.stream(ends).sum() / jobs;
   }
 
   /** Takes the first lanes of a sorted row until {@code end}, keeping it sorted. */
--- a/src/main/java/dapplestair/planning/Nsga2.java
+++ b/src/main/java/dapplestair/planning/Nsga2.java
@@ -221,9 +221,9 @@
 
   /**
    * The member of a front nearest the origin, each cost first divided by its greatest value on the
-   * front; a cost that is zero all over the front is left out.
+   * front and multiplied by its weight; a cost that is zero all over the front is left out.
    */
-  public static Individual nearestOrigin(List<Individual> front) {
+  public static Individual nearestOrigin(List<Individual> front, double... weights) {
     int costs = front.get(0).costs.length;
     double[] greatest = new double[costs];
     for (Individual i : front) {
@@ -232,15 +232,15 @@
       }
     }
     return front.stream()
-        .min(Comparator.comparingDouble(i -> distance(i.costs, greatest)))
+        .min(Comparator.comparingDouble(i -> distance(i.costs, greatest, weights)))
         .orElseThrow();
   }
 
-  private static double distance(double[] costs, double[] greatest) {
+  private static double distance(double[] costs, double[] greatest, double[] weights) {
     double sum = 0;
     for (int m = 0; m < costs.length; m++) {
       if (greatest[m] > 0) {
-        double c = costs[m] / greatest[m];
+        double c = weights[m] * costs[m] / greatest[m];
         sum += c * c;
       }
     }
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -118,10 +118,15 @@
         .toArray();
   }
 
-  private static int[] best(Nsga2 search, FleetProblem problem, List<double[]> seeds) {
+  private int[] best(Nsga2 search, FleetProblem problem, List<double[]> seeds) {
     List<Nsga2.Individual> front = search.search(problem, seeds);
     return FleetProblem.counts(
-        front.isEmpty() ? problem.lower() : Nsga2.nearestOrigin(front).x());
+        front.isEmpty() ? problem.lower() : chosen(front).x());
+  }
+
+  private Nsga2.Individual chosen(List<Nsga2.Individual> front) {
+    return Nsga2.nearestOrigin(
+        front, operator.makespanWeight(), operator.spendWeight(), operator.riskWeight());
   }
 
   private void apply(FleetProblem problem, int[] counts) {
--- a/src/main/java/dapplestair/settings/Operator.java
+++ b/src/main/java/dapplestair/settings/Operator.java
@@ -7,10 +7,13 @@
     int evaluations,
     double budgetPerHour,
     double budgetRatio,
-    int returnAfterRounds) {
+    int returnAfterRounds,
+    double makespanWeight,
+    double spendWeight,
+    double riskWeight) {
 
   /** What holds without an operator file. */
   public static Operator defaults() {
-    return new Operator(3_000, 20, 300, 0, 2.5, 4);
+    return new Operator(3_000, 20, 300, 0, 2.5, 4, 2, 1, 0.5);
   }
 }
--- a/src/main/java/dapplestair/settings/OperatorLoader.java
+++ b/src/main/java/dapplestair/settings/OperatorLoader.java
@@ -39,7 +39,16 @@
             : d.budgetRatio(),
         in.hasReturnAfterRounds()
             ? (int) within(path, "return_after_rounds", in.getReturnAfterRounds(), 1, 1000)
-            : d.returnAfterRounds());
+            : d.returnAfterRounds(),
+        in.hasMakespanWeight()
+            ? within(path, "makespan_weight", in.getMakespanWeight(), 0, 100)
+            : d.makespanWeight(),
+        in.hasSpendWeight()
+            ? within(path, "spend_weight", in.getSpendWeight(), 0, 100)
+            : d.spendWeight(),
+        in.hasRiskWeight()
+            ? within(path, "risk_weight", in.getRiskWeight(), 0, 100)
+            : d.riskWeight());
   }
 
   private static double within(Path path, String field, double v, double low, double high)
--- a/src/test/java/dapplestair/world/Troubles.java
+++ b/src/test/java/dapplestair/world/Troubles.java
@@ -16,7 +16,7 @@
         w.sim.between(everyMs / 2, everyMs * 3 / 2),
         () -> {
           if (!over) {
-            one((int) w.sim.between(0, 13));
+            one((int) w.sim.between(0, 15));
             begin(everyMs);
           }
         });
@@ -90,6 +90,15 @@
           w.cloud.short_ = false;
         });
       }
+      case 14, 15 -> {
+        // Orders are held back while reports still come through, and perhaps the sender ends.
+        for (StandInWorker each : List.copyOf(w.cloud.machines.values())) {
+          cut(name, each.endpoint, true, ms);
+        }
+        if (kind == 15) {
+          w.sim.after(w.sim.between(100, 3000), () -> node.crash(w.sim.between(800, 6000)));
+        }
+      }
       default -> {
         if (m != null) {
           m.sick = true;
