--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -25,6 +25,7 @@
   private final Ledger ledger;
   private final WorkerDesk desk;
   private final Estimates estimates;
+  private final Promises promises;
   private final long pauseMs;
   private boolean due;
 
@@ -42,6 +43,7 @@
     this.ledger = ledger;
     this.desk = desk;
     this.estimates = estimates;
+    this.promises = new Promises(settings.objectives());
     this.pauseMs = settings.workers().reportMs() / 150;
   }
 
@@ -110,23 +112,43 @@
     return out;
   }
 
-  /** Waiting jobs: by rank, guaranteed ones before borrowers, then by least slack. */
+  private record Ranked(Job job, int urgency, boolean borrows, int broken, double order) {}
+
+  /**
+   * Waiting jobs: by rank, guaranteed ones before borrowers, then those with the most promises left
+   * to keep, the least work first; those with none left, oldest first; those without any, by slack.
+   */
   private List<Job> ordered() {
     long now = clock.now();
-    List<Job> waiting = new ArrayList<>();
+    List<Ranked> waiting = new ArrayList<>();
     for (Job job : ledger.jobs()) {
       if (!job.over() && job.heldBackUntil() <= now && job.nextFree(0) >= 0) {
-        waiting.add(job);
+        waiting.add(ranked(job));
       }
     }
-    Map<Job, Double> slack = new HashMap<>();
-    waiting.forEach(j -> slack.put(j, slackS(j)));
     waiting.sort(
-        Comparator.<Job>comparingInt(j -> urgency(j.spec()))
-            .thenComparing(j -> !guaranteed(j))
-            .thenComparingDouble(slack::get)
-            .thenComparing(j -> j.spec().ref()));
-    return waiting;
+        Comparator.comparingInt(Ranked::urgency)
+            .thenComparing(Ranked::borrows)
+            .thenComparingInt(Ranked::broken)
+            .thenComparingDouble(Ranked::order)
+            .thenComparing(r -> r.job().spec().ref()));
+    return waiting.stream().map(Ranked::job).toList();
+  }
+
+  private Ranked ranked(Job job) {
+    Submission s = job.spec();
+    double age = (clock.wall() - job.acceptedWall()) / 1000.0;
+    double run = estimates.runS(s);
+    int broken = promises.broken(s, age, run);
+    double order;
+    if (promises.allBroken(s, broken)) {
+      order = -age;
+    } else if (broken > 0 || promises.promised(s)) {
+      order = job.waiting() * s.cpus() * Math.max(1, run);
+    } else {
+      order = (Double.isFinite(s.dueS()) ? s.dueS() : 10 * run + 60) - age - run;
+    }
+    return new Ranked(job, urgency(s), !guaranteed(job), broken, order);
   }
 
   private static int urgency(Submission s) {
@@ -140,13 +162,6 @@
         && ledger.teamCpus(team.name()) + job.spec().cpus() <= team.cpus() + 1e-6;
   }
 
-  private double slackS(Job job) {
-    Submission s = job.spec();
-    double age = (clock.wall() - job.acceptedWall()) / 1000.0;
-    double due = Double.isFinite(s.dueS()) ? s.dueS() : 10 * estimates.runS(s) + 60;
-    return due - age - estimates.runS(s);
-  }
-
   private void placeEach(Job job, List<Host> usable) {
     int step = job.nextFree(0);
     while (step >= 0) {
