--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -77,8 +77,10 @@
     fleet =
         new Fleet(
             clock, timers, outside.http(), settings, state, leadership, types, workers);
-    placer = new Placer(clock, timers, settings, ledger, workers, estimates);
     demand = new DemandView(clock, settings, ledger, workers, fleet, types, estimates);
+    placer =
+        new Placer(
+            clock, timers, settings, ledger, workers, estimates, demand::roomForServices);
     replica =
         new Replica(state, timers, outside.random(), leadership::leading, new ReplicaEvents());
     planning =
--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.DoubleSupplier;
 
 /** Starts each waiting task where it completes earliest, the most pressing first. */
 public final class Placer {
@@ -27,6 +28,9 @@
   private final Estimates estimates;
   private final Promises promises;
   private final long pauseMs;
+  private final DoubleSupplier roomForServices;
+  private double serviceRoom;
+  private double steadyFree;
   private boolean due;
 
   /** Places what the ledger holds on what the desk knows. */
@@ -36,7 +40,9 @@
       Settings settings,
       Ledger ledger,
       WorkerDesk desk,
-      Estimates estimates) {
+      Estimates estimates,
+      DoubleSupplier roomForServices) {
+    this.roomForServices = roomForServices;
     this.clock = clock;
     this.timers = timers;
     this.settings = settings;
@@ -70,6 +76,8 @@
         usable.add(h);
       }
     }
+    serviceRoom = roomForServices.getAsDouble();
+    steadyFree = usable.stream().filter(h -> !h.spot()).mapToDouble(Host::cpusFree).sum();
     for (Job job : ordered()) {
       if (job.spec().gang()) {
         if (!placeGang(job, usable) && starving(job)) {
@@ -169,6 +177,9 @@
       if (best == null || !ledger.launch(job, step, best)) {
         break;
       }
+      if (!best.spot()) {
+        steadyFree -= job.spec().cpus();
+      }
       step = job.nextFree(step + 1);
     }
     if (step >= 0 && ledger.teamAllows(job.spec())) {
@@ -221,7 +232,7 @@
     Host best = null;
     double bestScore = Double.POSITIVE_INFINITY;
     for (Host h : usable) {
-      if (!h.closed() && ledger.mayStart(job, h)) {
+      if (!h.closed() && ledger.mayStart(job, h) && leavesServiceRoom(job.spec(), h)) {
         double score = score(job, h);
         if (score < bestScore) {
           bestScore = score;
@@ -232,6 +243,14 @@
     return best;
   }
 
+  /**
+   * Work that may run on spot machines leaves some room on steady ones, so that a replica starts at
+   * once instead of after somebody else has saved and stopped.
+   */
+  private boolean leavesServiceRoom(Submission s, Host h) {
+    return s.service() || !s.spot() || h.spot() || steadyFree - s.cpus() >= serviceRoom;
+  }
+
   /** Seconds until completion there; ties go to cheap, then to full machines. */
   private double score(Job job, Host h) {
     Submission s = job.spec();
--- a/src/main/java/dapplestair/planning/DemandView.java
+++ b/src/main/java/dapplestair/planning/DemandView.java
@@ -59,6 +59,21 @@
     arrivals.arrived(s, clock.now());
   }
 
+  /** CPUs that services are expected to ask for while a machine boots, and one replica more. */
+  public double roomForServices() {
+    long bootMs =
+        Math.round(1000 * types.all().stream().mapToDouble(MachineType::bootS).max().orElse(0));
+    double sum = 0;
+    double largest = 0;
+    for (Submission s : arrivals.expected(clock.now(), bootMs)) {
+      if (s.service()) {
+        sum += s.cpus() * s.steps();
+        largest = Math.max(largest, s.cpus());
+      }
+    }
+    return sum + largest;
+  }
+
   boolean ready() {
     return ledger.armed();
   }
--- /dev/null
+++ b/src/test/java/dapplestair/settings/SettingsLoaderTest.java
@@ -0,0 +1,91 @@
+package dapplestair.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class SettingsLoaderTest {
+  private static final String GOOD =
+      """
+      member = "m-0"
+      zone = "z"
+      client_listen = "127.0.0.1:8080"
+      peer_bind = "127.0.0.1:8081"
+      new_field = 3
+      [outside]
+      cloud = "127.0.0.1:1"
+      state = "127.0.0.1:2"
+      [settings]
+      zones = ["z"]
+      [[settings.teams]]
+      name = "t"
+      cpus_max = 12.5
+      [[settings.objectives]]
+      kind = "something new"
+      [settings.workers]
+      report_s = 3.0
+      lease_s = 36.0
+      cancel_s = 66.0
+      [settings.state]
+      rps = 150.0
+      write_rps = 30.0
+      value_kb = 8.0
+      txn_ops = 24
+      [settings.cloud]
+      rps = 4.0
+      list_lag_s = 5.0
+      [settings.resources]
+      cpu = 0.425
+      ram_mb = 263.0
+      max_connections = 3500
+      """;
+
+  @Test
+  void readsWhatItKnowsAndPassesOverTheRest() throws SettingsException {
+    Settings s = SettingsLoader.parse("f", GOOD);
+    assertEquals(36_000, s.workers().leaseMs());
+    assertEquals(12.5, s.teams().get("t").cpusMax());
+    assertEquals(8192, s.state().valueBytes());
+  }
+
+  private static String refusal(String from, String to) {
+    assertTrue(GOOD.contains(from));
+    return assertThrows(
+            SettingsException.class, () -> SettingsLoader.parse("f.toml", GOOD.replace(from, to)))
+        .getMessage();
+  }
+
+  @Test
+  void namesFileFieldAndValueOfWhatIsWrong() {
+    assertEquals(
+        "f.toml: settings.workers.lease_s = -1: must be a number above 0",
+        refusal("lease_s = 36.0", "lease_s = -1"));
+    assertEquals(
+        "f.toml: outside.state = missing: must be a text", refusal("state = \"127.0.0.1:2\"", ""));
+    assertEquals(
+        "f.toml: client_listen = \"here\": must be host:port",
+        refusal("client_listen = \"127.0.0.1:8080\"", "client_listen = \"here\""));
+    assertTrue(refusal("[settings.cloud]", "[settings.cloud").startsWith("f.toml: not TOML"));
+  }
+
+  @Test
+  void operatorsFileIsCheckedToo(@TempDir Path dir) throws Exception {
+    Path file = dir.resolve("o.textproto");
+    Files.writeString(file, "population: 40 plan_interval_s: 5");
+    Operator o = OperatorLoader.load(file);
+    assertEquals(40, o.population());
+    assertEquals(5000, o.planIntervalMs());
+    assertEquals(Operator.defaults().evaluations(), o.evaluations());
+    Files.writeString(file, "population: 1");
+    String message =
+        assertThrows(SettingsException.class, () -> OperatorLoader.load(file)).getMessage();
+    assertTrue(message.endsWith("population = 1.0: must be from 4.0 to 1000.0"), message);
+    Files.writeString(file, "poulation: 1");
+    assertThrows(SettingsException.class, () -> OperatorLoader.load(file));
+  }
+}
