--- a/src/main/java/dapplestair/cli/ControllerCommand.java
+++ b/src/main/java/dapplestair/cli/ControllerCommand.java
@@ -42,8 +42,7 @@
   /** Builds a controller on Netty and starts it. */
   static Loop run(Settings settings, Operator operator) throws InterruptedException {
     Loop loop = new Loop();
-    HttpPool http =
-        new HttpPool(loop, MOST_CALLS_PER_ENDPOINT, settings.workers().reportMs() / 4);
+    HttpPool http = new HttpPool(loop, MOST_CALLS_PER_ENDPOINT, settings.workers().reportMs() / 4);
     Outside outside =
         new Outside(
             loop,
--- a/src/main/java/dapplestair/cli/RehearseCommand.java
+++ b/src/main/java/dapplestair/cli/RehearseCommand.java
@@ -59,14 +59,14 @@
   @Override
   public Integer call() throws Exception {
     int[] ports = freePorts(4);
-    String text =
-        SETTINGS.formatted(ports[0], ports[1], ports[2], ports[3], ports[3]);
+    String text = SETTINGS.formatted(ports[0], ports[1], ports[2], ports[3], ports[3]);
     Settings settings = SettingsLoader.parse("rehearsal", text);
     Loop loop = ControllerCommand.run(settings, Operator.defaults());
     HttpPool http = new HttpPool(loop, 2, 1000);
     String self = settings.clientListen().toString();
-    String beat = "{\"host\":\"h\",\"endpoint\":\"127.0.0.1:1\",\"hull\":\"x\",\"basin\":\"z\","
-        + "\"tenure\":1,\"tick\":1,\"steps\":[]}";
+    String beat =
+        "{\"host\":\"h\",\"endpoint\":\"127.0.0.1:1\",\"hull\":\"x\",\"basin\":\"z\","
+            + "\"tenure\":1,\"tick\":1,\"steps\":[]}";
     for (String[] call :
         List.of(
             new String[] {"GET", "/up", null},
@@ -76,8 +76,7 @@
       CountDownLatch answered = new CountDownLatch(1);
       byte[] body = call[2] == null ? null : call[2].getBytes(StandardCharsets.UTF_8);
       loop.executor()
-          .execute(
-              () -> http.call(self, call[0], call[1], body, 2000, r -> answered.countDown()));
+          .execute(() -> http.call(self, call[0], call[1], body, 2000, r -> answered.countDown()));
       answered.await(3, TimeUnit.SECONDS);
     }
     return 0;
--- a/src/main/java/dapplestair/fleet/CloudClient.java
+++ b/src/main/java/dapplestair/fleet/CloudClient.java
@@ -48,8 +48,7 @@
     add(2, new Queued("GET", path, null, timeoutMs, done));
   }
 
-  void rent(
-      String name, Slot slot, String zone, int count, Consumer<HttpReply> done) {
+  void rent(String name, Slot slot, String zone, int count, Consumer<HttpReply> done) {
     ObjectNode body =
         Json.object()
             .put("rental", name)
--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -130,10 +130,7 @@
               value.path("basin").asText());
       r =
           new Rental(
-              name,
-              place,
-              value.path("howMany").asInt(),
-              Json.number(value, "at", clock.wall()));
+              name, place, value.path("howMany").asInt(), Json.number(value, "at", clock.wall()));
       rentals.put(name, r);
     }
     r.stamp = stamp;
@@ -223,10 +220,7 @@
 
   private void recordTypes() {
     Txn txn =
-        leadership
-            .guard(new Txn())
-            .when(Keys.TYPES, typesStamp)
-            .put(Keys.TYPES, types.toJson());
+        leadership.guard(new Txn()).when(Keys.TYPES, typesStamp).put(Keys.TYPES, types.toJson());
     state.commit(txn, Priority.LAUNCH, settings.workers().reportMs(), this::guarded);
   }
 
@@ -265,7 +259,8 @@
   /** A machine that may be taken was taken, or has been given notice. */
   private void noteTaken(Host h) {
     if (h.spot() && h.type() != null) {
-      takenAt.computeIfAbsent(new Slot(h.type().name(), true), s -> new ArrayDeque<>())
+      takenAt
+          .computeIfAbsent(new Slot(h.type().name(), true), s -> new ArrayDeque<>())
           .addLast(clock.now());
     }
   }
@@ -767,6 +762,28 @@
     return sum;
   }
 
+  /** Keeps new work from so many steady machines of a slot, those that empty soonest. */
+  public void cordon(Slot slot, int count) {
+    if (slot.spot()) {
+      return;
+    }
+    List<Host> up = new ArrayList<>();
+    for (Host h : desk.hosts()) {
+      if (counts(h, slot) && h.up()) {
+        up.add(h);
+      }
+    }
+    up.sort(
+        Comparator.comparingDouble(Host::serviceCpus)
+            .thenComparing(h -> !h.cordoned())
+            .thenComparingDouble(Host::cpusUsed)
+            .thenComparing(Host::id));
+    for (int i = 0; i < up.size(); i++) {
+      Host h = up.get(i);
+      h.setCordoned(i < count && h.serviceCpus() == 0);
+    }
+  }
+
   /** Idle machines of a slot that may be returned now, those idle longest first. */
   public List<Host> returnable(Slot slot) {
     long now = clock.now();
--- a/src/main/java/dapplestair/leadership/Leadership.java
+++ b/src/main/java/dapplestair/leadership/Leadership.java
@@ -170,9 +170,7 @@
       // Our own earlier life.
       return true;
     }
-    return leaderSeen != null
-        && clock.now() - leaderSeenAt > ttlMs
-        && peers.seemsEnded(leaderSeen);
+    return leaderSeen != null && clock.now() - leaderSeenAt > ttlMs && peers.seemsEnded(leaderSeen);
   }
 
   private void extend() {
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -25,7 +25,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -401,8 +400,7 @@
       return false;
     }
     long number = number(job, c);
-    Attempt a =
-        new Attempt(job, step, number, host.id(), host.zone(), host.session(), clock.now());
+    Attempt a = new Attempt(job, step, number, host.id(), host.zone(), host.session(), clock.now());
     enter(c, a);
     dirty(job, c, true);
     return true;
@@ -568,6 +566,11 @@
     timers.after(ms + 1, hooks::changed);
   }
 
+  /** True when a task of this job failed on this machine. */
+  public boolean failedOn(Job job, Host host) {
+    return job.failedOn.containsKey(host.id());
+  }
+
   /** On how many machines this job failed. */
   public int failedMachines(Job job) {
     return job.failedOn.size();
--- a/src/main/java/dapplestair/netty/HttpPool.java
+++ b/src/main/java/dapplestair/netty/HttpPool.java
@@ -250,8 +250,7 @@
       HttpReply reply =
           broken
               ? HttpReply.of(HttpReply.UNKNOWN)
-              : new HttpReply(
-                  response.status().code(), ByteBufUtil.getBytes(response.content()));
+              : new HttpReply(response.status().code(), ByteBufUtil.getBytes(response.content()));
       if (broken || !HttpUtil.isKeepAlive(response)) {
         ctx.close();
       } else {
--- a/src/main/java/dapplestair/netty/HttpServer.java
+++ b/src/main/java/dapplestair/netty/HttpServer.java
@@ -97,13 +97,13 @@
 
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-      byte[] body =
-          "{\"error\":\"the body is over 64 KiB\"}".getBytes(StandardCharsets.UTF_8);
+      byte[] body = "{\"error\":\"the body is over 64 KiB\"}".getBytes(StandardCharsets.UTF_8);
       ctx.writeAndFlush(response(400, body, 0, false)).addListener(ChannelFutureListener.CLOSE);
     }
 
     @Override
-    protected Object newContinueResponse(HttpMessage start, int max, io.netty.channel.ChannelPipeline p) {
+    protected Object newContinueResponse(
+        HttpMessage start, int max, io.netty.channel.ChannelPipeline p) {
       Object r = super.newContinueResponse(start, max, p);
       // An announced oversized body gets the same 400 as a sent one.
       boolean tooLarge =
--- a/src/main/java/dapplestair/netty/PeerLinks.java
+++ b/src/main/java/dapplestair/netty/PeerLinks.java
@@ -115,8 +115,7 @@
 
   private void linked(Settings.Peer peer, Channel channel) {
     outgoing.put(peer.member(), channel);
-    channel.writeAndFlush(
-        Unpooled.wrappedBuffer(codec.encode(new PeerHello(settings.member()))));
+    channel.writeAndFlush(Unpooled.wrappedBuffer(codec.encode(new PeerHello(settings.member()))));
     listener.up(peer.member());
     channel
         .closeFuture()
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -58,29 +58,17 @@
     var clock = outside.clock();
     var timers = outside.timers();
     state = new StateClient(clock, timers, outside.http(), settings);
-    peers =
-        new Peers(clock, timers, outside.peers(), settings, this::ownStatus, this::peerStatus);
+    peers = new Peers(clock, timers, outside.peers(), settings, this::ownStatus, this::peerStatus);
     leadership =
-        new Leadership(
-            clock, timers, outside.random(), settings, state, peers, new RoleChanges());
+        new Leadership(clock, timers, outside.random(), settings, state, peers, new RoleChanges());
     ledger = new Ledger(clock, timers, settings, state, leadership, new LedgerHooks());
     workers =
         new WorkerDesk(
-            clock,
-            timers,
-            outside.http(),
-            settings,
-            leadership,
-            types,
-            ledger,
-            this::hostChanged);
-    fleet =
-        new Fleet(
-            clock, timers, outside.http(), settings, state, leadership, types, workers);
+            clock, timers, outside.http(), settings, leadership, types, ledger, this::hostChanged);
+    fleet = new Fleet(clock, timers, outside.http(), settings, state, leadership, types, workers);
     demand = new DemandView(clock, settings, ledger, workers, fleet, types, estimates);
     placer =
-        new Placer(
-            clock, timers, settings, ledger, workers, estimates, demand::roomForServices);
+        new Placer(clock, timers, settings, ledger, workers, estimates, demand::roomForServices);
     replica =
         new Replica(state, timers, outside.random(), leadership::leading, new ReplicaEvents());
     planning =
@@ -95,8 +83,7 @@
             fleet,
             types,
             demand);
-    submissions =
-        new SubmissionDesk(clock, settings, state, replica, ledger, types, metrics);
+    submissions = new SubmissionDesk(clock, settings, state, replica, ledger, types, metrics);
   }
 
   /** Begins to take part. */
@@ -322,11 +309,15 @@
     public void failed(Attempt attempt, Host host) {
       metrics.lost();
       long first = settings.workers().reportMs();
-      // Two machines agree: it is the job. Two jobs agree: it is the machine.
-      if (ledger.failedMachines(attempt.job()) >= 2) {
+      boolean jobIsWrong = ledger.failedMachines(attempt.job()) >= 2;
+      int jobs = host.taskFailed(attempt.spec().ref());
+      if (jobIsWrong) {
         ledger.backOff(attempt.job(), first, 20 * first);
       }
-      if (host.taskFailed(attempt.spec().ref()) >= 2 && !host.draining()) {
+      // Two machines agree: it is the job. Two jobs agree: it is the machine. One job that fails
+      // again and again on one machine alone would otherwise go on there for ever.
+      boolean machineIsFaulty = jobs >= 2 || (host.failuresInARow() >= 4 && !jobIsWrong);
+      if (machineIsFaulty && !host.draining()) {
         LOG.info("{} fails what it starts: it is emptied", host.id());
         host.setDraining(true);
       }
--- a/src/main/java/dapplestair/peers/Peers.java
+++ b/src/main/java/dapplestair/peers/Peers.java
@@ -67,7 +67,6 @@
   public void message(String member, Object message) {
     Peer peer = peers.get(member);
     if (peer != null && message instanceof PeerStatus status) {
-      peer.gone = false;
       peer.heardAt = clock.now();
       peer.status = status;
       heard.accept(status);
@@ -94,7 +93,9 @@
   @Override
   public void refused(String member) {
     Peer peer = peers.get(member);
-    if (peer != null && !alive(member)) {
+    // A link that broke and a port that refuses: the process has ended. Were it only filtered away,
+    // taking over from it would still be harmless, so there is no need to wait for its silence.
+    if (peer != null && !peer.up) {
       peer.gone = true;
     }
   }
@@ -102,13 +103,13 @@
   /** True when this peer spoke within the last few turns. */
   public boolean alive(String member) {
     Peer peer = peers.get(member);
-    return peer != null && clock.now() - peer.heardAt < 4 * everyMs;
+    return peer != null && !peer.gone && clock.now() - peer.heardAt < 4 * everyMs;
   }
 
-  /** True when this peer's process has very probably ended: silent, and its port refuses. */
+  /** True when this peer's process has very probably ended: its link broke, its port refuses. */
   public boolean seemsEnded(String member) {
     Peer peer = peers.get(member);
-    return peer != null && peer.gone && !peer.up && !alive(member);
+    return peer != null && peer.gone && !peer.up;
   }
 
   /** True when a living peer is served by the state service. */
--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -20,6 +20,8 @@
 
 /** Starts each waiting task where it completes earliest, the most pressing first. */
 public final class Placer {
+  private static final double FAILED_HERE_S = 1e4;
+
   private final Clock clock;
   private final Timers timers;
   private final Settings settings;
@@ -257,11 +259,17 @@
     double fetch = h.hasImage(s.image()) ? 0 : s.imageGb() / h.type().fetchGbPerS();
     double run = s.service() ? 0 : estimates.runS(s) * h.slowness();
     double tieBreak = h.cpusFree() / h.type().cpus();
+    if (s.service()) {
+      // Replicas gather on few machines, so that the others can become idle.
+      tieBreak = 1 - h.serviceCpus() / h.type().cpus();
+    }
     if (!s.service() && !h.spot()) {
       // Steady machines are left to those who need them, if completion is about the same.
       tieBreak += 1;
     }
-    return fetch + run + tieBreak;
+    // Where it failed before, it expects to fail again: any other machine completes it earlier.
+    double again = ledger.failedOn(job, h) ? FAILED_HERE_S : 0;
+    return fetch + run + tieBreak + again;
   }
 
   /** Stops work of a lower rank where that makes room for one task. */
--- a/src/main/java/dapplestair/placement/Promises.java
+++ b/src/main/java/dapplestair/placement/Promises.java
@@ -8,8 +8,9 @@
 import java.util.Map;
 
 /**
- * What is promised of each class, in seconds from submission. Under overload, work in order of least
- * slack makes everything late; work that can still keep a promise goes before work that cannot.
+ * What is promised of each class, in seconds from submission. Under overload, work in order of
+ * least slack makes everything late; work that can still keep a promise goes before work that
+ * cannot.
  */
 final class Promises {
   private final Map<String, List<Settings.Objective>> byClass = new HashMap<>();
--- a/src/main/java/dapplestair/planning/DemandView.java
+++ b/src/main/java/dapplestair/planning/DemandView.java
@@ -81,8 +81,7 @@
   FleetProblem problem(Operator operator) {
     List<MachineType> kinds = List.copyOf(types.all());
     double longestBootS = kinds.stream().mapToDouble(MachineType::bootS).max().orElse(0);
-    List<Submission> soon =
-        arrivals.expected(clock.now(), Math.round(longestBootS * 1000));
+    List<Submission> soon = arrivals.expected(clock.now(), Math.round(longestBootS * 1000));
     double laneCpus = laneCpus(soon);
     List<SlotState> slots = new ArrayList<>();
     for (MachineType t : kinds) {
@@ -117,7 +116,9 @@
       }
       if (h.up()) {
         up.add(h);
-        if (!h.idle()) {
+        // Arrays that overflowed onto steady machines must not keep those for ever: such a machine
+        // may be planned away, gets no new work then, and is returned once it is idle.
+        if (spot ? !h.idle() : h.serviceCpus() > 0) {
           busy++;
         }
       } else {
@@ -125,7 +126,10 @@
         booting.add(Math.max(1, t.bootS() - Math.max(0, age)));
       }
     }
-    up.sort(Comparator.comparingDouble(Host::cpusUsed).reversed());
+    up.sort(
+        Comparator.comparingDouble(Host::serviceCpus)
+            .thenComparingDouble(Host::cpusUsed)
+            .reversed());
     booting.sort(Comparator.naturalOrder());
     List<double[]> until = up.stream().map(h -> busyUntil(h, laneCpus)).toList();
     int most = Math.max(busy, fleet.capacity(slot, Math.max(2, fleet.holding(slot))));
@@ -197,7 +201,8 @@
       int cheapest = -1;
       for (int i = 0; i < out.size(); i++) {
         SlotState s = out.get(i);
-        if (!s.spot() && s.least() < s.most()
+        if (!s.spot()
+            && s.least() < s.most()
             && (cheapest < 0 || perCpu(s) < perCpu(out.get(cheapest)))) {
           cheapest = i;
         }
@@ -221,7 +226,9 @@
     List<SlotState> out = new ArrayList<>(slots);
     for (Job j : ledger.jobs()) {
       Submission s = j.spec();
-      if (!s.gang() || j.held() > 0 || j.waiting() == 0
+      if (!s.gang()
+          || j.held() > 0
+          || j.waiting() == 0
           || clock.wall() - j.acceptedWall() < windowMs / 4) {
         continue;
       }
--- a/src/main/java/dapplestair/planning/Nsga2.java
+++ b/src/main/java/dapplestair/planning/Nsga2.java
@@ -144,8 +144,7 @@
       if (range > 0 && random.nextDouble() < 1.0 / x.length) {
         double u = random.nextDouble();
         double power = 1 / (MUTATION_INDEX + 1);
-        double delta =
-            u < 0.5 ? Math.pow(2 * u, power) - 1 : 1 - Math.pow(2 * (1 - u), power);
+        double delta = u < 0.5 ? Math.pow(2 * u, power) - 1 : 1 - Math.pow(2 * (1 - u), power);
         x[i] += delta * range;
       }
     }
@@ -201,8 +200,7 @@
       last.crowding = Double.POSITIVE_INFINITY;
       double range = last.costs[k] - first.costs[k];
       for (int i = 1; i + 1 < sorted.size() && range > 0; i++) {
-        sorted.get(i).crowding +=
-            (sorted.get(i + 1).costs[k] - sorted.get(i - 1).costs[k]) / range;
+        sorted.get(i).crowding += (sorted.get(i + 1).costs[k] - sorted.get(i - 1).costs[k]) / range;
       }
     }
   }
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -120,8 +120,7 @@
 
   private int[] best(Nsga2 search, FleetProblem problem, List<double[]> seeds) {
     List<Nsga2.Individual> front = search.search(problem, seeds);
-    return FleetProblem.counts(
-        front.isEmpty() ? problem.lower() : chosen(front).x());
+    return FleetProblem.counts(front.isEmpty() ? problem.lower() : chosen(front).x());
   }
 
   private Nsga2.Individual chosen(List<Nsga2.Individual> front) {
@@ -145,12 +144,19 @@
 
   private void steer(Slot slot, int want) {
     int have = fleet.holding(slot);
-    if (want > have) {
-      fleet.rent(slot, want - have);
-    }
     if (want >= have) {
       fewer.remove(slot);
-    } else if (fewer.merge(slot, 1, Integer::sum) >= operator.returnAfterRounds()) {
+      fleet.cordon(slot, 0);
+      if (want > have) {
+        fleet.rent(slot, want - have);
+      }
+      return;
+    }
+    int rounds = fewer.merge(slot, 1, Integer::sum);
+    if (rounds >= operator.returnAfterRounds() / 2) {
+      fleet.cordon(slot, have - want);
+    }
+    if (rounds >= operator.returnAfterRounds()) {
       List<Host> idle = fleet.returnable(slot);
       idle.stream().limit(have - want).forEach(fleet::release);
     }
@@ -169,10 +175,7 @@
     writing = true;
     int written = generation;
     Txn txn =
-        leadership
-            .guard(new Txn())
-            .when(Keys.PLAN, replica.stamp(Keys.PLAN))
-            .put(Keys.PLAN, value);
+        leadership.guard(new Txn()).when(Keys.PLAN, replica.stamp(Keys.PLAN)).put(Keys.PLAN, value);
     state.commit(
         txn,
         Priority.BOOKKEEPING,
@@ -184,8 +187,7 @@
           writing = false;
           if (outcome instanceof Outcome.Applied) {
             lastWritten = value;
-          } else if (outcome instanceof Outcome.Conflict c
-              && c.failed().contains(Keys.LEADER)) {
+          } else if (outcome instanceof Outcome.Conflict c && c.failed().contains(Keys.LEADER)) {
             leadership.guardFailed();
           }
         });
--- a/src/main/java/dapplestair/state/StateClient.java
+++ b/src/main/java/dapplestair/state/StateClient.java
@@ -81,9 +81,7 @@
   /** Adjusts this controller's share of the limits. */
   public void leading(boolean leader) {
     double share =
-        controllers == 1
-            ? 1
-            : leader ? LEADER_SHARE : (1 - LEADER_SHARE) / (controllers - 1);
+        controllers == 1 ? 1 : leader ? LEADER_SHARE : (1 - LEADER_SHARE) / (controllers - 1);
     writes.rate(limits.writeRps() * SAFETY * share);
     requests.rate(limits.rps() * SAFETY * share);
   }
@@ -220,10 +218,8 @@
   /** One page of keys; a missing node when it could not be read. */
   void list(String prefix, String from, Consumer<JsonNode> done) {
     requests.take(1);
-    String path =
-        "/kv?prefix=" + prefix + (from == null ? "" : "&from=" + from) + "&limit=1000";
-    http.call(
-        endpoint, "GET", path, null, 2 * timeoutMs, reply -> done.accept(body(note(reply))));
+    String path = "/kv?prefix=" + prefix + (from == null ? "" : "&from=" + from) + "&limit=1000";
+    http.call(endpoint, "GET", path, null, 2 * timeoutMs, reply -> done.accept(body(note(reply))));
   }
 
   /** Waits for changes; the whole reply, since 410 matters. */
--- a/src/main/java/dapplestair/workers/Host.java
+++ b/src/main/java/dapplestair/workers/Host.java
@@ -44,6 +44,7 @@
   private boolean releasing;
   private boolean gone;
   private boolean draining;
+  private boolean cordoned;
   private boolean saidUp;
   private long idleSince;
 
@@ -51,6 +52,7 @@
   private final Map<String, Long> images = new HashMap<>();
   private final Set<String> jobsFailed = new HashSet<>();
   private int completed;
+  private int failuresInARow;
   private double slowness = 1;
   private double cpusUsed;
   private double gpusUsed;
@@ -130,6 +132,7 @@
         || gone
         || releasing
         || draining
+        || cordoned
         || recalled()
         || strays > 0
         || type == null;
@@ -165,6 +168,27 @@
     draining = value;
   }
 
+  /** True when it gets no new work, since the plan wants fewer of its kind. */
+  public boolean cordoned() {
+    return cordoned;
+  }
+
+  /** Gives it new work or not; unlike a drained machine it goes back into use for the asking. */
+  public void setCordoned(boolean value) {
+    cordoned = value;
+  }
+
+  /** CPUs that services use here. */
+  public double serviceCpus() {
+    double sum = 0;
+    for (Attempt a : attempts.values()) {
+      if (!a.exited() && a.spec().service()) {
+        sum += a.spec().cpus();
+      }
+    }
+    return sum;
+  }
+
   /** When it was rented, or {@link Long#MAX_VALUE}. */
   public long rentedAt() {
     return rentedAt;
@@ -294,6 +318,7 @@
   /** A task completed here. */
   public void taskCompleted() {
     completed++;
+    failuresInARow = 0;
     if (completed % 4 == 0) {
       jobsFailed.clear();
     }
@@ -302,9 +327,15 @@
   /** A task failed here; returns how many jobs did since tasks last completed here. */
   public int taskFailed(String ref) {
     jobsFailed.add(ref);
+    failuresInARow++;
     return jobsFailed.size();
   }
 
+  /** Failures since a task last completed here. */
+  public int failuresInARow() {
+    return failuresInARow;
+  }
+
   /** Run time here over the run time expected, smoothed. */
   public double slowness() {
     return slowness;
--- a/src/main/java/dapplestair/workers/Report.java
+++ b/src/main/java/dapplestair/workers/Report.java
@@ -44,8 +44,14 @@
     String endpoint = Json.text(n, "endpoint");
     long session = Json.number(n, "tenure", -1);
     long tick = Json.number(n, "tick", -1);
-    if (host == null || type == null || zone == null || endpoint == null || session < 0
-        || tick < 0 || !addressLike(endpoint) || !n.path("steps").isArray()) {
+    if (host == null
+        || type == null
+        || zone == null
+        || endpoint == null
+        || session < 0
+        || tick < 0
+        || !addressLike(endpoint)
+        || !n.path("steps").isArray()) {
       return null;
     }
     List<Task> tasks = new ArrayList<>();
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -247,8 +247,12 @@
   }
 
   private void send(Host host, boolean probe) {
-    if (!leading || !leadership.leading() || host.calling || host.endpoint == null
-        || clock.now() < host.callAgainAt || (host.outbox.isEmpty() && !probe)) {
+    if (!leading
+        || !leadership.leading()
+        || host.calling
+        || host.endpoint == null
+        || clock.now() < host.callAgainAt
+        || (host.outbox.isEmpty() && !probe)) {
       return;
     }
     List<Order> orders = new ArrayList<>();
@@ -286,7 +290,10 @@
       if (o instanceof Order.Launch) {
         Attempt a = host.attempt(o.key());
         // Dropped meanwhile, or planned for a session that has ended.
-        if (a == null || a.number() != o.attempt() || a.sent() || a.job().over()
+        if (a == null
+            || a.number() != o.attempt()
+            || a.sent()
+            || a.job().over()
             || a.session() != host.session) {
           continue;
         }
--- a/src/test/java/dapplestair/netty/HttpLoopbackTest.java
+++ b/src/test/java/dapplestair/netty/HttpLoopbackTest.java
@@ -71,7 +71,8 @@
       assertEquals(200, r.status());
       assertEquals("POST/a/" + i + i, new String(r.body(), StandardCharsets.UTF_8));
     }
-    assertTrue(raw("GET /busy HTTP/1.1\r\nHost: x\r\n\r\n").toLowerCase().contains("retry-after: 7"));
+    assertTrue(
+        raw("GET /busy HTTP/1.1\r\nHost: x\r\n\r\n").toLowerCase().contains("retry-after: 7"));
   }
 
   @Test
--- a/src/test/java/dapplestair/planning/Nsga2Test.java
+++ b/src/test/java/dapplestair/planning/Nsga2Test.java
@@ -80,9 +80,7 @@
 
   @Test
   void dropsWhatBreaksAConstraint() {
-    var front =
-        search(
-            new Box(1, 0, 10, x -> x[0] < 4 ? null : new double[] {x[0], 1}), 1000);
+    var front = search(new Box(1, 0, 10, x -> x[0] < 4 ? null : new double[] {x[0], 1}), 1000);
     front.forEach(i -> assertTrue(i.x()[0] >= 4));
     assertTrue(front.get(0).x()[0] < 4.2);
   }
--- a/src/test/java/dapplestair/submissions/SubmissionTest.java
+++ b/src/test/java/dapplestair/submissions/SubmissionTest.java
@@ -46,7 +46,8 @@
   void namesTheFieldThatIsWrong(String field, String value) {
     ObjectNode b = body();
     b.set(field, Json.parse(("[" + value + "]").getBytes(StandardCharsets.UTF_8)).get(0));
-    String message = assertThrows(Submission.Malformed.class, () -> Submission.parse(b)).getMessage();
+    String message =
+        assertThrows(Submission.Malformed.class, () -> Submission.parse(b)).getMessage();
     assertTrue(message.startsWith(field + ":"), message);
   }
 }
--- a/src/test/java/dapplestair/world/Network.java
+++ b/src/test/java/dapplestair/world/Network.java
@@ -69,14 +69,16 @@
       waiting.add(() -> carry(a, b, arrive));
       return;
     }
-    sim.after(1 + (sim.chance(0.02) ? sim.between(20, 400) : sim.between(0, 4)), () -> {
-      List<Runnable> w = held.get(p);
-      if (w != null) {
-        w.add(arrive);
-      } else if (!dropping.contains(p)) {
-        arrive.run();
-      }
-    });
+    sim.after(
+        1 + (sim.chance(0.02) ? sim.between(20, 400) : sim.between(0, 4)),
+        () -> {
+          List<Runnable> w = held.get(p);
+          if (w != null) {
+            w.add(arrive);
+          } else if (!dropping.contains(p)) {
+            arrive.run();
+          }
+        });
   }
 
   void call(
--- a/src/test/java/dapplestair/world/SeededDaysTest.java
+++ b/src/test/java/dapplestair/world/SeededDaysTest.java
@@ -23,7 +23,9 @@
     play(seed, 2500);
   }
 
-  /** Found in a recorded day: a new leader took every machine it had not heard yet for a late one. */
+  /**
+   * Found in a recorded day: a new leader took every machine it had not heard yet for a late one.
+   */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {201, 202, 203, 204})
   void aNewLeaderKeepsTheMachinesThatRun(long seed) {
--- a/src/test/java/dapplestair/world/StandInCloud.java
+++ b/src/test/java/dapplestair/world/StandInCloud.java
@@ -96,7 +96,8 @@
 
   private HttpReply rent(JsonNode in) {
     String name = in.path("rental").asText();
-    String what = in.path("hull").asText() + in.path("basin") + in.path("loaners") + in.path("howMany");
+    String what =
+        in.path("hull").asText() + in.path("basin") + in.path("loaners") + in.path("howMany");
     if (!what.equals(asked.getOrDefault(name, what))) {
       violation = "rental name reused: " + name;
     }
@@ -113,11 +114,13 @@
         rentedAt.put(id, world.sim.now());
         hosts.add(id);
         if (!world.sim.chance(0.05)) {
-          world.sim.after(world.sim.between(500, 6000), () -> {
-            if (!w.gone) {
-              w.boot();
-            }
-          });
+          world.sim.after(
+              world.sim.between(500, 6000),
+              () -> {
+                if (!w.gone) {
+                  w.boot();
+                }
+              });
         }
       }
       if (hosts.isEmpty()) {
@@ -131,7 +134,10 @@
   }
 
   private boolean room(String zone, boolean spot) {
-    long n = machines.values().stream().filter(w -> !w.gone && w.zone.equals(zone) && w.spot == spot).count();
+    long n =
+        machines.values().stream()
+            .filter(w -> !w.gone && w.zone.equals(zone) && w.spot == spot)
+            .count();
     return n < (short_ ? 1 : PER_PLACE);
   }
 
--- a/src/test/java/dapplestair/world/StandInWorker.java
+++ b/src/test/java/dapplestair/world/StandInWorker.java
@@ -159,7 +159,8 @@
         world.sim.after(500, this::report);
       }
     } else {
-      String steward = reply.status() == 421 ? Json.text(Json.parse(reply.body()), "steward") : null;
+      String steward =
+          reply.status() == 421 ? Json.text(Json.parse(reply.body()), "steward") : null;
       if (steward != null && world.index(steward) != node) {
         node = world.index(steward);
         world.sim.after(world.sim.between(0, 500), this::report);
@@ -211,8 +212,7 @@
       return;
     }
     JsonNode in = Json.parse(body);
-    boolean stale =
-        in.path("baton").asLong(-1) < baton || in.path("tenure").asLong(-1) != tenure;
+    boolean stale = in.path("baton").asLong(-1) < baton || in.path("tenure").asLong(-1) != tenure;
     if (!stale) {
       boolean higher = in.path("baton").asLong() > baton;
       baton = in.path("baton").asLong();
@@ -286,7 +286,8 @@
     if (sick) {
       world.sim.after(200, () -> finish(t, "error", g));
     } else if (!told.service) {
-      long ms = Math.max(200, Math.round(told.runS * 1000 * (0.9 + 0.2 * world.sim.random.nextDouble())));
+      long ms =
+          Math.max(200, Math.round(told.runS * 1000 * (0.9 + 0.2 * world.sim.random.nextDouble())));
       world.sim.after(ms, () -> finish(t, "done", g));
     }
     report();
--- a/src/test/java/dapplestair/world/Troubles.java
+++ b/src/test/java/dapplestair/world/Troubles.java
@@ -27,8 +27,7 @@
   }
 
   private StandInWorker someMachine() {
-    List<StandInWorker> all =
-        w.cloud.machines.values().stream().filter(m -> !m.gone).toList();
+    List<StandInWorker> all = w.cloud.machines.values().stream().filter(m -> !m.gone).toList();
     return all.isEmpty() ? null : all.get((int) w.sim.between(0, all.size() - 1));
   }
 
@@ -85,10 +84,12 @@
       case 12 -> {
         w.cloud.down = w.sim.chance(0.5);
         w.cloud.short_ = !w.cloud.down;
-        w.sim.after(ms, () -> {
-          w.cloud.down = false;
-          w.cloud.short_ = false;
-        });
+        w.sim.after(
+            ms,
+            () -> {
+              w.cloud.down = false;
+              w.cloud.short_ = false;
+            });
       }
       case 14, 15 -> {
         // Orders are held back while reports still come through, and perhaps the sender ends.
--- a/src/test/java/dapplestair/world/Users.java
+++ b/src/test/java/dapplestair/world/Users.java
@@ -95,71 +95,97 @@
     // Answers are held against what had been told when the question was asked: two questions at
     // once may be answered in either order.
     String before = t.finalState();
-    call("POST", "/submissions", Json.bytes(t.body), 5000, r -> {
-      if (r.status() == 201 || r.status() == 200) {
-        t.accepted = true;
-        heard(t, before, r);
-        if (world.sim.chance(0.1)) {
-          // A retry that comes much later.
-          world.sim.after(world.sim.between(1000, 90_000), () -> submit(t, 0));
-        }
-        world.sim.after(5000, () -> poll(t));
-      } else if (r.status() == 400 || r.status() == 422) {
-        world.checker.broken("forgotten: " + t.ref + " is answered " + r.status());
-      } else if (world.sim.now() < until || t.accepted) {
-        world.sim.after(1000 + world.sim.between(0, 500), () -> submit(t, until));
-      }
-    });
+    call(
+        "POST",
+        "/submissions",
+        Json.bytes(t.body),
+        5000,
+        r -> {
+          if (r.status() == 201 || r.status() == 200) {
+            t.accepted = true;
+            heard(t, before, r);
+            if (world.sim.chance(0.1)) {
+              // A retry that comes much later.
+              world.sim.after(world.sim.between(1000, 90_000), () -> submit(t, 0));
+            }
+            world.sim.after(5000, () -> poll(t));
+          } else if (r.status() == 400 || r.status() == 422) {
+            world.checker.broken("forgotten: " + t.ref + " is answered " + r.status());
+          } else if (world.sim.now() < until || t.accepted) {
+            world.sim.after(1000 + world.sim.between(0, 500), () -> submit(t, until));
+          }
+        });
   }
 
   private void poll(Told t) {
     String before = t.finalState();
-    call("GET", "/submissions/" + t.ref, null, 2000, r -> {
-      if (r.status() == 404) {
-        world.checker.broken("forgotten: " + t.ref + " gets 404");
-      } else if (r.status() == 200) {
-        t.lastAnswer = world.sim.now();
-        heard(t, before, r);
-      }
-      if (!t.done && !t.aborted || world.sim.chance(0.7)) {
-        world.sim.after(world.sim.between(4000, 6000), () -> poll(t));
-      }
-    });
+    call(
+        "GET",
+        "/submissions/" + t.ref,
+        null,
+        2000,
+        r -> {
+          if (r.status() == 404) {
+            world.checker.broken("forgotten: " + t.ref + " gets 404");
+          } else if (r.status() == 200) {
+            t.lastAnswer = world.sim.now();
+            heard(t, before, r);
+          }
+          if (!t.done && !t.aborted || world.sim.chance(0.7)) {
+            world.sim.after(world.sim.between(4000, 6000), () -> poll(t));
+          }
+        });
   }
 
   private void withdraw(Told t) {
     if (!t.accepted) {
-      world.sim.after(1000, () -> {
-        if (!quiet || t.accepted) {
-          withdraw(t);
-        }
-      });
+      world.sim.after(
+          1000,
+          () -> {
+            if (!quiet || t.accepted) {
+              withdraw(t);
+            }
+          });
       return;
     }
     t.withdrawAsked = true;
     String before = t.finalState();
-    call("POST", "/submissions/" + t.ref + "/withdraw", null, 5000, r -> {
-      if (r.status() == 200) {
-        heard(t, before, r);
-      } else if (r.status() == 404) {
-        world.checker.broken("forgotten: withdrawing " + t.ref + " gets 404");
-      } else {
-        world.sim.after(1000, () -> withdraw(t));
-      }
-    });
+    call(
+        "POST",
+        "/submissions/" + t.ref + "/withdraw",
+        null,
+        5000,
+        r -> {
+          if (r.status() == 200) {
+            heard(t, before, r);
+          } else if (r.status() == 404) {
+            world.checker.broken("forgotten: withdrawing " + t.ref + " gets 404");
+          } else {
+            world.sim.after(1000, () -> withdraw(t));
+          }
+        });
   }
 
   private void askForUnknown() {
-    call("GET", "/submissions/zz-" + world.sim.between(1, 99), null, 2000, r -> {
-      if (r.status() == 200) {
-        world.checker.broken("invented: a job nobody submitted");
-      }
-      world.sim.after(7000, this::askForUnknown);
-    });
+    call(
+        "GET",
+        "/submissions/zz-" + world.sim.between(1, 99),
+        null,
+        2000,
+        r -> {
+          if (r.status() == 200) {
+            world.checker.broken("invented: a job nobody submitted");
+          }
+          world.sim.after(7000, this::askForUnknown);
+        });
   }
 
   private void call(
-      String method, String path, byte[] body, long timeout, java.util.function.Consumer<HttpReply> done) {
+      String method,
+      String path,
+      byte[] body,
+      long timeout,
+      java.util.function.Consumer<HttpReply> done) {
     world.net.call("users", someNode(), method, path, body, timeout, done);
   }
 
