--- a/src/main/java/dapplestair/settings/Operator.java
+++ b/src/main/java/dapplestair/settings/Operator.java
@@ -14,6 +14,6 @@
 
   /** What holds without an operator file. */
   public static Operator defaults() {
-    return new Operator(3_000, 20, 300, 0, 2.5, 4, 2, 1, 0.5);
+    return new Operator(3_000, 20, 300, 0, 2.5, 4, 1.3, 1, 0.5);
   }
 }
