--- a/src/main/java/dapplestair/planning/DemandView.java
+++ b/src/main/java/dapplestair/planning/DemandView.java
@@ -74,6 +74,19 @@
     return sum + largest;
   }
 
+  /** CPUs that waiting tasks ask for, over those of the machines held: 0 when nothing waits. */
+  double pressure() {
+    double waiting = 0;
+    for (Job j : ledger.jobs()) {
+      waiting += j.waiting() * j.spec().cpus();
+    }
+    double held = 0;
+    for (Host h : desk.hosts()) {
+      held += h.type() == null ? 0 : h.type().cpus();
+    }
+    return held == 0 ? 1 : waiting / held;
+  }
+
   boolean ready() {
     return ledger.armed();
   }
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -34,6 +34,9 @@
 public final class Planning implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(Planning.class);
 
+  // With as much waiting as twice the fleet can hold, more weight would change nothing.
+  private static final double MOST_PRESSURE = 2;
+
   private final Timers timers;
   private final Background background;
   private final UniformRandomProvider random;
@@ -103,8 +106,9 @@
     Nsga2 search = new Nsga2(random, operator.population(), operator.evaluations());
     List<double[]> seeds = List.of(problem.lower(), held(problem));
     int planned = generation;
+    double pressure = Math.min(MOST_PRESSURE, demand.pressure());
     background.compute(
-        () -> best(search, problem, seeds),
+        () -> best(search, problem, seeds, pressure),
         counts -> {
           if (planned == generation && leadership.leading()) {
             apply(problem, counts);
@@ -118,14 +122,22 @@
         .toArray();
   }
 
-  private int[] best(Nsga2 search, FleetProblem problem, List<double[]> seeds) {
+  private int[] best(
+      Nsga2 search, FleetProblem problem, List<double[]> seeds, double pressure) {
     List<Nsga2.Individual> front = search.search(problem, seeds);
-    return FleetProblem.counts(front.isEmpty() ? problem.lower() : chosen(front).x());
+    return FleetProblem.counts(front.isEmpty() ? problem.lower() : chosen(front, pressure).x());
   }
 
-  private Nsga2.Individual chosen(List<Nsga2.Individual> front) {
+  /**
+   * The more work waits, the more its makespan weighs. With one weight for all times, a fleet that
+   * is lean enough in calm hours lags behind a burst, and one that keeps up with bursts idles.
+   */
+  private Nsga2.Individual chosen(List<Nsga2.Individual> front, double pressure) {
     return Nsga2.nearestOrigin(
-        front, operator.makespanWeight(), operator.spendWeight(), operator.riskWeight());
+        front,
+        operator.makespanWeight() * (1 + pressure),
+        operator.spendWeight(),
+        operator.riskWeight());
   }
 
   private void apply(FleetProblem problem, int[] counts) {
