--- a/src/main/java/dapplestair/planning/DemandView.java
+++ b/src/main/java/dapplestair/planning/DemandView.java
@@ -74,11 +74,17 @@
     return sum + largest;
   }
 
-  /** CPUs that waiting tasks ask for, over those of the machines held: 0 when nothing waits. */
+  /**
+   * CPUs of tasks that wait for longer than a machine boots, over those of the machines held. What
+   * has just come does not count: it is mostly placed a moment later.
+   */
   double pressure() {
+    double bootMs = 1000 * types.all().stream().mapToDouble(MachineType::bootS).max().orElse(0);
     double waiting = 0;
     for (Job j : ledger.jobs()) {
-      waiting += j.waiting() * j.spec().cpus();
+      if (clock.wall() - j.acceptedWall() > bootMs) {
+        waiting += j.waiting() * j.spec().cpus();
+      }
     }
     double held = 0;
     for (Host h : desk.hosts()) {
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -34,8 +34,8 @@
 public final class Planning implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(Planning.class);
 
-  // With as much waiting as twice the fleet can hold, more weight would change nothing.
-  private static final double MOST_PRESSURE = 2;
+  // With as much waiting as the fleet can hold, more weight would change nothing.
+  private static final double MOST_PRESSURE = 1;
 
   private final Timers timers;
   private final Background background;
@@ -122,8 +122,7 @@
         .toArray();
   }
 
-  private int[] best(
-      Nsga2 search, FleetProblem problem, List<double[]> seeds, double pressure) {
+  private int[] best(Nsga2 search, FleetProblem problem, List<double[]> seeds, double pressure) {
     List<Nsga2.Individual> front = search.search(problem, seeds);
     return FleetProblem.counts(front.isEmpty() ? problem.lower() : chosen(front, pressure).x());
   }
@@ -135,7 +134,7 @@
   private Nsga2.Individual chosen(List<Nsga2.Individual> front, double pressure) {
     return Nsga2.nearestOrigin(
         front,
-        operator.makespanWeight() * (1 + pressure),
+        operator.makespanWeight() * (1 + 2 * pressure),
         operator.spendWeight(),
         operator.riskWeight());
   }
