--- a/src/main/java/dapplestair/submissions/SubmissionDesk.java
+++ b/src/main/java/dapplestair/submissions/SubmissionDesk.java
@@ -19,6 +19,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -93,7 +94,7 @@
           return;
         }
         if (ledger.job(ref) != null && !ledger.job(ref).over()) {
-          look(x, ref, 200);
+          look(x, ref);
           return;
         }
       }
@@ -122,15 +123,20 @@
       error(x, status, why);
       return;
     }
+    tell(x, ref, () -> error(x, status, why), found -> answer(x, 200, ref, found));
+  }
+
+  /** Finds a job and goes on as it turns out; 503 when that cannot be told now. */
+  private void tell(Exchange x, String ref, Runnable absent, Consumer<Found> present) {
     find(
         ref,
         (known, found) -> {
           if (!known) {
             busy(x);
           } else if (found == null) {
-            error(x, status, why);
+            absent.run();
           } else {
-            answer(x, 200, ref, found);
+            present.accept(found);
           }
         });
   }
@@ -169,7 +175,7 @@
             metrics.accepted(clock.now() - began);
             status(x, 201, s.ref(), "queued", null);
           } else if (outcome instanceof Outcome.Conflict) {
-            look(x, s.ref(), 200);
+            look(x, s.ref());
           } else if (outcome instanceof Outcome.Unknown && clock.now() < deadline) {
             // The same conditions again: if the lost one was applied after all, this one is
             // refused and the job is found; both can never be.
@@ -184,21 +190,11 @@
 
   /** A user polls. */
   public void poll(Exchange x, String ref) {
-    look(x, ref, 200);
+    look(x, ref);
   }
 
-  private void look(Exchange x, String ref, int status) {
-    find(
-        ref,
-        (known, found) -> {
-          if (!known) {
-            busy(x);
-          } else if (found == null) {
-            error(x, 404, "no such job");
-          } else {
-            answer(x, status, ref, found);
-          }
-        });
+  private void look(Exchange x, String ref) {
+    tell(x, ref, () -> error(x, 404, "no such job"), found -> answer(x, 200, ref, found));
   }
 
   /** What is known of a job: live, or how it ended. */
@@ -263,14 +259,12 @@
   }
 
   private void withdraw(Exchange x, String ref, long deadline) {
-    find(
+    tell(
+        x,
         ref,
-        (known, found) -> {
-          if (!known) {
-            busy(x);
-          } else if (found == null) {
-            error(x, 404, "no such job");
-          } else if (found.job() == null) {
+        () -> error(x, 404, "no such job"),
+        found -> {
+          if (found.job() == null) {
             answer(x, 200, ref, found);
           } else {
             abort(x, found.job(), deadline);
