--- a/src/test/java/dapplestair/world/SeededDaysTest.java
+++ b/src/test/java/dapplestair/world/SeededDaysTest.java
@@ -40,6 +40,28 @@
     assertTrue(world.checker.started > 100, "only " + world.checker.started + " tasks started");
   }
 
+  /** Launches on their way while newer reports, which lack them, come through. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {301, 302, 303, 304, 305, 306})
+  void aReportDoesNotOvertakeALaunch(long seed) {
+    World world = new World(seed);
+    world.run(20_000);
+    for (int i = 0; i < 80; i++) {
+      for (StandInWorker machine : world.cloud.machines.values()) {
+        if (world.sim.chance(0.5)) {
+          for (World.Node node : world.nodes) {
+            String name = "node-" + node.index;
+            world.net.cut(name, machine.endpoint, true);
+            // Shorter than the time after which a call counts as unanswered.
+            world.sim.after(1300, () -> world.net.heal(name, machine.endpoint));
+          }
+        }
+      }
+      world.run(1500);
+    }
+    assertTrue(world.checker.started > 100, "only " + world.checker.started + " tasks started");
+  }
+
   static void play(long seed, long troubleEveryMs) {
     World world = new World(seed);
     try {
