--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -47,6 +47,7 @@
     boolean writing;
     boolean asking;
     boolean refused;
+    long writtenAt = Long.MIN_VALUE / 2;
 
     Rental(String name, Place place, int count, long wall) {
       this.name = name;
@@ -587,6 +588,7 @@
 
   private void write(Rental r, boolean thenAsk) {
     r.writing = true;
+    r.writtenAt = clock.now();
     String key = Keys.rental(r.name);
     Txn txn = leadership.guard(new Txn()).when(key, r.stamp).put(key, toJson(r));
     long term = leadership.term();
@@ -716,7 +718,10 @@
       }
       if (!over) {
         // Kept exact, so that a new leader does not count on machines that are gone.
-        if (r.hosts != null && r.hosts.removeIf(h -> desk.known(h) == null)) {
+        // Seldom enough that a wave of losses does not use up the puts that launches need.
+        if (r.hosts != null
+            && clock.now() - r.writtenAt > settings.workers().leaseMs() / 2
+            && r.hosts.removeIf(h -> desk.known(h) == null)) {
           write(r, false);
         }
         continue;
--- a/src/main/java/dapplestair/ledger/Attempt.java
+++ b/src/main/java/dapplestair/ledger/Attempt.java
@@ -35,14 +35,17 @@
 
   Report.Status status;
   long statusAt;
+  double ranBeforeExitS;
   boolean exited;
   boolean done;
   boolean halting;
   long haltAt;
   private long lastHaltAt;
   private double windDownS;
+  private final double savedS;
 
   Attempt(Job job, int step, long number, String host, String zone, long session, long now) {
+    this.savedS = job.savedS(step);
     this.job = job;
     this.step = step;
     this.number = number;
@@ -72,6 +75,27 @@
     return step;
   }
 
+  /** When it was planned, or read from the records. */
+  public long plannedAt() {
+    return plannedAt;
+  }
+
+  /** Run time that earlier attempts saved. */
+  public double savedS() {
+    return savedS;
+  }
+
+  /** Seconds for which it has run, as far as seen here. */
+  public double ranS(long now) {
+    return status == Report.Status.RUNNING ? (now - statusAt) / 1000.0 : 0;
+  }
+
+  /** Of {@code ranS} seconds run, those that its own checkpoints keep. */
+  public double keptS(double ranS) {
+    double every = spec().saveEveryS();
+    return every > 0 ? Math.floor(ranS / every) * every : 0;
+  }
+
   /** Number of this try. */
   public long number() {
     return number;
--- a/src/main/java/dapplestair/ledger/Chunk.java
+++ b/src/main/java/dapplestair/ledger/Chunk.java
@@ -5,7 +5,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.json.Json;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.List;
 
 /** The attempts and completions of a run of consecutive tasks, kept under one key. */
 final class Chunk {
@@ -59,14 +61,33 @@
         i = done.nextSetBit(end);
       }
     }
-    ArrayNode l = o.putArray("l");
+    writeLive(o);
+    return o;
+  }
+
+  /** Attempts by machine, zones by number: each put carries all of it to every replica. */
+  private void writeLive(ObjectNode o) {
+    List<String> zones = new ArrayList<>();
+    ObjectNode byHost = Json.object();
     for (Attempt a : live.values()) {
       // An attempt seen to complete needs no record of its own: its step is done.
-      if (!a.done) {
-        l.addArray().add(a.step).add(a.number).add(a.host).add(a.zone).add(a.session);
+      if (a.done) {
+        continue;
+      }
+      if (!zones.contains(a.zone)) {
+        zones.add(a.zone);
       }
+      // A machine's later session is another machine as far as attempts are concerned.
+      String place = a.host + " " + a.session;
+      ArrayNode of = (ArrayNode) byHost.get(place);
+      if (of == null) {
+        of = byHost.putArray(place).add(zones.indexOf(a.zone));
+      }
+      of.add(a.step).add(a.number);
     }
-    return o;
+    ArrayNode z = o.putArray("z");
+    zones.forEach(z::add);
+    o.set("h", byHost);
   }
 
   /** Reads a record, giving each attempt in it to {@code attempts}. */
@@ -77,6 +98,22 @@
     for (int i = 0; i + 1 < d.size(); i += 2) {
       done.set(d.get(i).asInt(), d.get(i + 1).asInt());
     }
+    JsonNode zones = value.path("z");
+    value
+        .path("h")
+        .fields()
+        .forEachRemaining(
+            e -> {
+              int space = e.getKey().lastIndexOf(' ');
+              String host = e.getKey().substring(0, space);
+              long session = Long.parseLong(e.getKey().substring(space + 1));
+              JsonNode of = e.getValue();
+              String zone = zones.path(of.path(0).asInt()).asText();
+              for (int i = 1; i + 1 < of.size(); i += 2) {
+                attempts.attempt(of.get(i).asInt(), of.get(i + 1).asLong(), host, zone, session);
+              }
+            });
+    // The form of version 0.1.0, one entry an attempt.
     for (JsonNode e : value.path("l")) {
       attempts.attempt(
           e.path(0).asInt(),
@@ -104,6 +141,10 @@
 
   /** Attempts in a record, without building it. */
   static int countLive(JsonNode value) {
-    return value.path("l").size();
+    int n = value.path("l").size();
+    for (JsonNode of : value.path("h")) {
+      n += (of.size() - 1) / 2;
+    }
+    return n;
   }
 }
--- a/src/main/java/dapplestair/ledger/Job.java
+++ b/src/main/java/dapplestair/ledger/Job.java
@@ -1,6 +1,7 @@
 package dapplestair.ledger;
 
 import dapplestair.submissions.Submission;
+import it.unimi.dsi.fastutil.ints.Int2DoubleOpenHashMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectAVLTreeMap;
 import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
@@ -24,6 +25,9 @@
   final IntOpenHashSet gangSteps = new IntOpenHashSet();
   private int firstOpen;
 
+  // Progress that checkpoints keep, as far as this leader has seen it: for estimates only.
+  private final Int2DoubleOpenHashMap saved = new Int2DoubleOpenHashMap();
+
   // Failures count by machine, so that one faulty machine does not make a job look wrong.
   final Object2IntOpenHashMap<String> failedOn = new Object2IntOpenHashMap<>();
   long heldBackUntil;
@@ -61,6 +65,18 @@
     return heldBackUntil;
   }
 
+  /** Run time that checkpoints of earlier attempts at a step keep. */
+  double savedS(int step) {
+    return saved.get(step);
+  }
+
+  /** A stopped or lost attempt has kept so much more. */
+  void keep(int step, double seconds) {
+    if (seconds > 0) {
+      saved.addTo(step, seconds);
+    }
+  }
+
   /** Tasks completed. */
   public int doneCount() {
     int n = 0;
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -72,6 +72,9 @@
 
   private static final int BYTES_PER_ATTEMPT = 64;
 
+  // Of the state service's puts: what nobody waits for may take no more, however much ends.
+  private static final double BOOKKEEPING_SHARE = 0.2;
+
   private final Clock clock;
   private final Timers timers;
   private final Settings settings;
@@ -79,7 +82,7 @@
   private final Leadership leadership;
   private final Hooks hooks;
   private final int chunkSize;
-  private final long gatherMs;
+  private final double bookkeepingPerS;
   private final long retryMs;
 
   private final Map<String, Job> jobs = new LinkedHashMap<>();
@@ -106,7 +109,7 @@
     this.leadership = leadership;
     this.hooks = hooks;
     this.chunkSize = Math.max(1, settings.state().valueBytes() / BYTES_PER_ATTEMPT);
-    this.gatherMs = settings.workers().reportMs() / 8;
+    this.bookkeepingPerS = BOOKKEEPING_SHARE * settings.state().writeRps();
     this.retryMs = settings.workers().reportMs() / 12;
   }
 
@@ -370,6 +373,16 @@
         && (team.gpusMax() <= 0 || u[1] + tasks * s.gpus() <= team.gpusMax() + 1e-6);
   }
 
+  /** How many more tasks of this size the team's limit, or its guarantee, has room for. */
+  public int teamRoom(Submission s, boolean withinGuarantee) {
+    Settings.Team team = settings.teams().get(s.team());
+    double most = team == null ? 0 : withinGuarantee ? team.cpus() : team.cpusMax();
+    if (team != null && most <= 0 && !withinGuarantee) {
+      return Integer.MAX_VALUE;
+    }
+    return (int) Math.max(0, Math.floor((most - teamCpus(s.team())) / s.cpus() + 1e-9));
+  }
+
   /** True when the job's other attempts leave room for one more in this zone. */
   public boolean zoneAllows(Job job, String zone) {
     Submission s = job.spec();
@@ -455,6 +468,9 @@
     }
     a.exited = true;
     Job job = a.job;
+    if (!a.done) {
+      job.keep(a.step, a.keptS(Math.max(a.ranBeforeExitS, a.ranS(clock.now()))));
+    }
     job.perZone.addTo(a.zone, -1);
     double[] u = teamUse.get(a.spec().team());
     u[0] -= a.spec().cpus();
@@ -521,26 +537,30 @@
     }
     a.neededToken = 0;
     if (a.status != t.status()) {
+      long now = clock.now();
+      if (a.status == Report.Status.RUNNING) {
+        a.ranBeforeExitS = a.ranS(now);
+      }
       a.status = t.status();
-      long before = a.statusAt;
-      a.statusAt = clock.now();
+      a.statusAt = now;
       if (t.status() == Report.Status.RUNNING) {
         hooks.started(a);
-        host.imageSeen(a.spec().image(), clock.now());
+        host.imageSeen(a.spec().image(), now);
       } else if (t.status() == Report.Status.EXITED) {
-        exited(host, a, t.cause(), before == 0 ? 0 : (a.statusAt - before) / 1000.0);
+        exited(host, a, t);
       }
     }
   }
 
-  private void exited(Host host, Attempt a, String cause, double ranS) {
+  private void exited(Host host, Attempt a, Report.Task t) {
+    String cause = t.cause();
     LOG.debug("{} try {} exited on {}: {}", a.key(), a.number, host.id(), cause);
     Chunk c = a.job.chunkOf(a.step);
     if (cause.equals("done") && !a.spec().service()) {
       a.done = true;
       vacate(a);
       c.done.set(a.step - c.from);
-      hooks.completed(a, host, ranS);
+      hooks.completed(a, host, a.ranBeforeExitS);
       if (a.job.over) {
         dropEnded(a);
       } else if (!finishIfDone(a.job)) {
@@ -556,6 +576,9 @@
     } else if (cause.equals("unknown") || cause.equals("busy")) {
       holdBack(a.job, settings.workers().reportMs() / 3);
     }
+    if (t.stored()) {
+      a.job.keep(a.step, a.ranBeforeExitS - a.keptS(a.ranBeforeExitS));
+    }
     retire(a);
     hooks.clear(a.host, a.key(), a.number);
   }
@@ -601,7 +624,17 @@
       return;
     }
     gathering.add(c);
-    timers.after(urgent ? 0 : gatherMs, () -> flush(job, c));
+    timers.after(urgent ? 0 : gatherMs(), () -> flush(job, c));
+  }
+
+  /**
+   * How long ends are gathered into one put: the longer the more jobs have some, so that the puts
+   * for them stay within their share. A completion need only be recorded before it is cleared.
+   */
+  private long gatherMs() {
+    long least = settings.workers().reportMs() / 8;
+    long paced = Math.round(1000 * gathering.size() / bookkeepingPerS);
+    return Math.max(least, Math.min(paced, settings.workers().leaseMs() / 3));
   }
 
   private void flush(Job job, Chunk c) {
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -296,7 +296,8 @@
     }
 
     @Override
-    public void completed(Attempt attempt, Host host, double seconds) {
+    public void completed(Attempt attempt, Host host, double ranS) {
+      double seconds = ranS > 0 ? ranS + attempt.savedS() : 0;
       host.taskCompleted();
       double expected = estimates.runS(attempt.spec());
       if (expected > 0 && seconds > 0) {
--- a/src/main/java/dapplestair/placement/Estimates.java
+++ b/src/main/java/dapplestair/placement/Estimates.java
@@ -1,6 +1,8 @@
 package dapplestair.placement;
 
+import dapplestair.ledger.Attempt;
 import dapplestair.submissions.Submission;
+import dapplestair.workers.Host;
 import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
 
 /** How long tasks take: the owners' guesses, corrected by what was seen of each class. */
@@ -28,4 +30,9 @@
   public double runS(Submission s) {
     return s.guessS() * correction.getDouble(s.jobClass());
   }
+
+  /** Run time left to an attempt on its machine; what earlier attempts saved counts as done. */
+  public double leftS(Attempt a, Host h, long now) {
+    return Math.max(0, runS(a.spec()) - a.savedS()) * h.slowness() - a.ranS(now);
+  }
 }
--- /dev/null
+++ b/src/main/java/dapplestair/placement/Evictions.java
@@ -0,0 +1,178 @@
+package dapplestair.placement;
+
+import dapplestair.ledger.Attempt;
+import dapplestair.ledger.Job;
+import dapplestair.ledger.Ledger;
+import dapplestair.ports.Clock;
+import dapplestair.settings.Settings;
+import dapplestair.submissions.Rank;
+import dapplestair.submissions.Submission;
+import dapplestair.workers.Host;
+import dapplestair.workers.WorkerDesk;
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Stops work to make room: of a lower rank, or, for a team within its guarantee, of any rank that
+ * another team runs beyond its own. What loses least goes first, and room already on its way is
+ * counted before more is stopped.
+ */
+final class Evictions {
+  // Each scan looks at all machines; who is left out has its turn a moment later.
+  private static final int MOST_SCANS = 4;
+
+  /** One task's room on one machine, and what it costs. */
+  private record Offer(Host host, List<Attempt> victims, double loss) {}
+
+  private final Clock clock;
+  private final Settings settings;
+  private final Ledger ledger;
+  private final WorkerDesk desk;
+
+  // Of this turn: teams' use beyond their guarantees, machines whose coming room is spoken for.
+  private final Object2DoubleOpenHashMap<String> excess = new Object2DoubleOpenHashMap<>();
+  private final Set<Host> spokenFor = new HashSet<>();
+  private int scans;
+  private boolean looked;
+  private Rank lowest;
+
+  Evictions(Clock clock, Settings settings, Ledger ledger, WorkerDesk desk) {
+    this.clock = clock;
+    this.settings = settings;
+    this.ledger = ledger;
+    this.desk = desk;
+  }
+
+  /** A new turn of placing. */
+  void begin() {
+    looked = false;
+    scans = 0;
+    spokenFor.clear();
+  }
+
+  /** One look over all attempts a turn: who borrows, and the lowest rank that runs. */
+  private void look() {
+    looked = true;
+    lowest = Rank.values()[0];
+    excess.clear();
+    for (Settings.Team team : settings.teams().values()) {
+      if (team.bounded()) {
+        excess.put(team.name(), ledger.teamCpus(team.name()) - team.cpus());
+      }
+    }
+    for (Host h : desk.hosts()) {
+      for (Attempt a : h.attempts()) {
+        if (!a.exited()) {
+          if (lowest.above(a.spec().rank())) {
+            lowest = a.spec().rank();
+          }
+          if (a.halting() && excess.containsKey(a.spec().team())) {
+            excess.addTo(a.spec().team(), -a.spec().cpus());
+          }
+        }
+      }
+    }
+  }
+
+  /** Stops what is in the way of a job's waiting tasks, one task's worth a machine. */
+  void makeRoom(Job job, boolean guaranteed) {
+    if (!looked) {
+      look();
+    }
+    Submission s = job.spec();
+    boolean fromBorrowers =
+        guaranteed
+            && excess.object2DoubleEntrySet().stream()
+                .anyMatch(e -> e.getDoubleValue() > 0 && !e.getKey().equals(s.team()));
+    boolean byRank = s.rank().above(lowest);
+    if (scans >= MOST_SCANS || !byRank && !fromBorrowers) {
+      return;
+    }
+    scans++;
+    List<Offer> offers = new ArrayList<>();
+    for (Host h : desk.hosts()) {
+      if (!h.closed()
+          && !spokenFor.contains(h)
+          && h.allowed(s)
+          && desk.fresh(h)
+          && ledger.zoneAllows(job, h.zone())) {
+        Offer offer = offer(s, h, fromBorrowers);
+        if (offer != null) {
+          offers.add(offer);
+        }
+      }
+    }
+    offers.sort(Comparator.comparingDouble(Offer::loss).thenComparing(o -> o.host().id()));
+    int wanted = Math.max(0, Math.min(job.waiting(), ledger.teamRoom(s, !byRank)));
+    for (Offer o : offers.subList(0, Math.min(wanted, offers.size()))) {
+      spokenFor.add(o.host());
+      o.victims().forEach(this::stop);
+    }
+  }
+
+  private void stop(Attempt a) {
+    if (excess.containsKey(a.spec().team())) {
+      excess.addTo(a.spec().team(), -a.spec().cpus());
+    }
+    ledger.halt(a, a.spec().saves() ? 2 * a.spec().saveS() : 0);
+  }
+
+  private Offer offer(Submission s, Host h, boolean fromBorrowers) {
+    double cpus = s.cpus() - h.cpusFree();
+    double memory = s.memoryGb() - h.memoryFree();
+    double gpus = s.gpus() - h.gpusFree();
+    List<Attempt> may = new ArrayList<>();
+    for (Attempt a : h.attempts()) {
+      if (a.exited()) {
+        continue;
+      }
+      if (a.halting()) {
+        // Room is on its way there already; do not stop more for the same need.
+        cpus -= a.spec().cpus();
+        memory -= a.spec().memoryGb();
+        gpus -= a.spec().gpus();
+      } else if (mayStop(s, a, fromBorrowers)) {
+        may.add(a);
+      }
+    }
+    may.sort(Comparator.comparingDouble(this::loss));
+    List<Attempt> victims = new ArrayList<>();
+    double loss = 0;
+    for (Attempt a : may) {
+      if (cpus <= 1e-9 && memory <= 1e-9 && gpus <= 1e-9) {
+        break;
+      }
+      victims.add(a);
+      loss += loss(a);
+      cpus -= a.spec().cpus();
+      memory -= a.spec().memoryGb();
+      gpus -= a.spec().gpus();
+    }
+    boolean enough = cpus <= 1e-9 && memory <= 1e-9 && gpus <= 1e-9;
+    return enough ? new Offer(h, victims, loss) : null;
+  }
+
+  private boolean mayStop(Submission s, Attempt a, boolean fromBorrowers) {
+    Submission other = a.spec();
+    if (s.rank().above(other.rank())) {
+      return true;
+    }
+    // Borrowed room goes back to its owner, whatever the rank; replicas of services last of all.
+    return fromBorrowers
+        && !other.team().equals(s.team())
+        && (!other.service() || s.service())
+        && excess.getDouble(other.team()) >= other.cpus() - 1e-9;
+  }
+
+  /** Work that stopping an attempt would throw away, in CPU seconds; low ranks lose first. */
+  private double loss(Attempt a) {
+    double ran = a.ranS(clock.now());
+    double lost = a.spec().saves() ? Math.min(ran - a.keptS(ran), a.spec().saveS()) : ran;
+    double rank = (Rank.values().length - a.spec().rank().ordinal()) * 1e6;
+    return rank + lost * a.spec().cpus();
+  }
+}
--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -1,12 +1,10 @@
 package dapplestair.placement;
 
-import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
 import dapplestair.ports.Clock;
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
-import dapplestair.submissions.Rank;
 import dapplestair.submissions.Submission;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
@@ -31,6 +29,8 @@
   private final Promises promises;
   private final long pauseMs;
   private final DoubleSupplier roomForServices;
+  private final Evictions evictions;
+  private final List<NoRoom> noRoom = new ArrayList<>();
   private double serviceRoom;
   private double steadyFree;
   private boolean due;
@@ -51,6 +51,7 @@
     this.ledger = ledger;
     this.desk = desk;
     this.estimates = estimates;
+    this.evictions = new Evictions(clock, settings, ledger, desk);
     this.promises = new Promises(settings.objectives());
     this.pauseMs = settings.workers().reportMs() / 150;
   }
@@ -72,15 +73,24 @@
     if (!ledger.armed()) {
       return;
     }
+    List<Job> waiting = ordered();
+    if (waiting.isEmpty()) {
+      return;
+    }
+    // In a full cluster few machines have any room: the others are not looked at for each task.
+    double least = waiting.stream().mapToDouble(j -> j.spec().cpus()).min().orElse(0);
     List<Host> usable = new ArrayList<>();
+    steadyFree = 0;
     for (Host h : desk.hosts()) {
-      if (!h.closed() && desk.fresh(h)) {
+      if (h.cpusFree() >= least - 1e-9 && !h.closed() && desk.fresh(h)) {
         usable.add(h);
+        steadyFree += h.spot() ? 0 : h.cpusFree();
       }
     }
     serviceRoom = roomForServices.getAsDouble();
-    steadyFree = usable.stream().filter(h -> !h.spot()).mapToDouble(Host::cpusFree).sum();
-    for (Job job : ordered()) {
+    noRoom.clear();
+    evictions.begin();
+    for (Job job : waiting) {
       if (job.spec().gang()) {
         if (!placeGang(job, usable) && starving(job)) {
           // Machines must empty for it: what is less pressing would fill them again for ever.
@@ -176,17 +186,30 @@
     int step = job.nextFree(0);
     while (step >= 0) {
       Host best = best(job, usable);
-      if (best == null || !ledger.launch(job, step, best)) {
+      if (best == null) {
         break;
       }
-      if (!best.spot()) {
-        steadyFree -= job.spec().cpus();
+      int before = step;
+      step = fill(job, step, best);
+      if (step == before) {
+        break;
       }
-      step = job.nextFree(step + 1);
     }
     if (step >= 0 && ledger.teamAllows(job.spec())) {
-      makeRoom(job, usable);
+      evictions.makeRoom(job, guaranteed(job));
+    }
+  }
+
+  /** Starts as many of a job's tasks on a machine as fit; returns the next step, or -1. */
+  private int fill(Job job, int from, Host host) {
+    int step = from;
+    while (step >= 0 && leavesServiceRoom(job.spec(), host) && ledger.launch(job, step, host)) {
+      if (!host.spot()) {
+        steadyFree -= job.spec().cpus();
+      }
+      step = job.nextFree(step + 1);
     }
+    return step;
   }
 
   /** A gang starts only when all of it fits now, in one zone where its job wants that. */
@@ -231,20 +254,44 @@
   }
 
   private Host best(Job job, List<Host> usable) {
+    Submission s = job.spec();
+    if (!ledger.teamAllows(s) || noRoom.stream().anyMatch(n -> n.covers(s))) {
+      return null;
+    }
     Host best = null;
     double bestScore = Double.POSITIVE_INFINITY;
+    boolean room = false;
     for (Host h : usable) {
-      if (!h.closed() && ledger.mayStart(job, h) && leavesServiceRoom(job.spec(), h)) {
-        double score = score(job, h);
-        if (score < bestScore) {
-          bestScore = score;
-          best = h;
+      if (h.fits(s) && h.allowed(s) && !h.closed() && leavesServiceRoom(s, h)) {
+        room = true;
+        if (ledger.zoneAllows(job, h.zone())) {
+          double score = score(job, h);
+          if (score < bestScore) {
+            bestScore = score;
+            best = h;
+          }
         }
       }
     }
+    if (!room) {
+      noRoom.add(new NoRoom(s));
+    }
     return best;
   }
 
+  /** A size for which no machine had room in this turn: nothing larger of its kind finds any. */
+  private record NoRoom(Submission of) {
+    boolean covers(Submission s) {
+      return s.cpus() >= of.cpus()
+          && s.memoryGb() >= of.memoryGb()
+          && s.gpus() >= of.gpus()
+          && s.spot() == of.spot()
+          && s.service() == of.service()
+          && (of.zone() == null || of.zone().equals(s.zone()))
+          && (of.types() == null || of.types().equals(s.types()));
+    }
+  }
+
   /**
    * Work that may run on spot machines leaves some room on steady ones, so that a replica starts at
    * once instead of after somebody else has saved and stopped.
@@ -256,7 +303,7 @@
   /** Seconds until completion there; ties go to cheap, then to full machines. */
   private double score(Job job, Host h) {
     Submission s = job.spec();
-    double fetch = h.hasImage(s.image()) ? 0 : s.imageGb() / h.type().fetchGbPerS();
+    double fetch = h.imageWaitS(s, clock.now());
     double run = s.service() ? 0 : estimates.runS(s) * h.slowness();
     double tieBreak = h.cpusFree() / h.type().cpus();
     if (s.service()) {
@@ -271,64 +318,4 @@
     double again = ledger.failedOn(job, h) ? FAILED_HERE_S : 0;
     return fetch + run + tieBreak + again;
   }
-
-  /** Stops work of a lower rank where that makes room for one task. */
-  private void makeRoom(Job job, List<Host> usable) {
-    Submission s = job.spec();
-    List<Attempt> cheapest = null;
-    double cheapestLoss = Double.POSITIVE_INFINITY;
-    for (Host h : usable) {
-      if (!h.allowed(s) || !ledger.zoneAllows(job, h.zone())) {
-        continue;
-      }
-      List<Attempt> victims = victims(s, h);
-      if (victims != null) {
-        double loss = victims.stream().mapToDouble(this::loss).sum();
-        if (loss < cheapestLoss) {
-          cheapestLoss = loss;
-          cheapest = victims;
-        }
-      }
-    }
-    if (cheapest != null) {
-      cheapest.forEach(a -> ledger.halt(a, a.spec().saves() ? 2 * a.spec().saveS() : 0));
-    }
-  }
-
-  private List<Attempt> victims(Submission s, Host h) {
-    double cpus = s.cpus() - h.cpusFree();
-    double memory = s.memoryGb() - h.memoryFree();
-    double gpus = s.gpus() - h.gpusFree();
-    List<Attempt> lower = new ArrayList<>();
-    for (Attempt a : h.attempts()) {
-      if (a.halting() && !a.exited()) {
-        // Room is on its way there already; do not stop more for the same need.
-        cpus -= a.spec().cpus();
-        memory -= a.spec().memoryGb();
-        gpus -= a.spec().gpus();
-      } else if (!a.exited() && s.rank().above(a.spec().rank())) {
-        lower.add(a);
-      }
-    }
-    lower.sort(Comparator.comparingDouble(this::loss));
-    List<Attempt> victims = new ArrayList<>();
-    for (Attempt a : lower) {
-      if (cpus <= 1e-9 && memory <= 1e-9 && gpus <= 1e-9) {
-        break;
-      }
-      victims.add(a);
-      cpus -= a.spec().cpus();
-      memory -= a.spec().memoryGb();
-      gpus -= a.spec().gpus();
-    }
-    return cpus <= 1e-9 && memory <= 1e-9 && gpus <= 1e-9 ? victims : null;
-  }
-
-  /** Work that stopping an attempt would throw away, in CPU seconds. */
-  private double loss(Attempt a) {
-    double ran = a.statusAt() == 0 ? 0 : (clock.now() - a.statusAt()) / 1000.0;
-    double lost = a.spec().saves() ? Math.min(ran, a.spec().saveS()) : ran;
-    double rank = (Rank.values().length - a.spec().rank().ordinal()) * 1e6;
-    return rank + lost * a.spec().cpus();
-  }
 }
--- a/src/main/java/dapplestair/planning/Arrivals.java
+++ b/src/main/java/dapplestair/planning/Arrivals.java
@@ -9,7 +9,7 @@
 
 /** Jobs that arrived lately, class by class: what may be expected of the next moments. */
 final class Arrivals {
-  private static final int MOST_PER_CLASS = 256;
+  private static final int MOST_PER_CLASS = 1024;
 
   private record Arrival(long at, Submission job) {}
 
--- a/src/main/java/dapplestair/planning/DemandView.java
+++ b/src/main/java/dapplestair/planning/DemandView.java
@@ -8,7 +8,7 @@
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
 import dapplestair.placement.Estimates;
-import dapplestair.planning.FleetProblem.DryTask;
+import dapplestair.planning.FleetProblem.DryTasks;
 import dapplestair.planning.FleetProblem.SlotState;
 import dapplestair.ports.Clock;
 import dapplestair.settings.Operator;
@@ -17,14 +17,15 @@
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 
 /** What there is to do and to do it with, as one immutable problem for the search. */
 public final class DemandView {
-  private static final int MOST_TASKS = 250;
+  // An entry of the dry run stands for all waiting tasks of a job.
+  private static final int MOST_ENTRIES = 200;
   private static final int WINDOWS = 10;
-  private static final double FOR_EVER_S = 1e6;
 
   private final Clock clock;
   private final Ledger ledger;
@@ -102,13 +103,14 @@
     double longestBootS = kinds.stream().mapToDouble(MachineType::bootS).max().orElse(0);
     List<Submission> soon = arrivals.expected(clock.now(), Math.round(longestBootS * 1000));
     double laneCpus = laneCpus(soon);
+    double need = needCpus(soon);
     List<SlotState> slots = new ArrayList<>();
     for (MachineType t : kinds) {
-      slots.add(slot(t, false, laneCpus));
-      slots.add(slot(t, true, laneCpus));
+      slots.add(slot(t, false, laneCpus, need));
+      slots.add(slot(t, true, laneCpus, need));
     }
     slots = withRoomForGangs(withRoomForServices(slots, soon));
-    List<DryTask> tasks = tasks(slots, soon, laneCpus, longestBootS);
+    List<DryTasks> tasks = tasks(slots, soon, laneCpus, longestBootS);
     return new FleetProblem(slots, tasks, laneCpus, budget(operator, slots, soon));
   }
 
@@ -124,9 +126,11 @@
     return sizes.length == 0 ? 1 : Math.max(0.25, sizes[sizes.length / 2] / 2);
   }
 
-  private SlotState slot(MachineType t, boolean spot, double laneCpus) {
+  private SlotState slot(MachineType t, boolean spot, double laneCpus, double needCpus) {
     Slot slot = new Slot(t.name(), spot);
     List<Host> up = new ArrayList<>();
+    List<double[]> lanes = new ArrayList<>();
+    int perMachine = Math.max(1, (int) Math.floor(t.cpus() / laneCpus + 1e-9));
     List<Double> booting = new ArrayList<>();
     int busy = 0;
     for (Host h : desk.hosts()) {
@@ -145,27 +149,45 @@
         booting.add(Math.max(1, t.bootS() - Math.max(0, age)));
       }
     }
+    // Busy machines come first: idle ones are those that a smaller plan gives up.
     up.sort(
         Comparator.comparingDouble(Host::serviceCpus)
             .thenComparingDouble(Host::cpusUsed)
             .reversed());
     booting.sort(Comparator.naturalOrder());
-    List<double[]> until = up.stream().map(h -> busyUntil(h, laneCpus)).toList();
-    int most = Math.max(busy, fleet.capacity(slot, Math.max(2, fleet.holding(slot))));
+    double horizon = 2 * t.bootS();
+    for (Host h : up) {
+      double[] until = busyUntil(h, laneCpus, perMachine);
+      for (double at : until) {
+        horizon = at < HeldLanes.FOR_EVER_S ? Math.max(horizon, at) : horizon;
+      }
+      lanes.add(until);
+    }
+    for (double ready : booting) {
+      double[] until = new double[perMachine];
+      Arrays.fill(until, ready);
+      lanes.add(until);
+    }
+    // All that waits may be rented for at once: a bound that grows with what is held would take
+    // many rounds from nothing.
+    int forAll = (int) Math.ceil(needCpus / t.cpus() / Math.max(1, t.zones().size()));
+    int most = Math.max(busy, fleet.capacity(slot, Math.max(2, forAll)));
     return new SlotState(
         t,
         spot,
         busy,
         most,
-        until,
-        booting,
+        new HeldLanes(lanes, horizon),
+        up.size(),
         fleet.price(t, spot),
         fleet.takeBackChance(slot, windowMs, WINDOWS));
   }
 
-  private double[] busyUntil(Host h, double laneCpus) {
+  /** When each lane of a machine is free, from now. */
+  private double[] busyUntil(Host h, double laneCpus, int perMachine) {
+    double[] until = new double[perMachine];
+    int used = 0;
     double services = 0;
-    List<Double> until = new ArrayList<>();
     for (Attempt a : h.attempts()) {
       if (a.exited()) {
         continue;
@@ -174,16 +196,17 @@
         services += a.spec().cpus();
         continue;
       }
-      double ran = a.statusAt() == 0 ? 0 : (clock.now() - a.statusAt()) / 1000.0;
-      double left = Math.max(1, estimates.runS(a.spec()) * h.slowness() - ran);
-      for (long l = Math.max(1, Math.round(a.spec().cpus() / laneCpus)); l > 0; l--) {
-        until.add(left);
+      double left = Math.max(1, estimates.leftS(a, h, clock.now()));
+      for (long l = Math.max(1, Math.round(a.spec().cpus() / laneCpus));
+          l > 0 && used < perMachine;
+          l--) {
+        until[used++] = left;
       }
     }
-    for (long l = (long) Math.ceil(services / laneCpus); l > 0; l--) {
-      until.add(FOR_EVER_S);
+    for (long l = (long) Math.ceil(services / laneCpus); l > 0 && used < perMachine; l--) {
+      until[used++] = HeldLanes.FOR_EVER_S;
     }
-    return until.stream().mapToDouble(Double::doubleValue).toArray();
+    return until;
   }
 
   /**
@@ -270,7 +293,7 @@
 
   private static SlotState withLeast(SlotState s, int least) {
     return new SlotState(
-        s.type(), s.spot(), least, s.most(), s.busyUntilS(), s.bootingS(), s.price(), s.takeBack());
+        s.type(), s.spot(), least, s.most(), s.held(), s.up(), s.price(), s.takeBack());
   }
 
   private static double perCpu(SlotState s) {
@@ -279,7 +302,19 @@
 
   private record Pending(Submission job, int count, double slackS, double arrivesS) {}
 
-  private List<DryTask> tasks(
+  /** CPUs of all that waits and is expected. */
+  private double needCpus(List<Submission> soon) {
+    double sum = 0;
+    for (Job j : ledger.jobs()) {
+      sum += j.waiting() * j.spec().cpus();
+    }
+    for (Submission s : soon) {
+      sum += s.steps() * s.cpus();
+    }
+    return sum;
+  }
+
+  private List<DryTasks> tasks(
       List<SlotState> slots, List<Submission> soon, double laneCpus, double aheadS) {
     List<Pending> pending = new ArrayList<>();
     for (Job j : ledger.jobs()) {
@@ -295,12 +330,8 @@
       pending.add(new Pending(s, s.steps(), slack(s) + arrives, arrives));
     }
     pending.sort(Comparator.comparingDouble(Pending::slackS));
-    List<DryTask> out = new ArrayList<>();
-    int job = 0;
-    for (Pending p : pending) {
-      if (out.size() >= MOST_TASKS) {
-        break;
-      }
+    List<DryTasks> out = new ArrayList<>();
+    for (Pending p : pending.subList(0, Math.min(MOST_ENTRIES, pending.size()))) {
       Submission s = p.job();
       boolean[] allowed = new boolean[slots.size()];
       for (int i = 0; i < allowed.length; i++) {
@@ -309,10 +340,7 @@
       }
       int lanes = (int) Math.max(1, Math.round(s.cpus() / laneCpus));
       double run = s.service() ? windowMs / 1000.0 : estimates.runS(s);
-      DryTask task = new DryTask(allowed, lanes, run, s.imageGb(), p.arrivesS(), job++);
-      for (int i = 0; i < p.count() && out.size() < MOST_TASKS; i++) {
-        out.add(task);
-      }
+      out.add(new DryTasks(allowed, p.count(), lanes, run, s.imageGb(), p.arrivesS()));
     }
     return out;
   }
--- a/src/main/java/dapplestair/planning/FleetProblem.java
+++ b/src/main/java/dapplestair/planning/FleetProblem.java
@@ -13,7 +13,7 @@
  * @param laneCpus CPUs that one lane of the dry run stands for
  * @param budget most that a plan may cost per hour
  */
-record FleetProblem(List<SlotState> slots, List<DryTask> tasks, double laneCpus, double budget)
+record FleetProblem(List<SlotState> slots, List<DryTasks> tasks, double laneCpus, double budget)
     implements Nsga2.Problem {
 
   // How much longer a job counts as taking when a plan has no place at all for one of its tasks.
@@ -24,8 +24,8 @@
    *
    * @param least machines that are busy or must be kept ready
    * @param most machines that the cloud has shown to give
-   * @param busyUntilS for each held machine that is up, when each of its lanes is free, from now
-   * @param bootingS for each held machine that is not up yet, when it will be
+   * @param held when the lanes of the machines held are free, booting ones included
+   * @param up held machines that are up
    * @param price highest price of the last minute
    * @param takeBack chance that a machine is taken back within a window
    */
@@ -34,20 +34,20 @@
       boolean spot,
       int least,
       int most,
-      List<double[]> busyUntilS,
-      List<Double> bootingS,
+      HeldLanes held,
+      int up,
       double price,
       double takeBack) {}
 
   /**
-   * One task of the dry run.
+   * Equal tasks of one job in the dry run.
    *
-   * @param allowed for each variable whether the task may run there
-   * @param arrivesS when it is there, 0 for waiting ones
-   * @param job index of its job
+   * @param allowed for each variable whether they may run there
+   * @param count how many
+   * @param arrivesS when they are there, 0 for waiting ones
    */
-  record DryTask(
-      boolean[] allowed, int lanes, double runS, double fetchGb, double arrivesS, int job) {}
+  record DryTasks(
+      boolean[] allowed, int count, int lanes, double runS, double fetchGb, double arrivesS) {}
 
   @Override
   public double[] lower() {
@@ -85,77 +85,56 @@
   }
 
   /**
-   * Places the tasks in order, each where it completes earliest; the mean of the jobs' makespans.
-   * The paper has one workflow, whose last task counts. Here each job is its user's workflow: with
-   * one makespan over all of them, a single long task would hide how long all others wait.
+   * Places the jobs' tasks in order, each where it completes earliest; the mean of the jobs'
+   * makespans. The paper has one workflow, whose last task counts. Here each job is its user's
+   * workflow: with one makespan over all of them, a single long task would hide how long all others
+   * wait. Equal tasks that start together are placed at once, so that thousands of them cost no
+   * more than a few.
    */
   double makespan(int[] n) {
-    double[][] free = new double[n.length][];
-    int[] old = new int[n.length];
+    FreeLanes[] free = new FreeLanes[n.length];
     for (int i = 0; i < n.length; i++) {
-      free[i] = lanes(slots.get(i), n[i]);
-      old[i] = Math.min(n[i], slots.get(i).busyUntilS().size());
+      SlotState s = slots.get(i);
+      int perMachine = Math.max(1, (int) Math.floor(s.type().cpus() / laneCpus + 1e-9));
+      free[i] = s.held().free(n[i], perMachine, s.type().bootS());
+    }
+    double sum = 0;
+    for (DryTasks t : tasks) {
+      sum += makespan(t, n, free);
     }
-    int jobs = tasks.isEmpty() ? 0 : tasks.stream().mapToInt(DryTask::job).max().getAsInt() + 1;
-    double[] ends = new double[jobs];
-    for (DryTask t : tasks) {
+    return tasks.isEmpty() ? 0 : sum / tasks.size();
+  }
+
+  private double makespan(DryTasks t, int[] n, FreeLanes[] free) {
+    double longest = 0;
+    for (int left = t.count(); left > 0; ) {
       int best = -1;
+      double bestStart = 0;
       double bestEnd = Double.POSITIVE_INFINITY;
-      for (int i = 0; i < n.length; i++) {
-        if (t.allowed()[i] && free[i].length >= t.lanes()) {
-          // With the lanes as a sorted row, a task that takes several starts at the last of them.
-          double start = Math.max(t.arrivesS(), free[i][t.lanes() - 1]);
-          double fetch =
-              start > 0 || old[i] == 0 ? t.fetchGb() / slots.get(i).type().fetchGbPerS() : 0;
-          double end = start + fetch + t.runS();
+      for (int i = 0; i < free.length; i++) {
+        if (t.allowed()[i] && free[i].total() >= t.lanes()) {
+          double start = Math.max(t.arrivesS(), free[i].start(t.lanes()));
+          double end = start + fetchS(t, slots.get(i), start) + t.runS();
           if (end < bestEnd) {
-            bestEnd = end;
             best = i;
+            bestStart = start;
+            bestEnd = end;
           }
         }
       }
       if (best < 0) {
         // Nowhere to run under this plan: worse than any place.
-        ends[t.job()] = Math.max(ends[t.job()], NOWHERE * (t.runS() + t.arrivesS() + 1));
-        continue;
+        return NOWHERE * (t.runS() + t.arrivesS() + 1);
       }
-      occupy(free[best], t.lanes(), bestEnd);
-      ends[t.job()] = Math.max(ends[t.job()], bestEnd - t.arrivesS());
+      int together = Math.max(1, Math.min(left, free[best].freeBy(bestStart) / t.lanes()));
+      free[best].occupy(together * t.lanes(), bestEnd);
+      longest = Math.max(longest, bestEnd - t.arrivesS());
+      left -= together;
     }
-    return jobs == 0 ? 0 : Arrays.stream(ends).sum() / jobs;
+    return longest;
   }
 
-  /** Takes the first lanes of a sorted row until {@code end}, keeping it sorted. */
-  private static void occupy(double[] row, int lanes, double end) {
-    int to = lanes;
-    while (to < row.length && row[to] < end) {
-      row[to - lanes] = row[to];
-      to++;
-    }
-    Arrays.fill(row, to - lanes, to, end);
-  }
-
-  private double[] lanes(SlotState s, int n) {
-    int perMachine = Math.max(1, (int) Math.floor(s.type().cpus() / laneCpus + 1e-9));
-    double[] out = new double[n * perMachine];
-    int at = 0;
-    int used = 0;
-    // Busy machines come first in the list: idle ones are those that a smaller plan gives up.
-    for (double[] until : s.busyUntilS()) {
-      if (used == n) {
-        break;
-      }
-      for (int l = 0; l < perMachine; l++) {
-        out[at++] = l < until.length ? until[l] : 0;
-      }
-      used++;
-    }
-    for (int k = 0; used < n; k++, used++) {
-      double ready = k < s.bootingS().size() ? s.bootingS().get(k) : s.type().bootS();
-      Arrays.fill(out, at, at + perMachine, ready);
-      at += perMachine;
-    }
-    Arrays.sort(out);
-    return out;
+  private static double fetchS(DryTasks t, SlotState slot, double start) {
+    return start > 0 || slot.up() == 0 ? t.fetchGb() / slot.type().fetchGbPerS() : 0;
   }
 }
--- a/src/main/java/dapplestair/state/Replica.java
+++ b/src/main/java/dapplestair/state/Replica.java
@@ -186,7 +186,7 @@
           }
           if (applied) {
             backoffMs = 0;
-            timers.after(eager.getAsBoolean() ? 10 : 60, () -> follow(gen));
+            timers.after(state.spacingMs(eager.getAsBoolean() ? 0.5 : 0.2), () -> follow(gen));
           } else {
             retry(() -> follow(gen));
           }
@@ -271,7 +271,7 @@
           if (nextBarrier.isEmpty()) {
             barrierRunning = false;
           } else {
-            timers.after(eager.getAsBoolean() ? 20 : 50, this::runBarrier);
+            timers.after(state.spacingMs(0.15), this::runBarrier);
           }
         });
   }
--- a/src/main/java/dapplestair/state/StateClient.java
+++ b/src/main/java/dapplestair/state/StateClient.java
@@ -101,6 +101,14 @@
     return timeoutMs;
   }
 
+  /**
+   * Pause between repeated requests that may take this part of a controller's share of the limit:
+   * hundreds of polls and changes a second must not use up what launches need.
+   */
+  long spacingMs(double part) {
+    return Math.round(1000 / Math.max(1, part * limits.rps() / controllers));
+  }
+
   /** How many transactions wait. */
   public int queued() {
     return queues.stream().mapToInt(ArrayDeque::size).sum();
--- a/src/main/java/dapplestair/workers/Host.java
+++ b/src/main/java/dapplestair/workers/Host.java
@@ -49,11 +49,16 @@
   private long idleSince;
 
   private final Map<String, Attempt> attempts = new HashMap<>();
+
+  // When each image is here, for those that are or are being fetched.
   private final Map<String, Long> images = new HashMap<>();
+  private long fetchesEndAt;
   private final Set<String> jobsFailed = new HashSet<>();
   private int completed;
   private int failuresInARow;
   private double slowness = 1;
+  private int holding;
+  private double serviceCpus;
   private double cpusUsed;
   private double gpusUsed;
   private double memoryUsed;
@@ -180,13 +185,7 @@
 
   /** CPUs that services use here. */
   public double serviceCpus() {
-    double sum = 0;
-    for (Attempt a : attempts.values()) {
-      if (!a.exited() && a.spec().service()) {
-        sum += a.spec().cpus();
-      }
-    }
-    return sum;
+    return serviceCpus;
   }
 
   /** When it was rented, or {@link Long#MAX_VALUE}. */
@@ -241,20 +240,27 @@
 
   /** True when no attempt holds room on it. */
   public boolean idle() {
-    return cpusUsed < 1e-6 && attempts.values().stream().allMatch(Attempt::exited);
+    return holding == 0;
   }
 
   /** Gives an attempt its room. */
   public void hold(Attempt a) {
     attempts.put(a.key(), a);
     use(a.spec(), 1);
+    if (!images.containsKey(a.spec().image())) {
+      fetchesEndAt = a.plannedAt() + Math.round(1000 * imageWaitS(a.spec(), a.plannedAt()));
+      images.put(a.spec().image(), fetchesEndAt);
+    }
   }
 
   /** Takes the room back; the attempt itself stays known until {@link #forget}. */
   public void vacate(Attempt a, long now) {
     use(a.spec(), -1);
-    if (cpusUsed < 1e-6) {
+    if (holding == 0) {
       cpusUsed = 0;
+      gpusUsed = 0;
+      memoryUsed = 0;
+      serviceCpus = 0;
       idleSince = now;
     }
   }
@@ -266,6 +272,10 @@
 
   private void use(Submission s, int sign) {
     cpusUsed += sign * s.cpus();
+    holding += sign;
+    if (s.service()) {
+      serviceCpus = Math.max(0, serviceCpus + sign * s.cpus());
+    }
     gpusUsed += sign * s.gpus();
     memoryUsed += sign * s.memoryGb();
   }
@@ -305,14 +315,22 @@
         && (s.spot() || !spot);
   }
 
-  /** True when the image is there. */
-  public boolean hasImage(String image) {
-    return images.containsKey(image);
+  /** Seconds until a task that needs this image could start here; fetches share one rate. */
+  public double imageWaitS(Submission s, long now) {
+    Long ready = images.get(s.image());
+    if (ready != null) {
+      return Math.max(0, ready - now) / 1000.0;
+    }
+    return Math.max(0, fetchesEndAt - now) / 1000.0 + fetchS(s);
+  }
+
+  private double fetchS(Submission s) {
+    return type == null ? 0 : s.imageGb() / type.fetchGbPerS();
   }
 
   /** The image was seen in use here. */
   public void imageSeen(String image, long now) {
-    images.put(image, now);
+    images.put(image, Math.min(now, images.getOrDefault(image, now)));
   }
 
   /** A task completed here. */
--- a/src/main/java/dapplestair/workers/Report.java
+++ b/src/main/java/dapplestair/workers/Report.java
@@ -33,8 +33,12 @@
     EXITED
   }
 
-  /** One task; {@code cause} is null unless it has exited. */
-  public record Task(String key, long attempt, Status status, String cause) {}
+  /** One task; {@code cause} is null unless it has exited, {@code stored} if it saved then. */
+  public record Task(String key, long attempt, Status status, String cause, boolean stored) {
+    Task(String key, long attempt, Status status) {
+      this(key, attempt, status, null, false);
+    }
+  }
 
   /** Reads a report, or gives null when it makes no sense. */
   public static Report parse(JsonNode n) {
@@ -83,15 +87,20 @@
       return null;
     }
     return switch (status) {
-      case "fetching" -> new Task(key, attempt, Status.FETCHING, null);
-      case "running" -> new Task(key, attempt, Status.RUNNING, null);
-      case "flushing" -> new Task(key, attempt, Status.FLUSHING, null);
+      case "fetching" -> new Task(key, attempt, Status.FETCHING);
+      case "running" -> new Task(key, attempt, Status.RUNNING);
+      case "flushing" -> new Task(key, attempt, Status.FLUSHING);
       case "exited" -> {
         String cause = Json.text(t, "cause");
-        yield new Task(key, attempt, Status.EXITED, cause == null ? "stopped" : cause);
+        yield new Task(
+            key,
+            attempt,
+            Status.EXITED,
+            cause == null ? "stopped" : cause,
+            Json.flag(t, "stored"));
       }
       // A state that we do not know of still occupies the machine.
-      default -> new Task(key, attempt, Status.RUNNING, null);
+      default -> new Task(key, attempt, Status.RUNNING);
     };
   }
 
