--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -594,7 +594,7 @@
     long term = leadership.term();
     state.commit(
         txn,
-        Priority.LAUNCH,
+        Priority.FLEET,
         settings.workers().reportMs(),
         outcome -> {
           r.writing = false;
--- a/src/main/java/dapplestair/leadership/Leadership.java
+++ b/src/main/java/dapplestair/leadership/Leadership.java
@@ -73,7 +73,8 @@
     this.peers = peers;
     this.listener = listener;
     this.incarnation = new UUID(random.nextLong(), random.nextLong()).toString();
-    this.ttlMs = settings.workers().reportMs();
+    // Short against the leases that a new leader must find alive, whatever the report interval.
+    this.ttlMs = Math.min(settings.workers().reportMs(), settings.workers().leaseMs() / 10);
   }
 
   /** Takes part from now on. */
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -11,6 +11,7 @@
 import dapplestair.metrics.Metrics;
 import dapplestair.peers.PeerStatus;
 import dapplestair.peers.Peers;
+import dapplestair.placement.Departures;
 import dapplestair.placement.Estimates;
 import dapplestair.placement.Placer;
 import dapplestair.planning.DemandView;
@@ -45,6 +46,7 @@
   private final WorkerDesk workers;
   private final Fleet fleet;
   private final Placer placer;
+  private final Departures departures;
   private final DemandView demand;
   private final Planning planning;
   private final Replica replica;
@@ -69,6 +71,7 @@
     demand = new DemandView(clock, settings, ledger, workers, fleet, types, estimates);
     placer =
         new Placer(clock, timers, settings, ledger, workers, estimates, demand::roomForServices);
+    departures = new Departures(clock, ledger, estimates);
     replica =
         new Replica(state, timers, outside.random(), leadership::leading, new ReplicaEvents());
     planning =
@@ -184,6 +187,9 @@
   }
 
   private void hostChanged(Host host) {
+    if (host.recalled() && !host.gone()) {
+      departures.leave(host);
+    }
     placer.nudge();
   }
 
--- /dev/null
+++ b/src/main/java/dapplestair/placement/Departures.java
@@ -0,0 +1,43 @@
+package dapplestair.placement;
+
+import dapplestair.ledger.Attempt;
+import dapplestair.ledger.Ledger;
+import dapplestair.ports.Clock;
+import dapplestair.workers.Host;
+import java.util.List;
+
+/**
+ * Stops what cannot end on a machine before the cloud takes it, so that it begins elsewhere at once
+ * instead of after the machine is gone. What may still end there stays.
+ */
+public final class Departures {
+  // Owners' guesses are often wrong by half: unsaved work is given up only when it is well over.
+  private static final double SURELY_LATE = 1.5;
+
+  private final Clock clock;
+  private final Ledger ledger;
+  private final Estimates estimates;
+
+  /** Judges by these estimates. */
+  public Departures(Clock clock, Ledger ledger, Estimates estimates) {
+    this.clock = clock;
+    this.ledger = ledger;
+    this.estimates = estimates;
+  }
+
+  /** A notice has come for this machine. */
+  public void leave(Host host) {
+    double noticeS = (host.recallAt() - clock.now()) / 1000.0;
+    for (Attempt a : List.copyOf(host.attempts())) {
+      if (a.exited() || a.halting() || a.spec().gang()) {
+        continue;
+      }
+      double saveS = a.spec().saves() ? a.spec().saveS() : 0;
+      double left = a.spec().service() ? noticeS : estimates.leftS(a, host, clock.now());
+      double most = a.spec().saves() ? noticeS - saveS : SURELY_LATE * noticeS;
+      if (left > most) {
+        ledger.halt(a, Math.max(0, Math.min(2 * saveS, noticeS)));
+      }
+    }
+  }
+}
--- a/src/main/java/dapplestair/state/StateClient.java
+++ b/src/main/java/dapplestair/state/StateClient.java
@@ -17,13 +17,15 @@
 
 /**
  * Requests to the state service within this controller's share of its limits. Transactions wait in
- * three bounded queues, the users' first.
+ * bounded queues by their priority.
  */
 public final class StateClient {
   private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
 
   /** Which transactions go first. */
   public enum Priority {
+    /** Few, and everything else waits for the machines they bring. */
+    FLEET,
     /** A user waits for it. */
     USER,
     /** A task waits for it. */
@@ -58,7 +60,7 @@
   private final TokenBucket requests;
   private final TokenBucket writes;
   private final List<ArrayDeque<Queued>> queues =
-      List.of(new ArrayDeque<>(), new ArrayDeque<>(), new ArrayDeque<>());
+      List.of(new ArrayDeque<>(), new ArrayDeque<>(), new ArrayDeque<>(), new ArrayDeque<>());
   private int inFlight;
   private boolean pumping;
   private boolean reachable;
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -38,6 +38,9 @@
   }
 
   private static final int MOST_ORDERS = 200;
+  // Reports are up to a quarter late; two calls without an answer come on top.
+  private static final double OVERDUE = 1.35;
+  private static final double SILENT = 1.9;
   private static final int MOST_GONE_REMEMBERED = 4000;
   // Twice the drift that clocks may have, with as much again for rounding.
   private static final double DRIFT = 0.002;
@@ -52,6 +55,7 @@
   private final Listener listener;
   private final long reportMs;
   private final long leaseMs;
+  private final long callMs;
   private final Map<String, Host> hosts = new LinkedHashMap<>();
   private final Set<String> goneHosts = new HashSet<>();
   private final Set<String> flushing = new HashSet<>();
@@ -80,6 +84,7 @@
     this.listener = listener;
     this.reportMs = settings.workers().reportMs();
     this.leaseMs = settings.workers().leaseMs();
+    this.callMs = Math.min(reportMs / 2, leaseMs / 16);
   }
 
   // ---- machines ----
@@ -127,7 +132,7 @@
   /** True when it was asked several times and has been silent for a while. */
   public boolean silent(Host host) {
     return host.expectedUp()
-        && clock.now() - Math.max(host.heardAt, host.knownSince()) > 2.4 * reportMs
+        && clock.now() - Math.max(host.heardAt, host.knownSince()) > SILENT * reportMs
         && host.failedCalls >= 2
         && clock.now() > judgeAgainAt;
   }
@@ -180,7 +185,7 @@
       }
       repeatHalts(h, now);
       // A machine that misses its report is asked at once.
-      boolean overdue = h.up() && now - h.heardAt > 1.4 * reportMs;
+      boolean overdue = h.up() && now - h.heardAt > OVERDUE * reportMs;
       boolean unknown = !h.acknowledged && h.endpoint != null;
       if (overdue || (unknown && h.expectedUp())) {
         send(h, true);
@@ -273,7 +278,7 @@
         "POST",
         "/orders",
         Json.bytes(body),
-        reportMs / 2,
+        callMs,
         reply -> {
           if (leading && leadership.term() == term) {
             host.calling = false;
