--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -355,7 +355,7 @@
     if (h.releasing()) {
       return;
     }
-    if (desk.silent(h) && zoneAnswers(h)) {
+    if (h.outOfReach() && givenUp(h)) {
       LOG.info("{} is silent: returning it", h.id());
       noteTaken(h);
       forceRelease(h);
@@ -375,20 +375,32 @@
   }
 
   /**
-   * A silent machine is given up only while others in its zone answer, or when it is one of few: if
-   * a whole zone is silent, it is rather the way there that is cut, and its tasks run on.
+   * A silent machine is given up only if another one in its zone was heard since this one should
+   * have been: if a whole zone is silent, it is rather the way there that is cut, and its tasks run
+   * on. Such a zone is waited for until its leases have run out, and longer where a controller may
+   * be keeping them.
    */
-  private boolean zoneAnswers(Host silent) {
-    int others = 0;
+  private boolean givenUp(Host silent) {
+    boolean zoneKnown = false;
+    boolean anyFresh = false;
     for (Host h : desk.hosts()) {
-      if (h != silent && h.up() && h.zone() != null && h.zone().equals(silent.zone())) {
-        others++;
-        if (desk.fresh(h)) {
+      if (h == silent || !h.up()) {
+        continue;
+      }
+      anyFresh |= desk.fresh(h);
+      if (h.zone() != null && h.zone().equals(silent.zone())) {
+        if (desk.heardSinceMissing(h, silent)) {
           return true;
         }
+        zoneKnown = true;
       }
     }
-    return others == 0 && desk.hosts().stream().anyMatch(desk::fresh);
+    long patience = settings.workers().leaseMs() * (controllerIn(silent.zone()) ? 3 : 1);
+    return anyFresh && (!zoneKnown || desk.silentMs(silent) > patience * 5 / 4);
+  }
+
+  private boolean controllerIn(String zone) {
+    return settings.peers().stream().anyMatch(p -> p.zone().equals(zone));
   }
 
   /**
@@ -424,11 +436,14 @@
 
   /** Withdrawn work must be gone in time, reachable or not: a release is always a proof. */
   private boolean unstoppable(Host h, long now) {
+    // Behind a cut it may yet be proved otherwise, and a release would end all else there: half of
+    // the time is left for the cloud's own troubles.
+    long patience = settings.workers().cancelMs() / (h.outOfReach() ? 2 : 4);
     for (Attempt a : h.attempts()) {
       if (a.job().over()
           && a.halting()
           && !a.exited()
-          && now - a.haltAt() > settings.workers().cancelMs() / 4) {
+          && now - a.haltAt() > patience) {
         return true;
       }
     }
@@ -502,6 +517,7 @@
         && !h.releasing()
         && !h.draining()
         && !h.recalled()
+        && !h.outOfReach()
         && h.type() != null
         && h.type().name().equals(slot.type())
         && h.spot() == slot.spot();
--- a/src/main/java/dapplestair/leadership/Leadership.java
+++ b/src/main/java/dapplestair/leadership/Leadership.java
@@ -54,6 +54,7 @@
   private long term;
   private boolean leading;
   private boolean busy;
+  private long campaignAgainAt = Long.MIN_VALUE;
   private Cancellable timer = () -> {};
 
   /** Not yet taking part; see {@link #start}. */
@@ -144,6 +145,16 @@
     }
   }
 
+  /** Gives the lead away for a while, since another controller can do better. */
+  public void resign(String why) {
+    if (leading) {
+      state.endHold(hold);
+      hold = 0;
+      campaignAgainAt = clock.now() + settings.workers().leaseMs();
+      stepDown(why);
+    }
+  }
+
   private void stepDown(String why) {
     LOG.info("leading no more: {}", why);
     leading = false;
@@ -156,13 +167,17 @@
   private void tick() {
     if (leading) {
       extend();
-    } else if (replica.ready() && state.reachable() && !busy && vacant()) {
+    } else if (replica.ready() && state.reachable() && !busy && vacant() && mayCampaign()) {
       campaign();
     }
     long every = leading ? ttlMs / 4 : ttlMs / 40;
     timer = timers.after(every / 2 + random.nextLong(Math.max(1, every)), this::tick);
   }
 
+  private boolean mayCampaign() {
+    return clock.now() >= campaignAgainAt || peers.alone();
+  }
+
   private boolean vacant() {
     if (replica.stamp(Keys.LEADER) == 0) {
       return true;
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -66,7 +66,16 @@
     ledger = new Ledger(clock, timers, settings, state, leadership, new LedgerHooks());
     workers =
         new WorkerDesk(
-            clock, timers, outside.http(), settings, leadership, types, ledger, this::hostChanged);
+            clock,
+            timers,
+            outside.http(),
+            settings,
+            leadership,
+            peers,
+            state,
+            types,
+            ledger,
+            this::hostChanged);
     fleet = new Fleet(clock, timers, outside.http(), settings, state, leadership, types, workers);
     demand = new DemandView(clock, settings, ledger, workers, fleet, types, estimates);
     placer =
@@ -93,6 +102,7 @@
   public void start() {
     LOG.info("{} in {} starts", settings.member(), settings.zone());
     replica.reload();
+    workers.start();
     peers.start();
     leadership.start(replica);
     summarise();
@@ -179,7 +189,8 @@
         leadership.leading() ? leadership.term() : leadership.termSeen(),
         leadership.leader(),
         state.reachable(),
-        replica.ready() && types.known());
+        replica.ready() && types.known(),
+        workers.beatsLately());
   }
 
   private void peerStatus(PeerStatus status) {
--- a/src/main/java/dapplestair/peers/PeerStatus.java
+++ b/src/main/java/dapplestair/peers/PeerStatus.java
@@ -7,5 +7,6 @@
  * @param leader the leader of that term as it knows it, or null
  * @param stateReachable whether the state service serves it
  * @param ready whether it can take requests
+ * @param beats reports of workers that lately came to it
  */
-public record PeerStatus(long term, String leader, boolean stateReachable, boolean ready) {}
+public record PeerStatus(long term, String leader, boolean stateReachable, boolean ready, int beats) {}
--- a/src/main/java/dapplestair/peers/Peers.java
+++ b/src/main/java/dapplestair/peers/Peers.java
@@ -68,6 +68,8 @@
     Peer peer = peers.get(member);
     if (peer != null && message instanceof PeerStatus status) {
       peer.heardAt = clock.now();
+      // Whoever speaks has not ended, though its port may refuse us.
+      peer.gone = false;
       peer.status = status;
       heard.accept(status);
     }
@@ -123,6 +125,17 @@
                     && e.getValue().status.ready());
   }
 
+  /** True when a living peer that could lead hears workers. */
+  public boolean othersHear() {
+    return peers.entrySet().stream()
+        .anyMatch(
+            e ->
+                alive(e.getKey())
+                    && e.getValue().status != null
+                    && e.getValue().status.stateReachable()
+                    && e.getValue().status.beats() > 0);
+  }
+
   /** True when no peer is known to live. */
   public boolean alone() {
     return peers.keySet().stream().noneMatch(this::alive);
--- a/src/main/java/dapplestair/state/StateClient.java
+++ b/src/main/java/dapplestair/state/StateClient.java
@@ -269,6 +269,12 @@
         reply -> done.accept(note(reply).status()));
   }
 
+  /** Ends a hold at once, if the request gets through. */
+  public void endHold(long hold) {
+    requests.take(1);
+    http.call(endpoint, "DELETE", "/holds/" + hold, null, timeoutMs, this::note);
+  }
+
   private static JsonNode body(HttpReply reply) {
     return Json.parse(reply.ok() ? reply.body() : new byte[0]);
   }
--- a/src/main/java/dapplestair/workers/Host.java
+++ b/src/main/java/dapplestair/workers/Host.java
@@ -28,7 +28,6 @@
 
   // What we may conclude from it.
   long fence;
-  long leaseBase;
   boolean acknowledged;
 
   // Orders.
@@ -46,6 +45,7 @@
   private boolean draining;
   private boolean cordoned;
   private boolean saidUp;
+  private boolean outOfReach;
   private long idleSince;
 
   private final Map<String, Attempt> attempts = new HashMap<>();
@@ -218,6 +218,15 @@
     return up() || saidUp;
   }
 
+  /** True when it has been silent for long enough that its room is no room. */
+  public boolean outOfReach() {
+    return outOfReach;
+  }
+
+  void setOutOfReach(boolean value) {
+    outOfReach = value;
+  }
+
   /** True when its address is known. */
   public boolean addressed() {
     return endpoint != null;
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -9,6 +9,7 @@
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Ledger;
+import dapplestair.peers.Peers;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
 import dapplestair.ports.Exchange;
@@ -16,6 +17,7 @@
 import dapplestair.ports.HttpReply;
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
+import dapplestair.state.StateClient;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -42,9 +44,6 @@
   private static final double OVERDUE = 1.35;
   private static final double SILENT = 1.9;
   private static final int MOST_GONE_REMEMBERED = 4000;
-  // Twice the drift that clocks may have, with as much again for rounding.
-  private static final double DRIFT = 0.002;
-
   private final Clock clock;
   private final Timers timers;
   private final HttpCaller http;
@@ -60,7 +59,13 @@
   private final Set<String> goneHosts = new HashSet<>();
   private final Set<String> flushing = new HashSet<>();
   private Cancellable timer = () -> {};
+  private Cancellable counting = () -> {};
+  private final Peers peers;
+  private final StateClient state;
   private boolean leading;
+  private int beats;
+  private int beatsBefore;
+  private long leadingSince;
   private long tickDue;
   private long judgeAgainAt;
 
@@ -71,6 +76,8 @@
       HttpCaller http,
       Settings settings,
       Leadership leadership,
+      Peers peers,
+      StateClient state,
       MachineTypes types,
       Ledger ledger,
       Listener listener) {
@@ -79,6 +86,8 @@
     this.http = http;
     this.settings = settings;
     this.leadership = leadership;
+    this.peers = peers;
+    this.state = state;
     this.types = types;
     this.ledger = ledger;
     this.listener = listener;
@@ -87,6 +96,11 @@
     this.callMs = Math.min(reportMs / 2, leaseMs / 16);
   }
 
+  /** Begins to count what comes. */
+  public void start() {
+    countBeats();
+  }
+
   // ---- machines ----
 
   /** All machines not proved to be gone. */
@@ -129,6 +143,17 @@
     return clock.now() - host.heardAt < 2 * reportMs && host.failedCalls == 0;
   }
 
+  /** True when it was heard at a time when this other machine should have been heard again. */
+  public boolean heardSinceMissing(Host host, Host other) {
+    long missed = Math.max(other.heardAt, other.knownSince());
+    return host.heardAt > missed + OVERDUE * reportMs;
+  }
+
+  /** How long nothing was heard of it. */
+  public long silentMs(Host host) {
+    return clock.now() - Math.max(host.heardAt, host.knownSince());
+  }
+
   /** True when it was asked several times and has been silent for a while. */
   public boolean silent(Host host) {
     return host.expectedUp()
@@ -146,6 +171,7 @@
       reach(h);
     }
     tickDue = clock.now();
+    leadingSince = clock.now();
     judgeAgainAt = clock.now() + reportMs;
     tick();
   }
@@ -177,12 +203,7 @@
       judgeAgainAt = now + 2 * reportMs;
     }
     for (Host h : List.copyOf(hosts.values())) {
-      if (leaseOver(h, now)) {
-        LOG.info("the lease of {} has run out", h.id());
-        h.acknowledged = false;
-        ledger.allAbsent(h);
-        listener.hostChanged(h);
-      }
+      h.setOutOfReach(silent(h));
       repeatHalts(h, now);
       // A machine that misses its report is asked at once.
       boolean overdue = h.up() && now - h.heardAt > OVERDUE * reportMs;
@@ -193,18 +214,15 @@
         send(h, false);
       }
     }
+    if (hearsNobody(now) && peers.othersHear()) {
+      // Cut off from the workers alone: their leases would run out while this controller leads.
+      leadership.resign("the workers are heard by others only");
+      return;
+    }
     tickDue = now + reportMs / 8;
     timer = timers.after(reportMs / 8, this::tick);
   }
 
-  /**
-   * True when the worker must have killed its tasks. Counted only from reports answered after it
-   * had shown a token of this term: an earlier leader's answers cannot have renewed it since.
-   */
-  private boolean leaseOver(Host h, long now) {
-    return h.acknowledged && now - h.leaseBase > leaseMs * (1 + DRIFT) + reportMs / 4.0;
-  }
-
   private void repeatHalts(Host h, long now) {
     for (Attempt a : h.attempts()) {
       if (a.halting() && !a.exited() && now - a.lastHaltAt() > reportMs / 2) {
@@ -362,13 +380,9 @@
     // A higher token means that somebody else leads by now. To be looked at before any 200: a
     // worker that has to drop a 200 stays here while its lease runs out.
     leadership.termShown(Baton.term(r.token()));
+    beats++;
     if (!leading || !leadership.leading()) {
-      ObjectNode answer = Json.object();
-      String steward = leadership.leader();
-      if (steward != null && !steward.equals(settings.member())) {
-        answer.put("steward", steward);
-      }
-      exchange.reply(421, Json.bytes(answer), 0);
+      redirect(exchange, r);
       return;
     }
     if (goneHosts.contains(r.host())) {
@@ -376,9 +390,6 @@
       return;
     }
     Host host = host(r.host());
-    if (r.session() >= host.session) {
-      host.leaseBase = clock.now();
-    }
     ObjectNode answer = Json.object();
     apply(host, r);
     answer.put("baton", token(host));
@@ -386,6 +397,52 @@
     exchange.reply(200, Json.bytes(answer), 0);
   }
 
+  /**
+   * Shows the way to the leader. In a zone that is cut off, or while nobody can lead, there is none
+   * to be reached, and the worker's tasks would end with its lease for nothing: then its own token
+   * is good, which any controller may show as long as it knows of no higher term. Nobody takes the
+   * end of a lease for a proof of absence, so this endangers no rule.
+   */
+  private void redirect(Exchange exchange, Report r) {
+    String steward = leadership.leader();
+    boolean known = steward != null && !steward.equals(settings.member());
+    boolean alone = !state.reachable() && !(known && peers.alive(steward));
+    if (alone && Baton.term(r.token()) >= leadership.termSeen()) {
+      ObjectNode answer = Json.object().put("baton", r.token());
+      answer.putArray("orders");
+      exchange.reply(200, Json.bytes(answer), 0);
+      return;
+    }
+    ObjectNode answer = Json.object();
+    if (known) {
+      answer.put("steward", steward);
+    }
+    exchange.reply(421, Json.bytes(answer), 0);
+  }
+
+  /** Reports that came to this controller lately, whoever leads. */
+  public int beatsLately() {
+    return beats + beatsBefore;
+  }
+
+  private void countBeats() {
+    beatsBefore = beats;
+    beats = 0;
+    counting = timers.after(reportMs / 2, this::countBeats);
+  }
+
+  /** True when machines are there, and not one of them was heard for longer than any report takes. */
+  private boolean hearsNobody(long now) {
+    boolean any = false;
+    for (Host h : hosts.values()) {
+      if (now - h.heardAt < SILENT * reportMs) {
+        return false;
+      }
+      any |= h.up();
+    }
+    return any && now > judgeAgainAt && now - leadingSince > 3 * reportMs;
+  }
+
   private void apply(Host host, Report r) {
     leadership.termShown(Baton.term(r.token()));
     if (!leading || !leadership.leading()) {
@@ -404,7 +461,6 @@
     host.describe(r.endpoint(), types.get(r.type()), r.zone(), r.spot());
     if (!host.acknowledged && r.token() >= Baton.of(leadership.term(), 0)) {
       host.acknowledged = true;
-      host.leaseBase = clock.now();
     }
     boolean recalledBefore = host.recalled();
     host.recallAt =
@@ -437,6 +493,7 @@
 
   @Override
   public void close() {
+    counting.cancel();
     timer.cancel();
   }
 }
--- a/src/test/java/dapplestair/world/SeededDaysTest.java
+++ b/src/test/java/dapplestair/world/SeededDaysTest.java
@@ -1,6 +1,7 @@
 package dapplestair.world;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.params.ParameterizedTest;
@@ -40,6 +41,58 @@
     assertTrue(world.checker.started > 100, "only " + world.checker.started + " tasks started");
   }
 
+  /** A zone with a controller is cut off for longer than a lease: its tasks go on. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {401, 402, 403, 404})
+  void aZoneCutOffKeepsItsWork(long seed) {
+    World world = new World(seed);
+    world.net.loss = 0;
+    world.run(60_000);
+    World.Node follower = world.nodes.get((world.leader().index + 1) % 3);
+    String zone = follower.settings.zone();
+    world.cutOff(follower, m -> m.zone.equals(zone), World.LEASE_MS * 4 / 3);
+    world.run(2 * World.LEASE_MS);
+    assertEquals(0, world.cloud.killedByLease, "tasks killed by the end of a lease");
+    settle(world);
+  }
+
+  /** The leader alone loses the workers: another one takes over before their leases run out. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {501, 502, 503, 504})
+  void aLeaderThatHearsNoWorkerGivesWay(long seed) {
+    World world = new World(seed);
+    world.net.loss = 0;
+    world.run(60_000);
+    World.Node leader = world.leader();
+    for (int i = 0; i < 400; i++) {
+      // Machines that come up meanwhile are out of its reach as well.
+      for (StandInWorker m : world.cloud.machines.values()) {
+        world.net.cut("node-" + leader.index, m.endpoint, false);
+        world.net.cut(World.client(leader.index), m.endpoint, false);
+      }
+      world.run(100);
+    }
+    for (StandInWorker m : world.cloud.machines.values()) {
+      world.net.heal("node-" + leader.index, m.endpoint);
+      world.net.heal(World.client(leader.index), m.endpoint);
+    }
+    assertEquals(0, world.cloud.killedByLease, "tasks killed by the end of a lease");
+    assertNotEquals(leader, world.leader());
+    settle(world);
+  }
+
+  /** No troubles and no new jobs from now on: everything accepted ends. */
+  private static void settle(World world) {
+    world.users.quiet = true;
+    world.run(CALM_MS);
+    for (Users.Told job : world.users.told.values()) {
+      assertTrue(
+          !job.accepted || job.service || job.done || job.aborted,
+          () -> job.ref + " was accepted but never ended: " + job.body);
+    }
+    assertTrue(world.checker.started > 50, "only " + world.checker.started + " tasks started");
+  }
+
   /** Launches on their way while newer reports, which lack them, come through. */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {301, 302, 303, 304, 305, 306})
@@ -70,14 +123,7 @@
       troubles.begin(troubleEveryMs);
       world.run(ROUGH_MS);
       troubles.end();
-      world.users.quiet = true;
-      world.run(CALM_MS);
-      for (Users.Told job : world.users.told.values()) {
-        assertTrue(
-            !job.accepted || job.service || job.done || job.aborted,
-            () -> job.ref + " was accepted but never ended: " + job.body);
-      }
-      assertTrue(world.checker.started > 100, "only " + world.checker.started + " tasks started");
+      settle(world);
     } catch (AssertionError e) {
       throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
     }
--- a/src/test/java/dapplestair/world/StandInCloud.java
+++ b/src/test/java/dapplestair/world/StandInCloud.java
@@ -28,6 +28,7 @@
   boolean short_;
   String violation;
   int killedByRelease;
+  int killedByLease;
   private int made;
 
   StandInCloud(World world) {
--- a/src/test/java/dapplestair/world/StandInState.java
+++ b/src/test/java/dapplestair/world/StandInState.java
@@ -138,6 +138,9 @@
       long h = Long.parseLong(path.split("/")[2]);
       if (!holdEnds.containsKey(h)) {
         reply.accept(json(404, Json.object()));
+      } else if (method.equals("DELETE")) {
+        endHold(h);
+        reply.accept(json(200, Json.object()));
       } else {
         holdEnds.put(h, sim.now() + holdTtl.get(h));
         reply.accept(json(200, Json.object()));
--- a/src/test/java/dapplestair/world/StandInWorker.java
+++ b/src/test/java/dapplestair/world/StandInWorker.java
@@ -104,6 +104,7 @@
   private void checkLease() {
     // A hanging machine may resume only within its lease: past it, its tasks are gone as well.
     if (!gone && world.sim.now() - leaseFrom > World.LEASE_MS) {
+      world.cloud.killedByLease += (int) tasks.values().stream().filter(Task::onMachine).count();
       tasks.clear();
       tenure++;
       generation++;
--- a/src/test/java/dapplestair/world/World.java
+++ b/src/test/java/dapplestair/world/World.java
@@ -12,9 +12,12 @@
 import dapplestair.settings.Operator;
 import dapplestair.settings.Settings;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -63,12 +66,12 @@
     List<Settings.Peer> peers = new ArrayList<>();
     for (int k = 0; k < 3; k++) {
       if (k != i) {
-        peers.add(new Settings.Peer("node-" + k, "a", new Settings.Address("node-" + k, 8081)));
+        peers.add(new Settings.Peer("node-" + k, ZONES.get(k), new Settings.Address("node-" + k, 8081)));
       }
     }
     return new Settings(
         "node-" + i,
-        "a",
+        ZONES.get(i),
         new Settings.Address("node-" + i, 8080),
         new Settings.Address("node-" + i, 8081),
         peers,
@@ -85,6 +88,27 @@
         new Settings.Resources(0.425, 263, 1800));
   }
 
+  /** The node that leads by the state service's word, or null. */
+  Node leader() {
+    var value = state.view.get("live/leader");
+    return value == null ? null : nodes.get(index(value.path("member").asText()));
+  }
+
+  /** Cuts a node and some machines off from everything else, for a while. */
+  void cutOff(Node node, Predicate<StandInWorker> with, long ms) {
+    Set<String> inside = new LinkedHashSet<>(List.of("node-" + node.index, client(node.index)));
+    Set<String> outside = new LinkedHashSet<>(List.of("state:1", "cloud:1", "users"));
+    for (Node n : nodes) {
+      if (n != node) {
+        outside.add("node-" + n.index);
+        outside.add(client(n.index));
+      }
+    }
+    cloud.machines.values().forEach(m -> (with.test(m) ? inside : outside).add(m.endpoint));
+    inside.forEach(a -> outside.forEach(b -> net.cut(a, b, false)));
+    sim.after(ms, () -> inside.forEach(a -> outside.forEach(b -> net.heal(a, b))));
+  }
+
   /** Runs for a while, checking the rules after each step. */
   void run(long ms) {
     long end = sim.now() + ms;
