--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -26,6 +26,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -375,25 +376,19 @@
   }
 
   /**
-   * A silent machine is given up only if another one in its zone was heard since this one should
-   * have been: if a whole zone is silent, it is rather the way there that is cut, and its tasks run
-   * on. Such a zone is waited for until its leases have run out, and longer where a controller may
-   * be keeping them.
+   * A silent machine is given up only while its zone is heard: if a whole zone is silent, it is
+   * rather the way there that is cut, and its tasks run on. Such a zone is waited for until its
+   * leases have run out, and longer where a controller may be keeping them.
    */
   private boolean givenUp(Host silent) {
+    if (desk.zoneHeard(silent)) {
+      return true;
+    }
     boolean zoneKnown = false;
     boolean anyFresh = false;
     for (Host h : desk.hosts()) {
-      if (h == silent || !h.up()) {
-        continue;
-      }
       anyFresh |= desk.fresh(h);
-      if (h.zone() != null && h.zone().equals(silent.zone())) {
-        if (desk.heardSinceMissing(h, silent)) {
-          return true;
-        }
-        zoneKnown = true;
-      }
+      zoneKnown |= h != silent && h.expectedUp() && Objects.equals(h.zone(), silent.zone());
     }
     long patience = settings.workers().leaseMs() * (controllerIn(silent.zone()) ? 3 : 1);
     return anyFresh && (!zoneKnown || desk.silentMs(silent) > patience * 5 / 4);
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -73,7 +73,7 @@
   private static final int BYTES_PER_ATTEMPT = 64;
 
   // Of the state service's puts: what nobody waits for may take no more, however much ends.
-  private static final double BOOKKEEPING_SHARE = 0.2;
+  private static final double BOOKKEEPING_SHARE = 0.12;
 
   private final Clock clock;
   private final Timers timers;
@@ -634,7 +634,7 @@
   private long gatherMs() {
     long least = settings.workers().reportMs() / 8;
     long paced = Math.round(1000 * gathering.size() / bookkeepingPerS);
-    return Math.max(least, Math.min(paced, settings.workers().leaseMs() / 3));
+    return Math.max(least, Math.min(paced, settings.workers().leaseMs() / 2));
   }
 
   private void flush(Job job, Chunk c) {
@@ -785,7 +785,7 @@
     long finishTerm = term;
     state.commit(
         txn,
-        Priority.LAUNCH,
+        Priority.FINISH,
         settings.workers().reportMs(),
         outcome -> {
           if (!building || term != finishTerm || job.over) {
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -190,11 +190,15 @@
         leadership.leader(),
         state.reachable(),
         replica.ready() && types.known(),
-        workers.beatsLately());
+        workers.beatsLately(),
+        (float) state.wanted());
   }
 
   private void peerStatus(PeerStatus status) {
     leadership.termShown(status.term());
+    if (leadership.leading()) {
+      state.othersUse(peers.puts());
+    }
   }
 
   private void hostChanged(Host host) {
--- a/src/main/java/dapplestair/peers/PeerStatus.java
+++ b/src/main/java/dapplestair/peers/PeerStatus.java
@@ -8,5 +8,6 @@
  * @param stateReachable whether the state service serves it
  * @param ready whether it can take requests
  * @param beats reports of workers that lately came to it
+ * @param puts puts a second that it makes or would make
  */
-public record PeerStatus(long term, String leader, boolean stateReachable, boolean ready, int beats) {}
+public record PeerStatus(long term, String leader, boolean stateReachable, boolean ready, int beats, float puts) {}
--- a/src/main/java/dapplestair/peers/Peers.java
+++ b/src/main/java/dapplestair/peers/Peers.java
@@ -136,6 +136,14 @@
                     && e.getValue().status.beats() > 0);
   }
 
+  /** Puts a second that living peers make or want to. */
+  public double puts() {
+    return peers.entrySet().stream()
+        .filter(e -> alive(e.getKey()) && e.getValue().status != null)
+        .mapToDouble(e -> e.getValue().status.puts())
+        .sum();
+  }
+
   /** True when no peer is known to live. */
   public boolean alone() {
     return peers.keySet().stream().noneMatch(this::alive);
--- a/src/main/java/dapplestair/state/StateClient.java
+++ b/src/main/java/dapplestair/state/StateClient.java
@@ -8,6 +8,7 @@
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -30,6 +31,8 @@
     USER,
     /** A task waits for it. */
     LAUNCH,
+    /** Somebody waits to hear that all is done. */
+    FINISH,
     /** Nobody waits for it. */
     BOOKKEEPING
   }
@@ -46,6 +49,9 @@
   private static final int MOST_IN_FLIGHT = 6;
   // The leader writes attempts, the others only what users ask of them: shares of the limits.
   private static final double LEADER_SHARE = 0.6;
+  // What the others leave unused is the leader's too, less what they may need before it hears.
+  private static final double HELD_BACK = 0.1;
+  private static final long USE_WINDOW_MS = 1000;
   private static final double SAFETY = 0.92;
 
   private record Queued(Txn txn, long deadline, Consumer<Outcome> done) {}
@@ -60,8 +66,11 @@
   private final TokenBucket requests;
   private final TokenBucket writes;
   private final List<ArrayDeque<Queued>> queues =
-      List.of(new ArrayDeque<>(), new ArrayDeque<>(), new ArrayDeque<>(), new ArrayDeque<>());
+      Arrays.stream(Priority.values()).map(p -> new ArrayDeque<Queued>()).toList();
   private int inFlight;
+  private int used;
+  private long usedSince;
+  private double usedBefore;
   private boolean pumping;
   private boolean reachable;
   private long unreachableSince;
@@ -88,6 +97,23 @@
     requests.rate(limits.rps() * SAFETY * share);
   }
 
+  /** A leader may use what its peers say they do not: {@code othersUse} is in puts a second. */
+  public void othersUse(double othersUse) {
+    double left = 1 - HELD_BACK - 1.3 * othersUse / limits.writeRps();
+    writes.rate(limits.writeRps() * SAFETY * Math.max(controllers == 1 ? 1 : LEADER_SHARE, left));
+  }
+
+  /** Puts a second that this controller makes or would make if it could. */
+  public double wanted() {
+    long now = clock.now();
+    if (now - usedSince > USE_WINDOW_MS) {
+      usedBefore = 1000.0 * used / (now - usedSince);
+      used = 0;
+      usedSince = now;
+    }
+    return usedBefore + queued();
+  }
+
   /** False from a refusal or silence until the next answer. */
   public boolean reachable() {
     return reachable;
@@ -155,6 +181,7 @@
         }
         queue.poll();
         writes.take(q.txn.size());
+        used += q.txn.size();
         requests.take(1);
         send(q, queue);
       }
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -20,6 +20,7 @@
 import dapplestair.state.StateClient;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -57,6 +58,8 @@
   private final long callMs;
   private final Map<String, Host> hosts = new LinkedHashMap<>();
   private final Set<String> goneHosts = new HashSet<>();
+  private final ZoneWatch zones;
+  private final Map<String, Integer> perZone = new HashMap<>();
   private final Set<String> flushing = new HashSet<>();
   private Cancellable timer = () -> {};
   private Cancellable counting = () -> {};
@@ -93,6 +96,7 @@
     this.listener = listener;
     this.reportMs = settings.workers().reportMs();
     this.leaseMs = settings.workers().leaseMs();
+    this.zones = new ZoneWatch(Math.round(OVERDUE * reportMs));
     this.callMs = Math.min(reportMs / 2, leaseMs / 16);
   }
 
@@ -143,10 +147,13 @@
     return clock.now() - host.heardAt < 2 * reportMs && host.failedCalls == 0;
   }
 
-  /** True when it was heard at a time when this other machine should have been heard again. */
-  public boolean heardSinceMissing(Host host, Host other) {
-    long missed = Math.max(other.heardAt, other.knownSince());
-    return host.heardAt > missed + OVERDUE * reportMs;
+  /**
+   * True when this machine's zone has been heard without a break for long enough that this machine
+   * should have been, too.
+   */
+  public boolean zoneHeard(Host silent) {
+    int machines = perZone.getOrDefault(silent.zone(), 0);
+    return zones.heardForMs(silent.zone(), clock.now(), machines) > 1.5 * reportMs;
   }
 
   /** How long nothing was heard of it. */
@@ -183,6 +190,8 @@
     hosts.clear();
     goneHosts.clear();
     flushing.clear();
+    zones.clear();
+    perZone.clear();
   }
 
   /** Shows the token to a machine, and learns what is on it. */
@@ -202,6 +211,12 @@
       // This process itself was held up: answers wait unread, so silence proves nothing for now.
       judgeAgainAt = now + 2 * reportMs;
     }
+    perZone.clear();
+    for (Host h : hosts.values()) {
+      if (h.up()) {
+        perZone.merge(h.zone(), 1, Integer::sum);
+      }
+    }
     for (Host h : List.copyOf(hosts.values())) {
       h.setOutOfReach(silent(h));
       repeatHalts(h, now);
@@ -458,6 +473,7 @@
     host.tick = r.tick();
     host.tokenSeen = r.token();
     host.heardAt = clock.now();
+    zones.heard(r.zone(), clock.now(), perZone.getOrDefault(r.zone(), 0));
     host.describe(r.endpoint(), types.get(r.type()), r.zone(), r.spot());
     if (!host.acknowledged && r.token() >= Baton.of(leadership.term(), 0)) {
       host.acknowledged = true;
