--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -731,7 +731,7 @@
         // Kept exact, so that a new leader does not count on machines that are gone.
         // Seldom enough that a wave of losses does not use up the puts that launches need.
         if (r.hosts != null
-            && clock.now() - r.writtenAt > settings.workers().leaseMs() / 2
+            && clock.now() - r.writtenAt > settings.workers().leaseMs()
             && r.hosts.removeIf(h -> desk.known(h) == null)) {
           write(r, false);
         }
--- a/src/main/java/dapplestair/ledger/Chunk.java
+++ b/src/main/java/dapplestair/ledger/Chunk.java
@@ -25,6 +25,7 @@
   long stamp;
   boolean dirty;
   boolean urgent;
+  boolean launchQueued;
   boolean inFlight;
 
   Chunk(int index, int chunkSize, int steps) {
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -620,11 +620,22 @@
     }
     c.dirty = true;
     c.urgent |= urgent;
-    if (c.inFlight || (gathering.contains(c) && !urgent)) {
+    if (c.inFlight) {
       return;
     }
-    gathering.add(c);
-    timers.after(urgent ? 0 : gatherMs(), () -> flush(job, c));
+    // Both may be queued for one chunk: launches must not wait behind a put that nobody waits for.
+    if (urgent && !c.launchQueued) {
+      c.launchQueued = true;
+      timers.after(0, () -> enqueue(job, c, Priority.LAUNCH));
+    } else if (!urgent && gathering.add(c)) {
+      timers.after(gatherMs(), () -> enqueue(job, c, Priority.BOOKKEEPING));
+    }
+  }
+
+  private void again(Job job, Chunk c) {
+    if (c.dirty && !job.over()) {
+      dirty(job, c, c.urgent);
+    }
   }
 
   /**
@@ -637,50 +648,73 @@
     return Math.max(least, Math.min(paced, settings.workers().leaseMs() / 2));
   }
 
-  private void flush(Job job, Chunk c) {
-    gathering.remove(c);
+  /** What one put of a chunk carries. */
+  private static final class Flush {
+    boolean built;
+    final List<Attempt> planned = new ArrayList<>();
+    final List<Attempt> completed = new ArrayList<>();
+  }
+
+  private void enqueue(Job job, Chunk c, Priority priority) {
+    Flush flush = new Flush();
+    long flushTerm = term;
+    state.commit(
+        1,
+        () -> term == flushTerm ? put(job, c, priority, flush) : null,
+        priority,
+        settings.workers().reportMs(),
+        outcome -> {
+          if (!building || term != flushTerm) {
+            return;
+          }
+          if (!flush.built) {
+            unqueued(c, priority);
+            timers.after(retryMs, () -> again(job, c));
+            return;
+          }
+          c.inFlight = false;
+          written(job, c, Keys.run(job.spec().ref(), c.index), outcome, flush);
+        });
+  }
+
+  private void unqueued(Chunk c, Priority priority) {
+    if (priority == Priority.LAUNCH) {
+      c.launchQueued = false;
+    } else {
+      gathering.remove(c);
+    }
+  }
+
+  /** The put of a chunk as it is now, or null when there is none to make. */
+  private Txn put(Job job, Chunk c, Priority priority, Flush flush) {
+    unqueued(c, priority);
     if (!building || c.inFlight || !c.dirty || job.over() || !leadership.leading()) {
-      return;
+      return null;
     }
-    boolean urgent = c.urgent;
+    flush.built = true;
     c.inFlight = true;
     c.dirty = false;
     c.urgent = false;
-    String ref = job.spec().ref();
-    String key = Keys.run(ref, c.index);
-    List<Attempt> planned = new ArrayList<>();
-    List<Attempt> completed = new ArrayList<>();
     for (Attempt a : c.live.values()) {
       if (a.phase == Attempt.Phase.PLANNED) {
-        planned.add(a);
+        flush.planned.add(a);
       }
       if (a.done) {
-        completed.add(a);
+        flush.completed.add(a);
       }
     }
     // The job's own stamp: nothing starts for a job that was withdrawn meanwhile.
-    Txn txn =
-        leadership
-            .guard(new Txn())
-            .when(key, c.stamp)
-            .when(Keys.job(ref), job.stamp)
-            .put(key, c.toJson());
-    long flushTerm = term;
-    state.commit(
-        txn,
-        urgent ? Priority.LAUNCH : Priority.BOOKKEEPING,
-        settings.workers().reportMs(),
-        outcome -> {
-          if (!building || term != flushTerm) {
-            return;
-          }
-          c.inFlight = false;
-          written(job, c, key, outcome, planned, completed);
-        });
+    String ref = job.spec().ref();
+    String key = Keys.run(ref, c.index);
+    return leadership
+        .guard(new Txn())
+        .when(key, c.stamp)
+        .when(Keys.job(ref), job.stamp)
+        .put(key, c.toJson());
   }
 
-  private void written(
-      Job job, Chunk c, String key, Outcome outcome, List<Attempt> planned, List<Attempt> done) {
+  private void written(Job job, Chunk c, String key, Outcome outcome, Flush flush) {
+    List<Attempt> planned = flush.planned;
     if (outcome instanceof Outcome.Applied applied) {
       c.stamp = applied.stamp();
       if (job.over) {
@@ -693,7 +727,7 @@
           hooks.launch(a);
         }
       }
-      for (Attempt a : done) {
+      for (Attempt a : flush.completed) {
         if (c.live.get(a.step) == a) {
           c.live.remove(a.step);
           job.held--;
@@ -701,8 +735,8 @@
           hooks.clear(a.host, a.key(), a.number);
         }
       }
-      if (!finishIfDone(job) && c.dirty) {
-        dirty(job, c, c.urgent);
+      if (!finishIfDone(job)) {
+        again(job, c);
       }
       return;
     }
@@ -726,7 +760,7 @@
     if (outcome instanceof Outcome.Conflict || outcome instanceof Outcome.Unknown) {
       readBack(job, c, key);
     } else {
-      timers.after(retryMs, () -> flush(job, c));
+      timers.after(retryMs, () -> again(job, c));
     }
   }
 
@@ -750,7 +784,7 @@
           if (job.over) {
             cleanUp(job);
           } else {
-            timers.after(read.known() ? 0 : retryMs, () -> flush(job, c));
+            timers.after(read.known() ? 0 : retryMs, () -> again(job, c));
           }
         });
   }
@@ -768,6 +802,23 @@
     if (!building || job.over || !leadership.leading()) {
       return;
     }
+    List<Chunk> removed = new ArrayList<>();
+    long finishTerm = term;
+    state.commit(
+        2 + job.chunks.size(),
+        () -> term == finishTerm && !job.over ? finishing(job, removed) : null,
+        Priority.FINISH,
+        settings.workers().reportMs(),
+        outcome -> {
+          if (!building || term != finishTerm || job.over) {
+            return;
+          }
+          finished(job, removed, outcome);
+        });
+  }
+
+  /** The transaction that makes a job done, with the records that it no longer needs. */
+  private Txn finishing(Job job, List<Chunk> removed) {
     String ref = job.spec().ref();
     Txn txn =
         leadership
@@ -775,24 +826,13 @@
             .when(Keys.job(ref), job.stamp)
             .put(Keys.over(ref), overRecord(job, "done"))
             .remove(Keys.job(ref));
-    List<Chunk> removed = new ArrayList<>();
     for (Chunk c : job.chunks.values()) {
       if (c.stamp != 0 && !c.inFlight && txn.size() < settings.state().txnOps()) {
         txn.when(Keys.run(ref, c.index), c.stamp).remove(Keys.run(ref, c.index));
         removed.add(c);
       }
     }
-    long finishTerm = term;
-    state.commit(
-        txn,
-        Priority.FINISH,
-        settings.workers().reportMs(),
-        outcome -> {
-          if (!building || term != finishTerm || job.over) {
-            return;
-          }
-          finished(job, removed, outcome);
-        });
+    return txn;
   }
 
   private void finished(Job job, List<Chunk> removed, Outcome outcome) {
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -112,13 +112,14 @@
     summary = outside.timers().after(20 * settings.workers().reportMs(), this::summarise);
     int jobs = ledger.jobs().size();
     metrics.summarise(
-        "%s, %d jobs, %d attempts, %d machines, %d transactions waiting"
+        "%s, %d jobs, %d attempts, %d machines, %d transactions waiting; puts: %s"
             .formatted(
                 leadership.leading() ? "leading" : "following " + leadership.leader(),
                 jobs,
                 ledger.attemptCount(),
                 workers.hosts().size(),
-                state.queued()));
+                state.queued(),
+                state.putsSent()));
   }
 
   // ---- requests ----
--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -53,7 +53,7 @@
     this.estimates = estimates;
     this.evictions = new Evictions(clock, settings, ledger, desk);
     this.promises = new Promises(settings.objectives());
-    this.pauseMs = settings.workers().reportMs() / 150;
+    this.pauseMs = settings.workers().reportMs() / 60;
   }
 
   /** Something changed: look again soon, once for all changes of the moment. */
--- a/src/main/java/dapplestair/state/StateClient.java
+++ b/src/main/java/dapplestair/state/StateClient.java
@@ -11,8 +11,10 @@
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -54,7 +56,7 @@
   private static final long USE_WINDOW_MS = 1000;
   private static final double SAFETY = 0.92;
 
-  private record Queued(Txn txn, long deadline, Consumer<Outcome> done) {}
+  private record Queued(int size, Supplier<Txn> txn, long deadline, Consumer<Outcome> done) {}
 
   private final Clock clock;
   private final Timers timers;
@@ -67,6 +69,7 @@
   private final TokenBucket writes;
   private final List<ArrayDeque<Queued>> queues =
       Arrays.stream(Priority.values()).map(p -> new ArrayDeque<Queued>()).toList();
+  private final int[] puts = new int[Priority.values().length];
   private int inFlight;
   private int used;
   private long usedSince;
@@ -137,6 +140,19 @@
     return Math.round(1000 / Math.max(1, part * limits.rps() / controllers));
   }
 
+  /** Puts sent since last asked, by priority. */
+  public String putsSent() {
+    StringBuilder out = new StringBuilder();
+    for (Priority p : Priority.values()) {
+      out.append(out.length() == 0 ? "" : ", ")
+          .append(puts[p.ordinal()])
+          .append(' ')
+          .append(p.name().toLowerCase(Locale.ROOT));
+    }
+    Arrays.fill(puts, 0);
+    return out.toString();
+  }
+
   /** How many transactions wait. */
   public int queued() {
     return queues.stream().mapToInt(ArrayDeque::size).sum();
@@ -144,12 +160,22 @@
 
   /** Queues a transaction; it ends as refused when it could not be sent within {@code waitMs}. */
   public void commit(Txn txn, Priority priority, long waitMs, Consumer<Outcome> done) {
+    commit(txn.size(), () -> txn, priority, waitMs, done);
+  }
+
+  /**
+   * Queues a transaction of about {@code size} puts that is put together only when its turn has
+   * come, so that it holds all that has changed until then; null when there is nothing left to
+   * write, of which {@code done} does not hear.
+   */
+  public void commit(
+      int size, Supplier<Txn> txn, Priority priority, long waitMs, Consumer<Outcome> done) {
     ArrayDeque<Queued> queue = queues.get(priority.ordinal());
     if (queue.size() >= MOST_QUEUED) {
       timers.after(0, () -> done.accept(new Outcome.Refused()));
       return;
     }
-    queue.add(new Queued(txn, clock.now() + waitMs, done));
+    queue.add(new Queued(size, txn, clock.now() + waitMs, done));
     pump();
   }
 
@@ -168,7 +194,7 @@
         if (inFlight >= MOST_IN_FLIGHT) {
           return;
         }
-        long wait = Math.max(writes.waitMs(q.txn.size()), requests.waitMs(1));
+        long wait = Math.max(writes.waitMs(q.size), requests.waitMs(1));
         if (wait > 0) {
           pumping = true;
           timers.after(
@@ -180,10 +206,14 @@
           return;
         }
         queue.poll();
-        writes.take(q.txn.size());
-        used += q.txn.size();
-        requests.take(1);
-        send(q, queue);
+        Txn txn = q.txn.get();
+        if (txn != null) {
+          writes.take(txn.size());
+          used += txn.size();
+          puts[queues.indexOf(queue)] += txn.size();
+          requests.take(1);
+          send(new Queued(txn.size(), () -> txn, q.deadline, q.done), queue);
+        }
       }
     }
   }
@@ -194,7 +224,7 @@
         endpoint,
         "POST",
         "/commit",
-        q.txn.bytes(),
+        q.txn.get().bytes(),
         timeoutMs,
         reply -> {
           inFlight--;
