--- a/src/main/java/dapplestair/metrics/Metrics.java
+++ b/src/main/java/dapplestair/metrics/Metrics.java
@@ -9,6 +9,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Metrics.class);
   private final Histogram accept = new Histogram(60_000, 2);
   private final Histogram start = new Histogram(3_600_000, 2);
+  private final Histogram lag = new Histogram(60_000, 2);
   private long shed;
   private long launches;
   private long lost;
@@ -24,6 +25,11 @@
     start.recordValue(Math.min(3_600_000, Math.max(0, ms)));
   }
 
+  /** A timer fired this much late: how far the loop lags behind its work. */
+  public void lagged(long ms) {
+    lag.recordValue(Math.min(60_000, Math.max(0, ms)));
+  }
+
   /** A request was turned away. */
   public void shed() {
     shed++;
@@ -38,7 +44,7 @@
   public void summarise(String more) {
     LOG.info(
         "summary: accepted {} (p50 {} ms, p99 {} ms), turned away {}, started {} (p50 {} ms,"
-            + " p90 {} ms), lost {}; {}",
+            + " p90 {} ms), lost {}, lag p99 {} ms, most {} ms; {}",
         accept.getTotalCount(),
         accept.getValueAtPercentile(50),
         accept.getValueAtPercentile(99),
@@ -47,7 +53,10 @@
         start.getValueAtPercentile(50),
         start.getValueAtPercentile(90),
         lost,
+        lag.getValueAtPercentile(99),
+        lag.getMaxValue(),
         more);
+    lag.reset();
     accept.reset();
     start.reset();
     shed = 0;
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -32,6 +32,7 @@
 /** One controller. All of it runs on one loop. */
 public final class Controller implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+  private static final long LAG_EVERY_MS = 50;
   private static final String SUBMISSIONS = "/submissions";
 
   private final Outside outside;
@@ -52,6 +53,7 @@
   private final Replica replica;
   private final SubmissionDesk submissions;
   private Cancellable summary = () -> {};
+  private Cancellable lag = () -> {};
 
   /** Wires the duties; nothing runs before {@link #start}. */
   public Controller(Settings settings, Operator operator, Outside outside) {
@@ -105,9 +107,16 @@
     workers.start();
     peers.start();
     leadership.start(replica);
+    watchLag(outside.clock().now());
     summarise();
   }
 
+  private void watchLag(long dueAt) {
+    long now = outside.clock().now();
+    metrics.lagged(now - dueAt);
+    lag = outside.timers().after(LAG_EVERY_MS, () -> watchLag(now + LAG_EVERY_MS));
+  }
+
   private void summarise() {
     summary = outside.timers().after(20 * settings.workers().reportMs(), this::summarise);
     int jobs = ledger.jobs().size();
@@ -355,6 +364,7 @@
   @Override
   public void close() {
     summary.cancel();
+    lag.cancel();
     planning.close();
     fleet.close();
     workers.close();
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -167,12 +167,22 @@
     if (rounds >= operator.returnAfterRounds() / 2) {
       fleet.cordon(slot, have - want);
     }
-    if (rounds >= operator.returnAfterRounds()) {
+    if (rounds >= patience(slot)) {
       List<Host> idle = fleet.returnable(slot);
       idle.stream().limit(have - want).forEach(fleet::release);
     }
   }
 
+  /**
+   * Rounds before an idle machine is returned: at least as many as the operators say, and as long as
+   * the next one would take to boot, since until then keeping it costs less than what replaces it.
+   */
+  private int patience(Slot slot) {
+    double bootMs = 1000 * types.get(slot.type()).bootS();
+    return Math.max(
+        operator.returnAfterRounds(), (int) Math.ceil(bootMs / operator.planIntervalMs()));
+  }
+
   /** The plan is one value in the state service, written when it changes. */
   private void record() {
     ObjectNode value = Json.object().put("term", leadership.term());
