--- a/src/main/java/dapplestair/planning/FleetProblem.java
+++ b/src/main/java/dapplestair/planning/FleetProblem.java
@@ -44,10 +44,17 @@
    *
    * @param allowed for each variable whether they may run there
    * @param count how many
+   * @param endless replicas of a service: they never complete, so only their start counts
    * @param arrivesS when they are there, 0 for waiting ones
    */
   record DryTasks(
-      boolean[] allowed, int count, int lanes, double runS, double fetchGb, double arrivesS) {}
+      boolean[] allowed,
+      int count,
+      int lanes,
+      double runS,
+      boolean endless,
+      double fetchGb,
+      double arrivesS) {}
 
   @Override
   public double[] lower() {
@@ -128,7 +135,7 @@
       }
       int together = Math.max(1, Math.min(left, free[best].freeBy(bestStart) / t.lanes()));
       free[best].occupy(together * t.lanes(), bestEnd);
-      longest = Math.max(longest, bestEnd - t.arrivesS());
+      longest = Math.max(longest, bestEnd - t.arrivesS() - (t.endless() ? t.runS() : 0));
       left -= together;
     }
     return longest;
