--- a/src/main/java/dapplestair/planning/FreeLanes.java
+++ b/src/main/java/dapplestair/planning/FreeLanes.java
@@ -60,6 +60,11 @@
 
   /** Occupies the {@code count} lanes that are free first until {@code end}. */
   void occupy(int count, double end) {
+    add(end, remove(count));
+  }
+
+  /** Takes up to {@code count} lanes away, those that are free first; returns how many. */
+  int remove(int count) {
     int left = count;
     int used = 0;
     while (left > 0 && used < size) {
@@ -74,6 +79,6 @@
     System.arraycopy(lanes, used, lanes, 0, size - used);
     size -= used;
     total -= count - left;
-    add(end, count - left);
+    return count - left;
   }
 }
--- /dev/null
+++ b/src/test/java/dapplestair/planning/HeldLanesTest.java
@@ -0,0 +1,64 @@
+package dapplestair.planning;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class HeldLanesTest {
+  private static List<double[]> machines(int n) {
+    List<double[]> out = new ArrayList<>();
+    for (int m = 0; m < n; m++) {
+      double[] until = new double[16];
+      for (int l = 0; l < 16; l++) {
+        until[l] = l < 4 ? HeldLanes.FOR_EVER_S : (m * 16 + l) % 97;
+      }
+      out.add(until);
+    }
+    return out;
+  }
+
+  @Test
+  void countsTheLanesOfTheFirstMachines() {
+    HeldLanes held = new HeldLanes(machines(40), 100);
+    assertEquals(16 * 25, held.free(25, 16, 30).total());
+    assertEquals(16 * 50, held.free(50, 16, 30).total());
+    assertEquals(12 * 25, held.free(25, 16, 30).freeBy(100));
+  }
+
+  @Test
+  void roundsUpOnly() {
+    HeldLanes held = new HeldLanes(List.of(new double[] {7.3, 0}), 100);
+    FreeLanes free = held.free(1, 2, 30);
+    assertEquals(0, free.start(1));
+    assertTrue(free.start(2) >= 7.3 && free.start(2) < 15, "free at " + free.start(2));
+  }
+
+  /** The price of one evaluation does not grow with the fleet: so many moments and no more. */
+  @Test
+  void momentsStayFewHoweverManyMachines() {
+    for (int n : new int[] {10, 100, 1500}) {
+      FreeLanes free = new HeldLanes(machines(n), 100).free(n + 10, 16, 30);
+      int moments = 0;
+      while (free.total() > 0 && free.start(1) < Double.POSITIVE_INFINITY && moments < 1000) {
+        free.remove(free.freeBy(free.start(1)));
+        moments++;
+      }
+      assertTrue(moments <= 33, moments + " moments for " + n + " machines");
+    }
+  }
+
+  @Test
+  void occupiesWhatIsFreeFirst() {
+    FreeLanes free = new FreeLanes();
+    free.add(0, 4);
+    free.add(10, 4);
+    free.occupy(6, 50);
+    assertEquals(8, free.total());
+    assertEquals(10, free.start(1));
+    assertEquals(50, free.start(3));
+    assertEquals(Double.POSITIVE_INFINITY, free.start(9));
+  }
+}
--- a/src/test/java/dapplestair/world/Checker.java
+++ b/src/test/java/dapplestair/world/Checker.java
@@ -1,5 +1,6 @@
 package dapplestair.world;
 
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -9,6 +10,8 @@
 final class Checker {
   private final World world;
   private final Set<String> completed = new HashSet<>();
+  // In the order in which their users were told.
+  private final ArrayDeque<Users.Told> withdrawn = new ArrayDeque<>();
   int started;
   String broken;
 
@@ -34,6 +37,9 @@
   void started(StandInWorker w, StandInWorker.Task task) {
     started++;
     Users.Told job = world.users.told.get(ref(task.key));
+    if (job.aborted && world.sim.now() > job.abortedAt + World.CANCEL_MS) {
+      broken("ran_cancelled: " + task.key + " starts on " + w.id);
+    }
     double teamCpus = 0;
     Map<String, Integer> perZone = new HashMap<>();
     int copies = 0;
@@ -57,7 +63,7 @@
     if (copies > 1) {
       broken("ran_twice: " + task.key + " started on " + w.id);
     }
-    if (teamCpus > World.TEAM_LIMIT + 1e-6) {
+    if (teamCpus > world.size.teamLimit() + 1e-6) {
       broken("quota: " + teamCpus + " CPUs of " + job.body.path("owner"));
     }
     if (w.spot && !job.body.path("loaners").asBoolean()) {
@@ -71,18 +77,11 @@
     }
   }
 
-  /** After each step. */
+  /** After each step. What starts later than a job's last moment is caught by its start. */
   void check() {
-    for (StandInWorker m : world.cloud.machines.values()) {
-      if (m.gone) {
-        continue;
-      }
-      for (StandInWorker.Task t : m.tasks.values()) {
-        Users.Told job = t.onMachine() ? world.users.told.get(ref(t.key)) : null;
-        if (job != null && job.aborted && world.sim.now() > job.abortedAt + World.CANCEL_MS) {
-          broken("ran_cancelled: " + t.key + " on " + m.id);
-        }
-      }
+    while (!withdrawn.isEmpty()
+        && withdrawn.peek().abortedAt + World.CANCEL_MS < world.sim.now()) {
+      gone(withdrawn.poll());
     }
     if (world.state.violation != null) {
       broken(world.state.violation);
@@ -92,6 +91,16 @@
     }
   }
 
+  private void gone(Users.Told job) {
+    for (StandInWorker m : world.cloud.machines.values()) {
+      for (StandInWorker.Task t : m.tasks.values()) {
+        if (!m.gone && t.onMachine() && ref(t.key).equals(job.ref)) {
+          broken("ran_cancelled: " + t.key + " on " + m.id);
+        }
+      }
+    }
+  }
+
   /** A user was told the state of a job, having been told {@code before} when it asked. */
   void told(Users.Told job, String before, String status) {
     if (before != null && !before.equals(status)) {
@@ -104,6 +113,7 @@
       if (!job.aborted) {
         job.aborted = true;
         job.abortedAt = world.sim.now();
+        withdrawn.add(job);
       }
     }
     if (status.equals("done")) {
--- /dev/null
+++ b/src/test/java/dapplestair/world/GrownDaysTest.java
@@ -0,0 +1,58 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Days with hundreds of machines and thousands of tasks: the rules, and what a start costs. */
+class GrownDaysTest {
+  // An array of some 75 tasks takes about a dozen puts from its acceptance to its end.
+  private static final double MOST_PUTS_PER_START = 0.5;
+
+  /** A leader ends, a zone is cut off, spot machines are taken without notice, all overlapping. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 3})
+  void rulesHoldAtTheGrownSize(long seed) {
+    World world = new World(seed, World.Size.GROWN);
+    try {
+      world.run(30_000);
+      World.Node follower = world.nodes.get((world.leader().index + 1) % 3);
+      String zone = follower.settings.zone();
+      world.cutOff(follower, m -> m.zone.equals(zone), 20_000);
+      world.run(5000);
+      for (StandInWorker m : world.cloud.machines.values()) {
+        if (m.spot && world.sim.chance(0.3)) {
+          m.recall(0);
+        }
+      }
+      world.run(5000);
+      if (world.leader() != null) {
+        world.leader().crash(6000);
+      }
+      world.run(40_000);
+      world.users.quiet = true;
+      world.run(60_000);
+    } catch (AssertionError e) {
+      throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+    }
+    assertTrue(world.checker.started > 4000, "only " + world.checker.started + " tasks started");
+    long ended =
+        world.users.told.values().stream().filter(j -> j.done || j.aborted || j.service).count();
+    assertTrue(
+        ended > 0.95 * world.users.told.size(),
+        ended + " of " + world.users.told.size() + " jobs ended");
+  }
+
+  /** Counts, not times: what a start costs the state service must not grow with the fleet. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {11, 12})
+  void putsPerStartAreFew(long seed) {
+    World world = new World(seed, World.Size.GROWN);
+    world.net.loss = 0;
+    world.run(60_000);
+    double perStart = world.state.puts / (double) world.checker.started;
+    assertTrue(world.checker.started > 3000, "only " + world.checker.started + " tasks started");
+    assertTrue(perStart < MOST_PUTS_PER_START, perStart + " puts per start");
+  }
+}
--- a/src/test/java/dapplestair/world/SeededDaysTest.java
+++ b/src/test/java/dapplestair/world/SeededDaysTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -56,6 +57,21 @@
     settle(world);
   }
 
+  /** When a whole zone falls silent, its machines are not returned one by one, nor once it is back. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {451, 452, 453, 454})
+  void aSilentZoneIsNotReturned(long seed) {
+    World world = new World(seed);
+    world.net.loss = 0;
+    world.run(60_000);
+    World.Node follower = world.nodes.get((world.leader().index + 1) % 3);
+    String zone = follower.settings.zone();
+    int before = world.cloud.killedByRelease;
+    world.cutOff(follower, m -> m.zone.equals(zone), World.LEASE_MS * 2 / 3);
+    world.run(World.LEASE_MS);
+    assertEquals(before, world.cloud.killedByRelease, "tasks killed by returning their machines");
+  }
+
   /** The leader alone loses the workers: another one takes over before their leases run out. */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {501, 502, 503, 504})
@@ -93,6 +109,51 @@
     assertTrue(world.checker.started > 50, "only " + world.checker.started + " tasks started");
   }
 
+  /**
+   * A new leader hears of a machine by a report sent before a launch of the former leader reached
+   * it. The report lacks the task, which runs all the same: only a token of the new term proves.
+   */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {601, 602, 603, 604, 605, 606})
+  void aNewLeaderTrustsNoReportOfAnOlderTerm(long seed) {
+    World world = new World(seed);
+    world.net.loss = 0;
+    world.run(15_000);
+    for (int i = 0; i < 6; i++) {
+      World.Node leader = world.leader();
+      if (leader == null) {
+        world.run(5000);
+        continue;
+      }
+      List<String> machines =
+          world.cloud.machines.values().stream().map(m -> m.endpoint).toList();
+      for (String m : machines) {
+        world.nodes.forEach(n -> world.net.cut("node-" + n.index, m, true));
+        world.nodes.forEach(n -> world.net.cut(World.client(n.index), m, true));
+      }
+      // Launches leave the leader and are held back; so are the reports to the next one.
+      world.run(900);
+      leader.crash(20_000);
+      // Long enough for machines to have given it up and to have sent a report to the next one.
+      world.run(8000);
+      machines.forEach(m -> world.net.heal("node-" + leader.index, m));
+      world.run(60);
+      for (String m : machines) {
+        world.nodes.forEach(n -> world.net.heal(World.client(n.index), m));
+        if (world.sim.chance(0.5)) {
+          // Orders reach this one again, so work taken for lost on others would start here.
+          world.nodes.forEach(n -> world.net.heal("node-" + n.index, m));
+        }
+      }
+      world.run(4000);
+      for (String m : machines) {
+        world.nodes.forEach(n -> world.net.heal("node-" + n.index, m));
+      }
+      world.run(22_000);
+    }
+    settle(world);
+  }
+
   /** Launches on their way while newer reports, which lack them, come through. */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {301, 302, 303, 304, 305, 306})
--- a/src/test/java/dapplestair/world/StandInCloud.java
+++ b/src/test/java/dapplestair/world/StandInCloud.java
@@ -14,8 +14,6 @@
 
 /** The cloud by its protocol: idempotent rentals, a lagging list, machines that never boot. */
 final class StandInCloud implements Network.Place {
-  static final int PER_PLACE = 4;
-
   private record Snapshot(long at, List<ObjectNode> hosts) {}
 
   private final World world;
@@ -139,7 +137,7 @@
         machines.values().stream()
             .filter(w -> !w.gone && w.zone.equals(zone) && w.spot == spot)
             .count();
-    return n < (short_ ? 1 : PER_PLACE);
+    return n < (short_ ? world.size.perPlace() / 4 : world.size.perPlace());
   }
 
   private static ObjectNode types() {
--- a/src/test/java/dapplestair/world/StandInState.java
+++ b/src/test/java/dapplestair/world/StandInState.java
@@ -35,6 +35,7 @@
   boolean down;
   private long epoch;
   private long lastHold;
+  int puts;
   String violation;
 
   StandInState(Sim sim, int txnOps, int valueBytes) {
@@ -176,6 +177,7 @@
     }
     if (in.path("writes").size() > 0) {
       epoch++;
+      puts += in.path("writes").size();
       for (JsonNode w : in.path("writes")) {
         if (w.has("put")) {
           String k = w.path("put").asText();
--- a/src/test/java/dapplestair/world/Users.java
+++ b/src/test/java/dapplestair/world/Users.java
@@ -52,13 +52,14 @@
   private void next() {
     if (!quiet) {
       submitNew();
-      world.sim.after(world.sim.between(300, 4000), this::next);
+      long mean = world.size.arrivalsEveryMs();
+      world.sim.after(world.sim.between(mean / 7, 2 * mean - mean / 7), this::next);
     }
   }
 
   private void submitNew() {
     boolean service = world.sim.chance(0.3);
-    int steps = service ? (int) world.sim.between(1, 3) : (int) world.sim.between(1, 12);
+    int steps = service ? (int) world.sim.between(1, 3) : (int) world.sim.between(1, world.size.steps());
     boolean apart = service || world.sim.chance(0.2);
     ObjectNode b =
         Json.object()
--- a/src/test/java/dapplestair/world/World.java
+++ b/src/test/java/dapplestair/world/World.java
@@ -12,6 +12,7 @@
 import dapplestair.settings.Operator;
 import dapplestair.settings.Settings;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +26,27 @@
 final class World {
   static final List<String> ZONES = List.of("a", "b", "c");
   static final double CPUS = 8;
-  static final double TEAM_LIMIT = 40;
+
+  /**
+   * How large the world is.
+   *
+   * @param perPlace machines that the cloud has of each kind in each zone
+   * @param teamCpus what each of the two teams is guaranteed; twice that is its limit
+   * @param arrivalsEveryMs mean time between submissions
+   * @param steps most tasks of an array
+   */
+  record Size(int perPlace, double teamCpus, long arrivalsEveryMs, int steps) {
+    static final Size SMALL = new Size(4, 20, 2150, 12);
+
+    /** The shape of a grown deployment: hundreds of machines, thousands of tasks. */
+    static final Size GROWN = new Size(60, 1200, 500, 150);
+
+    double teamLimit() {
+      return 2 * teamCpus;
+    }
+  }
+
+  final Size size;
   static final long REPORT_MS = 3000;
   static final long LEASE_MS = 17_000;
   static final long CANCEL_MS = 47_000;
@@ -40,6 +61,11 @@
   final List<Node> nodes = new ArrayList<>();
 
   World(long seed) {
+    this(seed, Size.SMALL);
+  }
+
+  World(long seed, Size size) {
+    this.size = size;
     sim = new Sim(seed);
     net = new Network(sim);
     state = new StandInState(sim, 24, 8192);
@@ -62,7 +88,7 @@
     return Integer.parseInt(member.substring(member.indexOf('-') + 1));
   }
 
-  private static Settings settings(int i) {
+  private Settings settings(int i) {
     List<Settings.Peer> peers = new ArrayList<>();
     for (int k = 0; k < 3; k++) {
       if (k != i) {
@@ -79,8 +105,8 @@
         "state:1",
         ZONES,
         Map.of(
-            "one", new Settings.Team("one", 20, TEAM_LIMIT, 0, 0),
-            "two", new Settings.Team("two", 20, TEAM_LIMIT, 0, 0)),
+            "one", new Settings.Team("one", size.teamCpus(), size.teamLimit(), 0, 0),
+            "two", new Settings.Team("two", size.teamCpus(), size.teamLimit(), 0, 0)),
         List.of(),
         new Settings.Workers(REPORT_MS, LEASE_MS, CANCEL_MS),
         new Settings.State(200, 50, 8192, 24),
@@ -96,6 +122,14 @@
 
   /** Cuts a node and some machines off from everything else, for a while. */
   void cutOff(Node node, Predicate<StandInWorker> with, long ms) {
+    cutOff(node, with, sim.now() + ms, new HashSet<>());
+  }
+
+  private void cutOff(Node node, Predicate<StandInWorker> with, long end, Set<Runnable> heals) {
+    if (sim.now() >= end) {
+      heals.forEach(Runnable::run);
+      return;
+    }
     Set<String> inside = new LinkedHashSet<>(List.of("node-" + node.index, client(node.index)));
     Set<String> outside = new LinkedHashSet<>(List.of("state:1", "cloud:1", "users"));
     for (Node n : nodes) {
@@ -106,7 +140,9 @@
     }
     cloud.machines.values().forEach(m -> (with.test(m) ? inside : outside).add(m.endpoint));
     inside.forEach(a -> outside.forEach(b -> net.cut(a, b, false)));
-    sim.after(ms, () -> inside.forEach(a -> outside.forEach(b -> net.heal(a, b))));
+    heals.add(() -> inside.forEach(a -> outside.forEach(b -> net.heal(a, b))));
+    // Machines that are rented meanwhile are on one side of the cut as well.
+    sim.after(400, () -> cutOff(node, with, end, heals));
   }
 
   /** Runs for a while, checking the rules after each step. */
@@ -130,7 +166,7 @@
 
     Node(int index) {
       this.index = index;
-      this.settings = World.settings(index);
+      this.settings = World.this.settings(index);
       net.place(client(index), this);
     }
 
