--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -356,6 +356,24 @@
     if (h.releasing()) {
       return;
     }
+    if (unstoppable(h, now)) {
+      LOG.info("{} still holds withdrawn work: returning it", h.id());
+      forceRelease(h);
+    } else if (mayJudge()) {
+      judge(h, now);
+    }
+  }
+
+  /**
+   * A leader behind a cut sees all others as silent, and what it asks of the cloud may be done when
+   * the cut ends and another one leads. So it returns nothing that it need not, while the state
+   * service does not tell it that it leads.
+   */
+  private boolean mayJudge() {
+    return state.unreachableMs() == 0;
+  }
+
+  private void judge(Host h, long now) {
     if (h.outOfReach() && givenUp(h)) {
       LOG.info("{} is silent: returning it", h.id());
       noteTaken(h);
@@ -366,9 +384,6 @@
     } else if (neverListed(h, now)) {
       LOG.info("{} is recorded but not listed: returning it", h.id());
       forceRelease(h);
-    } else if (unstoppable(h, now)) {
-      LOG.info("{} still holds withdrawn work: returning it", h.id());
-      forceRelease(h);
     } else if ((h.draining() || h.recalled()) && h.idle() && h.attempts().isEmpty()) {
       noteTaken(h);
       forceRelease(h);
@@ -391,7 +406,7 @@
       zoneKnown |= h != silent && h.expectedUp() && Objects.equals(h.zone(), silent.zone());
     }
     long patience = settings.workers().leaseMs() * (controllerIn(silent.zone()) ? 3 : 1);
-    return anyFresh && (!zoneKnown || desk.silentMs(silent) > patience * 5 / 4);
+    return anyFresh && (!zoneKnown || desk.silentMs(silent) > patience * 21 / 20);
   }
 
   private boolean controllerIn(String zone) {
@@ -452,7 +467,7 @@
 
   /** Returns an idle machine; false when something holds room on it. */
   public boolean release(Host h) {
-    if (!h.idle() || h.releasing()) {
+    if (!h.idle() || h.releasing() || !mayJudge()) {
       return false;
     }
     forceRelease(h);
--- a/src/test/java/dapplestair/world/GrownDaysTest.java
+++ b/src/test/java/dapplestair/world/GrownDaysTest.java
@@ -19,7 +19,7 @@
       world.run(30_000);
       World.Node follower = world.nodes.get((world.leader().index + 1) % 3);
       String zone = follower.settings.zone();
-      world.cutOff(follower, m -> m.zone.equals(zone), 20_000);
+      world.cutOff(follower, m -> m.zone.equals(zone), false, 20_000);
       world.run(5000);
       for (StandInWorker m : world.cloud.machines.values()) {
         if (m.spot && world.sim.chance(0.3)) {
--- a/src/test/java/dapplestair/world/SeededDaysTest.java
+++ b/src/test/java/dapplestair/world/SeededDaysTest.java
@@ -51,7 +51,7 @@
     world.run(60_000);
     World.Node follower = world.nodes.get((world.leader().index + 1) % 3);
     String zone = follower.settings.zone();
-    world.cutOff(follower, m -> m.zone.equals(zone), World.LEASE_MS * 4 / 3);
+    world.cutOff(follower, m -> m.zone.equals(zone), false, World.LEASE_MS * 4 / 3);
     world.run(2 * World.LEASE_MS);
     assertEquals(0, world.cloud.killedByLease, "tasks killed by the end of a lease");
     settle(world);
@@ -67,11 +67,30 @@
     World.Node follower = world.nodes.get((world.leader().index + 1) % 3);
     String zone = follower.settings.zone();
     int before = world.cloud.killedByRelease;
-    world.cutOff(follower, m -> m.zone.equals(zone), World.LEASE_MS * 2 / 3);
+    world.cutOff(follower, m -> m.zone.equals(zone), false, World.LEASE_MS * 2 / 3);
     world.run(World.LEASE_MS);
     assertEquals(before, world.cloud.killedByRelease, "tasks killed by returning their machines");
   }
 
+  /**
+   * A leader is cut off with its zone, and what it sends meanwhile arrives late. To it all others
+   * are silent; none may be returned when the cut ends.
+   */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {471, 472, 473, 474, 475, 476})
+  void aLeaderCutOffReturnsNothing(long seed) {
+    World world = new World(seed);
+    world.net.loss = 0;
+    world.run(60_000);
+    World.Node leader = world.leader();
+    String zone = leader.settings.zone();
+    int before = world.cloud.killedByRelease;
+    world.cutOff(leader, m -> m.zone.equals(zone), true, World.CANCEL_MS * 15 / 32);
+    world.run(World.CANCEL_MS * 5 / 8);
+    assertEquals(before, world.cloud.killedByRelease, "tasks killed by returning their machines");
+    settle(world);
+  }
+
   /** Found on a standard day: 23 terms in 45 s, since each took the others' refusals for an end. */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {701, 702, 703, 704})
--- a/src/test/java/dapplestair/world/World.java
+++ b/src/test/java/dapplestair/world/World.java
@@ -25,6 +25,10 @@
 /** Controllers, as they are, in a world of stand-ins on virtual time. */
 final class World {
   static final List<String> ZONES = List.of("a", "b", "c");
+
+  /** One zone has no controller. */
+  static final List<String> NODE_ZONES = List.of("a", "b", "a");
+
   static final double CPUS = 8;
 
   /**
@@ -95,12 +99,12 @@
     List<Settings.Peer> peers = new ArrayList<>();
     for (int k = 0; k < 3; k++) {
       if (k != i) {
-        peers.add(new Settings.Peer("node-" + k, ZONES.get(k), new Settings.Address("node-" + k, 8081)));
+        peers.add(new Settings.Peer("node-" + k, NODE_ZONES.get(k), new Settings.Address("node-" + k, 8081)));
       }
     }
     return new Settings(
         "node-" + i,
-        ZONES.get(i),
+        NODE_ZONES.get(i),
         new Settings.Address("node-" + i, 8080),
         new Settings.Address("node-" + i, 8081),
         peers,
@@ -124,11 +128,12 @@
   }
 
   /** Cuts a node and some machines off from everything else, for a while. */
-  void cutOff(Node node, Predicate<StandInWorker> with, long ms) {
-    cutOff(node, with, sim.now() + ms, new HashSet<>());
+  void cutOff(Node node, Predicate<StandInWorker> with, boolean hold, long ms) {
+    cutOff(node, with, hold, sim.now() + ms, new HashSet<>());
   }
 
-  private void cutOff(Node node, Predicate<StandInWorker> with, long end, Set<Runnable> heals) {
+  private void cutOff(
+      Node node, Predicate<StandInWorker> with, boolean hold, long end, Set<Runnable> heals) {
     if (sim.now() >= end) {
       heals.forEach(Runnable::run);
       return;
@@ -142,10 +147,10 @@
       }
     }
     cloud.machines.values().forEach(m -> (with.test(m) ? inside : outside).add(m.endpoint));
-    inside.forEach(a -> outside.forEach(b -> net.cut(a, b, false)));
+    inside.forEach(a -> outside.forEach(b -> net.cut(a, b, hold)));
     heals.add(() -> inside.forEach(a -> outside.forEach(b -> net.heal(a, b))));
     // Machines that are rented meanwhile are on one side of the cut as well.
-    sim.after(400, () -> cutOff(node, with, end, heals));
+    sim.after(400, () -> cutOff(node, with, hold, end, heals));
   }
 
   /** Runs for a while, checking the rules after each step. */
