--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -18,7 +18,6 @@
 import dapplestair.state.Txn;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -79,8 +78,7 @@
   private final Map<Place, Long> refusedUntil = new HashMap<>();
   private final Map<Place, Integer> granted = new HashMap<>();
   private final Set<String> toRelease = new HashSet<>();
-  private final Map<Slot, ArrayDeque<Long>> takenAt = new HashMap<>();
-  private final Map<Slot, ArrayDeque<double[]>> prices = new HashMap<>();
+  private final Market market;
   private boolean releasing;
   private boolean leading;
   private long leadingSince;
@@ -109,6 +107,7 @@
     this.leadership = leadership;
     this.types = types;
     this.desk = desk;
+    this.market = new Market(clock);
     this.cloud = new CloudClient(clock, timers, http, settings);
   }
 
@@ -212,7 +211,7 @@
           }
           boolean knewNone = !types.known() || typesStamp == 0;
           if (types.read(Json.parse(reply.body()))) {
-            notePrices();
+            market.notePrices(types.all());
             if (knewNone) {
               recordTypes();
             }
@@ -232,50 +231,9 @@
     }
   }
 
-  // ---- prices and take-backs, for planning ----
-
-  private void notePrices() {
-    long now = clock.now();
-    for (MachineType t : types.all()) {
-      ArrayDeque<double[]> seen =
-          prices.computeIfAbsent(new Slot(t.name(), true), s -> new ArrayDeque<>());
-      seen.addLast(new double[] {now, t.spotPrice()});
-      while (seen.size() > 1 && seen.peekFirst()[0] < now - CHARGED_MS) {
-        seen.removeFirst();
-      }
-    }
-  }
-
-  /** Price of a slot: for spot the highest of the last minute. */
-  public double price(MachineType type, boolean spot) {
-    if (!spot) {
-      return type.price();
-    }
-    double highest = type.spotPrice();
-    for (double[] p : prices.getOrDefault(new Slot(type.name(), true), new ArrayDeque<>())) {
-      highest = Math.max(highest, p[1]);
-    }
-    return highest;
-  }
-
-  /** A machine that may be taken was taken, or has been given notice. */
-  private void noteTaken(Host h) {
-    if (h.spot() && h.type() != null) {
-      takenAt
-          .computeIfAbsent(new Slot(h.type().name(), true), s -> new ArrayDeque<>())
-          .addLast(clock.now());
-    }
-  }
-
-  /** Share of the last {@code windows} windows of {@code windowMs} with a take-back. */
-  public double takeBackChance(Slot slot, long windowMs, int windows) {
-    ArrayDeque<Long> times = takenAt.get(slot);
-    if (times == null) {
-      return 0;
-    }
-    long now = clock.now();
-    times.removeIf(t -> now - t >= windowMs * windows);
-    return times.stream().map(t -> (now - t) / windowMs).distinct().count() / (double) windows;
+  /** What the cloud's machines cost and how often it takes them. */
+  public Market market() {
+    return market;
   }
 
   // ---- the list ----
@@ -344,7 +302,7 @@
           && h.firstListedAt() != Long.MAX_VALUE
           && askedAt - h.firstListedAt() > longestLag) {
         LOG.info("{} was taken", h.id());
-        noteTaken(h);
+        market.noteTaken(h);
         desk.gone(h);
       }
     }
@@ -376,7 +334,7 @@
   private void judge(Host h, long now) {
     if (h.outOfReach() && givenUp(h)) {
       LOG.info("{} is silent: returning it", h.id());
-      noteTaken(h);
+      market.noteTaken(h);
       forceRelease(h);
     } else if (!h.expectedUp() && bootOverdue(h, now)) {
       LOG.info("{} does not come up: returning it", h.id());
@@ -385,7 +343,7 @@
       LOG.info("{} is recorded but not listed: returning it", h.id());
       forceRelease(h);
     } else if ((h.draining() || h.recalled()) && h.idle() && h.attempts().isEmpty()) {
-      noteTaken(h);
+      market.noteTaken(h);
       forceRelease(h);
     }
   }
--- /dev/null
+++ b/src/main/java/dapplestair/fleet/Market.java
@@ -0,0 +1,68 @@
+package dapplestair.fleet;
+
+import dapplestair.ports.Clock;
+import dapplestair.workers.Host;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+/** What machines cost lately and how often the cloud took them back: two costs of a plan. */
+public final class Market {
+  // As the users' design says: spot is priced at the highest price of the last minute.
+  private static final long PRICE_WINDOW_MS = 60_000;
+
+  private record Price(long at, double perHour) {}
+
+  private final Clock clock;
+  private final Map<Slot, ArrayDeque<Long>> takenAt = new HashMap<>();
+  private final Map<Slot, ArrayDeque<Price>> prices = new HashMap<>();
+
+  Market(Clock clock) {
+    this.clock = clock;
+  }
+
+  void notePrices(Collection<MachineType> types) {
+    long now = clock.now();
+    for (MachineType t : types) {
+      ArrayDeque<Price> seen =
+          prices.computeIfAbsent(new Slot(t.name(), true), s -> new ArrayDeque<>());
+      seen.addLast(new Price(now, t.spotPrice()));
+      while (seen.size() > 1 && seen.peekFirst().at() < now - PRICE_WINDOW_MS) {
+        seen.removeFirst();
+      }
+    }
+  }
+
+  /** Price of a slot: for spot the highest of the last minute. */
+  public double price(MachineType type, boolean spot) {
+    if (!spot) {
+      return type.price();
+    }
+    double highest = type.spotPrice();
+    for (Price p : prices.getOrDefault(new Slot(type.name(), true), new ArrayDeque<>())) {
+      highest = Math.max(highest, p.perHour());
+    }
+    return highest;
+  }
+
+  /** A machine that may be taken was taken, or has been given notice. */
+  void noteTaken(Host h) {
+    if (h.spot() && h.type() != null) {
+      takenAt
+          .computeIfAbsent(new Slot(h.type().name(), true), s -> new ArrayDeque<>())
+          .addLast(clock.now());
+    }
+  }
+
+  /** Share of the last {@code windows} windows of {@code windowMs} with a take-back. */
+  public double takeBackChance(Slot slot, long windowMs, int windows) {
+    ArrayDeque<Long> times = takenAt.get(slot);
+    if (times == null) {
+      return 0;
+    }
+    long now = clock.now();
+    times.removeIf(t -> now - t >= windowMs * windows);
+    return times.stream().map(t -> (now - t) / windowMs).distinct().count() / (double) windows;
+  }
+}
--- a/src/main/java/dapplestair/planning/DemandView.java
+++ b/src/main/java/dapplestair/planning/DemandView.java
@@ -179,8 +179,8 @@
         most,
         new HeldLanes(lanes, horizon),
         up.size(),
-        fleet.price(t, spot),
-        fleet.takeBackChance(slot, windowMs, WINDOWS));
+        fleet.market().price(t, spot),
+        fleet.market().takeBackChance(slot, windowMs, WINDOWS));
   }
 
   /** When each lane of a machine is free, from now. */
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
 import dapplestair.fleet.MachineTypes;
 import dapplestair.json.Json;
 import dapplestair.leadership.Baton;
@@ -20,7 +22,6 @@
 import dapplestair.state.StateClient;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -59,7 +60,7 @@
   private final Map<String, Host> hosts = new LinkedHashMap<>();
   private final Set<String> goneHosts = new HashSet<>();
   private final ZoneWatch zones;
-  private final Map<String, Integer> perZone = new HashMap<>();
+  private final Multiset<String> perZone = HashMultiset.create();
   private final Set<String> flushing = new HashSet<>();
   private Cancellable timer = () -> {};
   private Cancellable counting = () -> {};
@@ -152,7 +153,7 @@
    * should have been, too.
    */
   public boolean zoneHeard(Host silent) {
-    int machines = perZone.getOrDefault(silent.zone(), 0);
+    int machines = perZone.count(silent.zone());
     return zones.heardForMs(silent.zone(), clock.now(), machines) > 1.5 * reportMs;
   }
 
@@ -214,7 +215,7 @@
     perZone.clear();
     for (Host h : hosts.values()) {
       if (h.up()) {
-        perZone.merge(h.zone(), 1, Integer::sum);
+        perZone.add(h.zone());
       }
     }
     for (Host h : List.copyOf(hosts.values())) {
@@ -473,7 +474,7 @@
     host.tick = r.tick();
     host.tokenSeen = r.token();
     host.heardAt = clock.now();
-    zones.heard(r.zone(), clock.now(), perZone.getOrDefault(r.zone(), 0));
+    zones.heard(r.zone(), clock.now(), perZone.count(r.zone()));
     host.describe(r.endpoint(), types.get(r.type()), r.zone(), r.spot());
     if (!host.acknowledged && r.token() >= Baton.of(leadership.term(), 0)) {
       host.acknowledged = true;
--- /dev/null
+++ b/src/test/java/dapplestair/fleet/MarketTest.java
@@ -0,0 +1,45 @@
+package dapplestair.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dapplestair.ports.Clock;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class MarketTest {
+  private long now;
+  private final Market market =
+      new Market(
+          new Clock() {
+            @Override
+            public long now() {
+              return now;
+            }
+
+            @Override
+            public long wall() {
+              return now;
+            }
+          });
+
+  private static MachineType type(double spotPrice) {
+    return new MachineType("t8", 8, 0, 64, 50, 1, 1.0, spotPrice, 30, List.of("a"));
+  }
+
+  @Test
+  void spotCostsTheHighestPriceOfTheLastMinute() {
+    market.notePrices(List.of(type(0.6)));
+    now = 30_000;
+    market.notePrices(List.of(type(0.4)));
+    assertEquals(0.6, market.price(type(0.4), true));
+    assertEquals(1.0, market.price(type(0.4), false));
+    now = 61_000;
+    market.notePrices(List.of(type(0.4)));
+    assertEquals(0.4, market.price(type(0.4), true));
+  }
+
+  @Test
+  void nothingTakenNoChance() {
+    assertEquals(0, market.takeBackChance(new Slot("t8", true), 60_000, 10));
+  }
+}
