--- a/src/main/java/dapplestair/placement/Evictions.java
+++ b/src/main/java/dapplestair/placement/Evictions.java
@@ -15,6 +15,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Stops work to make room: of a lower rank, or, for a team within its guarantee, of any rank that
@@ -93,11 +94,52 @@
       return;
     }
     scans++;
+    int wanted = Math.max(0, Math.min(job.waiting(), ledger.teamRoom(s, !byRank)));
+    take(offers(job, fromBorrowers, h -> true), wanted);
+  }
+
+  /**
+   * Makes room for replicas where their image is, when all room there is means a fetch of {@code
+   * waitS}. What is stopped for it must be gone sooner. Returns for how many room is on its way.
+   */
+  int makeRoomAtImage(Job job, double waitS) {
+    if (!looked) {
+      look();
+    }
+    Submission s = job.spec();
+    if (scans >= MOST_SCANS || !s.rank().above(lowest)) {
+      return 0;
+    }
+    scans++;
+    long now = clock.now();
+    List<Offer> offers = offers(job, false, h -> h.imageWaitS(s, now) == 0);
+    offers.removeIf(o -> o.victims().stream().anyMatch(a -> stopS(a) > waitS / 2));
+    return take(offers, job.waiting());
+  }
+
+  private static double stopS(Attempt a) {
+    return a.spec().saves() ? a.spec().saveS() : 0;
+  }
+
+  /** Takes up the cheapest offers; returns how many. */
+  private int take(List<Offer> offers, int wanted) {
+    offers.sort(Comparator.comparingDouble(Offer::loss).thenComparing(o -> o.host().id()));
+    List<Offer> taken = offers.subList(0, Math.min(wanted, offers.size()));
+    for (Offer o : taken) {
+      spokenFor.add(o.host());
+      o.victims().forEach(this::stop);
+    }
+    return taken.size();
+  }
+
+  private List<Offer> offers(Job job, boolean fromBorrowers, Predicate<Host> where) {
+    Submission s = job.spec();
     List<Offer> offers = new ArrayList<>();
     for (Host h : desk.hosts()) {
       if (!h.closed()
           && !spokenFor.contains(h)
           && h.allowed(s)
+          && where.test(h)
           && desk.fresh(h)
           && ledger.zoneAllows(job, h.zone())) {
         Offer offer = offer(s, h, fromBorrowers);
@@ -106,12 +148,7 @@
         }
       }
     }
-    offers.sort(Comparator.comparingDouble(Offer::loss).thenComparing(o -> o.host().id()));
-    int wanted = Math.max(0, Math.min(job.waiting(), ledger.teamRoom(s, !byRank)));
-    for (Offer o : offers.subList(0, Math.min(wanted, offers.size()))) {
-      spokenFor.add(o.host());
-      o.victims().forEach(this::stop);
-    }
+    return offers;
   }
 
   private void stop(Attempt a) {
--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -31,6 +31,7 @@
   private final DoubleSupplier roomForServices;
   private final Evictions evictions;
   private final List<NoRoom> noRoom = new ArrayList<>();
+  private boolean awaitsImage;
   private double serviceRoom;
   private double steadyFree;
   private boolean due;
@@ -183,10 +184,11 @@
   }
 
   private void placeEach(Job job, List<Host> usable) {
+    awaitsImage = false;
     int step = job.nextFree(0);
     while (step >= 0) {
       Host best = best(job, usable);
-      if (best == null) {
+      if (best == null || awaitsImage(job, best)) {
         break;
       }
       int before = step;
@@ -195,11 +197,24 @@
         break;
       }
     }
-    if (step >= 0 && ledger.teamAllows(job.spec())) {
+    if (step >= 0 && ledger.teamAllows(job.spec()) && !awaitsImage) {
       evictions.makeRoom(job, guaranteed(job));
     }
   }
 
+  /**
+   * True when a replica had better wait for room at a machine that has its image than start with a
+   * fetch here. Only for as long as the fetch would take: later, any start is better than none.
+   */
+  private boolean awaitsImage(Job job, Host best) {
+    Submission s = job.spec();
+    double fetchS = best.imageWaitS(s, clock.now());
+    double age = (clock.wall() - job.acceptedWall()) / 1000.0;
+    awaitsImage =
+        s.service() && fetchS > 0 && age < fetchS / 2 && evictions.makeRoomAtImage(job, fetchS) > 0;
+    return awaitsImage;
+  }
+
   /** Starts as many of a job's tasks on a machine as fit; returns the next step, or -1. */
   private int fill(Job job, int from, Host host) {
     int step = from;
--- /dev/null
+++ b/src/test/java/dapplestair/workers/HostTest.java
@@ -0,0 +1,55 @@
+package dapplestair.workers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import dapplestair.fleet.MachineType;
+import dapplestair.fleet.MachineTypes;
+import dapplestair.submissions.Submission;
+import org.junit.jupiter.api.Test;
+
+class HostTest {
+  private static MachineType type() {
+    ObjectNode types = Json.object();
+    ObjectNode t = types.putArray("hulls").addObject();
+    t.put("label", "t8").put("vcpus", 8).put("memoryGb", 64).put("pullGbPerS", 0.5);
+    t.putArray("basins").add("a");
+    MachineTypes read = new MachineTypes();
+    read.read(types);
+    return read.get("t8");
+  }
+
+  private static Submission needing(String image, double gb) throws Submission.Malformed {
+    return Submission.parse(
+        Json.object()
+            .put("ref", "a-1")
+            .put("jobclass", "c")
+            .put("owner", "t")
+            .put("shape", "daemon")
+            .put("rank", "critical")
+            .put("steps", 2)
+            .put("vcpus", 1)
+            .put("accelerators", 0)
+            .put("memoryGb", 1)
+            .put("bundle", image)
+            .put("imageGb", gb)
+            .put("together", false)
+            .put("apart", true)
+            .put("loaners", false)
+            .put("guessS", 0)
+            .put("snapshotEveryS", 0)
+            .put("snapshotS", 0));
+  }
+
+  @Test
+  void anImageIsWaitedForUntilItIsThere() throws Submission.Malformed {
+    Host host = new Host("n-1", 0);
+    host.describe("n-1:1", type(), "a", false);
+    Submission s = needing("img-1", 1.5);
+    assertEquals(3.0, host.imageWaitS(s, 1000));
+    host.imageSeen("img-1", 2000);
+    assertEquals(0.0, host.imageWaitS(s, 2000));
+    assertEquals(1.0, host.imageWaitS(needing("img-2", 0.5), 2000));
+  }
+}
--- /dev/null
+++ b/src/test/java/dapplestair/world/GuaranteeTest.java
@@ -0,0 +1,40 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What a team borrows goes back to its owner, whatever the rank. */
+class GuaranteeTest {
+  // 96 CPUs in all; each of the two teams is guaranteed 40 and limited to 80.
+  private static final World.Size TIGHT = new World.Size(2, 40, 1_000_000, 1);
+
+  private static long running(World world, Users.Told job) {
+    return world.cloud.machines.values().stream()
+        .filter(m -> !m.gone)
+        .flatMap(m -> m.tasks.values().stream())
+        .filter(t -> t.onMachine() && t.key.startsWith(job.ref + "/"))
+        .count();
+  }
+
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 3})
+  void borrowersOfEqualRankMakeRoom(long seed) {
+    World world = new World(seed, TIGHT);
+    world.net.loss = 0;
+    world.users.quiet = true;
+    world.run(5000);
+    Users.Told borrower = world.users.array("one", "standard", 40, 300);
+    world.run(60_000);
+    assertTrue(running(world, borrower) >= 30, running(world, borrower) + " borrowers run");
+    Users.Told owner = world.users.array("two", "standard", 20, 300);
+    world.run(30_000);
+    long owned = running(world, owner);
+    long borrowed = running(world, borrower);
+    // A machine that never boots leaves less for both: then the borrower is down to its own share.
+    assertTrue(
+        owned >= 18 || borrowed <= 20, owned + " of 20 run, " + borrowed + " are still borrowed");
+    assertTrue(borrowed >= 18, borrowed + " left of the borrower's own 20");
+  }
+}
--- a/src/test/java/dapplestair/world/Users.java
+++ b/src/test/java/dapplestair/world/Users.java
@@ -88,6 +88,33 @@
     }
   }
 
+  /** Submits one array of two-CPU tasks that never save, besides the random ones. */
+  Told array(String team, String rank, int steps, double runS) {
+    ObjectNode b =
+        Json.object()
+            .put("ref", String.format("xx-%06d", ++made))
+            .put("jobclass", "batch")
+            .put("owner", team)
+            .put("shape", "sweep")
+            .put("rank", rank)
+            .put("steps", steps)
+            .put("vcpus", 2.0)
+            .put("accelerators", 0.0)
+            .put("memoryGb", 1.0)
+            .put("bundle", "img-1")
+            .put("imageGb", 0.5)
+            .put("together", false)
+            .put("apart", false)
+            .put("loaners", true)
+            .put("guessS", runS)
+            .put("snapshotEveryS", 0.0)
+            .put("snapshotS", 0.0);
+    Told t = new Told(b);
+    told.put(t.ref, t);
+    submit(t, world.sim.now() + 60_000);
+    return t;
+  }
+
   private String someNode() {
     return World.client((int) world.sim.between(0, world.nodes.size() - 1));
   }
