--- a/src/main/java/dapplestair/placement/Evictions.java
+++ b/src/main/java/dapplestair/placement/Evictions.java
@@ -99,10 +99,11 @@
   }
 
   /**
-   * Makes room for replicas where their image is, when all room there is means a fetch of {@code
-   * waitS}. What is stopped for it must be gone sooner. Returns for how many room is on its way.
+   * Makes room for replicas where their image is, when all room there is means a fetch. Only for what
+   * is gone at once: work that has to be saved first is not worth a fetch. Returns for how many room
+   * is on its way.
    */
-  int makeRoomAtImage(Job job, double waitS) {
+  int makeRoomAtImage(Job job) {
     if (!looked) {
       look();
     }
@@ -113,14 +114,10 @@
     scans++;
     long now = clock.now();
     List<Offer> offers = offers(job, false, h -> h.imageWaitS(s, now) == 0);
-    offers.removeIf(o -> o.victims().stream().anyMatch(a -> stopS(a) > waitS / 2));
+    offers.removeIf(o -> o.victims().stream().anyMatch(a -> a.spec().saves()));
     return take(offers, job.waiting());
   }
 
-  private static double stopS(Attempt a) {
-    return a.spec().saves() ? a.spec().saveS() : 0;
-  }
-
   /** Takes up the cheapest offers; returns how many. */
   private int take(List<Offer> offers, int wanted) {
     offers.sort(Comparator.comparingDouble(Offer::loss).thenComparing(o -> o.host().id()));
--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -211,7 +211,7 @@
     double fetchS = best.imageWaitS(s, clock.now());
     double age = (clock.wall() - job.acceptedWall()) / 1000.0;
     awaitsImage =
-        s.service() && fetchS > 0 && age < fetchS / 2 && evictions.makeRoomAtImage(job, fetchS) > 0;
+        s.service() && fetchS > 0 && age < fetchS / 2 && evictions.makeRoomAtImage(job) > 0;
     return awaitsImage;
   }
 
