--- /dev/null
+++ b/src/main/java/dapplestair/emulator/EmulatedCloud.java
@@ -0,0 +1,274 @@
+package dapplestair.emulator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import dapplestair.ports.HttpReply;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** The cloud by its protocol: idempotent rentals, a lagging list, machines that never boot. */
+public final class EmulatedCloud implements Place {
+  private record Snapshot(long at, TreeMap<String, ObjectNode> hosts) {}
+
+  private static final int MOST_LISTED = 500;
+  private static final long SNAPSHOT_MS = 500;
+
+  private final Surroundings world;
+  private final Shape shape;
+  private final JobBook book;
+  private final Directory directory;
+  private final Witness witness;
+  private final TreeMap<String, EmulatedWorker> machines = new TreeMap<>();
+  private final Map<String, Long> rentedAt = new HashMap<>();
+  private final Map<String, List<String>> answered = new HashMap<>();
+  private final Map<String, String> asked = new HashMap<>();
+  private final Map<String, Double> kept = new HashMap<>();
+  private final ArrayDeque<Snapshot> snapshots = new ArrayDeque<>();
+  private boolean down;
+  private double capacity = 1;
+  private String violation;
+  private int killedByRelease;
+  private int killedByLease;
+  private int made;
+
+  /** A cloud without rented machines. */
+  public EmulatedCloud(
+      Surroundings world, Shape shape, JobBook book, Directory directory, Witness witness) {
+    this.world = world;
+    this.shape = shape;
+    this.book = book;
+    this.directory = directory;
+    this.witness = witness;
+    snapshot();
+  }
+
+  // ---- what may be seen and done from outside ----
+
+  /** All machines that were not returned, also those that are gone by themselves. */
+  public Collection<EmulatedWorker> machines() {
+    return machines.values();
+  }
+
+  /** Whether requests get 503. */
+  public void setDown(boolean value) {
+    down = value;
+  }
+
+  /** Share of its machines that the cloud has to give. */
+  public void setCapacity(double share) {
+    capacity = share;
+  }
+
+  /** What somebody did that the protocol forbids, or null. */
+  public String violation() {
+    return violation;
+  }
+
+  /** Tasks that ran on machines when those were returned. */
+  public int killedByRelease() {
+    return killedByRelease;
+  }
+
+  /** Tasks that ran when their worker's lease ended. */
+  public int killedByLease() {
+    return killedByLease;
+  }
+
+  // ---- for its machines ----
+
+  JobBook book() {
+    return book;
+  }
+
+  Directory directory() {
+    return directory;
+  }
+
+  Witness witness() {
+    return witness;
+  }
+
+  void violated(String what) {
+    violation = what;
+  }
+
+  void killedByLease(long tasks) {
+    killedByLease += (int) tasks;
+  }
+
+  /** Checkpoints are stored outside machines: run time that a task has saved, seconds. */
+  double kept(String key) {
+    return kept.getOrDefault(key, 0.0);
+  }
+
+  void keep(String key, double seconds) {
+    if (seconds > 0) {
+      kept.merge(key, seconds, Double::sum);
+    }
+  }
+
+  void forget(String key) {
+    kept.remove(key);
+  }
+
+  // ---- the protocol ----
+
+  private void snapshot() {
+    TreeMap<String, ObjectNode> hosts = new TreeMap<>();
+    machines.forEach(
+        (id, w) -> {
+          if (!w.gone()) {
+            hosts.put(id, listed(id, w));
+          }
+        });
+    snapshots.add(new Snapshot(world.now(), hosts));
+    // Older than any list may be.
+    while (snapshots.size() > 2 + 2 * shape.listLagMs() / SNAPSHOT_MS) {
+      snapshots.poll();
+    }
+    world.after(SNAPSHOT_MS, this::snapshot);
+  }
+
+  private ObjectNode listed(String id, EmulatedWorker w) {
+    return Json.object()
+        .put("ref", id)
+        .put("endpoint", w.endpoint())
+        .put("hull", w.type())
+        .put("basin", w.zone())
+        .put("loaners", w.spot())
+        .put("status", w.booted() ? "running" : "booting")
+        .put("ageS", (world.now() - rentedAt.get(id)) / 1000.0);
+  }
+
+  @Override
+  public void request(
+      String from, String method, String path, byte[] body, Consumer<HttpReply> reply) {
+    if (down) {
+      reply.accept(EmulatedState.json(503, Json.object().put("error", "trouble")));
+    } else if (path.equals("/machine_types")) {
+      reply.accept(EmulatedState.json(200, types()));
+    } else if (path.equals("/rentals")) {
+      reply.accept(rent(Json.parse(body)));
+    } else if (path.equals("/rentals/release")) {
+      Json.parse(body).path("hosts").forEach(h -> release(h.asText()));
+      reply.accept(EmulatedState.json(200, Json.object()));
+    } else {
+      reply.accept(list(EmulatedState.query(path, "from")));
+    }
+  }
+
+  private void release(String id) {
+    EmulatedWorker w = machines.remove(id);
+    if (w != null) {
+      killedByRelease += (int) w.tasks().stream().filter(EmulatedTask::onMachine).count();
+      rentedAt.remove(id);
+      w.end();
+    }
+  }
+
+  private HttpReply list(String from) {
+    // Lists lag by up to twice the stated time, and come out of order.
+    long at = world.now() - world.between(shape.listLagMs() / 2, 2 * shape.listLagMs());
+    Snapshot best = snapshots.peek();
+    for (Snapshot s : snapshots) {
+      if (s.at <= at) {
+        best = s;
+      }
+    }
+    ObjectNode o = Json.object();
+    ArrayNode hosts = o.putArray("hosts");
+    Map<String, ObjectNode> rest = from == null ? best.hosts : best.hosts.tailMap(from, false);
+    for (ObjectNode h : rest.values()) {
+      if (hosts.size() == MOST_LISTED) {
+        break;
+      }
+      hosts.add(h);
+    }
+    return EmulatedState.json(200, o.put("more", rest.size() > MOST_LISTED));
+  }
+
+  private HttpReply rent(JsonNode in) {
+    String name = in.path("rental").asText();
+    Shape.Machine type = shape.type(in.path("hull").asText());
+    int count = in.path("howMany").asInt();
+    if (name.isEmpty() || type == null || count < 1 || count > 50) {
+      return EmulatedState.json(400, Json.object().put("error", "malformed"));
+    }
+    String what = type.name() + in.path("basin") + in.path("loaners") + count;
+    if (!what.equals(asked.getOrDefault(name, what))) {
+      violation = "rental name reused: " + name;
+    }
+    asked.put(name, what);
+    List<String> hosts = answered.get(name);
+    if (hosts == null) {
+      hosts = make(type, in.path("basin").asText(), in.path("loaners").asBoolean(), count);
+      if (hosts.isEmpty()) {
+        return EmulatedState.json(503, Json.object().put("error", "no capacity"));
+      }
+      answered.put(name, hosts);
+    }
+    ObjectNode o = Json.object();
+    hosts.forEach(o.putArray("hosts")::add);
+    return EmulatedState.json(200, o);
+  }
+
+  private List<String> make(Shape.Machine type, String zone, boolean spot, int count) {
+    List<String> hosts = new ArrayList<>();
+    for (int i = 0; i < count && room(type, zone, spot); i++) {
+      String id = String.format("n-%06d", made++);
+      EmulatedWorker w = new EmulatedWorker(world, this, shape, type, id, zone, spot);
+      machines.put(id, w);
+      rentedAt.put(id, world.now());
+      hosts.add(id);
+      if (!world.chance(shape.neverBoots())) {
+        long bootMs = Math.round(1000 * type.bootS());
+        world.after(
+            world.between(bootMs / 8, bootMs * 3 / 2),
+            () -> {
+              if (!w.gone()) {
+                w.boot();
+              }
+            });
+      }
+    }
+    return hosts;
+  }
+
+  private boolean room(Shape.Machine type, String zone, boolean spot) {
+    long n =
+        machines.values().stream()
+            .filter(w -> !w.gone() && w.zone().equals(zone) && w.spot() == spot)
+            .filter(w -> w.type().equals(type.name()))
+            .count();
+    return shape.zones().contains(zone) && n < Math.floor(capacity * shape.perPlace());
+  }
+
+  private ObjectNode types() {
+    ObjectNode o = Json.object();
+    ArrayNode hulls = o.putArray("hulls");
+    for (Shape.Machine m : shape.types()) {
+      ObjectNode t =
+          hulls
+              .addObject()
+              .put("label", m.name())
+              .put("vcpus", m.cpus())
+              .put("accelerators", m.gpus())
+              .put("memoryGb", m.memoryGb())
+              .put("cacheGb", m.cacheGb())
+              .put("pullGbPerS", m.fetchGbPerS())
+              .put("hourly", m.price())
+              .put("marketPrice", m.spotPrice())
+              .put("readyS", m.bootS());
+      shape.zones().forEach(t.putArray("basins")::add);
+    }
+    return o;
+  }
+}
--- a/src/test/java/dapplestair/world/StandInState.java
+++ b/src/main/java/dapplestair/emulator/EmulatedState.java
@@ -1,4 +1,4 @@
-package dapplestair.world;
+package dapplestair.emulator;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -15,60 +15,102 @@
 import java.util.function.Consumer;
 
 /** The state service by its protocol: transactions, holds, changes, outages, limits. */
-final class StandInState implements Network.Place {
+public final class EmulatedState implements Place {
   private record Row(JsonNode value, long stamp, long hold) {}
 
   private record Change(String key, JsonNode value, long stamp) {}
 
   private record Watch(String prefix, long from, long until, Consumer<HttpReply> reply) {}
 
-  private final Sim sim;
-  private final int txnOps;
-  private final int valueBytes;
-  final TreeMap<String, JsonNode> view = new TreeMap<>();
+  private static final long TICK_MS = 50;
+
+  private final Surroundings world;
+  private final Shape shape;
   private final TreeMap<String, Row> rows = new TreeMap<>();
   private final List<Change> changes = new ArrayList<>();
   private final Map<Long, Long> holdEnds = new HashMap<>();
   private final Map<Long, Long> holdTtl = new HashMap<>();
   private final List<Watch> watches = new ArrayList<>();
-  final Set<String> refused = new HashSet<>();
-  boolean down;
+  private final Set<String> refused = new HashSet<>();
+  private boolean down;
   private long epoch;
   private long lastHold;
-  int puts;
-  String violation;
+  private long forgotten;
+  private int puts;
+  private String violation;
 
-  StandInState(Sim sim, int txnOps, int valueBytes) {
-    this.sim = sim;
-    this.txnOps = txnOps;
-    this.valueBytes = valueBytes;
+  /** An empty store. */
+  public EmulatedState(Surroundings world, Shape shape) {
+    this.world = world;
+    this.shape = shape;
     tick();
   }
 
+  // ---- what may be seen and done from outside ----
+
+  /** The value under a key now, or null. */
+  public JsonNode value(String key) {
+    Row r = rows.get(key);
+    return r == null ? null : r.value;
+  }
+
+  /** All keys with this prefix now, in order. */
+  public List<String> keys(String prefix) {
+    return List.copyOf(rows.subMap(prefix, prefix + Character.MAX_VALUE).keySet());
+  }
+
+  /** Puts and deletes made so far. */
+  public int puts() {
+    return puts;
+  }
+
+  /** What somebody did that the protocol forbids, or null. */
+  public String violation() {
+    return violation;
+  }
+
+  /** An outage begins. */
+  public void fail() {
+    down = true;
+  }
+
+  /** An outage ends: every hold has its full time again. */
+  public void recover() {
+    down = false;
+    holdEnds.replaceAll((h, end) -> world.now() + holdTtl.get(h));
+  }
+
+  /** One caller alone gets 503, or not any more. */
+  public void refuse(String caller, boolean value) {
+    if (value) {
+      refused.add(caller);
+    } else {
+      refused.remove(caller);
+    }
+  }
+
+  // ---- holds and watches ----
+
   private void tick() {
     if (!down) {
       for (long h : List.copyOf(holdEnds.keySet())) {
-        if (holdEnds.get(h) < sim.now()) {
+        if (holdEnds.get(h) < world.now()) {
           endHold(h);
         }
       }
-    }
-    sim.after(50, this::tick);
-    for (Watch w : List.copyOf(watches)) {
-      if (!down && w.until <= sim.now()) {
-        watches.remove(w);
-        w.reply.accept(news(w.prefix, w.from));
+      for (Watch w : List.copyOf(watches)) {
+        if (w.until <= world.now()) {
+          watches.remove(w);
+          w.reply.accept(news(w.prefix, w.from));
+        }
       }
     }
-  }
-
-  void recover() {
-    down = false;
-    holdEnds.replaceAll((h, end) -> sim.now() + holdTtl.get(h));
+    world.after(TICK_MS, this::tick);
   }
 
   private void endHold(long h) {
     holdEnds.remove(h);
+    holdTtl.remove(h);
     List<String> attached = new ArrayList<>();
     rows.forEach(
         (k, r) -> {
@@ -85,23 +127,26 @@
 
   private void remove(String key) {
     if (rows.remove(key) != null) {
-      view.remove(key);
       changes.add(new Change(key, null, epoch));
     }
   }
 
   private void wake() {
+    if (changes.size() > 2 * shape.changesKept()) {
+      List<Change> old = changes.subList(0, changes.size() - shape.changesKept());
+      forgotten = old.get(old.size() - 1).stamp;
+      old.clear();
+    }
     for (Watch w : List.copyOf(watches)) {
-      if (!down && changes.get(changes.size() - 1).stamp > w.from) {
-        HttpReply r = news(w.prefix, w.from);
-        if (Json.parse(r.body()).path("news").size() > 0) {
-          watches.remove(w);
-          w.reply.accept(r);
-        }
+      if (!down && anyNews(w.prefix, w.from)) {
+        watches.remove(w);
+        w.reply.accept(news(w.prefix, w.from));
       }
     }
   }
 
+  // ---- the protocol ----
+
   @Override
   public void request(
       String from, String method, String path, byte[] body, Consumer<HttpReply> reply) {
@@ -109,48 +154,56 @@
       reply.accept(json(503, Json.object()));
       return;
     }
-    JsonNode in = body == null ? Json.object() : Json.parse(body);
+    JsonNode in = body == null || body.length == 0 ? Json.object() : Json.parse(body);
     if (path.equals("/commit")) {
       reply.accept(commit(in));
     } else if (path.startsWith("/kv/")) {
-      Row r = rows.get(path.substring(4));
+      String key = path.substring(4);
+      Row r = rows.get(key);
       reply.accept(
-          r == null
-              ? json(404, Json.object().put("epoch", epoch))
-              : json(200, row(path.substring(4), r)));
+          r == null ? json(404, Json.object().put("epoch", epoch)) : json(200, row(key, r)));
     } else if (path.startsWith("/kv?")) {
-      reply.accept(list(query(path, "prefix"), query(path, "from")));
+      reply.accept(list(query(path, "prefix"), query(path, "from"), query(path, "limit")));
     } else if (path.startsWith("/changes")) {
-      long since = Long.parseLong(query(path, "from"));
-      String prefix = query(path, "prefix");
-      HttpReply now = news(prefix, since);
-      long block = Long.parseLong(query(path, "blockMs"));
-      if (block == 0 || now.status() != 200 || Json.parse(now.body()).path("news").size() > 0) {
-        reply.accept(now);
-      } else {
-        watches.add(new Watch(prefix, since, sim.now() + block, reply));
-      }
+      watch(path, reply);
     } else if (path.equals("/holds")) {
       long ttl = in.path("ttlMs").asLong();
-      holdEnds.put(++lastHold, sim.now() + ttl);
+      holdEnds.put(++lastHold, world.now() + ttl);
       holdTtl.put(lastHold, ttl);
       reply.accept(json(200, Json.object().put("hold", lastHold)));
+    } else if (path.startsWith("/holds/")) {
+      reply.accept(hold(method, Long.parseLong(path.split("/")[2])));
     } else {
-      long h = Long.parseLong(path.split("/")[2]);
-      if (!holdEnds.containsKey(h)) {
-        reply.accept(json(404, Json.object()));
-      } else if (method.equals("DELETE")) {
-        endHold(h);
-        reply.accept(json(200, Json.object()));
-      } else {
-        holdEnds.put(h, sim.now() + holdTtl.get(h));
-        reply.accept(json(200, Json.object()));
-      }
+      reply.accept(json(400, Json.object().put("error", "no such path")));
+    }
+  }
+
+  private HttpReply hold(String method, long h) {
+    if (!holdEnds.containsKey(h)) {
+      return json(404, Json.object());
+    }
+    if (method.equals("DELETE")) {
+      endHold(h);
+    } else {
+      holdEnds.put(h, world.now() + holdTtl.get(h));
+    }
+    return json(200, Json.object());
+  }
+
+  private void watch(String path, Consumer<HttpReply> reply) {
+    long since = Long.parseLong(query(path, "from"));
+    String prefix = query(path, "prefix");
+    String blockMs = query(path, "blockMs");
+    long block = blockMs == null ? 0 : Long.parseLong(blockMs);
+    if (block == 0 || tooOld(since) || anyNews(prefix, since)) {
+      reply.accept(news(prefix, since));
+    } else {
+      watches.add(new Watch(prefix, since, world.now() + block, reply));
     }
   }
 
   private HttpReply commit(JsonNode in) {
-    if (in.path("writes").size() > txnOps || in.path("when").size() > 4 * txnOps) {
+    if (in.path("writes").size() > shape.txnOps() || in.path("when").size() > 4 * shape.txnOps()) {
       violation = "transaction too large: " + in;
       return json(400, Json.object().put("error", "too large"));
     }
@@ -165,7 +218,7 @@
       if (w.has("hold") && !holdEnds.containsKey(w.path("hold").asLong())) {
         return json(400, Json.object().put("error", "no such lease"));
       }
-      if (w.has("put") && Json.bytes(w.get("value")).length > valueBytes) {
+      if (w.has("put") && Json.bytes(w.get("value")).length > shape.valueBytes()) {
         violation = "value too large under " + w.path("put").asText();
         return json(400, Json.object().put("error", "value too large"));
       }
@@ -175,28 +228,30 @@
       o.set("failed", failed);
       return json(409, o);
     }
-    if (in.path("writes").size() > 0) {
-      epoch++;
-      puts += in.path("writes").size();
-      for (JsonNode w : in.path("writes")) {
-        if (w.has("put")) {
-          String k = w.path("put").asText();
-          rows.put(k, new Row(w.get("value"), epoch, w.path("hold").asLong(0)));
-          view.put(k, w.get("value"));
-          changes.add(new Change(k, w.get("value"), epoch));
-        } else {
-          remove(w.path("remove").asText());
-        }
-      }
+    if (!in.path("writes").isEmpty()) {
+      write(in.path("writes"));
     }
     HttpReply reply = json(200, Json.object().put("epoch", epoch));
-    if (!changes.isEmpty()) {
-      wake();
-    }
+    wake();
     return reply;
   }
 
-  private HttpReply list(String prefix, String from) {
+  private void write(JsonNode writes) {
+    epoch++;
+    puts += writes.size();
+    for (JsonNode w : writes) {
+      if (w.has("put")) {
+        String k = w.path("put").asText();
+        rows.put(k, new Row(w.get("value"), epoch, w.path("hold").asLong(0)));
+        changes.add(new Change(k, w.get("value"), epoch));
+      } else {
+        remove(w.path("remove").asText());
+      }
+    }
+  }
+
+  private HttpReply list(String prefix, String from, String limit) {
+    int most = Math.min(shape.pageRows(), limit == null ? shape.pageRows() : Integer.parseInt(limit));
     ObjectNode o = Json.object();
     ArrayNode out = o.putArray("rows");
     boolean more = false;
@@ -205,8 +260,7 @@
       if (!e.getKey().startsWith(prefix)) {
         break;
       }
-      // Small pages, so that listings take several.
-      if (out.size() >= 40) {
+      if (out.size() >= most) {
         more = true;
         break;
       }
@@ -215,22 +269,46 @@
     return json(200, o.put("more", more).put("epoch", epoch));
   }
 
-  private HttpReply news(String prefix, long from) {
-    if (changes.size() > 400 && changes.get(changes.size() - 400).stamp > from) {
+  private boolean tooOld(long since) {
+    int n = changes.size();
+    return since < forgotten
+        || n > shape.changesKept() && changes.get(n - shape.changesKept()).stamp > since;
+  }
+
+  /** Index of the first change after a moment. */
+  private int firstAfter(long since) {
+    int low = 0;
+    int high = changes.size();
+    while (low < high) {
+      int mid = (low + high) >>> 1;
+      if (changes.get(mid).stamp > since) {
+        high = mid;
+      } else {
+        low = mid + 1;
+      }
+    }
+    return low;
+  }
+
+  private boolean anyNews(String prefix, long since) {
+    return changes.subList(firstAfter(since), changes.size()).stream()
+        .anyMatch(c -> c.key.startsWith(prefix));
+  }
+
+  private HttpReply news(String prefix, long since) {
+    if (tooOld(since)) {
       return json(410, Json.object());
     }
     ObjectNode o = Json.object().put("epoch", epoch);
     ArrayNode out = o.putArray("news");
-    for (int i = changes.size() - 1; i >= 0 && changes.get(i).stamp > from; i--) {
-      Change c = changes.get(i);
+    for (Change c : changes.subList(firstAfter(since), changes.size())) {
       if (c.key.startsWith(prefix)) {
-        ObjectNode n = Json.object().put("stamp", c.stamp);
+        ObjectNode n = out.addObject().put("stamp", c.stamp);
         if (c.value == null) {
           n.put("remove", c.key);
         } else {
           n.put("put", c.key).set("value", c.value);
         }
-        out.insert(0, n);
       }
     }
     return json(200, o);
--- /dev/null
+++ b/src/main/java/dapplestair/emulator/EmulatedTask.java
@@ -0,0 +1,83 @@
+package dapplestair.emulator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+
+/** One attempt at a task on one machine. A task runs for a time, no program. */
+public final class EmulatedTask {
+  private final String key;
+  private final long attempt;
+  private final JsonNode job;
+  String status = "fetching";
+  String cause;
+  boolean stored;
+  long runsSince;
+
+  EmulatedTask(String key, long attempt, JsonNode job) {
+    this.key = key;
+    this.attempt = attempt;
+    this.job = job;
+  }
+
+  /** Job and index, as on the wire. */
+  public String key() {
+    return key;
+  }
+
+  /** Number of the try. */
+  public long attempt() {
+    return attempt;
+  }
+
+  /** True from the moment at which it has its image until it exits. */
+  public boolean onMachine() {
+    return status.equals("running") || status.equals("flushing");
+  }
+
+  /** State as on the wire. */
+  public String status() {
+    return status;
+  }
+
+  boolean exited() {
+    return status.equals("exited");
+  }
+
+  void exit(String why) {
+    status = "exited";
+    cause = why;
+  }
+
+  String ref() {
+    return ref(key);
+  }
+
+  static String ref(String key) {
+    int slash = key.indexOf('/');
+    return slash < 0 ? key : key.substring(0, slash);
+  }
+
+  double amount(String field) {
+    return job == null ? 0 : Json.decimal(job, field, 0);
+  }
+
+  boolean service() {
+    return "daemon".equals(Json.text(job, "shape"));
+  }
+
+  String image() {
+    return Json.text(job, "bundle");
+  }
+
+  ObjectNode toJson() {
+    ObjectNode o = Json.object().put("step", key).put("try", attempt).put("status", status);
+    if (cause != null) {
+      o.put("cause", cause);
+    }
+    if (stored) {
+      o.put("stored", true);
+    }
+    return o;
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/emulator/JobBook.java
@@ -0,0 +1,10 @@
+package dapplestair.emulator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Where workers find what their users uploaded. */
+@FunctionalInterface
+public interface JobBook {
+  /** The submission of this id, in the form of the protocol, or null. */
+  JsonNode find(String ref);
+}
--- /dev/null
+++ b/src/main/java/dapplestair/emulator/Place.java
@@ -0,0 +1,11 @@
+package dapplestair.emulator;
+
+import dapplestair.ports.HttpReply;
+import java.util.function.Consumer;
+
+/** Something with an address that answers requests, perhaps later, perhaps never. */
+@FunctionalInterface
+public interface Place {
+  /** A request from {@code from} has come; {@code body} may be null. */
+  void request(String from, String method, String path, byte[] body, Consumer<HttpReply> reply);
+}
--- /dev/null
+++ b/src/main/java/dapplestair/emulator/Shape.java
@@ -0,0 +1,43 @@
+package dapplestair.emulator;
+
+import java.util.List;
+
+/**
+ * How large the emulated world is and how it behaves. Durations ending in Ms are milliseconds.
+ *
+ * @param perPlace machines of each type that a zone has of each kind, spot and ordinary
+ * @param neverBoots share of machines that never come up
+ * @param txnOps most writes of a transaction
+ * @param valueBytes largest value
+ * @param pageRows most rows of a listing
+ * @param changesKept changes that may be asked for; older ones are 410
+ */
+public record Shape(
+    List<Machine> types,
+    List<String> zones,
+    int perPlace,
+    double neverBoots,
+    long reportMs,
+    long leaseMs,
+    long listLagMs,
+    int txnOps,
+    int valueBytes,
+    int pageRows,
+    int changesKept) {
+
+  /** A machine type; prices are per hour. */
+  public record Machine(
+      String name,
+      double cpus,
+      double gpus,
+      double memoryGb,
+      double cacheGb,
+      double fetchGbPerS,
+      double price,
+      double spotPrice,
+      double bootS) {}
+
+  Machine type(String name) {
+    return types.stream().filter(t -> t.name().equals(name)).findFirst().orElse(null);
+  }
+}
--- a/src/test/java/dapplestair/world/Checker.java
+++ b/src/test/java/dapplestair/world/Checker.java
@@ -1,5 +1,8 @@
 package dapplestair.world;
 
+import dapplestair.emulator.EmulatedTask;
+import dapplestair.emulator.EmulatedWorker;
+import dapplestair.emulator.Witness;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -7,7 +10,7 @@
 import java.util.Set;
 
 /** The rules of the protocol, checked on the world itself, knowing nothing of the product. */
-final class Checker {
+final class Checker implements Witness {
   private final World world;
   private final Set<String> completed = new HashSet<>();
   // In the order in which their users were told.
@@ -25,7 +28,8 @@
     }
   }
 
-  void completed(String key) {
+  @Override
+  public void completed(String key) {
     completed.add(key);
   }
 
@@ -34,46 +38,47 @@
   }
 
   /** A task has just started: it is running on {@code w} already. */
-  void started(StandInWorker w, StandInWorker.Task task) {
+  @Override
+  public void started(EmulatedWorker w, EmulatedTask task) {
     started++;
-    Users.Told job = world.users.told.get(ref(task.key));
+    Users.Told job = world.users.told.get(ref(task.key()));
     if (job.aborted && world.sim.now() > job.abortedAt + World.CANCEL_MS) {
-      broken("ran_cancelled: " + task.key + " starts on " + w.id);
+      broken("ran_cancelled: " + task.key() + " starts on " + w.id());
     }
     double teamCpus = 0;
     Map<String, Integer> perZone = new HashMap<>();
     int copies = 0;
-    for (StandInWorker m : world.cloud.machines.values()) {
-      for (StandInWorker.Task t : m.tasks.values()) {
-        if (m.gone || !t.onMachine()) {
+    for (EmulatedWorker m : world.cloud.machines()) {
+      for (EmulatedTask t : m.tasks()) {
+        if (m.gone() || !t.onMachine()) {
           continue;
         }
-        Users.Told other = world.users.told.get(ref(t.key));
+        Users.Told other = world.users.told.get(ref(t.key()));
         if (other.body.path("owner").equals(job.body.path("owner"))) {
           teamCpus += other.cpus;
         }
-        if (t.key.equals(task.key)) {
+        if (t.key().equals(task.key())) {
           copies++;
         }
         if (other == job) {
-          perZone.merge(m.zone, 1, Integer::sum);
+          perZone.merge(m.zone(), 1, Integer::sum);
         }
       }
     }
     if (copies > 1) {
-      broken("ran_twice: " + task.key + " started on " + w.id);
+      broken("ran_twice: " + task.key() + " started on " + w.id());
     }
     if (teamCpus > world.size.teamLimit() + 1e-6) {
       broken("quota: " + teamCpus + " CPUs of " + job.body.path("owner"));
     }
-    if (w.spot && !job.body.path("loaners").asBoolean()) {
-      broken("wrong_place: " + task.key + " on a spot machine");
+    if (w.spot() && !job.body.path("loaners").asBoolean()) {
+      broken("wrong_place: " + task.key() + " on a spot machine");
     }
-    if (job.body.path("apart").asBoolean() && perZone.get(w.zone) > (job.steps + 1) / 2) {
-      broken("wrong_place: " + task.key + " crowds " + w.zone);
+    if (job.body.path("apart").asBoolean() && perZone.get(w.zone()) > (job.steps + 1) / 2) {
+      broken("wrong_place: " + task.key() + " crowds " + w.zone());
     }
     if (job.body.path("together").asBoolean() && perZone.size() > 1) {
-      broken("wrong_place: " + task.key + " is not with the others");
+      broken("wrong_place: " + task.key() + " is not with the others");
     }
   }
 
@@ -83,19 +88,19 @@
         && withdrawn.peek().abortedAt + World.CANCEL_MS < world.sim.now()) {
       gone(withdrawn.poll());
     }
-    if (world.state.violation != null) {
-      broken(world.state.violation);
+    if (world.state.violation() != null) {
+      broken(world.state.violation());
     }
-    if (world.cloud.violation != null) {
-      broken(world.cloud.violation);
+    if (world.cloud.violation() != null) {
+      broken(world.cloud.violation());
     }
   }
 
   private void gone(Users.Told job) {
-    for (StandInWorker m : world.cloud.machines.values()) {
-      for (StandInWorker.Task t : m.tasks.values()) {
-        if (!m.gone && t.onMachine() && ref(t.key).equals(job.ref)) {
-          broken("ran_cancelled: " + t.key + " on " + m.id);
+    for (EmulatedWorker m : world.cloud.machines()) {
+      for (EmulatedTask t : m.tasks()) {
+        if (!m.gone() && t.onMachine() && ref(t.key()).equals(job.ref)) {
+          broken("ran_cancelled: " + t.key() + " on " + m.id());
         }
       }
     }
--- a/src/test/java/dapplestair/world/GrownDaysTest.java
+++ b/src/test/java/dapplestair/world/GrownDaysTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dapplestair.emulator.EmulatedWorker;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -19,10 +20,10 @@
       world.run(30_000);
       World.Node follower = world.nodes.get((world.leader().index + 1) % 3);
       String zone = follower.settings.zone();
-      world.cutOff(follower, m -> m.zone.equals(zone), false, 20_000);
+      world.cutOff(follower, m -> m.zone().equals(zone), false, 20_000);
       world.run(5000);
-      for (StandInWorker m : world.cloud.machines.values()) {
-        if (m.spot && world.sim.chance(0.3)) {
+      for (EmulatedWorker m : world.cloud.machines()) {
+        if (m.spot() && world.sim.chance(0.3)) {
           m.recall(0);
         }
       }
@@ -51,7 +52,7 @@
     World world = new World(seed, World.Size.GROWN);
     world.net.loss = 0;
     world.run(60_000);
-    double perStart = world.state.puts / (double) world.checker.started;
+    double perStart = world.state.puts() / (double) world.checker.started;
     assertTrue(world.checker.started > 3000, "only " + world.checker.started + " tasks started");
     assertTrue(perStart < MOST_PUTS_PER_START, perStart + " puts per start");
   }
--- a/src/test/java/dapplestair/world/GuaranteeTest.java
+++ b/src/test/java/dapplestair/world/GuaranteeTest.java
@@ -11,10 +11,10 @@
   private static final World.Size TIGHT = new World.Size(2, 40, 1_000_000, 1);
 
   private static long running(World world, Users.Told job) {
-    return world.cloud.machines.values().stream()
-        .filter(m -> !m.gone)
-        .flatMap(m -> m.tasks.values().stream())
-        .filter(t -> t.onMachine() && t.key.startsWith(job.ref + "/"))
+    return world.cloud.machines().stream()
+        .filter(m -> !m.gone())
+        .flatMap(m -> m.tasks().stream())
+        .filter(t -> t.onMachine() && t.key().startsWith(job.ref + "/"))
         .count();
   }
 
--- a/src/test/java/dapplestair/world/Network.java
+++ b/src/test/java/dapplestair/world/Network.java
@@ -1,5 +1,6 @@
 package dapplestair.world;
 
+import dapplestair.emulator.Place;
 import dapplestair.ports.HttpReply;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,11 +15,6 @@
  * is held back arrives once the cut ends, even if nobody waits for an answer any more.
  */
 final class Network {
-  /** A place that answers requests; it may answer later. */
-  interface Place {
-    void request(String from, String method, String path, byte[] body, Consumer<HttpReply> reply);
-  }
-
   private record Pair(String a, String b) {}
 
   private final Sim sim;
--- a/src/test/java/dapplestair/world/SeededDaysTest.java
+++ b/src/test/java/dapplestair/world/SeededDaysTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dapplestair.emulator.EmulatedWorker;
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -38,7 +39,7 @@
       world.nodes.forEach(n -> n.crash(world.sim.between(1000, 6000)));
       world.run(40_000);
     }
-    assertEquals(0, world.cloud.killedByRelease, "tasks killed by returning their machines");
+    assertEquals(0, world.cloud.killedByRelease(), "tasks killed by returning their machines");
     assertTrue(world.checker.started > 100, "only " + world.checker.started + " tasks started");
   }
 
@@ -51,9 +52,9 @@
     world.run(60_000);
     World.Node follower = world.nodes.get((world.leader().index + 1) % 3);
     String zone = follower.settings.zone();
-    world.cutOff(follower, m -> m.zone.equals(zone), false, World.LEASE_MS * 4 / 3);
+    world.cutOff(follower, m -> m.zone().equals(zone), false, World.LEASE_MS * 4 / 3);
     world.run(2 * World.LEASE_MS);
-    assertEquals(0, world.cloud.killedByLease, "tasks killed by the end of a lease");
+    assertEquals(0, world.cloud.killedByLease(), "tasks killed by the end of a lease");
     settle(world);
   }
 
@@ -66,10 +67,10 @@
     world.run(60_000);
     World.Node follower = world.nodes.get((world.leader().index + 1) % 3);
     String zone = follower.settings.zone();
-    int before = world.cloud.killedByRelease;
-    world.cutOff(follower, m -> m.zone.equals(zone), false, World.LEASE_MS * 2 / 3);
+    int before = world.cloud.killedByRelease();
+    world.cutOff(follower, m -> m.zone().equals(zone), false, World.LEASE_MS * 2 / 3);
     world.run(World.LEASE_MS);
-    assertEquals(before, world.cloud.killedByRelease, "tasks killed by returning their machines");
+    assertEquals(before, world.cloud.killedByRelease(), "tasks killed by returning their machines");
   }
 
   /**
@@ -84,10 +85,10 @@
     world.run(60_000);
     World.Node leader = world.leader();
     String zone = leader.settings.zone();
-    int before = world.cloud.killedByRelease;
-    world.cutOff(leader, m -> m.zone.equals(zone), true, World.CANCEL_MS * 15 / 32);
+    int before = world.cloud.killedByRelease();
+    world.cutOff(leader, m -> m.zone().equals(zone), true, World.CANCEL_MS * 15 / 32);
     world.run(World.CANCEL_MS * 5 / 8);
-    assertEquals(before, world.cloud.killedByRelease, "tasks killed by returning their machines");
+    assertEquals(before, world.cloud.killedByRelease(), "tasks killed by returning their machines");
     settle(world);
   }
 
@@ -97,11 +98,11 @@
   void refusedLinksDoNotDeposeForEver(long seed) {
     World world = new World(seed);
     world.run(40_000);
-    long term = world.state.view.get("live/term").path("term").asLong();
+    long term = world.state.value("live/term").path("term").asLong();
     world.peersRefuse = true;
     world.run(45_000);
     world.peersRefuse = false;
-    long terms = world.state.view.get("live/term").path("term").asLong() - term;
+    long terms = world.state.value("live/term").path("term").asLong() - term;
     assertTrue(terms <= 8, terms + " terms in 45 s");
     settle(world);
   }
@@ -116,17 +117,17 @@
     World.Node leader = world.leader();
     for (int i = 0; i < 400; i++) {
       // Machines that come up meanwhile are out of its reach as well.
-      for (StandInWorker m : world.cloud.machines.values()) {
-        world.net.cut("node-" + leader.index, m.endpoint, false);
-        world.net.cut(World.client(leader.index), m.endpoint, false);
+      for (EmulatedWorker m : world.cloud.machines()) {
+        world.net.cut("node-" + leader.index, m.endpoint(), false);
+        world.net.cut(World.client(leader.index), m.endpoint(), false);
       }
       world.run(100);
     }
-    for (StandInWorker m : world.cloud.machines.values()) {
-      world.net.heal("node-" + leader.index, m.endpoint);
-      world.net.heal(World.client(leader.index), m.endpoint);
+    for (EmulatedWorker m : world.cloud.machines()) {
+      world.net.heal("node-" + leader.index, m.endpoint());
+      world.net.heal(World.client(leader.index), m.endpoint());
     }
-    assertEquals(0, world.cloud.killedByLease, "tasks killed by the end of a lease");
+    assertEquals(0, world.cloud.killedByLease(), "tasks killed by the end of a lease");
     assertNotEquals(leader, world.leader());
     settle(world);
   }
@@ -160,7 +161,7 @@
         continue;
       }
       List<String> machines =
-          world.cloud.machines.values().stream().map(m -> m.endpoint).toList();
+          world.cloud.machines().stream().map(m -> m.endpoint()).toList();
       for (String m : machines) {
         world.nodes.forEach(n -> world.net.cut("node-" + n.index, m, true));
         world.nodes.forEach(n -> world.net.cut(World.client(n.index), m, true));
@@ -195,13 +196,13 @@
     World world = new World(seed);
     world.run(20_000);
     for (int i = 0; i < 80; i++) {
-      for (StandInWorker machine : world.cloud.machines.values()) {
+      for (EmulatedWorker machine : world.cloud.machines()) {
         if (world.sim.chance(0.5)) {
           for (World.Node node : world.nodes) {
             String name = "node-" + node.index;
-            world.net.cut(name, machine.endpoint, true);
+            world.net.cut(name, machine.endpoint(), true);
             // Shorter than the time after which a call counts as unanswered.
-            world.sim.after(1300, () -> world.net.heal(name, machine.endpoint));
+            world.sim.after(1300, () -> world.net.heal(name, machine.endpoint()));
           }
         }
       }
--- a/src/test/java/dapplestair/world/Troubles.java
+++ b/src/test/java/dapplestair/world/Troubles.java
@@ -1,5 +1,6 @@
 package dapplestair.world;
 
+import dapplestair.emulator.EmulatedWorker;
 import java.util.List;
 
 /** Troubles of every kind at random times, alone and overlapping. */
@@ -26,8 +27,8 @@
     over = true;
   }
 
-  private StandInWorker someMachine() {
-    List<StandInWorker> all = w.cloud.machines.values().stream().filter(m -> !m.gone).toList();
+  private EmulatedWorker someMachine() {
+    List<EmulatedWorker> all = w.cloud.machines().stream().filter(m -> !m.gone()).toList();
     return all.isEmpty() ? null : all.get((int) w.sim.between(0, all.size() - 1));
   }
 
@@ -35,25 +36,25 @@
     World.Node node = w.nodes.get((int) w.sim.between(0, 2));
     String name = "node-" + node.index;
     long ms = w.sim.between(2000, 25_000);
-    StandInWorker m = someMachine();
+    EmulatedWorker m = someMachine();
     boolean hold = w.sim.chance(0.6);
     switch (kind) {
       case 0, 1 -> node.crash(w.sim.between(800, 6000));
       case 2 -> w.nodes.forEach(n -> n.crash(w.sim.between(800, 6000)));
       case 3 -> {
-        w.state.down = true;
+        w.state.fail();
         w.sim.after(ms, w.state::recover);
       }
       case 4 -> {
-        w.state.refused.add(name);
-        w.sim.after(ms, () -> w.state.refused.remove(name));
+        w.state.refuse(name, true);
+        w.sim.after(ms, () -> w.state.refuse(name, false));
       }
       case 5, 6 -> cut(name, "state:1", hold, ms);
       case 7 -> {
-        for (StandInWorker each : List.copyOf(w.cloud.machines.values())) {
+        for (EmulatedWorker each : List.copyOf(w.cloud.machines())) {
           if (w.sim.chance(0.5)) {
-            cut(name, each.endpoint, hold, ms);
-            cut(World.client(node.index), each.endpoint, hold, ms);
+            cut(name, each.endpoint(), hold, ms);
+            cut(World.client(node.index), each.endpoint(), hold, ms);
           }
         }
       }
@@ -75,27 +76,28 @@
         }
       }
       case 11 -> {
-        for (StandInWorker each : w.cloud.machines.values()) {
-          if (each.spot && w.sim.chance(0.4)) {
+        for (EmulatedWorker each : w.cloud.machines()) {
+          if (each.spot() && w.sim.chance(0.4)) {
             each.recall(w.sim.chance(0.5) ? 0 : w.sim.between(2000, 15_000));
           }
         }
       }
       case 12 -> {
-        w.cloud.down = w.sim.chance(0.5);
-        w.cloud.short_ = !w.cloud.down;
+        boolean down = w.sim.chance(0.5);
+        w.cloud.setDown(down);
+        w.cloud.setCapacity(down ? 1 : 0.25);
         w.sim.after(
             ms,
             () -> {
-              w.cloud.down = false;
-              w.cloud.short_ = false;
+              w.cloud.setDown(false);
+              w.cloud.setCapacity(1);
             });
       }
       case 14, 15 -> {
         // Orders are held back while reports still come through, and perhaps the sender ends.
-        for (StandInWorker each : List.copyOf(w.cloud.machines.values())) {
+        for (EmulatedWorker each : List.copyOf(w.cloud.machines())) {
           if (w.sim.chance(0.5)) {
-            cut(name, each.endpoint, true, w.sim.between(300, 6000));
+            cut(name, each.endpoint(), true, w.sim.between(300, 6000));
           }
         }
         if (kind == 15) {
@@ -104,7 +106,7 @@
       }
       default -> {
         if (m != null) {
-          m.sick = true;
+          m.sicken();
         }
         cut(name, "cloud:1", hold, ms);
       }
--- a/src/test/java/dapplestair/world/World.java
+++ b/src/test/java/dapplestair/world/World.java
@@ -1,5 +1,12 @@
 package dapplestair.world;
 
+import dapplestair.emulator.Directory;
+import dapplestair.emulator.EmulatedCloud;
+import dapplestair.emulator.EmulatedState;
+import dapplestair.emulator.EmulatedWorker;
+import dapplestair.emulator.Place;
+import dapplestair.emulator.Shape;
+import dapplestair.emulator.Surroundings;
 import dapplestair.node.Controller;
 import dapplestair.node.Outside;
 import dapplestair.ports.Background;
@@ -61,8 +68,8 @@
 
   final Sim sim;
   final Network net;
-  final StandInState state;
-  final StandInCloud cloud;
+  final EmulatedState state;
+  final EmulatedCloud cloud;
   final Users users;
   final Checker checker;
   final List<Node> nodes = new ArrayList<>();
@@ -75,18 +82,42 @@
     this.size = size;
     sim = new Sim(seed);
     net = new Network(sim);
-    state = new StandInState(sim, 24, 8192);
+    Shape shape =
+        new Shape(
+            List.of(new Shape.Machine("t8", CPUS, 0, 64, 50, 1, 1, 0.4, 4)),
+            ZONES,
+            size.perPlace(),
+            0.05,
+            REPORT_MS,
+            LEASE_MS,
+            LAG_MS,
+            24,
+            8192,
+            // Small pages and a short memory, so that listings take several and streams are lost.
+            40,
+            400);
+    state = new EmulatedState(new Surrounding(), shape);
     net.place("state:1", state);
     for (int i = 0; i < 3; i++) {
       nodes.add(new Node(i));
     }
     checker = new Checker(this);
-    cloud = new StandInCloud(this);
+    cloud =
+        new EmulatedCloud(
+            new Surrounding(),
+            shape,
+            ref -> users().told.containsKey(ref) ? users().told.get(ref).body : null,
+            new Members(),
+            checker);
     net.place("cloud:1", cloud);
     users = new Users(this);
     nodes.forEach(Node::start);
   }
 
+  private Users users() {
+    return users;
+  }
+
   static String client(int node) {
     return "node-" + node + ":8080";
   }
@@ -123,17 +154,17 @@
 
   /** The node that leads by the state service's word, or null. */
   Node leader() {
-    var value = state.view.get("live/leader");
+    var value = state.value("live/leader");
     return value == null ? null : nodes.get(index(value.path("member").asText()));
   }
 
   /** Cuts a node and some machines off from everything else, for a while. */
-  void cutOff(Node node, Predicate<StandInWorker> with, boolean hold, long ms) {
+  void cutOff(Node node, Predicate<EmulatedWorker> with, boolean hold, long ms) {
     cutOff(node, with, hold, sim.now() + ms, new HashSet<>());
   }
 
   private void cutOff(
-      Node node, Predicate<StandInWorker> with, boolean hold, long end, Set<Runnable> heals) {
+      Node node, Predicate<EmulatedWorker> with, boolean hold, long end, Set<Runnable> heals) {
     if (sim.now() >= end) {
       heals.forEach(Runnable::run);
       return;
@@ -146,7 +177,7 @@
         outside.add(client(n.index));
       }
     }
-    cloud.machines.values().forEach(m -> (with.test(m) ? inside : outside).add(m.endpoint));
+    cloud.machines().forEach(m -> (with.test(m) ? inside : outside).add(m.endpoint()));
     inside.forEach(a -> outside.forEach(b -> net.cut(a, b, hold)));
     heals.add(() -> inside.forEach(a -> outside.forEach(b -> net.heal(a, b))));
     // Machines that are rented meanwhile are on one side of the cut as well.
@@ -166,8 +197,81 @@
         });
   }
 
+  /** Virtual time, seeded chance and the simulated network, as the emulated parts meet them. */
+  private final class Surrounding implements Surroundings {
+    @Override
+    public long now() {
+      return sim.now();
+    }
+
+    @Override
+    public Cancellable after(long delayMs, Runnable task) {
+      return sim.after(delayMs, task);
+    }
+
+    @Override
+    public boolean chance(double probability) {
+      return sim.chance(probability);
+    }
+
+    @Override
+    public long between(long low, long high) {
+      return sim.between(low, high);
+    }
+
+    @Override
+    public double fraction() {
+      return sim.random.nextDouble();
+    }
+
+    @Override
+    public String address(String name) {
+      return name + ":9000";
+    }
+
+    @Override
+    public void open(String name, Place place, Consumer<String> opened) {
+      net.place(address(name), place);
+      opened.accept(address(name));
+    }
+
+    @Override
+    public void close(String name) {
+      net.remove(address(name));
+    }
+
+    @Override
+    public void silence(String name) {
+      net.place(address(name), (f, m, p, b, r) -> {});
+    }
+
+    @Override
+    public void call(
+        String from,
+        String to,
+        String method,
+        String path,
+        byte[] body,
+        long timeoutMs,
+        Consumer<HttpReply> done) {
+      net.call(from, to, method, path, body, timeoutMs, done);
+    }
+  }
+
+  private final class Members implements Directory {
+    @Override
+    public List<String> members() {
+      return nodes.stream().map(n -> "node-" + n.index).toList();
+    }
+
+    @Override
+    public String endpoint(String member) {
+      return client(index(member));
+    }
+  }
+
   /** A controller's machine: its process may end and begin again. */
-  final class Node implements Network.Place {
+  final class Node implements Place {
     final int index;
     final Settings settings;
     private Life life;
