--- a/src/main/antlr4/dapplestair/filter/grammar/Filter.g4
+++ b/src/main/antlr4/dapplestair/filter/grammar/Filter.g4
@@ -5,20 +5,20 @@
  */
 grammar Filter;
 
-filter : or EOF ;
+filter : either EOF ;
 
-or : and ( OR and )* ;
+either : both ( OR both )* ;
 
-and : not ( AND not )* ;
+both : negation ( AND negation )* ;
 
-not : NOT not                                   # negated
-    | '(' or ')'                                # grouped
-    | field comparison value                    # compared
-    | field NOT? IN '(' value ( ',' value )* ')' # listed
-    | field                                     # flag
-    ;
+negation : NOT* test ;
 
-field : NAME ;
+test
+    : '(' either ')'                             # grouped
+    | NAME comparison value                      # compared
+    | NAME NOT? IN '(' value ( ',' value )* ')'  # listed
+    | NAME                                       # flag
+    ;
 
 comparison : '=' | '!=' | '<' | '<=' | '>' | '>=' | '~' ;
 
--- /dev/null
+++ b/src/main/java/dapplestair/admin/AdminDesk.java
@@ -0,0 +1,253 @@
+package dapplestair.admin;
+
+import dapplestair.json.Json;
+import dapplestair.leadership.Leadership;
+import dapplestair.ledger.Ledger;
+import dapplestair.peers.Peers;
+import dapplestair.ports.Clock;
+import dapplestair.ports.Exchange;
+import dapplestair.ports.Timers;
+import dapplestair.state.Replica;
+import dapplestair.state.StateClient;
+import dapplestair.state.TokenBucket;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Answers operators. Whatever is told holds as of a read barrier passed for this question; what only
+ * a leader knows is asked of the leader, and never told from an older memory.
+ */
+public final class AdminDesk {
+  private static final Logger LOG = LoggerFactory.getLogger(AdminDesk.class);
+  private static final String TOPIC = "admin";
+  private static final String TEXT = "text/plain; version=0.0.4; charset=utf-8";
+
+  // From the users' wish: without a leader for so long, say so.
+  private static final long LEADER_WITHIN_MS = 1000;
+  private static final long LOOK_AGAIN_MS = 50;
+  private static final int MOST_OPEN = 64;
+
+  // Between controllers only: the one that was asked does not lead.
+  private static final int NOT_LEADING = 421;
+
+  private final Clock clock;
+  private final Timers timers;
+  private final Access access;
+  private final Leadership leadership;
+  private final Ledger ledger;
+  private final Peers peers;
+  private final Replica replica;
+  private final StateClient state;
+  private final Routes routes;
+  private final JobViews jobs;
+  private final Consumer<Exchange> users;
+  private final Supplier<byte[]> metrics;
+  private final TokenBucket failures;
+  private int open;
+
+  /** {@code users} answers what users ask; {@code metrics} gives them as text. */
+  public AdminDesk(
+      Duties d, Access access, Consumer<Exchange> users, Supplier<byte[]> metrics) {
+    this.clock = d.clock();
+    this.timers = d.timers();
+    this.access = access;
+    this.leadership = d.leadership();
+    this.ledger = d.ledger();
+    this.peers = d.peers();
+    this.replica = d.replica();
+    this.state = d.state();
+    this.users = users;
+    this.metrics = metrics;
+    this.failures = new TokenBucket(clock, 0.2, 25);
+    Moment moment = new Moment(d.settings(), leadership, replica);
+    Pages pages = new Pages(timers, moment);
+    this.jobs = new JobViews(clock, ledger, state, moment, pages);
+    MachineViews machines =
+        new MachineViews(clock, d.workers(), d.drains(), jobs, moment, pages);
+    double planS = d.operator().planIntervalMs() / 1000.0;
+    this.routes =
+        new Routes(
+            jobs,
+            machines,
+            new WhyView(d.settings(), ledger, d.placer(), d.fleet(), jobs, moment, planS),
+            new ClusterViews(d, machines, moment),
+            new EventViews(timers, d.events(), pages),
+            new DrainDesk(clock, d.settings(), d.workers(), d.drains(), moment));
+    peers.questions().answer(TOPIC, this::asked);
+  }
+
+  /** A job is there and not over. */
+  public void jobPut(String ref) {
+    jobs.put(ref);
+  }
+
+  /** A job is over. */
+  public void jobRemoved(String ref) {
+    jobs.removed(ref);
+  }
+
+  /** The replica begins anew. */
+  public void clear() {
+    jobs.clear();
+  }
+
+  /** An operator asks. */
+  public void handle(Exchange x) {
+    Access.Known known = access.who(x);
+    if (known == null) {
+      // Bounded, so that guessing does not fill the log.
+      if (failures.take(1)) {
+        LOG.warn("{} {} refused: no valid token or certificate", x.method(), x.path());
+      }
+      reply(x, Answer.error(401, "a valid token or client certificate is needed"));
+      return;
+    }
+    Role role = known.operates() ? Role.OPERATE : Role.VIEW;
+    if (x.path().equals("/metrics")) {
+      x.reply(TEXT, metrics.get());
+    } else if (x.path().equals("/submissions") || x.path().startsWith("/submissions/")) {
+      asUser(x, role);
+    } else {
+      Caller caller = new Caller(known.name(), role);
+      ask(x, Question.read(x.method(), x.path(), x.query(), x.body(), caller));
+    }
+  }
+
+  private void asUser(Exchange x, Role role) {
+    if (x.method().equals("GET") || role.covers(Role.OPERATE)) {
+      users.accept(x);
+    } else {
+      reply(x, Answer.error(403, "this needs the role operate"));
+    }
+  }
+
+  private void ask(Exchange x, Question q) {
+    Routes.Route route = routes.find(q);
+    if (route == null) {
+      reply(x, Answer.error(404, "no such path"));
+    } else if (!q.method().equals(route.role() == Role.VIEW ? "GET" : "POST")) {
+      reply(x, Answer.error(405, "use " + (route.role() == Role.VIEW ? "GET" : "POST")));
+    } else if (!q.caller().role().covers(route.role())) {
+      reply(x, Answer.error(403, "this needs the role " + route.role().shown()));
+    } else if (open >= MOST_OPEN) {
+      reply(x, Answer.later("too many questions at once"));
+    } else {
+      open++;
+      Consumer<Answer> done =
+          a -> {
+            open--;
+            reply(x, a);
+          };
+      if (route.byLeader()) {
+        lead(q, route, clock.now() + LEADER_WITHIN_MS, done);
+      } else {
+        serve(q, route, () -> true, done);
+      }
+    }
+  }
+
+  private static void reply(Exchange x, Answer a) {
+    x.reply(a.status(), a.body(), a.retryAfterS());
+  }
+
+  // ---- the leader's memory ----
+
+  private void lead(Question q, Routes.Route route, long deadline, Consumer<Answer> done) {
+    if (able()) {
+      serve(q, route, this::able, done);
+      return;
+    }
+    String leader = leadership.leading() ? null : leadership.leader();
+    if (leader == null || !peers.alive(leader)) {
+      again(q, route, deadline, done, leader == null ? "nobody leads" : leader + " is silent");
+      return;
+    }
+    long patience = Math.max(LOOK_AGAIN_MS, deadline - clock.now()) + route.waitMs();
+    peers
+        .questions()
+        .ask(
+            leader,
+            TOPIC,
+            Json.bytes(q.toJson()),
+            patience,
+            frame -> {
+              Answer a = frame == null ? null : Answer.parse(frame);
+              if (a == null) {
+                done.accept(Answer.later("the leader, " + leader + ", did not answer in time"));
+              } else if (a.status() == NOT_LEADING) {
+                again(q, route, deadline, done, leader + " does not lead yet");
+              } else {
+                done.accept(a);
+              }
+            });
+  }
+
+  private boolean able() {
+    return leadership.leading() && ledger.armed();
+  }
+
+  private void again(
+      Question q, Routes.Route route, long deadline, Consumer<Answer> done, String why) {
+    if (clock.now() >= deadline) {
+      done.accept(Answer.later("no leader can be asked: " + why));
+    } else {
+      timers.after(LOOK_AGAIN_MS, () -> lead(q, route, deadline, done));
+    }
+  }
+
+  /** A peer asks this controller as the leader. */
+  private void asked(byte[] body, Consumer<byte[]> answer) {
+    Question q = Question.parse(Json.parse(body));
+    Routes.Route route = q == null ? null : routes.find(q);
+    if (route == null) {
+      answer.accept(Answer.error(404, "no such path").frame());
+    } else if (!able()) {
+      answer.accept(new Answer(NOT_LEADING, new byte[0], 0).frame());
+    } else {
+      serve(q, route, this::able, a -> answer.accept(a.frame()));
+    }
+  }
+
+  // ---- answering ----
+
+  /** Passes a barrier, then answers if {@code still} holds. */
+  private void serve(
+      Question q,
+      Routes.Route route,
+      java.util.function.BooleanSupplier still,
+      Consumer<Answer> done) {
+    if (!replica.ready() || !state.reachable()) {
+      done.accept(Answer.later(unready()));
+      return;
+    }
+    replica.barrier(
+        passed -> {
+          if (!passed) {
+            done.accept(Answer.later(unready()));
+          } else if (!still.getAsBoolean()) {
+            done.accept(Answer.later("the leader has just changed"));
+          } else {
+            answer(q, route, done);
+          }
+        });
+  }
+
+  private String unready() {
+    return state.reachable()
+        ? "this controller is still reading the records"
+        : "the state service does not answer";
+  }
+
+  private static void answer(Question q, Routes.Route route, Consumer<Answer> done) {
+    try {
+      route.handler().answer(q, done);
+    } catch (Question.BadRequest e) {
+      done.accept(Answer.error(400, e.getMessage()));
+    } catch (RuntimeException e) {
+      LOG.error("{} {} failed", q.method(), q.path(), e);
+      done.accept(Answer.error(500, "this went wrong; the log says more"));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/admin/Caller.java
@@ -0,0 +1,4 @@
+package dapplestair.admin;
+
+/** Who asks. */
+record Caller(String name, Role role) {}
--- /dev/null
+++ b/src/main/java/dapplestair/admin/ClusterViews.java
@@ -0,0 +1,141 @@
+package dapplestair.admin;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.fleet.Slot;
+import dapplestair.leadership.Leadership;
+import dapplestair.ledger.Job;
+import dapplestair.ledger.Ledger;
+import dapplestair.peers.Peers;
+import dapplestair.planning.Planning;
+import dapplestair.ports.Clock;
+import dapplestair.settings.Settings;
+import dapplestair.state.StateClient;
+import dapplestair.workers.WorkerDesk;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Teams, plan and the controllers themselves. */
+final class ClusterViews {
+  private final Clock clock;
+  private final Settings settings;
+  private final Ledger ledger;
+  private final WorkerDesk desk;
+  private final Planning planning;
+  private final Leadership leadership;
+  private final Peers peers;
+  private final StateClient state;
+  private final MachineViews machines;
+  private final Moment moment;
+
+  ClusterViews(Duties d, MachineViews machines, Moment moment) {
+    this.clock = d.clock();
+    this.settings = d.settings();
+    this.ledger = d.ledger();
+    this.desk = d.workers();
+    this.planning = d.planning();
+    this.leadership = d.leadership();
+    this.peers = d.peers();
+    this.state = d.state();
+    this.machines = machines;
+    this.moment = moment;
+  }
+
+  /** Who leads, who lives, what waits where. */
+  ObjectNode status() {
+    ObjectNode o =
+        moment
+            .object()
+            .put("leader", leadership.leader())
+            .put("term", leadership.term())
+            .put("jobs", ledger.jobs().size())
+            .put("attempts", ledger.attemptCount());
+    Map<String, Integer> states = new TreeMap<>();
+    desk.hosts().forEach(h -> states.merge(machines.state(h), 1, Integer::sum));
+    ObjectNode m = o.putObject("machines");
+    states.forEach(m::put);
+    ArrayNode list = o.putArray("peers");
+    for (Peers.View p : peers.views()) {
+      ObjectNode n = list.addObject().put("member", p.member()).put("alive", p.alive());
+      n.put("linked", p.linked());
+      if (p.status() != null) {
+        n.put("state_reachable", p.status().stateReachable())
+            .put("ready", p.status().ready())
+            .put("term", p.status().term())
+            .put("reports", p.status().beats())
+            .put("puts", p.status().puts());
+      }
+    }
+    ObjectNode s =
+        o.putObject("state")
+            .put("reachable", state.reachable())
+            .put("unreachable_s", state.unreachableMs() / 1000.0)
+            .put("puts_allowed", state.putsAllowed())
+            .put("puts_wanted", state.wanted());
+    ObjectNode q = s.putObject("queued");
+    for (StateClient.Priority p : StateClient.Priority.values()) {
+      q.put(p.name().toLowerCase(Locale.ROOT), state.queued(p));
+    }
+    return o;
+  }
+
+  /** What each team is guaranteed, uses, borrows and lends. */
+  ObjectNode teams() {
+    double borrowed = 0;
+    double unused = 0;
+    for (Settings.Team t : settings.teams().values()) {
+      double use = ledger.teamCpus(t.name());
+      borrowed += t.bounded() ? Math.max(0, use - t.cpus()) : 0;
+      unused += Math.max(0, t.cpus() - use);
+    }
+    Map<String, Double> waiting = new TreeMap<>();
+    for (Job j : ledger.jobs()) {
+      waiting.merge(j.spec().team(), j.waiting() * j.spec().cpus(), Double::sum);
+    }
+    // Who borrows does not say from whom: what is lent is parted by what each leaves unused.
+    double lentShare = unused <= 0 ? 0 : Math.min(1, borrowed / unused);
+    ObjectNode o = moment.object();
+    ArrayNode rows = o.putArray("rows");
+    for (Settings.Team t : new TreeMap<>(settings.teams()).values()) {
+      double use = ledger.teamCpus(t.name());
+      rows.addObject()
+          .put("team", t.name())
+          .put("guarantee", t.cpus())
+          .put("limit", t.cpusMax())
+          .put("use", use)
+          .put("borrowed", t.bounded() ? Math.max(0, use - t.cpus()) : 0)
+          .put("lent", Math.max(0, t.cpus() - use) * lentShare)
+          .put("waiting", waiting.getOrDefault(t.name(), 0.0))
+          .put("gpus_guarantee", t.gpus())
+          .put("gpus_limit", t.gpusMax())
+          .put("gpus_use", ledger.teamGpus(t.name()));
+    }
+    return o;
+  }
+
+  /** The plan applied last. */
+  ObjectNode plan() {
+    ObjectNode o = moment.object();
+    Planning.Applied p = planning.applied();
+    ArrayNode rows = o.putArray("rows");
+    if (p == null) {
+      return o;
+    }
+    if (!Double.isNaN(p.makespanS())) {
+      ObjectNode costs = o.putObject("costs");
+      costs.put("makespan_s", p.makespanS()).put("per_hour", p.perHour()).put("risk", p.risk());
+    }
+    o.put("budget_per_hour", p.budgetPerHour())
+        .put("front", p.front())
+        .put("age", (clock.now() - p.at()) / 1000.0);
+    for (Map.Entry<Slot, Integer> e : p.counts().entrySet()) {
+      rows.addObject()
+          .put("type", e.getKey().type())
+          .put("spot", e.getKey().spot())
+          .put("wanted", e.getValue())
+          .put("held", planning.holding(e.getKey()));
+    }
+    return o;
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/admin/Duties.java
@@ -0,0 +1,35 @@
+package dapplestair.admin;
+
+import dapplestair.drain.Drains;
+import dapplestair.events.EventLog;
+import dapplestair.fleet.Fleet;
+import dapplestair.leadership.Leadership;
+import dapplestair.ledger.Ledger;
+import dapplestair.peers.Peers;
+import dapplestair.placement.Placer;
+import dapplestair.planning.Planning;
+import dapplestair.ports.Clock;
+import dapplestair.ports.Timers;
+import dapplestair.settings.Operator;
+import dapplestair.settings.Settings;
+import dapplestair.state.Replica;
+import dapplestair.state.StateClient;
+import dapplestair.workers.WorkerDesk;
+
+/** The duties of a controller that its operators may look into. */
+public record Duties(
+    Settings settings,
+    Operator operator,
+    Clock clock,
+    Timers timers,
+    Leadership leadership,
+    Ledger ledger,
+    WorkerDesk workers,
+    Fleet fleet,
+    Placer placer,
+    Planning planning,
+    Peers peers,
+    Replica replica,
+    StateClient state,
+    Drains drains,
+    EventLog events) {}
--- /dev/null
+++ b/src/main/java/dapplestair/admin/EventViews.java
@@ -0,0 +1,108 @@
+package dapplestair.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.events.EventLog;
+import dapplestair.filter.Filter;
+import dapplestair.filter.Row;
+import dapplestair.json.Json;
+import dapplestair.ports.Cancellable;
+import dapplestair.ports.Timers;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** The leader's events, followed by long poll. */
+final class EventViews {
+  private final Timers timers;
+  private final EventLog log;
+  private final Pages pages;
+
+  EventViews(Timers timers, EventLog log, Pages pages) {
+    this.timers = timers;
+    this.log = log;
+    this.pages = pages;
+  }
+
+  /**
+   * Answers with events behind number {@code after}. When there are none, waits for up to {@code
+   * waitMs} for the next one that the filter lets through.
+   */
+  void list(Filter filter, long after, int limit, long waitMs, Consumer<Answer> done) {
+    Poll poll = new Poll(filter, limit, done, after);
+    poll.look();
+    if (!poll.over) {
+      poll.await(waitMs);
+    }
+  }
+
+  private final class Poll {
+    private final Filter filter;
+    private final int limit;
+    private final Consumer<Answer> done;
+    private long after;
+    private boolean over;
+    private Cancellable timer = () -> {};
+    private final Runnable wake = this::woken;
+
+    Poll(Filter filter, int limit, Consumer<Answer> done, long after) {
+      this.filter = filter;
+      this.limit = limit;
+      this.done = done;
+      this.after = after;
+    }
+
+    private void look() {
+      List<byte[]> rows = new ArrayList<>();
+      for (EventLog.Event e : log.after(after)) {
+        if (rows.size() == limit) {
+          break;
+        }
+        after = e.number();
+        if (filter.test(row(e.fields()))) {
+          rows.add(Json.bytes(e.fields()));
+        }
+      }
+      if (!rows.isEmpty()) {
+        answer(rows);
+      }
+    }
+
+    private void await(long waitMs) {
+      if (waitMs <= 0 || !log.next(wake)) {
+        answer(List.of());
+        return;
+      }
+      timer = timers.after(waitMs, () -> answer(List.of()));
+    }
+
+    private void woken() {
+      if (over) {
+        return;
+      }
+      look();
+      if (!over && !log.next(wake)) {
+        answer(List.of());
+      }
+    }
+
+    private void answer(List<byte[]> rows) {
+      if (over) {
+        return;
+      }
+      over = true;
+      timer.cancel();
+      log.unwait(wake);
+      done.accept(pages.page(rows, Long.toString(after)));
+    }
+  }
+
+  private static Row row(JsonNode fields) {
+    return field -> {
+      JsonNode v = fields.get(field);
+      if (v == null || v.isNull()) {
+        return null;
+      }
+      return v.isNumber() ? (Object) v.doubleValue() : v.isBoolean() ? v.booleanValue() : v.asText();
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/admin/JobViews.java
@@ -0,0 +1,244 @@
+package dapplestair.admin;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.filter.Filter;
+import dapplestair.json.Json;
+import dapplestair.ledger.Attempt;
+import dapplestair.ledger.Job;
+import dapplestair.ledger.Ledger;
+import dapplestair.ports.Clock;
+import dapplestair.state.Keys;
+import dapplestair.state.StateClient;
+import dapplestair.submissions.Submission;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/** Jobs as operators see them. */
+final class JobViews {
+  private static final int MOST_TASKS = 200;
+
+  private final Clock clock;
+  private final Ledger ledger;
+  private final StateClient state;
+  private final Moment moment;
+  private final Pages pages;
+
+  // Jobs that are not over, in the order in which they are listed.
+  private final TreeSet<String> live = new TreeSet<>();
+
+  JobViews(Clock clock, Ledger ledger, StateClient state, Moment moment, Pages pages) {
+    this.clock = clock;
+    this.ledger = ledger;
+    this.state = state;
+    this.moment = moment;
+    this.pages = pages;
+  }
+
+  void put(String ref) {
+    live.add(ref);
+  }
+
+  void removed(String ref) {
+    live.remove(ref);
+  }
+
+  void clear() {
+    live.clear();
+  }
+
+  // ---- listing ----
+
+  void list(Filter filter, String after, int limit, Consumer<Answer> done) {
+    pages.read(live, this::row, filter, after, limit, done);
+  }
+
+  private Pages.Written row(String ref) {
+    Job job = ledger.job(ref);
+    if (job == null || job.over()) {
+      return null;
+    }
+    int[] counts = ledger.counts(job);
+    return new JobRow(
+        job.spec(),
+        counts[1] > 0 ? "running" : "queued",
+        counts[0],
+        counts[1],
+        Math.max(0, job.spec().steps() - counts[0] - counts[1]),
+        age(job.acceptedWall()));
+  }
+
+  private double age(long acceptedWall) {
+    return Math.max(0, clock.wall() - acceptedWall) / 1000.0;
+  }
+
+  /** Jobs that are over are not replicated: the state service is asked for a page of them. */
+  void listOver(Filter filter, String after, int limit, Consumer<Answer> done) {
+    state.list(
+        Keys.OVER,
+        after == null ? null : Keys.over(after),
+        limit,
+        page -> {
+          if (!page.path("rows").isArray()) {
+            done.accept(Answer.later("the state service did not answer"));
+            return;
+          }
+          List<byte[]> rows = new ArrayList<>();
+          String last = null;
+          for (JsonNode n : page.get("rows")) {
+            last = n.path("k").asText().substring(Keys.OVER.length());
+            Pages.Written w = overRow(n.path("value"));
+            if (w != null && filter.test(w)) {
+              rows.add(Json.written(w::write));
+            }
+          }
+          done.accept(pages.page(rows, Json.flag(page, "more") ? last : null));
+        });
+  }
+
+  private Pages.Written overRow(JsonNode record) {
+    Submission s = submission(record);
+    if (s == null) {
+      return null;
+    }
+    String status = Json.text(record, "status");
+    int done = "done".equals(status) ? s.steps() : 0;
+    return new JobRow(s, status, done, 0, 0, age(Json.number(record, "at", 0)));
+  }
+
+  private static Submission submission(JsonNode record) {
+    try {
+      return Submission.parse(record.path("job"));
+    } catch (Submission.Malformed e) {
+      return null;
+    }
+  }
+
+  /** One row of a listing. */
+  private record JobRow(
+      Submission s, String status, int done, int running, int waiting, double ageS)
+      implements Pages.Written {
+    @Override
+    public Object value(String field) {
+      return switch (field) {
+        case "ref" -> s.ref();
+        case "class" -> s.jobClass();
+        case "team" -> s.team();
+        case "shape" -> s.shape().wire();
+        case "rank" -> s.rank().wire();
+        case "status" -> status;
+        case "tasks" -> (double) s.steps();
+        case "done" -> (double) done;
+        case "running" -> (double) running;
+        case "waiting_tasks" -> (double) waiting;
+        case "waiting" -> waiting > 0 ? ageS : 0.0;
+        case "age" -> ageS;
+        case "cpus" -> s.cpus();
+        case "spot" -> s.spot();
+        case "zone" -> s.zone();
+        default -> null;
+      };
+    }
+
+    @Override
+    public void write(JsonGenerator out) throws IOException {
+      out.writeStartObject();
+      out.writeStringField("ref", s.ref());
+      out.writeStringField("status", status);
+      out.writeStringField("class", s.jobClass());
+      out.writeStringField("team", s.team());
+      out.writeStringField("shape", s.shape().wire());
+      out.writeStringField("rank", s.rank().wire());
+      out.writeNumberField("tasks", s.steps());
+      out.writeNumberField("done", done);
+      out.writeNumberField("running", running);
+      out.writeNumberField("waiting_tasks", waiting);
+      out.writeNumberField("waiting", waiting > 0 ? ageS : 0);
+      out.writeNumberField("age", ageS);
+      out.writeNumberField("cpus", s.cpus());
+      out.writeBooleanField("spot", s.spot());
+      out.writeStringField("zone", s.zone());
+      out.writeEndObject();
+    }
+  }
+
+  // ---- one job ----
+
+  /** One job with its attempts from step {@code from} on; only a leader knows them. */
+  void show(String ref, int from, Consumer<Answer> done) {
+    Job job = ledger.job(ref);
+    if (job != null && !job.over()) {
+      done.accept(Answer.of(shown(job, from)));
+      return;
+    }
+    over(
+        ref,
+        done,
+        record -> {
+          ObjectNode o = moment.object().put("status", Json.text(record, "status"));
+          o.put("accepted", Json.number(record, "at", 0));
+          o.set("job", record.path("job"));
+          return Answer.of(o);
+        });
+  }
+
+  /** Reads how a job ended; 404 when it was never accepted. */
+  void over(
+      String ref, Consumer<Answer> done, java.util.function.Function<JsonNode, Answer> found) {
+    state.get(
+        Keys.over(ref),
+        read -> {
+          if (!read.known()) {
+            done.accept(Answer.later("the state service did not answer"));
+          } else if (!read.exists()) {
+            done.accept(Answer.error(404, "no job " + ref));
+          } else {
+            done.accept(found.apply(read.value()));
+          }
+        });
+  }
+
+  private ObjectNode shown(Job job, int from) {
+    Submission s = job.spec();
+    int[] counts = ledger.counts(job);
+    ObjectNode o =
+        moment
+            .object()
+            .put("status", counts[1] > 0 ? "running" : "queued")
+            .put("accepted", job.acceptedWall())
+            .put("age", age(job.acceptedWall()))
+            .put("tasks", s.steps())
+            .put("done", counts[0])
+            .put("running", counts[1])
+            .put("waiting_tasks", job.waiting());
+    o.set("job", s.toJson());
+    ArrayNode list = o.putArray("attempts");
+    List<Attempt> attempts = ledger.attempts(job, from, MOST_TASKS + 1);
+    for (Attempt a : attempts.subList(0, Math.min(MOST_TASKS, attempts.size()))) {
+      list.add(attempt(a));
+    }
+    if (attempts.size() > MOST_TASKS) {
+      o.put("next", attempts.get(MOST_TASKS).step());
+    }
+    return o;
+  }
+
+  /** One attempt: where it is and how far. */
+  ObjectNode attempt(Attempt a) {
+    String status = a.status() == null ? "launching" : a.status().name().toLowerCase(Locale.ROOT);
+    return Json.object()
+        .put("task", a.key())
+        .put("try", a.number())
+        .put("machine", a.host())
+        .put("zone", a.zone())
+        .put("status", a.halting() && !a.exited() ? "stopping" : status)
+        .put("ran_s", a.ranS(clock.now()))
+        .put("saved_s", a.savedS());
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/admin/Moment.java
@@ -0,0 +1,46 @@
+package dapplestair.admin;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import dapplestair.leadership.Leadership;
+import dapplestair.settings.Settings;
+import dapplestair.state.Replica;
+import java.io.IOException;
+
+/** As of when an answer holds: nobody may take one for newer than it is. */
+final class Moment {
+  private final Settings settings;
+  private final Leadership leadership;
+  private final Replica replica;
+
+  Moment(Settings settings, Leadership leadership, Replica replica) {
+    this.settings = settings;
+    this.leadership = leadership;
+    this.replica = replica;
+  }
+
+  private long term() {
+    return leadership.leading() ? leadership.term() : leadership.termSeen();
+  }
+
+  void write(JsonGenerator out) throws IOException {
+    out.writeObjectFieldStart("asOf");
+    out.writeNumberField("term", term());
+    out.writeNumberField("epoch", replica.position());
+    out.writeStringField("leader", leadership.leader());
+    out.writeStringField("by", settings.member());
+    out.writeEndObject();
+  }
+
+  /** An object that says it. */
+  ObjectNode object() {
+    ObjectNode o = Json.object();
+    o.putObject("asOf")
+        .put("term", term())
+        .put("epoch", replica.position())
+        .put("leader", leadership.leader())
+        .put("by", settings.member());
+    return o;
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/admin/Pages.java
@@ -0,0 +1,99 @@
+package dapplestair.admin;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import dapplestair.filter.Filter;
+import dapplestair.filter.Row;
+import dapplestair.json.Json;
+import dapplestair.ports.Timers;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.NavigableSet;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/**
+ * Reads rows in the order of their names, a bounded number in one turn of the loop, so that whoever
+ * lists everything delays nobody.
+ */
+final class Pages {
+  /** Rows looked at in one turn. */
+  static final int ROWS_A_TURN = 250;
+
+  /** Rows of one answer at most. */
+  static final int MOST_ROWS = 500;
+
+  /** A row that can also be written. */
+  interface Written extends Row {
+    void write(JsonGenerator out) throws IOException;
+  }
+
+  private final Timers timers;
+  private final Moment moment;
+
+  Pages(Timers timers, Moment moment) {
+    this.timers = timers;
+    this.moment = moment;
+  }
+
+  /**
+   * Answers with the rows behind {@code after}. {@code row} may give null for a name that is gone.
+   * Names may come and go between turns: the page goes on behind the last one it saw.
+   */
+  void read(
+      NavigableSet<String> names,
+      Function<String, Written> row,
+      Filter filter,
+      String after,
+      int limit,
+      Consumer<Answer> done) {
+    turn(names, row, filter, after, limit, new ArrayList<>(), done);
+  }
+
+  private void turn(
+      NavigableSet<String> names,
+      Function<String, Written> row,
+      Filter filter,
+      String after,
+      int limit,
+      List<byte[]> rows,
+      Consumer<Answer> done) {
+    String last = after;
+    int looked = 0;
+    for (String name : after == null ? names : names.tailSet(after, false)) {
+      if (rows.size() == limit) {
+        done.accept(page(rows, last));
+        return;
+      }
+      if (looked++ == ROWS_A_TURN) {
+        String from = last;
+        timers.after(0, () -> turn(names, row, filter, from, limit, rows, done));
+        return;
+      }
+      last = name;
+      Written w = row.apply(name);
+      if (w != null && filter.test(w)) {
+        rows.add(Json.written(w::write));
+      }
+    }
+    done.accept(page(rows, null));
+  }
+
+  /** One answer; {@code next} is the cursor of the page behind, or null at the end. */
+  Answer page(List<byte[]> rows, String next) {
+    byte[] body =
+        Json.written(
+            out -> {
+              out.writeStartObject();
+              moment.write(out);
+              out.writeArrayFieldStart("rows");
+              for (byte[] r : rows) {
+                out.writeRawValue(new String(r, java.nio.charset.StandardCharsets.UTF_8));
+              }
+              out.writeEndArray();
+              out.writeStringField("next", next);
+              out.writeEndObject();
+            });
+    return new Answer(200, body, 0);
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/admin/Question.java
@@ -0,0 +1,70 @@
+package dapplestair.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.List;
+import java.util.Map;
+
+/** One request, as it also travels to the leader. */
+record Question(
+    String method, String path, Map<String, List<String>> params, JsonNode body, Caller caller) {
+
+  static Question read(String method, String path, String query, byte[] body, Caller caller) {
+    Map<String, List<String>> params =
+        query.isEmpty() ? Map.of() : new QueryStringDecoder(query, false).parameters();
+    return new Question(
+        method, path, params, body.length == 0 ? Json.object() : Json.parse(body), caller);
+  }
+
+  /** A parameter, or null. */
+  String param(String name) {
+    List<String> v = params.get(name);
+    return v == null || v.isEmpty() ? null : v.get(0);
+  }
+
+  /** A whole number from the query, kept between bounds. */
+  long number(String name, long otherwise, long low, long high) throws BadRequest {
+    String v = param(name);
+    if (v == null) {
+      return otherwise;
+    }
+    try {
+      return Math.max(low, Math.min(high, Long.parseLong(v)));
+    } catch (NumberFormatException e) {
+      throw new BadRequest(name + ": must be a whole number");
+    }
+  }
+
+  /** What is wrong with a question; the message names the field. */
+  static final class BadRequest extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    BadRequest(String message) {
+      super(message, null, false, false);
+    }
+  }
+
+  ObjectNode toJson() {
+    ObjectNode o = Json.object().put("method", method).put("path", path);
+    ObjectNode p = o.putObject("params");
+    params.forEach((k, v) -> p.put(k, v.get(0)));
+    o.set("body", body);
+    return o.put("who", caller.name()).put("role", caller.role().shown());
+  }
+
+  static Question parse(JsonNode n) {
+    Map<String, List<String>> params = new java.util.HashMap<>();
+    n.path("params").fields().forEachRemaining(e -> params.put(e.getKey(), List.of(e.getValue().asText())));
+    Role role = Role.of(n.path("role").asText());
+    return role == null
+        ? null
+        : new Question(
+            n.path("method").asText(),
+            n.path("path").asText(),
+            params,
+            n.path("body"),
+            new Caller(n.path("who").asText(), role));
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/admin/Role.java
@@ -0,0 +1,26 @@
+package dapplestair.admin;
+
+/** What a caller may do. */
+enum Role {
+  /** Look. */
+  VIEW,
+  /** Change things, too. */
+  OPERATE;
+
+  boolean covers(Role needed) {
+    return ordinal() >= needed.ordinal();
+  }
+
+  static Role of(String word) {
+    for (Role r : values()) {
+      if (r.shown().equals(word)) {
+        return r;
+      }
+    }
+    return null;
+  }
+
+  String shown() {
+    return name().toLowerCase(java.util.Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/admin/Routes.java
@@ -0,0 +1,165 @@
+package dapplestair.admin;
+
+import dapplestair.filter.Filter;
+import dapplestair.filter.FilterException;
+import dapplestair.filter.Schema;
+import dapplestair.submissions.Submission;
+import java.util.function.Consumer;
+
+/** What may be asked, who may ask it, and who can answer it. */
+final class Routes {
+  /** The longest that a follower of events waits in one request. */
+  static final long LONGEST_POLL_MS = 30_000;
+
+  private static final String V1 = "/v1/";
+  private static final int USUAL_ROWS = 100;
+
+  private final JobViews jobs;
+  private final MachineViews machines;
+  private final WhyView why;
+  private final ClusterViews cluster;
+  private final EventViews events;
+  private final DrainDesk drains;
+
+  Routes(
+      JobViews jobs,
+      MachineViews machines,
+      WhyView why,
+      ClusterViews cluster,
+      EventViews events,
+      DrainDesk drains) {
+    this.jobs = jobs;
+    this.machines = machines;
+    this.why = why;
+    this.cluster = cluster;
+    this.events = events;
+    this.drains = drains;
+  }
+
+  /** Something that answers a question. */
+  @FunctionalInterface
+  interface Handler {
+    void answer(Question q, Consumer<Answer> done) throws Question.BadRequest;
+  }
+
+  /**
+   * A way to an answer.
+   *
+   * @param role who may take it
+   * @param byLeader true when only a leader's memory knows
+   * @param waitMs how long the answer may keep silent before it comes
+   */
+  record Route(Role role, boolean byLeader, long waitMs, Handler handler) {}
+
+  /** Where a question goes, or null when there is no such path. */
+  Route find(Question q) {
+    if (!q.path().startsWith(V1)) {
+      return null;
+    }
+    String[] parts = q.path().substring(V1.length()).split("/", -1);
+    return switch (parts.length) {
+      case 1 -> all(q, parts[0]);
+      case 2 -> one(q, parts[0], parts[1]);
+      case 3 -> part(q, parts[0], parts[1], parts[2]);
+      default -> null;
+    };
+  }
+
+  private static Route view(boolean byLeader, Handler handler) {
+    return new Route(Role.VIEW, byLeader, 0, handler);
+  }
+
+  private Route all(Question q, String what) {
+    return switch (what) {
+      case "jobs" -> view(false, this::listJobs);
+      case "machines" -> view(true, this::listMachines);
+      case "teams" -> view(true, (x, done) -> done.accept(Answer.of(cluster.teams())));
+      case "plan" -> view(true, (x, done) -> done.accept(Answer.of(cluster.plan())));
+      case "status" -> view(true, (x, done) -> done.accept(Answer.of(cluster.status())));
+      case "drains" -> view(true, (x, done) -> done.accept(Answer.of(machines.drains())));
+      case "events" -> new Route(Role.VIEW, true, waitMs(q), this::listEvents);
+      default -> null;
+    };
+  }
+
+  private Route one(Question q, String what, String name) {
+    return switch (what) {
+      case "jobs" ->
+          view(
+              true,
+              (x, done) -> {
+                if (Submission.validRef(name)) {
+                  jobs.show(name, (int) x.number("from", 0, 0, Integer.MAX_VALUE), done);
+                } else {
+                  done.accept(Answer.error(404, "no job " + name));
+                }
+              });
+      case "machines" -> view(true, (x, done) -> machines.show(name, done));
+      default -> null;
+    };
+  }
+
+  private Route part(Question q, String what, String name, String part) {
+    if (what.equals("jobs") && part.equals("why")) {
+      return view(
+          true,
+          (x, done) -> {
+            if (Submission.validRef(name)) {
+              why.why(name, done);
+            } else {
+              done.accept(Answer.error(404, "no job " + name));
+            }
+          });
+    }
+    boolean on = part.equals("drain");
+    if (!on && !part.equals("undrain")) {
+      return null;
+    }
+    return switch (what) {
+      case "machines" ->
+          new Route(Role.OPERATE, true, 0, (x, done) -> drains.machine(x, name, on, done));
+      case "zones" ->
+          new Route(Role.OPERATE, true, 0, (x, done) -> drains.zone(x, name, on, done));
+      default -> null;
+    };
+  }
+
+  private static long waitMs(Question q) {
+    try {
+      return q.number("waitMs", 0, 0, LONGEST_POLL_MS);
+    } catch (Question.BadRequest e) {
+      return 0;
+    }
+  }
+
+  private static Filter filter(Question q, Schema schema) throws Question.BadRequest {
+    String where = q.param("where");
+    try {
+      return Filter.read(where, schema);
+    } catch (FilterException e) {
+      throw new Question.BadRequest("where: " + e.getMessage() + " (character " + e.at() + ")");
+    }
+  }
+
+  private static int limit(Question q) throws Question.BadRequest {
+    return (int) q.number("limit", USUAL_ROWS, 1, Pages.MOST_ROWS);
+  }
+
+  private void listJobs(Question q, Consumer<Answer> done) throws Question.BadRequest {
+    Filter filter = filter(q, Schema.JOBS);
+    if ("over".equals(q.param("scope"))) {
+      jobs.listOver(filter, q.param("after"), limit(q), done);
+    } else {
+      jobs.list(filter, q.param("after"), limit(q), done);
+    }
+  }
+
+  private void listMachines(Question q, Consumer<Answer> done) throws Question.BadRequest {
+    machines.list(filter(q, Schema.MACHINES), q.param("after"), limit(q), done);
+  }
+
+  private void listEvents(Question q, Consumer<Answer> done) throws Question.BadRequest {
+    long after = q.number("after", 0, 0, Long.MAX_VALUE);
+    events.list(filter(q, Schema.EVENTS), after, limit(q), waitMs(q), done);
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/admin/Tokens.java
@@ -0,0 +1,164 @@
+package dapplestair.admin;
+
+import com.google.common.hash.Hashing;
+import dapplestair.ports.Background;
+import dapplestair.ports.Exchange;
+import dapplestair.ports.Timers;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import javax.naming.InvalidNameException;
+import javax.naming.ldap.LdapName;
+import javax.naming.ldap.Rdn;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Bearer tokens, of which a file holds only hashes, and client certificates, whose organisational
+ * unit is the role. The file is read again when it changes.
+ *
+ * <p>A line of the file: a name, {@code view} or {@code operate}, and the token's SHA-256 in hex.
+ */
+public final class Tokens implements Access {
+  private static final Logger LOG = LoggerFactory.getLogger(Tokens.class);
+  private static final String BEARER = "Bearer ";
+  private static final long LOOK_EVERY_MS = 1000;
+  private static final long LARGEST_FILE = 1 << 20;
+
+  private record Entry(String name, Role role, byte[] hash) {}
+
+  private record Read(FileTime at, List<Entry> entries) {}
+
+  private final Path file;
+  private Read read = new Read(null, List.of());
+
+  private Tokens(Path file) {
+    this.file = file;
+  }
+
+  /** Only certificates are known. */
+  public static Tokens none() {
+    return new Tokens(null);
+  }
+
+  /** Reads a file, and again whenever it has changed. */
+  public static Tokens watch(Path file, Timers timers, Background background) throws IOException {
+    Tokens t = new Tokens(file);
+    t.read = t.load();
+    t.look(timers, background);
+    return t;
+  }
+
+  private void look(Timers timers, Background background) {
+    timers.after(
+        LOOK_EVERY_MS,
+        () -> {
+          FileTime known = read.at();
+          background.compute(() -> changed(known), fresh -> adopt(fresh, timers, background));
+        });
+  }
+
+  private void adopt(Read fresh, Timers timers, Background background) {
+    if (fresh != null) {
+      read = fresh;
+      LOG.info("{}: {} tokens", file, fresh.entries().size());
+    }
+    look(timers, background);
+  }
+
+  /** The file anew if it has changed; an unreadable one leaves all as it was. */
+  private Read changed(FileTime known) {
+    try {
+      return Files.getLastModifiedTime(file).equals(known) ? null : load();
+    } catch (IOException e) {
+      return null;
+    }
+  }
+
+  private Read load() throws IOException {
+    FileTime at = Files.getLastModifiedTime(file);
+    if (Files.size(file) > LARGEST_FILE) {
+      throw new IOException("over " + LARGEST_FILE + " bytes");
+    }
+    List<Entry> entries = new ArrayList<>();
+    int number = 0;
+    for (String line : Files.readAllLines(file)) {
+      number++;
+      String text = line.strip();
+      if (!text.isEmpty() && !text.startsWith("#")) {
+        Entry e = entry(text);
+        if (e == null) {
+          LOG.error("{} line {}: must be a name, view or operate, and a hash", file, number);
+        } else {
+          entries.add(e);
+        }
+      }
+    }
+    return new Read(at, List.copyOf(entries));
+  }
+
+  private static Entry entry(String line) {
+    String[] parts = line.split("\\s+");
+    Role role = parts.length == 3 ? Role.of(parts[1]) : null;
+    if (role == null || parts[2].length() != 64) {
+      return null;
+    }
+    try {
+      return new Entry(parts[0], role, HexFormat.of().parseHex(parts[2]));
+    } catch (IllegalArgumentException e) {
+      return null;
+    }
+  }
+
+  /** The form in which a token is stored. */
+  public static String hash(String token) {
+    return Hashing.sha256().hashString(token, StandardCharsets.UTF_8).toString();
+  }
+
+  @Override
+  public Known who(Exchange x) {
+    String header = x.header("authorization");
+    if (header != null && header.startsWith(BEARER)) {
+      return byToken(header.substring(BEARER.length()).strip());
+    }
+    return bySubject(x.subject());
+  }
+
+  /** Looks at all entries, each in the same time, so that no answer tells how close a guess was. */
+  private Known byToken(String token) {
+    byte[] hash = HexFormat.of().parseHex(hash(token));
+    Known found = null;
+    for (Entry e : read.entries()) {
+      if (MessageDigest.isEqual(e.hash(), hash)) {
+        found = new Known(e.name(), e.role() == Role.OPERATE);
+      }
+    }
+    return found;
+  }
+
+  private static Known bySubject(String subject) {
+    if (subject == null) {
+      return null;
+    }
+    String name = null;
+    Role role = null;
+    try {
+      for (Rdn rdn : new LdapName(subject).getRdns()) {
+        if (rdn.getType().equalsIgnoreCase("CN")) {
+          name = rdn.getValue().toString();
+        } else if (rdn.getType().equalsIgnoreCase("OU")) {
+          role = Role.of(rdn.getValue().toString());
+        }
+      }
+    } catch (InvalidNameException e) {
+      return null;
+    }
+    return name == null || role == null ? null : new Known(name, role == Role.OPERATE);
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/cli/DaemonCommand.java
@@ -0,0 +1,115 @@
+package dapplestair.cli;
+
+import dapplestair.daemon.DaemonSettings;
+import dapplestair.daemon.Emulation;
+import dapplestair.daemon.Registration;
+import dapplestair.settings.Operator;
+import dapplestair.settings.OperatorLoader;
+import dapplestair.settings.Settings.Address;
+import dapplestair.settings.SettingsException;
+import java.net.BindException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** One controller with everything it needs, on this machine. */
+@Command(
+    name = "daemon",
+    mixinStandardHelpOptions = true,
+    description = {
+      "Run a whole scheduler on this machine: one controller, and emulated stand-ins of state"
+          + " service, cloud and workers.",
+      "A task of an emulated machine runs for a time, no program."
+    },
+    footer = {
+      "",
+      "Examples:",
+      "  dapplestair daemon",
+      "  dapplestair daemon --config deploy/daemon.toml --listen 127.0.0.1:0 --admin 127.0.0.1:0",
+      "  dapplestair daemon --outside 127.0.0.1:8082     # the cluster outlives this process"
+    })
+final class DaemonCommand implements Callable<Integer> {
+  private static final long READY_WITHIN_MS = 60_000;
+
+  @Option(names = "--config", paramLabel = "FILE", description = "settings, TOML; all have defaults")
+  private Path config;
+
+  @Option(
+      names = "--operator",
+      paramLabel = "FILE",
+      description = "operators' own settings, protobuf text format")
+  private Path operatorFile;
+
+  @Option(names = "--listen", paramLabel = "HOST:PORT", description = "where users are served")
+  private String listen;
+
+  @Option(names = "--admin", paramLabel = "HOST:PORT", description = "where operators are served")
+  private String admin;
+
+  @Option(
+      names = "--outside",
+      paramLabel = "HOST:PORT",
+      description = "a running `dapplestair emulate` to use instead of stand-ins of its own")
+  private String outside;
+
+  @Override
+  public Integer call() throws Exception {
+    DaemonSettings settings;
+    Operator operator;
+    Address users;
+    try {
+      settings = config == null ? DaemonSettings.defaults() : DaemonSettings.load(config);
+      operator =
+          operatorFile == null ? Operator.defaults() : OperatorLoader.load(operatorFile);
+      users = EmulateCommand.address("--listen", listen, settings.listen());
+      Address at = EmulateCommand.address("--admin", admin, settings.admin());
+      // Unless the operators' file says who may come, everybody on this machine may.
+      if (operator.admin() == null) {
+        operator = operator.withAdmin(Operator.Admin.open(at));
+        OperatorLoader.check(operator.admin());
+      }
+    } catch (SettingsException e) {
+      return SettingsOptions.refuse(e);
+    }
+    try {
+      return run(settings, operator, users);
+    } catch (SettingsException e) {
+      return SettingsOptions.refuse(e);
+    } catch (Exception e) {
+      // Netty throws what it does not declare.
+      if (e instanceof BindException) {
+        System.err.println("dapplestair: " + e.getMessage());
+        return 1;
+      }
+      throw e;
+    }
+  }
+
+  private int run(DaemonSettings settings, Operator operator, Address users) throws Exception {
+    Emulation emulation = null;
+    String endpoint = outside;
+    if (outside == null) {
+      emulation = new Emulation(settings);
+      endpoint = "127.0.0.1:" + emulation.start(new Address("127.0.0.1", 0));
+    } else if (Address.parse(outside) == null) {
+      throw new SettingsException("--outside = " + outside + ": must be host:port");
+    }
+    Running running = Running.start(settings.controller(users, endpoint), operator);
+    Ending.onSignal(running::stop);
+    String userEndpoint = users.host() + ":" + running.userPort();
+    Registration.repeat(running.loop(), endpoint, userEndpoint);
+    while (!running.await(READY_WITHIN_MS)) {
+      System.err.println("dapplestair: still waiting for state service and cloud at " + endpoint);
+    }
+    System.out.println(
+        "ready users="
+            + userEndpoint
+            + " admin="
+            + operator.admin().listen().host()
+            + ":"
+            + running.adminPort());
+    Thread.currentThread().join();
+    return ControllerCommand.STAYS;
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/cli/EmulateCommand.java
@@ -0,0 +1,58 @@
+package dapplestair.cli;
+
+import dapplestair.daemon.DaemonSettings;
+import dapplestair.daemon.Emulation;
+import dapplestair.settings.Settings.Address;
+import dapplestair.settings.SettingsException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Only the stand-ins, so that the cluster outlives a daemon. */
+@Command(
+    name = "emulate",
+    mixinStandardHelpOptions = true,
+    description = "Run emulated stand-ins of state service, cloud and workers, without a scheduler.",
+    footer = {
+      "",
+      "Example:",
+      "  dapplestair emulate --listen 127.0.0.1:8082 &",
+      "  dapplestair daemon --outside 127.0.0.1:8082"
+    })
+final class EmulateCommand implements Callable<Integer> {
+  @Option(names = "--config", paramLabel = "FILE", description = "settings, TOML; all have defaults")
+  private Path config;
+
+  @Option(names = "--listen", paramLabel = "HOST:PORT", description = "where they are served")
+  private String listen;
+
+  @Override
+  public Integer call() throws Exception {
+    try {
+      DaemonSettings settings =
+          config == null ? DaemonSettings.defaults() : DaemonSettings.load(config);
+      Address at = address("--listen", listen, settings.outside());
+      Emulation emulation = new Emulation(settings);
+      int port = emulation.start(at);
+      Ending.onSignal(emulation::close);
+      System.out.println("ready outside=" + at.host() + ":" + port);
+    } catch (SettingsException e) {
+      return SettingsOptions.refuse(e);
+    }
+    Thread.currentThread().join();
+    return ControllerCommand.STAYS;
+  }
+
+  /** An address given on the command line, or else the one of the settings. */
+  static Address address(String option, String given, Address otherwise) throws SettingsException {
+    if (given == null) {
+      return otherwise;
+    }
+    Address a = Address.parse(given);
+    if (a == null) {
+      throw new SettingsException(option + " = " + given + ": must be host:port");
+    }
+    return a;
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/cli/Ending.java
@@ -0,0 +1,36 @@
+package dapplestair.cli;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** An orderly end on SIGTERM or SIGINT, with exit code 0. */
+final class Ending {
+  private static final Logger LOG = LoggerFactory.getLogger(Ending.class);
+
+  private Ending() {}
+
+  /** What ends, in order. */
+  @FunctionalInterface
+  interface Steps {
+    void run() throws InterruptedException;
+  }
+
+  /** Runs the steps when the process is told to end, then ends it with 0. */
+  static void onSignal(Steps steps) {
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  int code = 0;
+                  try {
+                    steps.run();
+                  } catch (InterruptedException | RuntimeException e) {
+                    LOG.error("ending failed", e);
+                    code = 1;
+                  }
+                  // Without this the virtual machine would report the signal instead.
+                  Runtime.getRuntime().halt(code);
+                },
+                "ending"));
+  }
+}
--- a/src/main/java/dapplestair/cli/Main.java
+++ b/src/main/java/dapplestair/cli/Main.java
@@ -8,9 +8,15 @@
 @Command(
     name = "dapplestair",
     mixinStandardHelpOptions = true,
-    version = "dapplestair 0.1.0",
+    version = "dapplestair 0.2.0",
     description = "A cluster scheduler.",
-    subcommands = {ControllerCommand.class, CheckConfigCommand.class, RehearseCommand.class})
+    subcommands = {
+      ControllerCommand.class,
+      CheckConfigCommand.class,
+      DaemonCommand.class,
+      EmulateCommand.class,
+      RehearseCommand.class
+    })
 public final class Main implements Runnable {
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
--- a/src/main/java/dapplestair/cli/RehearseCommand.java
+++ b/src/main/java/dapplestair/cli/RehearseCommand.java
@@ -61,7 +61,7 @@
     int[] ports = freePorts(4);
     String text = SETTINGS.formatted(ports[0], ports[1], ports[2], ports[3], ports[3]);
     Settings settings = SettingsLoader.parse("rehearsal", text);
-    Loop loop = ControllerCommand.run(settings, Operator.defaults());
+    Loop loop = Running.start(settings, Operator.defaults()).loop();
     HttpPool http = new HttpPool(loop, 2, 1000);
     String self = settings.clientListen().toString();
     String beat =
--- /dev/null
+++ b/src/main/java/dapplestair/daemon/Emulation.java
@@ -0,0 +1,136 @@
+package dapplestair.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.emulator.Directory;
+import dapplestair.emulator.EmulatedCloud;
+import dapplestair.emulator.EmulatedState;
+import dapplestair.emulator.EmulatedTask;
+import dapplestair.emulator.EmulatedWorker;
+import dapplestair.emulator.Place;
+import dapplestair.emulator.Witness;
+import dapplestair.json.Json;
+import dapplestair.netty.HttpPool;
+import dapplestair.netty.HttpServer;
+import dapplestair.netty.Loop;
+import dapplestair.ports.Exchange;
+import dapplestair.settings.Settings.Address;
+import dapplestair.state.Keys;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * State service, cloud and workers behind one address, told apart by their paths. Paths under {@code
+ * /emulator/} are for whoever runs it: controllers are made known there, and what truly runs on the
+ * machines can be read.
+ */
+public final class Emulation implements AutoCloseable, Directory {
+  private static final String OWN = "/emulator/";
+  private static final String CONTROLLERS = OWN + "controllers/";
+  private static final int MOST_CONNECTIONS = 4000;
+  private static final int CALLS_A_PLACE = 64;
+
+  private final Loop loop = new Loop();
+  private final Map<String, String> controllers = new LinkedHashMap<>();
+  private final HttpServer server;
+  private final EmulatedState state;
+  private final EmulatedCloud cloud;
+
+  /** Everything as the settings say; nothing is served before {@link #start}. */
+  public Emulation(DaemonSettings settings) {
+    HttpPool http = new HttpPool(loop, CALLS_A_PLACE, settings.shape().reportMs() / 4);
+    Loopback world =
+        new Loopback(
+            loop,
+            http,
+            settings.seed() == 0
+                ? RandomSource.XO_RO_SHI_RO_128_PP.create()
+                : RandomSource.XO_RO_SHI_RO_128_PP.create(settings.seed()));
+    state = new EmulatedState(world, settings.shape());
+    cloud = new EmulatedCloud(world, settings.shape(), this::job, this, Witness.none());
+    server = new HttpServer(loop, HttpServer.Options.users(MOST_CONNECTIONS), this::handle);
+  }
+
+  /** Serves; returns the port. */
+  public int start(Address address) throws InterruptedException {
+    return server.start(address);
+  }
+
+  /** Makes a controller known to the workers. */
+  public void register(String member, String endpoint) {
+    loop.executor().execute(() -> controllers.put(member, endpoint));
+  }
+
+  @Override
+  public List<String> members() {
+    return List.copyOf(controllers.keySet());
+  }
+
+  @Override
+  public String endpoint(String member) {
+    return controllers.get(member);
+  }
+
+  /** What users uploaded is what they submitted: it is read where the controllers record it. */
+  private JsonNode job(String ref) {
+    JsonNode record = state.value(Keys.job(ref));
+    if (record == null) {
+      record = state.value(Keys.over(ref));
+    }
+    return record == null ? null : record.path("job");
+  }
+
+  private void handle(Exchange x) {
+    if (x.path().startsWith(OWN)) {
+      own(x);
+    } else {
+      boolean forCloud = x.path().equals("/machine_types") || x.path().startsWith("/rentals");
+      Place place = forCloud ? cloud : state;
+      Wire.hand(x, place);
+    }
+  }
+
+  private void own(Exchange x) {
+    if (x.path().startsWith(CONTROLLERS) && x.method().equals("PUT")) {
+      String endpoint = Json.text(Json.parse(x.body()), "endpoint");
+      if (endpoint == null) {
+        x.reply(400, Json.bytes(Json.object().put("error", "endpoint: missing")), 0);
+        return;
+      }
+      controllers.put(x.path().substring(CONTROLLERS.length()), endpoint);
+      x.reply(200, Json.bytes(Json.object()), 0);
+    } else if (x.path().equals(OWN + "machines") && x.method().equals("GET")) {
+      x.reply(200, Json.bytes(machines()), 0);
+    } else {
+      x.reply(404, Json.bytes(Json.object().put("error", "no such path")), 0);
+    }
+  }
+
+  private ObjectNode machines() {
+    ObjectNode o = Json.object().put("violation", cloud.violation());
+    ArrayNode list = o.putArray("machines");
+    for (EmulatedWorker w : cloud.machines()) {
+      ArrayNode tasks =
+          list.addObject()
+              .put("id", w.id())
+              .put("type", w.type())
+              .put("zone", w.zone())
+              .put("spot", w.spot())
+              .put("up", w.booted() && !w.gone())
+              .putArray("tasks");
+      for (EmulatedTask t : w.tasks()) {
+        tasks.addObject().put("task", t.key()).put("try", t.attempt()).put("status", t.status());
+      }
+    }
+    return o;
+  }
+
+  @Override
+  public void close() {
+    server.close();
+    loop.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/daemon/Loopback.java
@@ -0,0 +1,107 @@
+package dapplestair.daemon;
+
+import dapplestair.emulator.Place;
+import dapplestair.emulator.Surroundings;
+import dapplestair.netty.HttpPool;
+import dapplestair.netty.HttpServer;
+import dapplestair.netty.Loop;
+import dapplestair.ports.Cancellable;
+import dapplestair.ports.HttpReply;
+import dapplestair.settings.Settings.Address;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Real time and real sockets on this machine for the emulated parts. */
+final class Loopback implements Surroundings {
+  private static final Logger LOG = LoggerFactory.getLogger(Loopback.class);
+  private static final String HOST = "127.0.0.1";
+  private static final int CONNECTIONS_A_MACHINE = 16;
+  // A machine without power is silent. Past any lease nobody calls it any more.
+  private static final long SILENT_MS = 60_000;
+
+  private final Loop loop;
+  private final HttpPool http;
+  private final UniformRandomProvider random;
+  private final Map<String, HttpServer> open = new HashMap<>();
+
+  Loopback(Loop loop, HttpPool http, UniformRandomProvider random) {
+    this.loop = loop;
+    this.http = http;
+    this.random = random;
+  }
+
+  @Override
+  public long now() {
+    return loop.now();
+  }
+
+  @Override
+  public Cancellable after(long delayMs, Runnable task) {
+    return loop.after(delayMs, task);
+  }
+
+  @Override
+  public boolean chance(double probability) {
+    return random.nextDouble() < probability;
+  }
+
+  @Override
+  public long between(long low, long high) {
+    return low + random.nextLong(Math.max(1, high - low + 1));
+  }
+
+  @Override
+  public double fraction() {
+    return random.nextDouble();
+  }
+
+  @Override
+  public String address(String name) {
+    return null;
+  }
+
+  @Override
+  public void open(String name, Place place, Consumer<String> opened) {
+    HttpServer.Options options = HttpServer.Options.users(CONNECTIONS_A_MACHINE);
+    HttpServer server = new HttpServer(loop, options, x -> Wire.hand(x, place));
+    server.open(
+        new Address(HOST, 0),
+        port -> {
+          if (port < 0) {
+            LOG.error("no port for {}", name);
+            return;
+          }
+          open.put(name, server);
+          opened.accept(HOST + ":" + port);
+        });
+  }
+
+  @Override
+  public void close(String name) {
+    HttpServer server = open.remove(name);
+    if (server != null) {
+      server.close();
+    }
+  }
+
+  @Override
+  public void silence(String name) {
+    loop.after(SILENT_MS, () -> close(name));
+  }
+
+  @Override
+  public void call(
+      String from,
+      String to,
+      String method,
+      String path,
+      byte[] body,
+      long timeoutMs,
+      Consumer<HttpReply> done) {
+    http.call(to, method, path, body, timeoutMs, done);
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/daemon/Registration.java
@@ -0,0 +1,29 @@
+package dapplestair.daemon;
+
+import dapplestair.json.Json;
+import dapplestair.netty.HttpPool;
+import dapplestair.netty.Loop;
+
+/** Tells the emulated workers where the controller is, again and again: they may start anew. */
+public final class Registration {
+  private static final long EVERY_MS = 1000;
+
+  private Registration() {}
+
+  /** Begins; goes on while the loop does. */
+  public static void repeat(Loop loop, String outside, String endpoint) {
+    loop.executor()
+        .execute(() -> tell(loop, new HttpPool(loop, 1, EVERY_MS / 2), outside, endpoint));
+  }
+
+  private static void tell(Loop loop, HttpPool http, String outside, String endpoint) {
+    byte[] body = Json.bytes(Json.object().put("endpoint", endpoint));
+    http.call(
+        outside,
+        "PUT",
+        "/emulator/controllers/" + DaemonSettings.MEMBER,
+        body,
+        EVERY_MS,
+        reply -> loop.after(EVERY_MS, () -> tell(loop, http, outside, endpoint)));
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** One machine that runs a controller and everything it needs from outside. */
+package dapplestair.daemon;
--- /dev/null
+++ b/src/main/java/dapplestair/drain/Drain.java
@@ -0,0 +1,42 @@
+package dapplestair.drain;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+
+/**
+ * An order to empty a machine or a zone.
+ *
+ * @param by who gave it
+ * @param atWall when, milliseconds of the time of day
+ * @param why in their words, possibly empty
+ * @param giveBack whether emptied machines are returned to the cloud
+ * @param deadlineS seconds after which work that does not save is stopped, 0 for never
+ */
+public record Drain(String by, long atWall, String why, boolean giveBack, double deadlineS) {
+  /** The recorded form. */
+  public ObjectNode toJson() {
+    return Json.object()
+        .put("by", by)
+        .put("at", atWall)
+        .put("why", why)
+        .put("return", giveBack)
+        .put("deadlineS", deadlineS);
+  }
+
+  /** Reads the recorded form. */
+  public static Drain parse(JsonNode n) {
+    String by = Json.text(n, "by");
+    String why = Json.text(n, "why");
+    return new Drain(
+        by == null ? "" : by,
+        Json.number(n, "at", 0),
+        why == null ? "" : why,
+        Json.flag(n, "return"),
+        Json.decimal(n, "deadlineS", 0));
+  }
+
+  boolean overdue(long nowWall) {
+    return deadlineS > 0 && nowWall - atWall > 1000 * deadlineS;
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/drain/package-info.java
@@ -0,0 +1,2 @@
+/** Machines and zones that operators empty: recorded, carried on by whoever leads. */
+package dapplestair.drain;
--- /dev/null
+++ b/src/main/java/dapplestair/events/Events.java
@@ -0,0 +1,49 @@
+package dapplestair.events;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.function.Consumer;
+
+/** Where the duties note what happens. */
+@FunctionalInterface
+public interface Events {
+  /** Nobody listens: nothing is even put together. */
+  Events OFF = (kind, fields) -> {};
+
+  /** Something happened; {@code fields} fills in what is known of it, if anybody wants it. */
+  void note(Kind kind, Consumer<ObjectNode> fields);
+
+  /** What can happen. */
+  enum Kind {
+    /** A task runs. */
+    STARTED,
+    /** A task completed. */
+    COMPLETED,
+    /** A task ended by itself without completing. */
+    FAILED,
+    /** A task is told to stop; {@code reason} says why. */
+    STOPPING,
+    /** An attempt is proved to be absent though nobody stopped it. */
+    LOST,
+    /** A job was accepted. */
+    ACCEPTED,
+    /** A job is over. */
+    OVER,
+    /** The cloud gave machines. */
+    RENTED,
+    /** The cloud has none to give. */
+    REFUSED,
+    /** A machine was returned. */
+    RETURNED,
+    /** A machine is given up, has failed or was taken. */
+    MACHINE_LOST,
+    /** A machine or a zone is to be emptied, or no longer. */
+    DRAIN,
+    /** This controller leads from now on. */
+    LEADING;
+
+    /** The form shown to people. */
+    public String shown() {
+      return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/filter/Filter.java
@@ -0,0 +1,101 @@
+package dapplestair.filter;
+
+import dapplestair.filter.grammar.FilterLexer;
+import dapplestair.filter.grammar.FilterParser;
+import org.antlr.v4.runtime.BaseErrorListener;
+import org.antlr.v4.runtime.CharStreams;
+import org.antlr.v4.runtime.CommonTokenStream;
+import org.antlr.v4.runtime.RecognitionException;
+import org.antlr.v4.runtime.Recognizer;
+import org.antlr.v4.runtime.misc.ParseCancellationException;
+
+/** A condition on rows, checked against their fields when it is read. */
+@FunctionalInterface
+public interface Filter {
+  /** Longer filters are refused. */
+  int MOST_CHARACTERS = 2000;
+
+  /** Deeper ones as well: reading them takes stack. */
+  int MOST_NESTED = 40;
+
+  /** True when the row meets the condition. */
+  boolean test(Row row);
+
+  /** Everything. */
+  static Filter all() {
+    return row -> true;
+  }
+
+  /** Reads a filter; an empty one lets all through. */
+  static Filter read(String text, Schema schema) throws FilterException {
+    if (text == null || text.isBlank()) {
+      return all();
+    }
+    bound(text);
+    FilterLexer lexer = new FilterLexer(CharStreams.fromString(text));
+    FilterParser parser = new FilterParser(new CommonTokenStream(lexer));
+    Mistakes mistakes = new Mistakes(text);
+    lexer.removeErrorListeners();
+    lexer.addErrorListener(mistakes);
+    parser.removeErrorListeners();
+    parser.addErrorListener(mistakes);
+    try {
+      return new Compiler(schema).visit(parser.filter());
+    } catch (ParseCancellationException e) {
+      if (e.getCause() instanceof FilterException f) {
+        throw f;
+      }
+      throw e;
+    }
+  }
+
+  private static void bound(String text) throws FilterException {
+    if (text.length() > MOST_CHARACTERS) {
+      throw new FilterException(
+          MOST_CHARACTERS,
+          "a filter may have " + MOST_CHARACTERS + " characters; this one has " + text.length());
+    }
+    int depth = 0;
+    for (int i = 0; i < text.length(); i++) {
+      depth += text.charAt(i) == '(' ? 1 : text.charAt(i) == ')' ? -1 : 0;
+      if (depth > MOST_NESTED) {
+        throw new FilterException(i, "more than " + MOST_NESTED + " levels of parentheses");
+      }
+    }
+  }
+
+  /** Ends the reading at the first mistake. */
+  final class Mistakes extends BaseErrorListener {
+    private final String text;
+
+    Mistakes(String text) {
+      this.text = text;
+    }
+
+    @Override
+    public void syntaxError(
+        Recognizer<?, ?> recognizer,
+        Object symbol,
+        int line,
+        int column,
+        String message,
+        RecognitionException e) {
+      int at = column;
+      // Columns are counted in their line, the mistake in the whole text.
+      for (int i = 1, from = 0; i < line; i++) {
+        from = text.indexOf('\n', from) + 1;
+        at = from + column;
+      }
+      throw new ParseCancellationException(new FilterException(at, words(message)));
+    }
+
+    private static String words(String message) {
+      return message
+          .replace("<EOF>", "the end")
+          .replace("token recognition error at:", "not understood:")
+          .replace("mismatched input", "unexpected")
+          .replace("extraneous input", "unexpected")
+          .replace("no viable alternative at input", "not understood:");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/filter/Schema.java
@@ -0,0 +1,49 @@
+package dapplestair.filter;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The fields that rows of one kind have, with their types. */
+public enum Schema {
+  /** Rows of {@code job list}. */
+  JOBS(
+      "ref text, class text, team text, shape text, rank text, status text, tasks number, done"
+          + " number, running number, waiting_tasks number, waiting number, age number, cpus number,"
+          + " spot flag, zone text"),
+  /** Rows of {@code machine list}. */
+  MACHINES(
+      "id text, type text, zone text, spot flag, state text, cpus number, used number, tasks"
+          + " number, age number, idle number, drained flag, silent number"),
+  /** Rows of {@code event list}. */
+  EVENTS(
+      "id number, at number, kind text, job text, task text, machine text, zone text, team text,"
+          + " reason text, type text, status text, spot flag, count number, term number");
+
+  /** What a field holds. */
+  public enum Type {
+    TEXT,
+    NUMBER,
+    FLAG
+  }
+
+  private final Map<String, Type> fields = new TreeMap<>();
+
+  Schema(String all) {
+    for (String one : all.split(", ")) {
+      int space = one.indexOf(' ');
+      fields.put(
+          one.substring(0, space),
+          Type.valueOf(one.substring(space + 1).toUpperCase(java.util.Locale.ROOT)));
+    }
+  }
+
+  /** A field's type, or null when there is no such field. */
+  public Type type(String field) {
+    return fields.get(field);
+  }
+
+  /** All fields, for messages. */
+  public String names() {
+    return String.join(", ", fields.keySet());
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/filter/package-info.java
@@ -0,0 +1,2 @@
+/** The small language of {@code --where}, the same for jobs, machines and events. */
+package dapplestair.filter;
--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.events.Events;
 import dapplestair.json.Json;
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Attempt;
@@ -16,6 +17,7 @@
 import dapplestair.state.StateClient;
 import dapplestair.state.StateClient.Priority;
 import dapplestair.state.Txn;
+import dapplestair.submissions.Submission;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import java.util.ArrayList;
@@ -27,6 +29,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -89,6 +92,8 @@
   private long typesAt = Long.MIN_VALUE / 2;
   private boolean typing;
   private Cancellable timer = () -> {};
+  private Predicate<String> zoneClosed = z -> false;
+  private final Events events;
 
   /** A fleet without machines. */
   public Fleet(
@@ -99,7 +104,9 @@
       StateClient state,
       Leadership leadership,
       MachineTypes types,
-      WorkerDesk desk) {
+      WorkerDesk desk,
+      Events events) {
+    this.events = events;
     this.clock = clock;
     this.timers = timers;
     this.settings = settings;
@@ -111,6 +118,11 @@
     this.cloud = new CloudClient(clock, timers, http, settings);
   }
 
+  /** Zones in which nothing is to be rented, since operators have them emptied. */
+  public void closeZones(Predicate<String> closed) {
+    zoneClosed = closed;
+  }
+
   // ---- what the replica says ----
 
   /** The recorded types have this value. */
@@ -281,6 +293,7 @@
     String status = n.path("status").asText();
     if (status.equals("failed")) {
       LOG.info("{} has failed", id);
+      lost(h, "failed");
       desk.gone(h);
       toRelease.add(id);
     } else if (status.equals("running")) {
@@ -302,6 +315,7 @@
           && h.firstListedAt() != Long.MAX_VALUE
           && askedAt - h.firstListedAt() > longestLag) {
         LOG.info("{} was taken", h.id());
+        lost(h, "taken by the cloud");
         market.noteTaken(h);
         desk.gone(h);
       }
@@ -334,10 +348,12 @@
   private void judge(Host h, long now) {
     if (h.outOfReach() && givenUp(h)) {
       LOG.info("{} is silent: returning it", h.id());
+      lost(h, "silent");
       market.noteTaken(h);
       forceRelease(h);
     } else if (!h.expectedUp() && bootOverdue(h, now)) {
       LOG.info("{} does not come up: returning it", h.id());
+      lost(h, "does not come up");
       forceRelease(h);
     } else if (neverListed(h, now)) {
       LOG.info("{} is recorded but not listed: returning it", h.id());
@@ -450,6 +466,7 @@
             Host h = desk.known(id);
             if (h != null) {
               LOG.debug("{} is returned", id);
+              events.note(Events.Kind.RETURNED, o -> o.put("machine", id).put("zone", h.zone()));
               desk.gone(h);
             }
           }
@@ -484,6 +501,7 @@
     return !h.gone()
         && !h.releasing()
         && !h.draining()
+        && !h.drained()
         && !h.recalled()
         && !h.outOfReach()
         && h.type() != null
@@ -527,7 +545,7 @@
     Map<Place, Integer> have = new HashMap<>();
     for (String z : t.zones()) {
       Place p = new Place(slot, z);
-      if (open(p)) {
+      if (open(p) && !zoneClosed.test(z)) {
         share.put(p, 0);
         have.put(p, holding(p));
       }
@@ -663,6 +681,12 @@
         r.place.slot.type(),
         r.place.slot.spot() ? "spot" : "steady",
         r.place.zone);
+    events.note(
+        Events.Kind.RENTED,
+        o -> {
+          describe(o, r.place);
+          o.put("count", r.hosts.size()).put("asked", r.count).put("rental", r.name);
+        });
     if (r.hosts.size() < r.count) {
       refuse(r.place);
     }
@@ -687,8 +711,19 @@
     r.refused = true;
   }
 
+  private static void describe(ObjectNode o, Place p) {
+    o.put("type", p.slot.type()).put("spot", p.slot.spot()).put("zone", p.zone);
+  }
+
+  private void lost(Host h, String why) {
+    events.note(
+        Events.Kind.MACHINE_LOST,
+        o -> o.put("machine", h.id()).put("zone", h.zone()).put("reason", why));
+  }
+
   private void refuse(Place place) {
     LOG.info("no more {} in {}", place.slot, place.zone);
+    events.note(Events.Kind.REFUSED, o -> describe(o, place));
     refusedUntil.put(place, clock.now() + 5 * settings.workers().reportMs());
     granted.put(place, holding(place));
   }
@@ -737,6 +772,57 @@
     }
   }
 
+  /**
+   * What the fleet holds in store for a job that waits.
+   *
+   * @param booting machines that suit it and are not up yet
+   * @param nextS seconds until the first of them is due, or -1
+   * @param refusals where the cloud refused machines that would suit it
+   */
+  public record Prospects(int booting, double nextS, List<Refusal> refusals) {}
+
+  /** The cloud had none; it is asked again after so many seconds. */
+  public record Refusal(String type, String zone, boolean spot, double againS) {}
+
+  /** What is on its way for a job, and what the cloud refused. */
+  public Prospects prospects(Submission s) {
+    long now = clock.now();
+    int booting = 0;
+    double next = -1;
+    for (Host h : desk.hosts()) {
+      if (!h.up() && !h.gone() && !h.releasing() && !h.drained() && h.allowed(s)) {
+        booting++;
+        double due = Math.max(0, h.type().bootS() - Math.max(0, now - h.rentedAt()) / 1000.0);
+        next = next < 0 ? due : Math.min(next, due);
+      }
+    }
+    for (Rental r : rentals.values()) {
+      if (r.hosts == null && !r.refused && suits(s, r.place)) {
+        booting += r.count;
+        double due = types.get(r.place.slot.type()).bootS();
+        next = next < 0 ? due : Math.min(next, due);
+      }
+    }
+    List<Refusal> refusals = new ArrayList<>();
+    refusedUntil.forEach(
+        (p, until) -> {
+          if (until > now && suits(s, p)) {
+            refusals.add(
+                new Refusal(
+                    p.slot.type(), p.zone, p.slot.spot(), (until - now) / 1000.0));
+          }
+        });
+    return new Prospects(booting, next, refusals);
+  }
+
+  private boolean suits(Submission s, Place p) {
+    MachineType t = types.get(p.slot.type());
+    return t != null
+        && t.suits(s)
+        && (s.spot() || !p.slot.spot())
+        && (s.zone() == null || s.zone().equals(p.zone));
+  }
+
   /** Most machines of a slot that the cloud has shown to give, or {@code otherwise}. */
   public int capacity(Slot slot, int otherwise) {
     MachineType t = types.get(slot.type());
@@ -746,6 +832,9 @@
     int sum = 0;
     for (String z : t.zones()) {
       Place p = new Place(slot, z);
+      if (zoneClosed.test(z)) {
+        continue;
+      }
       sum += open(p) ? holding(p) + otherwise : granted.getOrDefault(p, 0);
     }
     return sum;
--- a/src/main/java/dapplestair/json/Json.java
+++ b/src/main/java/dapplestair/json/Json.java
@@ -1,6 +1,8 @@
 package dapplestair.json;
 
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.util.ByteArrayBuilder;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -46,6 +48,24 @@
     }
   }
 
+  /** Writes one value to a generator; for long answers, of which no tree is built. */
+  @FunctionalInterface
+  public interface Written {
+    /** Writes. */
+    void to(JsonGenerator out) throws IOException;
+  }
+
+  /** Bytes of what is written. */
+  public static byte[] written(Written value) {
+    ByteArrayBuilder bytes = new ByteArrayBuilder();
+    try (JsonGenerator out = MAPPER.createGenerator(bytes)) {
+      value.to(out);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+    return bytes.toByteArray();
+  }
+
   /** A text field, or null when absent, null or not text. */
   public static String text(JsonNode node, String field) {
     JsonNode v = node.get(field);
--- a/src/main/java/dapplestair/ledger/Attempt.java
+++ b/src/main/java/dapplestair/ledger/Attempt.java
@@ -106,6 +106,11 @@
     return host;
   }
 
+  /** Its machine's zone. */
+  public String zone() {
+    return zone;
+  }
+
   /** The worker's session it was launched in. */
   public long session() {
     return session;
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -19,6 +19,7 @@
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -43,6 +44,12 @@
     /** Stop it; {@code windDownS} 0 for at once. */
     void halt(Attempt attempt, double windDownS);
 
+    /** It is told to stop for the first time, for this reason. */
+    void stopping(Attempt attempt, StopReason why);
+
+    /** It is proved to be absent, though nobody stopped it and it did not exit. */
+    void lost(Attempt attempt);
+
     /** An exited attempt need not be reported any more. */
     void clear(String host, String key, long number);
 
@@ -190,7 +197,7 @@
         if (!a.sent() || a.done) {
           dropEnded(a);
         } else {
-          halt(a, 0);
+          halt(a, 0, StopReason.JOB_OVER);
         }
       }
     }
@@ -344,6 +351,27 @@
     return out;
   }
 
+  /** A job's attempts whose absence is not proved; only a leader has them. */
+  public List<Attempt> attempts(Job job) {
+    List<Attempt> out = new ArrayList<>();
+    job.chunks.values().forEach(c -> out.addAll(c.live.values()));
+    return out;
+  }
+
+  /** Up to {@code most} of a job's attempts at steps from {@code from} on, by step. */
+  public List<Attempt> attempts(Job job, int from, int most) {
+    List<Attempt> out = new ArrayList<>();
+    int first = from / job.chunkSize();
+    for (Chunk c : job.chunks.tailMap(first).values()) {
+      c.live.values().stream().filter(a -> a.step >= from).forEach(out::add);
+      if (out.size() >= most) {
+        break;
+      }
+    }
+    out.sort(Comparator.comparingInt(a -> a.step));
+    return out.subList(0, Math.min(most, out.size()));
+  }
+
   /** Attempts whose absence is not proved. */
   public int attemptCount() {
     return jobs.values().stream().mapToInt(Job::held).sum();
@@ -355,6 +383,12 @@
     return u == null ? 0 : u[0];
   }
 
+  /** Accelerators that a team's attempts use. */
+  public double teamGpus(String team) {
+    double[] u = teamUse.get(team);
+    return u == null ? 0 : u[1];
+  }
+
   // ---- the door ----
 
   /** True when the team has room for one more task of this size. */
@@ -449,13 +483,14 @@
   }
 
   /** Asks for a stop; repeated by the workers' duty until it is proved. */
-  public void halt(Attempt a, double windDownS) {
+  public void halt(Attempt a, double windDownS, StopReason why) {
     if (!a.sent()) {
       retire(a);
       return;
     }
     if (!a.halting) {
       a.haltAt = clock.now();
+      hooks.stopping(a, why);
     }
     a.halting = true;
     hooks.halt(a, windDownS);
@@ -515,7 +550,7 @@
           continue;
         }
         LOG.debug("{} try {} is not on {} any more", a.key(), a.number, host.id());
-        retire(a);
+        absent(a);
       }
     }
     return armed ? strays : List.of();
@@ -608,10 +643,17 @@
   /** The machine is proved to be gone, or its lease to have run out: so is all that was on it. */
   public void allAbsent(Host host) {
     for (Attempt a : List.copyOf(host.attempts())) {
-      retire(a);
+      absent(a);
     }
   }
 
+  private void absent(Attempt a) {
+    if (a.sent() && !a.exited && !a.halting && !a.job.over) {
+      hooks.lost(a);
+    }
+    retire(a);
+  }
+
   // ---- records ----
 
   private void dirty(Job job, Chunk c, boolean urgent) {
--- /dev/null
+++ b/src/main/java/dapplestair/ledger/StopReason.java
@@ -0,0 +1,18 @@
+package dapplestair.ledger;
+
+/** Why a task is told to stop. */
+public enum StopReason {
+  /** Its job is over. */
+  JOB_OVER,
+  /** Its room is needed by work that goes first. */
+  ROOM_NEEDED,
+  /** The cloud is about to take its machine. */
+  NOTICE,
+  /** Its machine or zone is being emptied. */
+  DRAIN;
+
+  /** The form shown to people. */
+  public String shown() {
+    return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/metrics/Exposition.java
@@ -0,0 +1,119 @@
+package dapplestair.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.core.metrics.Info;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
+
+/** What is measured, in the Prometheus text format; exists only where operators are served. */
+public final class Exposition implements Metrics.Sink {
+  private static final String PREFIX = "dapplestair_";
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Histogram accepted =
+      Histogram.builder()
+          .name(PREFIX + "submission_accept_seconds")
+          .help("Time from a submission's arrival to its acceptance.")
+          .classicOnly()
+          .classicUpperBounds(.005, .01, .025, .05, .1, .2, .3, .5, 1, 2, 5)
+          .register(registry);
+  private final Histogram started =
+      Histogram.builder()
+          .name(PREFIX + "task_start_seconds")
+          .help("Time from a job's acceptance to the start of one of its tasks.")
+          .classicOnly()
+          .classicUpperBounds(.5, 1, 2, 5, 10, 20, 50, 100, 200, 500)
+          .register(registry);
+  private final Histogram lag =
+      Histogram.builder()
+          .name(PREFIX + "loop_lag_seconds")
+          .help("How much late the loop's timers fire.")
+          .classicOnly()
+          .classicUpperBounds(.001, .005, .01, .025, .05, .1, .25, .5, 1, 5)
+          .register(registry);
+  private final Counter shed =
+      Counter.builder()
+          .name(PREFIX + "requests_shed_total")
+          .help("Users' requests answered with 503.")
+          .register(registry);
+  private final Counter lost =
+      Counter.builder()
+          .name(PREFIX + "attempts_failed_total")
+          .help("Attempts that ended by themselves without completing.")
+          .register(registry);
+
+  /** Nothing measured yet. */
+  public Exposition(String version) {
+    Info.builder()
+        .name(PREFIX + "build_info")
+        .help("Which version this is.")
+        .labelNames("version")
+        .register(registry)
+        .addLabelValues(version);
+  }
+
+  /** A figure that is looked up when somebody asks. */
+  public Exposition gauge(String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name(PREFIX + name)
+        .help(help)
+        .callback(c -> c.call(value.getAsDouble()))
+        .register(registry);
+    return this;
+  }
+
+  /** Several figures told apart by a label. */
+  public Exposition gauges(
+      String name, String help, String label, Supplier<? extends Map<String, ? extends Number>> values) {
+    GaugeWithCallback.builder()
+        .name(PREFIX + name)
+        .help(help)
+        .labelNames(label)
+        .callback(c -> values.get().forEach((k, v) -> c.call(v.doubleValue(), k)))
+        .register(registry);
+    return this;
+  }
+
+  @Override
+  public void accepted(long ms) {
+    accepted.observe(ms / 1000.0);
+  }
+
+  @Override
+  public void started(long ms) {
+    started.observe(ms / 1000.0);
+  }
+
+  @Override
+  public void lagged(long ms) {
+    lag.observe(ms / 1000.0);
+  }
+
+  @Override
+  public void shed() {
+    shed.inc();
+  }
+
+  @Override
+  public void lost() {
+    lost.inc();
+  }
+
+  /** All of it, as it is now. */
+  public byte[] text() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream(8192);
+    try {
+      new PrometheusTextFormatWriter(false).write(out, registry.scrape());
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+    return out.toByteArray();
+  }
+}
--- a/src/main/java/dapplestair/netty/HttpServer.java
+++ b/src/main/java/dapplestair/netty/HttpServer.java
@@ -3,9 +3,8 @@
 import dapplestair.ports.Exchange;
 import dapplestair.settings.Settings.Address;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -13,56 +12,106 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.ssl.SslContext;
 import io.netty.handler.timeout.ReadTimeoutHandler;
-import java.nio.charset.StandardCharsets;
+import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Accepts users, workers and health checks; one handler a connection. */
+/** Accepts users, workers, operators and health checks; one handler a connection. */
 public final class HttpServer implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
   private static final int LARGEST_BODY = 64 * 1024;
-  private static final int IDLE_S = 75;
+
+  /**
+   * How a server treats its connections.
+   *
+   * @param mostConnections connections at once
+   * @param shed true to answer those beyond with 503, false to close them unanswered
+   * @param idleS seconds after which a silent connection is closed
+   * @param tls the context of each new connection, or null for plain HTTP
+   */
+  public record Options(int mostConnections, boolean shed, int idleS, Supplier<SslContext> tls) {
+    /** For users and workers: those beyond are closed, so that a load balancer goes elsewhere. */
+    public static Options users(int mostConnections) {
+      return new Options(mostConnections, false, 75, null);
+    }
+  }
 
   private final Loop loop;
   private final Consumer<Exchange> handler;
-  private final int mostConnections;
+  private final Options options;
   private int connections;
+  private int unanswered;
+  private Runnable whenAnswered;
   private Channel channel;
 
-  /** Serves at most {@code mostConnections} at once; more are closed at once. */
-  public HttpServer(Loop loop, int mostConnections, Consumer<Exchange> handler) {
+  /** Serves on this loop. */
+  public HttpServer(Loop loop, Options options, Consumer<Exchange> handler) {
     this.loop = loop;
-    this.mostConnections = mostConnections;
+    this.options = options;
     this.handler = handler;
   }
 
-  /** Binds; returns the port in use. */
+  /** Binds; returns the port in use. Not to be called on the loop. */
   public int start(Address address) throws InterruptedException {
-    channel =
-        new ServerBootstrap()
-            .group(loop.group())
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, 1024)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new Connections())
-            .bind(address.host(), address.port())
-            .sync()
-            .channel();
-    return ((java.net.InetSocketAddress) channel.localAddress()).getPort();
+    channel = bind(address).sync().channel();
+    return port();
+  }
+
+  /** Binds from the loop; {@code bound} is told the port, or -1 when that failed. */
+  public void open(Address address, Consumer<Integer> bound) {
+    bind(address)
+        .addListener(
+            (ChannelFutureListener)
+                f -> {
+                  channel = f.channel();
+                  bound.accept(f.isSuccess() ? port() : -1);
+                });
+  }
+
+  private int port() {
+    return ((InetSocketAddress) channel.localAddress()).getPort();
+  }
+
+  private ChannelFuture bind(Address address) {
+    return new ServerBootstrap()
+        .group(loop.group())
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, 1024)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(new Connections())
+        .bind(address.host(), address.port());
+  }
+
+  /** Takes no more requests, and says when the open ones are answered. On the loop. */
+  public void drain(Runnable answered) {
+    whenAnswered = answered;
+    close();
+    answered(0);
+  }
+
+  private void answered(int count) {
+    unanswered -= count;
+    if (unanswered == 0 && whenAnswered != null) {
+      Runnable then = whenAnswered;
+      whenAnswered = () -> {};
+      then.run();
+    }
+  }
+
+  private boolean draining() {
+    return whenAnswered != null;
   }
 
   @Override
@@ -75,17 +124,22 @@
   private final class Connections extends ChannelInitializer<SocketChannel> {
     @Override
     protected void initChannel(SocketChannel ch) {
-      if (connections >= mostConnections) {
+      boolean tooMany = connections >= options.mostConnections();
+      // To say no in HTTP takes a connection, too: for that there are half as many again.
+      if (tooMany && (!options.shed() || connections >= options.mostConnections() * 3 / 2)) {
         ch.close();
         return;
       }
       connections++;
       ch.closeFuture().addListener(f -> connections--);
+      ch.pipeline().addLast(new ReadTimeoutHandler(options.idleS(), TimeUnit.SECONDS));
+      if (options.tls() != null) {
+        ch.pipeline().addLast(new TlsGreeting(options.tls().get(), ch));
+      }
       ch.pipeline()
-          .addLast(new ReadTimeoutHandler(IDLE_S, TimeUnit.SECONDS))
           .addLast(new HttpServerCodec())
           .addLast(new Aggregator())
-          .addLast(new Requests());
+          .addLast(new Requests(tooMany));
     }
   }
 
@@ -97,8 +151,7 @@
 
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-      byte[] body = "{\"error\":\"the body is over 64 KiB\"}".getBytes(StandardCharsets.UTF_8);
-      ctx.writeAndFlush(response(400, body, 0, false)).addListener(ChannelFutureListener.CLOSE);
+      refuse(ctx, 400, "the body is over 64 KiB", 0);
     }
 
     @Override
@@ -113,85 +166,55 @@
     }
   }
 
-  private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
-    @Override
-    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-      boolean keep = HttpUtil.isKeepAlive(request);
-      if (request.decoderResult().isFailure()) {
-        byte[] body = "{\"error\":\"malformed HTTP\"}".getBytes(StandardCharsets.UTF_8);
-        ctx.writeAndFlush(response(400, body, 0, false)).addListener(ChannelFutureListener.CLOSE);
-        return;
-      }
-      handler.accept(new Pending(ctx, request, keep));
-    }
-
-    @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      LOG.debug("connection from {} ended: {}", ctx.channel().remoteAddress(), cause.toString());
-      ctx.close();
-    }
+  private static void refuse(ChannelHandlerContext ctx, int status, String why, int retryAfterS) {
+    ctx.writeAndFlush(Pending.refusal(status, why, retryAfterS))
+        .addListener(ChannelFutureListener.CLOSE);
   }
 
-  private static final class Pending implements Exchange {
-    private final ChannelHandlerContext ctx;
-    private final String method;
-    private final String path;
-    private final byte[] body;
-    private final boolean keep;
-    private boolean answered;
-
-    Pending(ChannelHandlerContext ctx, FullHttpRequest request, boolean keep) {
-      this.ctx = ctx;
-      this.method = ((HttpRequest) request).method().name();
-      String uri = request.uri();
-      int query = uri.indexOf('?');
-      this.path = query < 0 ? uri : uri.substring(0, query);
-      this.body = ByteBufUtil.getBytes(request.content());
-      this.keep = keep;
-    }
+  private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final boolean tooMany;
+    // One request at a time on a connection, so this is all that can be open on it.
+    private Pending open;
 
-    @Override
-    public String method() {
-      return method;
+    Requests(boolean tooMany) {
+      this.tooMany = tooMany;
     }
 
     @Override
-    public String path() {
-      return path;
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+      if (request.decoderResult().isFailure()) {
+        refuse(ctx, 400, "malformed HTTP", 0);
+      } else if (tooMany) {
+        refuse(ctx, 503, "too many connections", 1);
+      } else if (draining()) {
+        refuse(ctx, 503, "this process is ending", 1);
+      } else {
+        unanswered++;
+        open = new Pending(ctx, request, HttpUtil.isKeepAlive(request), this::answered);
+        handler.accept(open);
+      }
     }
 
-    @Override
-    public byte[] body() {
-      return body;
+    private boolean answered(Pending of) {
+      HttpServer.this.answered(1);
+      if (open == of) {
+        open = null;
+      }
+      return draining();
     }
 
     @Override
-    public void reply(int status, byte[] body, int retryAfterS) {
-      if (answered) {
-        LOG.error("second answer to {} {}", method, path);
-        return;
-      }
-      answered = true;
-      var f = ctx.writeAndFlush(response(status, body, retryAfterS, keep));
-      if (!keep) {
-        f.addListener(ChannelFutureListener.CLOSE);
+    public void channelInactive(ChannelHandlerContext ctx) {
+      if (open != null) {
+        open.abandon();
       }
+      ctx.fireChannelInactive();
     }
-  }
 
-  private static DefaultFullHttpResponse response(
-      int status, byte[] body, int retryAfterS, boolean keep) {
-    DefaultFullHttpResponse r =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
-    r.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-    r.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
-    if (retryAfterS > 0) {
-      r.headers().setInt(HttpHeaderNames.RETRY_AFTER, retryAfterS);
-    }
-    if (!keep) {
-      r.headers().set(HttpHeaderNames.CONNECTION, "close");
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      LOG.debug("connection from {} ended: {}", ctx.channel().remoteAddress(), cause.toString());
+      ctx.close();
     }
-    return r;
   }
 }
--- /dev/null
+++ b/src/main/java/dapplestair/netty/Pending.java
@@ -0,0 +1,132 @@
+package dapplestair.netty;
+
+import dapplestair.json.Json;
+import dapplestair.ports.Exchange;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.function.Predicate;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A request that waits for its answer. */
+final class Pending implements Exchange {
+  private static final Logger LOG = LoggerFactory.getLogger(Pending.class);
+  private static final String JSON = "application/json";
+
+  private final ChannelHandlerContext ctx;
+  private final String method;
+  private final String path;
+  private final String query;
+  private final HttpHeaders headers;
+  private final byte[] body;
+  private final boolean keep;
+  private final Predicate<Pending> ended;
+  private boolean answered;
+  private boolean abandoned;
+
+  /** {@code ended} is told once, and says whether the connection is to be closed. */
+  Pending(
+      ChannelHandlerContext ctx, FullHttpRequest request, boolean keep, Predicate<Pending> ended) {
+    this.ctx = ctx;
+    this.method = request.method().name();
+    String uri = request.uri();
+    int mark = uri.indexOf('?');
+    this.path = mark < 0 ? uri : uri.substring(0, mark);
+    this.query = mark < 0 ? "" : uri.substring(mark + 1);
+    this.headers = request.headers();
+    this.body = ByteBufUtil.getBytes(request.content());
+    this.keep = keep;
+    this.ended = ended;
+  }
+
+  @Override
+  public String method() {
+    return method;
+  }
+
+  @Override
+  public String path() {
+    return path;
+  }
+
+  @Override
+  public String query() {
+    return query;
+  }
+
+  @Override
+  public String header(String name) {
+    return headers.get(name);
+  }
+
+  @Override
+  public String subject() {
+    return TlsGreeting.subject(ctx.channel());
+  }
+
+  @Override
+  public byte[] body() {
+    return body;
+  }
+
+  @Override
+  public void reply(int status, byte[] answer, int retryAfterS) {
+    reply(status, JSON, answer, retryAfterS);
+  }
+
+  @Override
+  public void reply(String contentType, byte[] answer) {
+    reply(200, contentType, answer, 0);
+  }
+
+  /** Whoever asked is gone: nobody waits for the answer any more. */
+  void abandon() {
+    if (!answered && !abandoned) {
+      abandoned = true;
+      ended.test(this);
+    }
+  }
+
+  private void reply(int status, String type, byte[] answer, int retryAfterS) {
+    if (answered) {
+      LOG.error("second answer to {} {}", method, path);
+      return;
+    }
+    answered = true;
+    boolean close = !keep | (!abandoned && ended.test(this));
+    var f = ctx.writeAndFlush(response(status, type, answer, retryAfterS, !close));
+    if (close) {
+      f.addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+
+  /** An answer after which the connection is closed. */
+  static DefaultFullHttpResponse refusal(int status, String why, int retryAfterS) {
+    return response(
+        status, JSON, Json.bytes(Json.object().put("error", why)), retryAfterS, false);
+  }
+
+  private static DefaultFullHttpResponse response(
+      int status, String type, byte[] body, int retryAfterS, boolean keep) {
+    DefaultFullHttpResponse r =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
+    r.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+    r.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+    if (retryAfterS > 0) {
+      r.headers().setInt(HttpHeaderNames.RETRY_AFTER, retryAfterS);
+    }
+    if (!keep) {
+      r.headers().set(HttpHeaderNames.CONNECTION, "close");
+    }
+    return r;
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/netty/TlsGreeting.java
@@ -0,0 +1,69 @@
+package dapplestair.netty;
+
+import io.netty.channel.Channel;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslHandler;
+import io.netty.handler.ssl.SslHandshakeCompletionEvent;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.security.cert.X509Certificate;
+import javax.net.ssl.SSLPeerUnverifiedException;
+import com.google.common.util.concurrent.RateLimiter;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Begins TLS on a connection, and says in one line why it failed, at a bounded rate. */
+final class TlsGreeting extends ChannelInboundHandlerAdapter {
+  private static final Logger LOG = LoggerFactory.getLogger(TlsGreeting.class);
+  private static final RateLimiter LINES = RateLimiter.create(1);
+  private static final long HANDSHAKE_MS = 5000;
+
+  private final SslContext context;
+
+  TlsGreeting(SslContext context, Channel ch) {
+    this.context = context;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    SslHandler tls = context.newHandler(ctx.alloc());
+    tls.setHandshakeTimeoutMillis(HANDSHAKE_MS);
+    ctx.pipeline().addBefore(ctx.name(), "tls", tls);
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+    if (event instanceof SslHandshakeCompletionEvent done && !done.isSuccess()) {
+      if (LINES.tryAcquire()) {
+        LOG.warn(
+            "TLS with {} failed: {}", ctx.channel().remoteAddress(), reason(done.cause()));
+      }
+      ctx.close();
+      return;
+    }
+    super.userEventTriggered(ctx, event);
+  }
+
+  private static String reason(Throwable t) {
+    Throwable last = t;
+    while (last.getCause() != null && last.getCause() != last) {
+      last = last.getCause();
+    }
+    String message = last.getMessage();
+    return message == null ? last.getClass().getSimpleName() : message.lines().findFirst().orElse("");
+  }
+
+  /** Subject of the verified certificate that the other side showed, or null. */
+  static String subject(Channel channel) {
+    if (!(channel.pipeline().get("tls") instanceof SslHandler tls)) {
+      return null;
+    }
+    try {
+      return tls.engine().getSession().getPeerCertificates()[0] instanceof X509Certificate c
+          ? c.getSubjectX500Principal().getName()
+          : null;
+    } catch (SSLPeerUnverifiedException e) {
+      return null;
+    }
+  }
+}
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -1,6 +1,13 @@
 package dapplestair.node;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.admin.Access;
+import dapplestair.admin.AdminDesk;
+import dapplestair.admin.Duties;
+import dapplestair.drain.Drains;
+import dapplestair.drain.Emptying;
+import dapplestair.events.EventLog;
+import dapplestair.events.Events;
 import dapplestair.fleet.Fleet;
 import dapplestair.fleet.MachineTypes;
 import dapplestair.json.Json;
@@ -8,6 +15,8 @@
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
+import dapplestair.ledger.StopReason;
+import dapplestair.metrics.Exposition;
 import dapplestair.metrics.Metrics;
 import dapplestair.peers.PeerStatus;
 import dapplestair.peers.Peers;
@@ -52,11 +61,20 @@
   private final Planning planning;
   private final Replica replica;
   private final SubmissionDesk submissions;
+  private final EventLog log;
+  private final Events events;
+  private final Drains drains;
+  private final AdminDesk admin;
   private Cancellable summary = () -> {};
   private Cancellable lag = () -> {};
 
-  /** Wires the duties; nothing runs before {@link #start}. */
+  /** Wires the duties, without an operators' interface; nothing runs before {@link #start}. */
   public Controller(Settings settings, Operator operator, Outside outside) {
+    this(settings, operator, outside, null);
+  }
+
+  /** Wires the duties; operators are served by {@link #operators} if {@code access} is given. */
+  public Controller(Settings settings, Operator operator, Outside outside, Access access) {
     this.outside = outside;
     this.settings = settings;
     var clock = outside.clock();
@@ -78,7 +96,11 @@
             types,
             ledger,
             this::hostChanged);
-    fleet = new Fleet(clock, timers, outside.http(), settings, state, leadership, types, workers);
+    log = access == null ? null : new EventLog(clock);
+    events = access == null ? Events.OFF : log;
+    fleet =
+        new Fleet(
+            clock, timers, outside.http(), settings, state, leadership, types, workers, events);
     demand = new DemandView(clock, settings, ledger, workers, fleet, types, estimates);
     placer =
         new Placer(clock, timers, settings, ledger, workers, estimates, demand::roomForServices);
@@ -87,6 +109,7 @@
         new Replica(state, timers, outside.random(), leadership::leading, new ReplicaEvents());
     planning =
         new Planning(
+            clock,
             timers,
             outside.background(),
             outside.random(),
@@ -98,6 +121,58 @@
             types,
             demand);
     submissions = new SubmissionDesk(clock, settings, state, replica, ledger, types, metrics);
+    drains =
+        new Drains(
+            clock,
+            timers,
+            settings,
+            state,
+            replica,
+            leadership,
+            workers,
+            new Emptying(ledger, workers, fleet),
+            events);
+    fleet.closeZones(z -> drains.zones().containsKey(z));
+    admin = access == null ? null : admin(operator, access);
+  }
+
+  private AdminDesk admin(Operator operator, Access access) {
+    Duties duties =
+        new Duties(
+            settings,
+            operator,
+            outside.clock(),
+            outside.timers(),
+            leadership,
+            ledger,
+            workers,
+            fleet,
+            placer,
+            planning,
+            peers,
+            replica,
+            state,
+            drains,
+            log);
+    Exposition exposition = Figures.of(duties);
+    metrics.tell(exposition);
+    return new AdminDesk(duties, access, this::handle, exposition::text);
+  }
+
+  /** Answers a request of an operator; only with access given. */
+  public void operators(Exchange x) {
+    admin.handle(x);
+  }
+
+  /** True once this controller leads and may launch tasks, so that a lone one serves fully. */
+  public boolean serving() {
+    return ledger.armed() && types.known();
+  }
+
+  /** Gives the lead away and ends; what is recorded stays. */
+  public void leave() {
+    leadership.resign("this process is ending");
+    close();
   }
 
   /** Begins to take part. */
@@ -212,6 +287,7 @@
   }
 
   private void hostChanged(Host host) {
+    drains.mark(host);
     if (host.recalled() && !host.gone()) {
       departures.leave(host);
     }
@@ -225,7 +301,12 @@
       fleet.lead();
       ledger.lead(term);
       workers.lead();
+      drains.lead();
       planning.lead();
+      if (log != null) {
+        log.begin(term);
+        log.note(Events.Kind.LEADING, o -> o.put("term", term).put("by", settings.member()));
+      }
       peers.tell();
     }
 
@@ -233,6 +314,10 @@
     public void follow() {
       state.leading(false);
       planning.clear();
+      drains.clear();
+      if (admin != null) {
+        admin.clear();
+      }
       fleet.clear();
       ledger.clear();
       workers.clear();
@@ -257,6 +342,9 @@
             stamp);
       } else if (key.startsWith(Keys.JOB)) {
         ledger.jobPut(key.substring(Keys.JOB.length()), value, stamp);
+        if (admin != null) {
+          admin.jobPut(key.substring(Keys.JOB.length()));
+        }
       } else if (key.startsWith(Keys.RENTAL)) {
         if (!leadership.leading()) {
           fleet.rentalPut(key.substring(Keys.RENTAL.length()), value, stamp);
@@ -267,6 +355,8 @@
         leadership.termKey(value);
       } else if (key.equals(Keys.TYPES)) {
         fleet.typesKey(value, stamp);
+      } else if (key.startsWith(Keys.DRAIN) || key.startsWith(Keys.DRAIN_ZONE)) {
+        drains.recorded(key, value);
       }
     }
 
@@ -278,12 +368,18 @@
             key.substring(Keys.RUN.length(), slash), Integer.parseInt(key.substring(slash + 1)));
       } else if (key.startsWith(Keys.JOB)) {
         ledger.jobRemoved(key.substring(Keys.JOB.length()));
+        if (admin != null) {
+          admin.jobRemoved(key.substring(Keys.JOB.length()));
+        }
       } else if (key.startsWith(Keys.RENTAL)) {
         fleet.rentalRemoved(key.substring(Keys.RENTAL.length()));
       } else if (key.equals(Keys.LEADER)) {
         leadership.leaderKey(null, 0);
       } else if (key.equals(Keys.TYPES)) {
         fleet.typesKey(null, 0);
+      } else if (key.startsWith(Keys.DRAIN) || key.startsWith(Keys.DRAIN_ZONE)) {
+        drains.recorded(key, null);
+        placer.nudge();
       }
     }
 
@@ -309,9 +405,21 @@
       workers.clear(host, key, number);
     }
 
+    @Override
+    public void stopping(Attempt attempt, StopReason why) {
+      events.note(
+          Events.Kind.STOPPING, o -> Happenings.of(o, attempt).put("reason", why.shown()));
+    }
+
+    @Override
+    public void lost(Attempt attempt) {
+      events.note(Events.Kind.LOST, o -> Happenings.of(o, attempt));
+    }
+
     @Override
     public void arrived(Job job) {
       demand.arrived(job.spec());
+      events.note(Events.Kind.ACCEPTED, o -> Happenings.of(o, job));
     }
 
     @Override
@@ -322,16 +430,20 @@
     @Override
     public void ended(String ref, boolean done) {
       submissions.ended(ref, done);
+      events.note(
+          Events.Kind.OVER, o -> o.put("job", ref).put("status", done ? "done" : "aborted"));
     }
 
     @Override
     public void started(Attempt attempt) {
       metrics.started(outside.clock().wall() - attempt.job().acceptedWall());
+      events.note(Events.Kind.STARTED, o -> Happenings.of(o, attempt));
     }
 
     @Override
     public void completed(Attempt attempt, Host host, double ranS) {
       double seconds = ranS > 0 ? ranS + attempt.savedS() : 0;
+      events.note(Events.Kind.COMPLETED, o -> Happenings.of(o, attempt));
       host.taskCompleted();
       double expected = estimates.runS(attempt.spec());
       if (expected > 0 && seconds > 0) {
@@ -343,6 +455,7 @@
     @Override
     public void failed(Attempt attempt, Host host) {
       metrics.lost();
+      events.note(Events.Kind.FAILED, o -> Happenings.of(o, attempt));
       long first = settings.workers().reportMs();
       boolean jobIsWrong = ledger.failedMachines(attempt.job()) >= 2;
       int jobs = host.taskFailed(attempt.spec().ref());
@@ -368,6 +481,7 @@
   public void close() {
     summary.cancel();
     lag.cancel();
+    drains.close();
     planning.close();
     fleet.close();
     workers.close();
--- /dev/null
+++ b/src/main/java/dapplestair/node/Figures.java
@@ -0,0 +1,71 @@
+package dapplestair.node;
+
+import dapplestair.admin.Duties;
+import dapplestair.metrics.Exposition;
+import dapplestair.planning.Planning;
+import dapplestair.settings.Settings;
+import dapplestair.state.StateClient;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
+
+/** The figures of a controller that are looked up when somebody asks for them. */
+final class Figures {
+  private static final String VERSION = "0.2.0";
+
+  private Figures() {}
+
+  static Exposition of(Duties d) {
+    return new Exposition(VERSION)
+        .gauge("leading", "1 while this controller leads.", () -> d.leadership().leading() ? 1 : 0)
+        .gauge("term", "The highest term known.", () -> d.leadership().termSeen())
+        .gauge("epoch", "Up to which change the replica is complete.", () -> d.replica().position())
+        .gauge("jobs", "Jobs that are not over.", () -> d.ledger().jobs().size())
+        .gauge("attempts", "Attempts whose absence is not proved.", () -> d.ledger().attemptCount())
+        .gauge("machines", "Machines not proved to be gone.", () -> d.workers().hosts().size())
+        .gauge("machines_drained", "Machines drained by operators.", () -> drained(d))
+        .gauge("state_reachable", "1 while the state service answers.", () -> reachable(d))
+        .gauge("puts_allowed", "Puts a second that may be made.", () -> d.state().putsAllowed())
+        .gauge("puts_wanted", "Puts a second made or waiting.", () -> d.state().wanted())
+        .gauges("transactions_queued", "Transactions that wait.", "priority", () -> queued(d))
+        .gauges("team_cpus_used", "CPUs that a team's attempts use.", "team", () -> used(d))
+        .gauges("team_cpus_guaranteed", "CPUs guaranteed to a team.", "team", () -> teams(d, Settings.Team::cpus))
+        .gauges("team_cpus_limit", "Most CPUs of a team, 0 for no limit.", "team", () -> teams(d, Settings.Team::cpusMax))
+        .gauge("plan_makespan_seconds", "Mean makespan of the plan applied.", () -> plan(d, Planning.Applied::makespanS))
+        .gauge("plan_spend_per_hour", "What the plan applied costs an hour.", () -> plan(d, Planning.Applied::perHour))
+        .gauge("plan_risk", "Spot CPUs of the plan applied, times their risk.", () -> plan(d, Planning.Applied::risk));
+  }
+
+  private static double drained(Duties d) {
+    return d.workers().hosts().stream().filter(h -> h.drained()).count();
+  }
+
+  private static double reachable(Duties d) {
+    return d.state().reachable() ? 1 : 0;
+  }
+
+  private static Map<String, Integer> queued(Duties d) {
+    Map<String, Integer> out = new TreeMap<>();
+    for (StateClient.Priority p : StateClient.Priority.values()) {
+      out.put(p.name().toLowerCase(Locale.ROOT), d.state().queued(p));
+    }
+    return out;
+  }
+
+  private static Map<String, Double> used(Duties d) {
+    return teams(d, t -> d.ledger().teamCpus(t.name()));
+  }
+
+  private static Map<String, Double> teams(Duties d, Function<Settings.Team, Double> figure) {
+    Map<String, Double> out = new TreeMap<>();
+    d.settings().teams().values().forEach(t -> out.put(t.name(), figure.apply(t)));
+    return out;
+  }
+
+  private static double plan(Duties d, ToDoubleFunction<Planning.Applied> figure) {
+    Planning.Applied p = d.planning().applied();
+    return p == null ? Double.NaN : figure.applyAsDouble(p);
+  }
+}
--- a/src/main/java/dapplestair/peers/PeerCodec.java
+++ b/src/main/java/dapplestair/peers/PeerCodec.java
@@ -8,7 +8,7 @@
 /** Kryo with registered classes only; the version is the first byte of every frame. */
 public final class PeerCodec {
   /** Raised whenever a message changes; other versions are not understood. */
-  public static final int VERSION = 2;
+  public static final int VERSION = 3;
 
   /** Frames above this are refused. */
   public static final int LARGEST_FRAME = 512 * 1024;
@@ -22,6 +22,9 @@
     kryo.setReferences(false);
     kryo.register(PeerHello.class);
     kryo.register(PeerStatus.class);
+    kryo.register(byte[].class);
+    kryo.register(PeerAsk.class);
+    kryo.register(PeerAnswer.class);
   }
 
   /** Encodes a message. */
--- a/src/main/java/dapplestair/peers/Peers.java
+++ b/src/main/java/dapplestair/peers/Peers.java
@@ -6,6 +6,7 @@
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -26,6 +27,7 @@
   private final Consumer<PeerStatus> heard;
   private final long everyMs;
   private final Map<String, Peer> peers = new HashMap<>();
+  private final Questions questions;
   private Cancellable timer = () -> {};
 
   /** {@code own} is what to say; {@code heard} is told of what others say. */
@@ -42,9 +44,15 @@
     this.own = own;
     this.heard = heard;
     this.everyMs = settings.workers().reportMs() / 8;
+    this.questions = new Questions(timers, network);
     settings.peers().forEach(p -> peers.put(p.member(), new Peer()));
   }
 
+  /** Questions to and from peers. */
+  public Questions questions() {
+    return questions;
+  }
+
   /** Begins to connect and to speak. */
   public void start() {
     network.listen(this);
@@ -72,6 +80,10 @@
       peer.gone = false;
       peer.status = status;
       heard.accept(status);
+    } else if (peer != null && message instanceof PeerAsk ask) {
+      questions.asked(member, ask);
+    } else if (peer != null && message instanceof PeerAnswer answer) {
+      questions.answered(member, answer);
     }
   }
 
@@ -144,6 +156,20 @@
         .sum();
   }
 
+  /** A peer as this controller sees it; {@code status} is what it last said, or null. */
+  public record View(String member, boolean alive, boolean linked, PeerStatus status) {}
+
+  /** All peers, by name. */
+  public List<View> views() {
+    return peers.entrySet().stream()
+        .sorted(Map.Entry.comparingByKey())
+        .map(
+            e ->
+                new View(
+                    e.getKey(), alive(e.getKey()), e.getValue().up, e.getValue().status))
+        .toList();
+  }
+
   /** True when no peer is known to live. */
   public boolean alone() {
     return peers.keySet().stream().noneMatch(this::alive);
--- /dev/null
+++ b/src/main/java/dapplestair/peers/Questions.java
@@ -0,0 +1,79 @@
+package dapplestair.peers;
+
+import dapplestair.ports.Cancellable;
+import dapplestair.ports.PeerNetwork;
+import dapplestair.ports.Timers;
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/** Questions between controllers, each answered or timed out. */
+public final class Questions {
+  // Room for what a frame holds besides the body.
+  private static final int LARGEST_BODY = PeerCodec.LARGEST_FRAME - 1024;
+  private static final int MOST_OPEN = 128;
+
+  private record Open(String member, Consumer<byte[]> done, Cancellable timer) {}
+
+  private final Timers timers;
+  private final PeerNetwork network;
+  private final Map<Long, Open> open = new HashMap<>();
+  private final Map<String, BiConsumer<byte[], Consumer<byte[]>>> topics =
+      new Object2ObjectOpenHashMap<>();
+  private long lastNumber;
+
+  Questions(Timers timers, PeerNetwork network) {
+    this.timers = timers;
+    this.network = network;
+  }
+
+  /** Answers questions on a topic; an answer may come later. */
+  public void answer(String topic, BiConsumer<byte[], Consumer<byte[]>> by) {
+    topics.put(topic, by);
+  }
+
+  /** Asks a peer; {@code done} gets its answer, or null when none came in time. */
+  public void ask(
+      String member, String topic, byte[] body, long timeoutMs, Consumer<byte[]> done) {
+    if (open.size() >= MOST_OPEN || body.length > LARGEST_BODY) {
+      timers.after(0, () -> done.accept(null));
+      return;
+    }
+    long number = ++lastNumber;
+    Cancellable timer = timers.after(timeoutMs, () -> end(number, null));
+    open.put(number, new Open(member, done, timer));
+    network.send(member, new PeerAsk(number, topic, body));
+  }
+
+  private void end(long number, byte[] answer) {
+    Open o = open.remove(number);
+    if (o != null) {
+      o.timer().cancel();
+      o.done().accept(answer);
+    }
+  }
+
+  void asked(String member, PeerAsk ask) {
+    BiConsumer<byte[], Consumer<byte[]>> by = topics.get(ask.topic());
+    if (by == null || ask.body() == null) {
+      return;
+    }
+    by.accept(
+        ask.body(),
+        answer -> {
+          if (answer.length <= LARGEST_BODY) {
+            network.send(member, new PeerAnswer(ask.number(), answer));
+          }
+        });
+  }
+
+  void answered(String member, PeerAnswer answer) {
+    Open o = open.get(answer.number());
+    // Late answers, and those of another than was asked, are nobody's.
+    if (o != null && o.member().equals(member)) {
+      end(answer.number(), answer.body());
+    }
+  }
+}
--- a/src/main/java/dapplestair/placement/Departures.java
+++ b/src/main/java/dapplestair/placement/Departures.java
@@ -2,6 +2,7 @@
 
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Ledger;
+import dapplestair.ledger.StopReason;
 import dapplestair.ports.Clock;
 import dapplestair.workers.Host;
 import java.util.List;
@@ -36,7 +37,7 @@
       double left = a.spec().service() ? noticeS : estimates.leftS(a, host, clock.now());
       double most = a.spec().saves() ? noticeS - saveS : SURELY_LATE * noticeS;
       if (left > most) {
-        ledger.halt(a, Math.max(0, Math.min(2 * saveS, noticeS)));
+        ledger.halt(a, Math.max(0, Math.min(2 * saveS, noticeS)), StopReason.NOTICE);
       }
     }
   }
--- a/src/main/java/dapplestair/placement/Evictions.java
+++ b/src/main/java/dapplestair/placement/Evictions.java
@@ -3,6 +3,7 @@
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
+import dapplestair.ledger.StopReason;
 import dapplestair.ports.Clock;
 import dapplestair.settings.Settings;
 import dapplestair.submissions.Rank;
@@ -79,8 +80,11 @@
     }
   }
 
-  /** Stops what is in the way of a job's waiting tasks, one task's worth a machine. */
-  void makeRoom(Job job, boolean guaranteed) {
+  /**
+   * Stops what is in the way of a job's waiting tasks, one task's worth a machine. Returns for how
+   * many room is on its way.
+   */
+  int makeRoom(Job job, boolean guaranteed) {
     if (!looked) {
       look();
     }
@@ -91,11 +95,11 @@
                 .anyMatch(e -> e.getDoubleValue() > 0 && !e.getKey().equals(s.team()));
     boolean byRank = s.rank().above(lowest);
     if (scans >= MOST_SCANS || !byRank && !fromBorrowers) {
-      return;
+      return 0;
     }
     scans++;
     int wanted = Math.max(0, Math.min(job.waiting(), ledger.teamRoom(s, !byRank)));
-    take(offers(job, fromBorrowers, h -> true), wanted);
+    return take(offers(job, fromBorrowers, h -> true), wanted);
   }
 
   /**
@@ -152,7 +156,7 @@
     if (excess.containsKey(a.spec().team())) {
       excess.addTo(a.spec().team(), -a.spec().cpus());
     }
-    ledger.halt(a, a.spec().saves() ? 2 * a.spec().saveS() : 0);
+    ledger.halt(a, a.spec().saves() ? 2 * a.spec().saveS() : 0, StopReason.ROOM_NEEDED);
   }
 
   private Offer offer(Submission s, Host h, boolean fromBorrowers) {
--- /dev/null
+++ b/src/main/java/dapplestair/placement/Explanation.java
@@ -0,0 +1,28 @@
+package dapplestair.placement;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+/**
+ * What one turn of placing found in the way of a job's waiting tasks.
+ *
+ * @param waiting tasks that wait after that turn
+ * @param machines how many machines each verdict was given to; empty when nothing waits
+ * @param job what stands in the way wherever it might run
+ * @param freeInS seconds until the first allowed machine is expected to have room, or -1
+ * @param heldBackS seconds for which the job is held back, 0 when it is not
+ * @param gangRoom for a gang, how many of its tasks there is room for; else -1
+ */
+public record Explanation(
+    int waiting,
+    Map<Verdict, Integer> machines,
+    Map<Verdict, Integer> job,
+    double freeInS,
+    double heldBackS,
+    int gangRoom) {
+
+  static Explanation nothingWaits() {
+    return new Explanation(
+        0, new EnumMap<>(Verdict.class), new EnumMap<>(Verdict.class), -1, 0, -1);
+  }
+}
--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 
 /** Starts each waiting task where it completes earliest, the most pressing first. */
@@ -35,6 +36,7 @@
   private double serviceRoom;
   private double steadyFree;
   private boolean due;
+  private Recorder recorder;
 
   /** Places what the ledger holds on what the desk knows. */
   public Placer(
@@ -70,10 +72,41 @@
     }
   }
 
-  private void place() {
+  /**
+   * Answers what the next turn, brought forward, finds in the way of a job; null when this
+   * controller places nothing.
+   */
+  public void explain(String ref, Consumer<Explanation> answer) {
     if (!ledger.armed()) {
+      answer.accept(null);
       return;
     }
+    boolean first = recorder == null;
+    if (first) {
+      recorder = new Recorder(clock, ledger, desk, estimates);
+    }
+    recorder.ask(ref, answer);
+    if (first) {
+      timers.after(0, this::place);
+    }
+  }
+
+  private void place() {
+    if (ledger.armed()) {
+      turn();
+    }
+    if (recorder != null) {
+      if (ledger.armed()) {
+        // Judged once more with the state in which the turn left everything.
+        recorder.answer(this::judgeAny);
+      } else {
+        recorder.giveUp();
+      }
+      recorder = null;
+    }
+  }
+
+  private void turn() {
     List<Job> waiting = ordered();
     if (waiting.isEmpty()) {
       return;
@@ -95,6 +128,7 @@
       if (job.spec().gang()) {
         if (!placeGang(job, usable) && starving(job)) {
           // Machines must empty for it: what is less pressing would fill them again for ever.
+          noteBehind(waiting, job);
           return;
         }
       } else if (job.spec().together()) {
@@ -105,6 +139,14 @@
     }
   }
 
+  private void noteBehind(List<Job> order, Job gang) {
+    if (recorder != null) {
+      order.stream()
+          .skip(order.indexOf(gang) + 1L)
+          .forEach(j -> recorder.found(j, Verdict.BEHIND_GANG, j.waiting()));
+    }
+  }
+
   private boolean starving(Job job) {
     return job.held() == 0
         && ledger.teamAllows(job.spec(), job.waiting())
@@ -197,8 +239,14 @@
         break;
       }
     }
+    if (awaitsImage && recorder != null) {
+      recorder.found(job, Verdict.AWAITS_IMAGE, job.waiting());
+    }
     if (step >= 0 && ledger.teamAllows(job.spec()) && !awaitsImage) {
-      evictions.makeRoom(job, guaranteed(job));
+      int onItsWay = evictions.makeRoom(job, guaranteed(job));
+      if (onItsWay > 0 && recorder != null) {
+        recorder.found(job, Verdict.ROOM_ON_ITS_WAY, onItsWay);
+      }
     }
   }
 
@@ -236,14 +284,73 @@
     List<List<Host>> choices =
         s.together() ? List.copyOf(byZone(usable).values()) : List.of(usable);
     for (List<Host> machines : choices) {
-      if (room(job, machines) >= job.waiting()) {
+      int room = room(job, machines);
+      if (recorder != null) {
+        recorder.gangRoom(job, room);
+      }
+      if (room >= job.waiting()) {
         placeEach(job, machines);
         return true;
       }
     }
+    if (recorder != null) {
+      recorder.found(job, Verdict.GANG, job.waiting());
+    }
     return false;
   }
 
+  /** What stands against starting a task of the job on this machine now. */
+  private Verdict judge(Job job, Host h) {
+    Submission s = job.spec();
+    if (h.fits(s) && h.allowed(s) && !h.closed() && leavesServiceRoom(s, h)) {
+      if (ledger.zoneAllows(job, h.zone())) {
+        return Verdict.FITS;
+      }
+      return s.apart() && job.inZone(h.zone()) >= s.mostPerZone()
+          ? Verdict.SPREAD
+          : Verdict.TOGETHER;
+    }
+    // Which obstacle it is matters only to whoever asked.
+    return recorder == null ? Verdict.FULL : obstacle(s, h);
+  }
+
+  /** The same for any machine, also those that a turn does not look at. */
+  private Verdict judgeAny(Job job, Host h) {
+    return !h.closed() && !desk.fresh(h) ? Verdict.SILENT : judge(job, h);
+  }
+
+  private Verdict obstacle(Submission s, Host h) {
+    if (h.type() == null || !h.up() || !h.acknowledged()) {
+      boolean allowed = h.type() == null || h.allowed(s) || !s.spot() && h.spot();
+      return allowed ? Verdict.NOT_UP : Verdict.NOT_ALLOWED;
+    }
+    if (!h.type().suits(s) || s.zone() != null && !s.zone().equals(h.zone())) {
+      return Verdict.NOT_ALLOWED;
+    }
+    if (!h.allowed(s)) {
+      return Verdict.SPOT;
+    }
+    if (h.releasing() || h.gone()) {
+      return Verdict.RETURNING;
+    }
+    if (h.drained()) {
+      return Verdict.DRAINED;
+    }
+    if (h.draining()) {
+      return Verdict.FAULTY;
+    }
+    if (h.recalled()) {
+      return Verdict.NOTICE;
+    }
+    if (h.hasStrays()) {
+      return Verdict.STRAYS;
+    }
+    if (h.cordoned()) {
+      return Verdict.CORDONED;
+    }
+    return h.fits(s) ? Verdict.HELD_FOR_SERVICES : Verdict.FULL;
+  }
+
   /** How many more of the job's tasks these machines can take together. */
   private int room(Job job, List<Host> machines) {
     Submission s = job.spec();
@@ -277,15 +384,16 @@
     double bestScore = Double.POSITIVE_INFINITY;
     boolean room = false;
     for (Host h : usable) {
-      if (h.fits(s) && h.allowed(s) && !h.closed() && leavesServiceRoom(s, h)) {
+      Verdict v = judge(job, h);
+      if (v == Verdict.FITS) {
         room = true;
-        if (ledger.zoneAllows(job, h.zone())) {
-          double score = score(job, h);
-          if (score < bestScore) {
-            bestScore = score;
-            best = h;
-          }
+        double score = score(job, h);
+        if (score < bestScore) {
+          bestScore = score;
+          best = h;
         }
+      } else if (v == Verdict.SPREAD || v == Verdict.TOGETHER) {
+        room = true;
       }
     }
     if (!room) {
--- /dev/null
+++ b/src/main/java/dapplestair/placement/Recorder.java
@@ -0,0 +1,130 @@
+package dapplestair.placement;
+
+import dapplestair.ledger.Attempt;
+import dapplestair.ledger.Job;
+import dapplestair.ledger.Ledger;
+import dapplestair.ports.Clock;
+import dapplestair.submissions.Submission;
+import dapplestair.workers.Host;
+import dapplestair.workers.WorkerDesk;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+
+/**
+ * Writes down what a turn of placing decides about the jobs that somebody asked for. It exists only
+ * while a question is open; without one, placing does nothing for it.
+ */
+final class Recorder {
+  private final Clock clock;
+  private final Ledger ledger;
+  private final WorkerDesk desk;
+  private final Estimates estimates;
+  private final Map<String, List<Consumer<Explanation>>> asked = new LinkedHashMap<>();
+  private final Map<String, Map<Verdict, Integer>> found = new LinkedHashMap<>();
+  private final Object2IntOpenHashMap<String> gangRoom = new Object2IntOpenHashMap<>();
+
+  Recorder(Clock clock, Ledger ledger, WorkerDesk desk, Estimates estimates) {
+    this.clock = clock;
+    this.ledger = ledger;
+    this.desk = desk;
+    this.estimates = estimates;
+    gangRoom.defaultReturnValue(-1);
+  }
+
+  void ask(String ref, Consumer<Explanation> answer) {
+    asked.computeIfAbsent(ref, r -> new ArrayList<>()).add(answer);
+  }
+
+  /** The turn decided this about the job as a whole. */
+  void found(Job job, Verdict verdict, int count) {
+    if (asked.containsKey(job.spec().ref())) {
+      found
+          .computeIfAbsent(job.spec().ref(), r -> new EnumMap<>(Verdict.class))
+          .merge(verdict, count, Integer::sum);
+    }
+  }
+
+  void gangRoom(Job job, int room) {
+    if (asked.containsKey(job.spec().ref())) {
+      gangRoom.mergeInt(job.spec().ref(), room, Math::max);
+    }
+  }
+
+  /** Ends the turn: {@code judge} is the same that placed. Nothing is asked afterwards. */
+  void answer(BiFunction<Job, Host, Verdict> judge) {
+    asked.forEach(
+        (ref, answers) -> {
+          Explanation e = explain(ref, judge);
+          answers.forEach(a -> a.accept(e));
+        });
+  }
+
+  /** Nothing is placed here any more: every answer is null. */
+  void giveUp() {
+    asked.values().forEach(answers -> answers.forEach(a -> a.accept(null)));
+  }
+
+  private Explanation explain(String ref, BiFunction<Job, Host, Verdict> judge) {
+    Job job = ledger.job(ref);
+    if (job == null || job.waiting() == 0) {
+      return Explanation.nothingWaits();
+    }
+    Map<Verdict, Integer> machines = new EnumMap<>(Verdict.class);
+    double free = -1;
+    for (Host h : desk.hosts()) {
+      Verdict v = judge.apply(job, h);
+      machines.merge(v, 1, Integer::sum);
+      if (v == Verdict.FULL) {
+        double s = freeInS(job.spec(), h);
+        free = free < 0 || s >= 0 && s < free ? s : free;
+      }
+    }
+    Map<Verdict, Integer> whole = new EnumMap<>(Verdict.class);
+    whole.putAll(found.getOrDefault(ref, Map.of()));
+    double heldBack = Math.max(0, job.heldBackUntil() - clock.now()) / 1000.0;
+    if (heldBack > 0) {
+      whole.put(Verdict.BACKED_OFF, job.waiting());
+    }
+    int byLimit = job.waiting() - Math.min(job.waiting(), ledger.teamRoom(job.spec(), false));
+    if (!ledger.teamAllows(job.spec())) {
+      whole.put(Verdict.TEAM_LIMIT, Math.max(1, byLimit));
+    }
+    return new Explanation(
+        job.waiting(), machines, whole, free, heldBack, gangRoom.getInt(ref));
+  }
+
+  /** When enough is expected to have ended on a full machine, or -1. */
+  private double freeInS(Submission s, Host h) {
+    double cpus = s.cpus() - h.cpusFree();
+    double memory = s.memoryGb() - h.memoryFree();
+    double gpus = s.gpus() - h.gpusFree();
+    List<Attempt> ending = new ArrayList<>();
+    for (Attempt a : h.attempts()) {
+      if (!a.exited() && (!a.spec().service() || a.halting())) {
+        ending.add(a);
+      }
+    }
+    long now = clock.now();
+    ending.sort(Comparator.comparingDouble(a -> endsInS(a, h, now)));
+    for (Attempt a : ending) {
+      cpus -= a.spec().cpus();
+      memory -= a.spec().memoryGb();
+      gpus -= a.spec().gpus();
+      if (cpus <= 1e-9 && memory <= 1e-9 && gpus <= 1e-9) {
+        return endsInS(a, h, now);
+      }
+    }
+    return -1;
+  }
+
+  private double endsInS(Attempt a, Host h, long now) {
+    return a.halting() ? a.windDownS() / 2 : Math.max(0, estimates.leftS(a, h, now));
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/placement/Verdict.java
@@ -0,0 +1,81 @@
+package dapplestair.placement;
+
+/** What placement says of one machine, or of the cluster as a whole, for a task that waits. */
+public enum Verdict {
+  /** A task may start there. */
+  FITS(Scope.MACHINE, "it may start there: the next turn places it"),
+  /** Wrong type or zone. */
+  NOT_ALLOWED(Scope.MACHINE, "its job does not allow this type or zone"),
+  /** A spot machine, and the job wants none. */
+  SPOT(Scope.MACHINE, "its job may not use spot machines"),
+  /** No room. */
+  FULL(Scope.MACHINE, "not enough free CPUs, memory or accelerators"),
+  /** Not heard by this leader yet. */
+  NOT_UP(Scope.MACHINE, "booting, or not heard yet"),
+  /** Silent of late. */
+  SILENT(Scope.MACHINE, "has not reported lately"),
+  /** Being returned. */
+  RETURNING(Scope.MACHINE, "being returned to the cloud"),
+  /** Fails what it starts. */
+  FAULTY(Scope.MACHINE, "fails what it starts, so it is emptied"),
+  /** Emptied by operators. */
+  DRAINED(Scope.MACHINE, "drained by operators"),
+  /** The plan wants fewer. */
+  CORDONED(Scope.MACHINE, "the plan wants fewer of its kind"),
+  /** The cloud takes it. */
+  NOTICE(Scope.MACHINE, "the cloud is about to take it"),
+  /** Something unexplained runs there. */
+  STRAYS(Scope.MACHINE, "runs something that no record explains"),
+  /** Room kept for replicas. */
+  HELD_FOR_SERVICES(Scope.MACHINE, "its room is held for services"),
+  /** The job's tasks would crowd one zone. */
+  SPREAD(Scope.MACHINE, "half of the job's tasks are in its zone already"),
+  /** The job's tasks are in another zone. */
+  TOGETHER(Scope.MACHINE, "the job's other tasks are in another zone"),
+
+  /** The team's limit. */
+  TEAM_LIMIT(Scope.JOB, "its team's limit"),
+  /** Failing everywhere. */
+  BACKED_OFF(Scope.JOB, "held back after failing on good machines"),
+  /** A gang needs room for all. */
+  GANG(Scope.JOB, "a gang starts only when there is room for all of it"),
+  /** A starving gang goes first. */
+  BEHIND_GANG(Scope.JOB, "a gang that has waited long goes first"),
+  /** Better to wait for an image. */
+  AWAITS_IMAGE(Scope.JOB, "room where its image is comes sooner than a fetch would end"),
+  /** Borrowed or lower-ranked work is being stopped for it. */
+  ROOM_ON_ITS_WAY(Scope.JOB, "other work is being stopped to make room"),
+  /** Its attempts are not over: it was withdrawn or is done. */
+  OVER(Scope.JOB, "its job is over");
+
+  /** What a verdict speaks of. */
+  public enum Scope {
+    /** One machine. */
+    MACHINE,
+    /** The job, wherever it might run. */
+    JOB
+  }
+
+  private final Scope scope;
+  private final String words;
+
+  Verdict(Scope scope, String words) {
+    this.scope = scope;
+    this.words = words;
+  }
+
+  /** What it speaks of. */
+  public Scope scope() {
+    return scope;
+  }
+
+  /** For people. */
+  public String words() {
+    return words;
+  }
+
+  /** For scripts. */
+  public String shown() {
+    return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+  }
+}
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -9,6 +9,7 @@
 import dapplestair.leadership.Leadership;
 import dapplestair.ports.Background;
 import dapplestair.ports.Cancellable;
+import dapplestair.ports.Clock;
 import dapplestair.ports.Timers;
 import dapplestair.settings.Operator;
 import dapplestair.state.Keys;
@@ -37,6 +38,7 @@
   // With as much waiting as the fleet can hold, more weight would change nothing.
   private static final double MOST_PRESSURE = 1;
 
+  private final Clock clock;
   private final Timers timers;
   private final Background background;
   private final UniformRandomProvider random;
@@ -49,6 +51,7 @@
   private final DemandView demand;
   private final Map<Slot, Integer> fewer = new HashMap<>();
   private Map<Slot, Integer> plan = Map.of();
+  private Applied applied;
   private ObjectNode lastWritten;
   private boolean writing;
   private Cancellable timer = () -> {};
@@ -56,6 +59,7 @@
 
   /** Plans for what {@code demand} sees. */
   public Planning(
+      Clock clock,
       Timers timers,
       Background background,
       UniformRandomProvider random,
@@ -66,6 +70,7 @@
       Fleet fleet,
       MachineTypes types,
       DemandView demand) {
+    this.clock = clock;
     this.timers = timers;
     this.background = background;
     this.random = random;
@@ -78,6 +83,36 @@
     this.demand = demand;
   }
 
+  /**
+   * The plan applied last, with its three costs.
+   *
+   * @param counts machines wanted, by slot
+   * @param makespanS mean makespan of the jobs in the dry run, or NaN when the search found no plan
+   * @param perHour what it costs an hour
+   * @param risk spot CPUs times the chance that they are taken back
+   * @param budgetPerHour most that a plan might cost
+   * @param front plans on the front that it was chosen from
+   * @param at when it was chosen, steady time
+   */
+  public record Applied(
+      Map<Slot, Integer> counts,
+      double makespanS,
+      double perHour,
+      double risk,
+      double budgetPerHour,
+      int front,
+      long at) {}
+
+  /** The plan applied last, or null. */
+  public Applied applied() {
+    return applied;
+  }
+
+  /** Machines of a slot that are or will be of use. */
+  public int holding(Slot slot) {
+    return fleet.holding(slot);
+  }
+
   /** Begins. */
   public void lead() {
     generation++;
@@ -90,6 +125,7 @@
     timer.cancel();
     fewer.clear();
     plan = Map.of();
+    applied = null;
     lastWritten = null;
     writing = false;
   }
@@ -109,9 +145,9 @@
     double pressure = Math.min(MOST_PRESSURE, demand.pressure());
     background.compute(
         () -> best(search, problem, seeds, pressure),
-        counts -> {
+        chosen -> {
           if (planned == generation && leadership.leading()) {
-            apply(problem, counts);
+            apply(problem, chosen);
           }
         });
   }
@@ -122,9 +158,16 @@
         .toArray();
   }
 
-  private int[] best(Nsga2 search, FleetProblem problem, List<double[]> seeds, double pressure) {
+  private record Chosen(int[] counts, double[] costs, int front) {}
+
+  private Chosen best(Nsga2 search, FleetProblem problem, List<double[]> seeds, double pressure) {
     List<Nsga2.Individual> front = search.search(problem, seeds);
-    return FleetProblem.counts(front.isEmpty() ? problem.lower() : chosen(front, pressure).x());
+    if (front.isEmpty()) {
+      double[] unknown = {Double.NaN, Double.NaN, Double.NaN};
+      return new Chosen(FleetProblem.counts(problem.lower()), unknown, 0);
+    }
+    Nsga2.Individual nearest = chosen(front, pressure);
+    return new Chosen(FleetProblem.counts(nearest.x()), nearest.costs(), front.size());
   }
 
   /**
@@ -139,7 +182,8 @@
         operator.riskWeight());
   }
 
-  private void apply(FleetProblem problem, int[] counts) {
+  private void apply(FleetProblem problem, Chosen chosen) {
+    int[] counts = chosen.counts();
     Map<Slot, Integer> next = new LinkedHashMap<>();
     for (int i = 0; i < counts.length; i++) {
       FleetProblem.SlotState s = problem.slots().get(i);
@@ -149,6 +193,10 @@
       LOG.debug("plan {}", next);
     }
     plan = next;
+    double[] costs = chosen.costs();
+    applied =
+        new Applied(
+            next, costs[0], costs[1], costs[2], problem.budget(), chosen.front(), clock.now());
     record();
     next.forEach(this::steer);
   }
--- a/src/main/java/dapplestair/settings/Operator.java
+++ b/src/main/java/dapplestair/settings/Operator.java
@@ -1,5 +1,7 @@
 package dapplestair.settings;
 
+import java.nio.file.Path;
+
 /** Operators' own choices, with the values that hold when nothing is said. */
 public record Operator(
     long planIntervalMs,
@@ -10,10 +12,45 @@
     int returnAfterRounds,
     double makespanWeight,
     double spendWeight,
-    double riskWeight) {
+    double riskWeight,
+    Admin admin) {
+
+  /**
+   * The operators' interface.
+   *
+   * @param mostConnections at once; those beyond get 503
+   * @param tokens file of tokens, or null
+   * @param tls key files, or null for plain HTTP on loopback
+   */
+  public record Admin(Settings.Address listen, int mostConnections, Path tokens, Tls tls) {
+    /** On this address, for everybody on this machine. */
+    public static Admin open(Settings.Address listen) {
+      return new Admin(listen, MOST_CONNECTIONS, null, null);
+    }
+  }
+
+  /** PEM files. */
+  public record Tls(Path certificate, Path key, Path authority) {}
+
+  static final int MOST_CONNECTIONS = 32;
 
   /** What holds without an operator file. */
   public static Operator defaults() {
-    return new Operator(3_000, 20, 300, 0, 2.5, 4, 1.3, 1, 0.5);
+    return new Operator(3_000, 20, 300, 0, 2.5, 4, 1.3, 1, 0.5, null);
+  }
+
+  /** The same with this operators' interface. */
+  public Operator withAdmin(Admin other) {
+    return new Operator(
+        planIntervalMs,
+        population,
+        evaluations,
+        budgetPerHour,
+        budgetRatio,
+        returnAfterRounds,
+        makespanWeight,
+        spendWeight,
+        riskWeight,
+        other);
   }
 }
--- a/src/main/java/dapplestair/settings/OperatorLoader.java
+++ b/src/main/java/dapplestair/settings/OperatorLoader.java
@@ -1,5 +1,6 @@
 package dapplestair.settings;
 
+import com.google.common.net.InetAddresses;
 import com.google.protobuf.TextFormat;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -48,7 +49,61 @@
             : d.spendWeight(),
         in.hasRiskWeight()
             ? within(path, "risk_weight", in.getRiskWeight(), 0, 100)
-            : d.riskWeight());
+            : d.riskWeight(),
+        in.hasAdmin() ? admin(path, in.getAdmin()) : null);
+  }
+
+  private static Operator.Admin admin(Path path, dapplestair.settings.proto.Admin in)
+      throws SettingsException {
+    Settings.Address listen = Settings.Address.parse(in.getListen());
+    if (listen == null) {
+      throw new SettingsException(
+          path + ": admin.listen = \"" + in.getListen() + "\": must be host:port");
+    }
+    int most =
+        in.hasMostConnections()
+            ? (int) within(path, "admin.most_connections", in.getMostConnections(), 1, 10_000)
+            : Operator.MOST_CONNECTIONS;
+    Operator.Tls tls = null;
+    if (in.hasTls()) {
+      tls =
+          new Operator.Tls(
+              file(path, "admin.tls.certificate", in.getTls().getCertificate()),
+              file(path, "admin.tls.key", in.getTls().getKey()),
+              file(path, "admin.tls.authority", in.getTls().getAuthority()));
+    }
+    Operator.Admin admin =
+        new Operator.Admin(
+            listen, most, in.hasTokens() ? file(path, "admin.tokens", in.getTokens()) : null, tls);
+    check(admin);
+    return admin;
+  }
+
+  /** Plain HTTP is for this machine only. */
+  public static void check(Operator.Admin admin) throws SettingsException {
+    if (admin.tls() == null && !loopback(admin.listen())) {
+      throw new SettingsException(
+          "admin.listen = " + admin.listen() + ": without admin.tls only an address on loopback");
+    }
+  }
+
+  /** True for 127.0.0.0/8 and ::1; names are not looked up, except the usual one. */
+  static boolean loopback(Settings.Address a) {
+    return a.host().equals("localhost")
+        || InetAddresses.isInetAddress(a.host())
+            && InetAddresses.forString(a.host()).isLoopbackAddress();
+  }
+
+  /** A file named in the operators' file: relative to where that lies. */
+  private static Path file(Path path, String field, String name) throws SettingsException {
+    if (name.isEmpty()) {
+      throw new SettingsException(path + ": " + field + ": missing");
+    }
+    Path file = path.toAbsolutePath().getParent().resolve(name);
+    if (!Files.isReadable(file)) {
+      throw new SettingsException(path + ": " + field + " = \"" + name + "\": cannot be read");
+    }
+    return file;
   }
 
   private static double within(Path path, String field, double v, double low, double high)
--- a/src/main/java/dapplestair/settings/Settings.java
+++ b/src/main/java/dapplestair/settings/Settings.java
@@ -22,6 +22,19 @@
 
   /** A host and a port. */
   public record Address(String host, int port) {
+    /** Reads {@code host:port}, or gives null. */
+    public static Address parse(String text) {
+      int colon = text.lastIndexOf(':');
+      try {
+        int port = Integer.parseInt(text.substring(colon + 1));
+        return colon > 0 && port >= 0 && port < 65536
+            ? new Address(text.substring(0, colon), port)
+            : null;
+      } catch (NumberFormatException e) {
+        return null;
+      }
+    }
+
     @Override
     public String toString() {
       return host + ":" + port;
--- a/src/main/java/dapplestair/settings/SettingsLoader.java
+++ b/src/main/java/dapplestair/settings/SettingsLoader.java
@@ -155,15 +155,9 @@
   }
 
   private Address address(JsonNode parent, String field, String at) throws SettingsException {
-    String s = text(parent, field, at);
-    int colon = s.lastIndexOf(':');
-    try {
-      int port = Integer.parseInt(s.substring(colon + 1));
-      if (colon > 0 && port >= 0 && port < 65536) {
-        return new Address(s.substring(0, colon), port);
-      }
-    } catch (NumberFormatException e) {
-      // Falls through to the message below.
+    Address address = Address.parse(text(parent, field, at));
+    if (address != null) {
+      return address;
     }
     throw bad(at + field, parent.path(field), "host:port");
   }
--- a/src/main/java/dapplestair/state/Keys.java
+++ b/src/main/java/dapplestair/state/Keys.java
@@ -29,7 +29,14 @@
   /** Prefix of rentals. */
   public static final String RENTAL = LIVE + "rental/";
 
-  private static final String OVER = "over/";
+  /** Prefix of machines that operators have emptied. */
+  public static final String DRAIN = LIVE + "drain/";
+
+  /** Prefix of zones that operators have emptied. */
+  public static final String DRAIN_ZONE = LIVE + "drain-zone/";
+
+  /** Prefix of jobs that are over. */
+  public static final String OVER = "over/";
 
   private Keys() {}
 
--- a/src/main/java/dapplestair/state/Replica.java
+++ b/src/main/java/dapplestair/state/Replica.java
@@ -82,6 +82,11 @@
     return ready;
   }
 
+  /** The epoch up to which it holds all changes. */
+  public long position() {
+    return position;
+  }
+
   /** Stamp of a key, 0 when it does not exist. */
   public long stamp(String key) {
     return stamps.getLong(key);
--- a/src/main/java/dapplestair/state/StateClient.java
+++ b/src/main/java/dapplestair/state/StateClient.java
@@ -153,6 +153,16 @@
     return out.toString();
   }
 
+  /** How many transactions of a priority wait. */
+  public int queued(Priority priority) {
+    return queues.get(priority.ordinal()).size();
+  }
+
+  /** Puts a second that this controller may make now. */
+  public double putsAllowed() {
+    return writes.rate();
+  }
+
   /** How many transactions wait. */
   public int queued() {
     return queues.stream().mapToInt(ArrayDeque::size).sum();
@@ -284,8 +294,14 @@
 
   /** One page of keys; a missing node when it could not be read. */
   void list(String prefix, String from, Consumer<JsonNode> done) {
+    list(prefix, from, 1000, done);
+  }
+
+  /** One page of at most {@code limit} keys; a missing node when it could not be read. */
+  public void list(String prefix, String from, int limit, Consumer<JsonNode> done) {
     requests.take(1);
-    String path = "/kv?prefix=" + prefix + (from == null ? "" : "&from=" + from) + "&limit=1000";
+    String path =
+        "/kv?prefix=" + prefix + (from == null ? "" : "&from=" + from) + "&limit=" + limit;
     http.call(endpoint, "GET", path, null, 2 * timeoutMs, reply -> done.accept(body(note(reply))));
   }
 
--- a/src/main/java/dapplestair/state/TokenBucket.java
+++ b/src/main/java/dapplestair/state/TokenBucket.java
@@ -25,6 +25,11 @@
     perSecond = newPerSecond;
   }
 
+  /** How many a second. */
+  public double rate() {
+    return perSecond;
+  }
+
   /** Takes {@code n} if there are that many, or if the bucket is as full as it gets. */
   public boolean take(double n) {
     refill();
--- a/src/main/java/dapplestair/submissions/Rank.java
+++ b/src/main/java/dapplestair/submissions/Rank.java
@@ -20,7 +20,8 @@
     return null;
   }
 
-  String wire() {
+  /** The word on the wire. */
+  public String wire() {
     return name().toLowerCase(java.util.Locale.ROOT);
   }
 
--- a/src/main/java/dapplestair/submissions/Shape.java
+++ b/src/main/java/dapplestair/submissions/Shape.java
@@ -24,7 +24,8 @@
     return null;
   }
 
-  String wire() {
+  /** The word on the wire. */
+  public String wire() {
     return wire;
   }
 }
--- a/src/main/java/dapplestair/submissions/Submission.java
+++ b/src/main/java/dapplestair/submissions/Submission.java
@@ -129,7 +129,7 @@
   }
 
   /** True for anything that can be a job id. */
-  static boolean validRef(String ref) {
+  public static boolean validRef(String ref) {
     int dash = ref.indexOf('-');
     if (dash < 1 || dash > 32 || dash + 1 >= ref.length() || ref.length() - dash > 20) {
       return false;
--- a/src/main/java/dapplestair/workers/Host.java
+++ b/src/main/java/dapplestair/workers/Host.java
@@ -44,6 +44,7 @@
   private boolean gone;
   private boolean draining;
   private boolean cordoned;
+  private boolean drained;
   private boolean saidUp;
   private boolean outOfReach;
   private long idleSince;
@@ -137,6 +138,7 @@
         || gone
         || releasing
         || draining
+        || drained
         || cordoned
         || recalled()
         || strays > 0
@@ -173,6 +175,41 @@
     draining = value;
   }
 
+  /** True when operators have it emptied; it stays rented, and is no room to plan with. */
+  public boolean drained() {
+    return drained;
+  }
+
+  /** Operators want it emptied, or not any more. */
+  public void setDrained(boolean value) {
+    drained = value;
+  }
+
+  /** True when its worker has shown a token of this term, so that reports prove something. */
+  public boolean acknowledged() {
+    return acknowledged;
+  }
+
+  /** True while something runs on it that no record accounts for. */
+  public boolean hasStrays() {
+    return strays > 0;
+  }
+
+  /** Orders that wait to be sent to it. */
+  public int queued() {
+    return outbox.size();
+  }
+
+  /** Its address, or null. */
+  public String endpoint() {
+    return endpoint;
+  }
+
+  /** Memory in use. */
+  public double memoryUsed() {
+    return memoryUsed;
+  }
+
   /** True when it gets no new work, since the plan wants fewer of its kind. */
   public boolean cordoned() {
     return cordoned;
--- a/src/test/java/dapplestair/netty/HttpLoopbackTest.java
+++ b/src/test/java/dapplestair/netty/HttpLoopbackTest.java
@@ -28,7 +28,7 @@
     server =
         new HttpServer(
             loop,
-            3,
+            HttpServer.Options.users(3),
             x ->
                 x.reply(
                     x.path().equals("/busy") ? 503 : 200,
