--- /dev/null
+++ b/src/main/java/dapplestair/client/Api.java
@@ -0,0 +1,234 @@
+package dapplestair.client;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.json.Json;
+import io.netty.handler.ssl.JdkSslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.ssl.SslProvider;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import javax.net.ssl.SSLException;
+
+/**
+ * Asks the endpoints in turn until one answers for good, within one time for all of it. An answer
+ * that comes later is dropped, and none is kept from before.
+ */
+final class Api {
+  private static final long ROUND_MS = 250;
+  private static final long LONGEST_PAUSE_MS = 2000;
+
+  private final Contexts.Context context;
+  private final long timeoutMs;
+  private final HttpClient http;
+
+  Api(Contexts.Context context, long timeoutMs) throws Failure {
+    this.context = context;
+    this.timeoutMs = timeoutMs;
+    HttpClient.Builder b =
+        HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofMillis(timeoutMs));
+    boolean secure = context.endpoints().stream().anyMatch(e -> e.startsWith("https:"));
+    if (secure) {
+      b.sslContext(tls(context));
+    }
+    this.http = b.build();
+  }
+
+  private static javax.net.ssl.SSLContext tls(Contexts.Context c) throws Failure {
+    try {
+      SslContextBuilder b = SslContextBuilder.forClient().sslProvider(SslProvider.JDK);
+      if (c.authority() != null) {
+        b.trustManager(c.authority().toFile());
+      }
+      if (c.certificate() != null && c.key() != null) {
+        b.keyManager(c.certificate().toFile(), c.key().toFile());
+      }
+      return ((JdkSslContext) b.build()).context();
+    } catch (SSLException | IllegalArgumentException e) {
+      throw new Failure(Failure.WRONG_USAGE, "the key files cannot be used: " + e.getMessage());
+    }
+  }
+
+  /** An answer for good: 2xx. Anything else is a failure. */
+  JsonNode get(String path) throws Failure {
+    return call("GET", path, null, 0);
+  }
+
+  /** A request that may be repeated without harm. */
+  JsonNode post(String path, JsonNode body) throws Failure {
+    return call("POST", path, body, 0);
+  }
+
+  /** A question whose answer may keep silent for so long before it comes. */
+  JsonNode poll(String path, long waitMs) throws Failure {
+    return call("GET", path, null, waitMs);
+  }
+
+  private JsonNode call(String method, String path, JsonNode body, long waitMs) throws Failure {
+    long began = System.nanoTime();
+    Map<String, String> said = new LinkedHashMap<>();
+    boolean refusedByTls = true;
+    while (true) {
+      long pause = ROUND_MS;
+      for (String endpoint : context.endpoints()) {
+        long left = timeoutMs + waitMs - elapsedMs(began);
+        if (left <= 0) {
+          throw unreachable(said, began, refusedByTls && !said.isEmpty());
+        }
+        try {
+          HttpResponse<byte[]> r = send(endpoint, method, path, body, left);
+          if (r.statusCode() / 100 == 2) {
+            return parsed(endpoint, r);
+          }
+          if (r.statusCode() < 500 && r.statusCode() != 429) {
+            throw refused(endpoint, r);
+          }
+          refusedByTls = false;
+          said.put(endpoint, r.statusCode() + " " + error(r));
+          pause = Math.max(pause, retryAfterMs(r));
+        } catch (SSLException e) {
+          said.put(endpoint, "TLS: " + reason(e));
+        } catch (IOException e) {
+          refusedByTls = false;
+          said.put(endpoint, words(e));
+        }
+      }
+      if (refusedByTls) {
+        // A certificate does not become good by asking again.
+        throw unreachable(said, began, true);
+      }
+      sleep(Math.min(pause, Math.max(0, timeoutMs + waitMs - elapsedMs(began))));
+    }
+  }
+
+  private static long elapsedMs(long since) {
+    return (System.nanoTime() - since) / 1_000_000;
+  }
+
+  private HttpResponse<byte[]> send(
+      String endpoint, String method, String path, JsonNode body, long leftMs)
+      throws IOException, Failure {
+    HttpRequest.Builder b;
+    try {
+      b = HttpRequest.newBuilder(URI.create(endpoint + path)).timeout(Duration.ofMillis(leftMs));
+    } catch (IllegalArgumentException e) {
+      throw new Failure(Failure.WRONG_USAGE, endpoint + ": not a URL: " + e.getMessage());
+    }
+    if (context.token() != null) {
+      b.header("Authorization", "Bearer " + context.token());
+    }
+    HttpRequest.BodyPublisher out =
+        body == null
+            ? HttpRequest.BodyPublishers.noBody()
+            : HttpRequest.BodyPublishers.ofByteArray(Json.bytes(body));
+    CompletableFuture<HttpResponse<byte[]>> answer =
+        http.sendAsync(b.method(method, out).build(), HttpResponse.BodyHandlers.ofByteArray());
+    try {
+      // Headers may come in time and the body not: the time is for all of it.
+      return answer.get(leftMs, TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      answer.cancel(true);
+      throw new HttpTimeoutException("no answer");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted");
+    } catch (ExecutionException e) {
+      if (e.getCause() instanceof IOException io) {
+        throw io;
+      }
+      throw new IOException(e.getCause());
+    }
+  }
+
+  private static JsonNode parsed(String endpoint, HttpResponse<byte[]> r) throws IOException {
+    JsonNode body = Json.parse(r.body());
+    if (!body.isObject()) {
+      throw new IOException("an answer that is no JSON object");
+    }
+    return body;
+  }
+
+  private static Failure refused(String endpoint, HttpResponse<byte[]> r) {
+    int code = r.statusCode() == 404 ? Failure.NO_SUCH_THING : Failure.REFUSED;
+    return new Failure(code, error(r) + " (" + r.statusCode() + " from " + endpoint + ")");
+  }
+
+  private static String error(HttpResponse<byte[]> r) {
+    String said = Json.text(Json.parse(r.body()), "error");
+    return said == null ? "without a reason" : said;
+  }
+
+  private static long retryAfterMs(HttpResponse<byte[]> r) {
+    try {
+      long s = Long.parseLong(r.headers().firstValue("Retry-After").orElse("0"));
+      return Math.min(LONGEST_PAUSE_MS, Math.max(0, s) * 1000);
+    } catch (NumberFormatException e) {
+      return 0;
+    }
+  }
+
+  private static Failure unreachable(Map<String, String> said, long began, boolean byTls) {
+    StringBuilder out = new StringBuilder();
+    double s = elapsedMs(began) / 1000.0;
+    out.append(
+        byTls
+            ? "no endpoint was trusted"
+            : String.format(
+                Locale.ROOT, "the service cannot be reached or is restarting (tried for %.1f s)", s));
+    said.forEach((endpoint, what) -> out.append("\n  ").append(endpoint).append(": ").append(what));
+    return new Failure(byTls ? Failure.REFUSED : Failure.UNREACHABLE, out.toString());
+  }
+
+  private static String words(IOException e) {
+    if (e instanceof HttpTimeoutException) {
+      return "no answer in time";
+    }
+    if (e instanceof ConnectException) {
+      return "connection refused";
+    }
+    String m = e.getMessage();
+    return m == null ? "the connection broke" : m.lines().findFirst().orElse("");
+  }
+
+  /** One line for what is wrong with a certificate. */
+  private static String reason(SSLException e) {
+    Throwable t = e;
+    while (t.getCause() != null && t.getCause() != t) {
+      t = t.getCause();
+    }
+    String m = String.valueOf(t.getMessage());
+    if (t instanceof java.security.cert.CertificateExpiredException || m.contains("NotAfter")) {
+      return "its certificate has expired";
+    }
+    if (m.contains("unable to find valid certification path")) {
+      return "its certificate is from another authority";
+    }
+    if (m.contains("No subject alternative") || m.contains("No name matching")) {
+      return "its certificate is for another name";
+    }
+    return m.lines().findFirst().orElse("");
+  }
+
+  private static void sleep(long ms) throws Failure {
+    try {
+      Thread.sleep(Math.max(1, ms));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new Failure(1, "interrupted");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/client/ClientCommand.java
@@ -0,0 +1,67 @@
+package dapplestair.client;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.filter.Filter;
+import dapplestair.filter.FilterException;
+import dapplestair.filter.Schema;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/** A command that asks the service; its failures become one message and an exit code. */
+@Command(mixinStandardHelpOptions = true)
+abstract class ClientCommand implements Callable<Integer> {
+  private static final int PAGE = 500;
+
+  @Mixin Common common;
+
+  @CommandLine.Spec CommandLine.Model.CommandSpec spec;
+
+  abstract int run(Api api, Output out) throws Failure;
+
+  @Override
+  public final Integer call() {
+    try {
+      return run(common.api(), common.output());
+    } catch (Failure f) {
+      spec.commandLine().getErr().println("dapplestair: " + f.getMessage());
+      spec.commandLine().getErr().flush();
+      return f.code();
+    }
+  }
+
+  static String encoded(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+  }
+
+  /** A mistake is shown here, before anybody is asked. */
+  static String checked(String where, Schema schema) throws Failure {
+    try {
+      Filter.read(where, schema);
+      return where == null || where.isBlank() ? "" : "&where=" + encoded(where);
+    } catch (FilterException e) {
+      throw new Failure(Failure.WRONG_USAGE, "--where:\n" + e.shown(where));
+    }
+  }
+
+  /** Reads page after page; {@code limit} 0 for all. */
+  static JsonNode pages(Api api, String path, int limit) throws Failure {
+    List<JsonNode> rows = new ArrayList<>();
+    String after = "";
+    while (true) {
+      int want = limit == 0 ? PAGE : Math.min(PAGE, limit - rows.size());
+      JsonNode page = api.get(path + "limit=" + want + after);
+      page.path("rows").forEach(rows::add);
+      boolean more = page.path("next").isTextual() && (limit == 0 || rows.size() < limit);
+      if (!more) {
+        return Output.gathered(rows, page);
+      }
+      after = "&after=" + encoded(page.path("next").asText());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/client/ClusterCommands.java
@@ -0,0 +1,122 @@
+package dapplestair.client;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.filter.Schema;
+import java.util.ArrayList;
+import java.util.List;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Teams, plan, events and the service itself. */
+public final class ClusterCommands {
+  private ClusterCommands() {}
+
+  /** Teams. */
+  @Command(
+      name = "team",
+      mixinStandardHelpOptions = true,
+      description = "Look at teams.",
+      subcommands = ListTeams.class)
+  public static final class Team {}
+
+  @Command(
+      name = "list",
+      description = "List teams: CPUs guaranteed, allowed, used, borrowed, lent and waited for.")
+  static final class ListTeams extends ClientCommand {
+    @Override
+    int run(Api api, Output out) throws Failure {
+      out.rows(
+          api.get("/v1/teams"), "team", "guarantee", "limit", "use", "borrowed", "lent", "waiting");
+      return 0;
+    }
+  }
+
+  /** The plan. */
+  @Command(
+      name = "plan",
+      mixinStandardHelpOptions = true,
+      description = "Look at the plan.",
+      subcommands = ShowPlan.class)
+  public static final class Plan {}
+
+  @Command(name = "show", description = "Show the plan applied last, with its three costs.")
+  static final class ShowPlan extends ClientCommand {
+    @Override
+    int run(Api api, Output out) throws Failure {
+      out.one(api.get("/v1/plan"));
+      return 0;
+    }
+  }
+
+  /** Who leads and how things are. */
+  @Command(
+      name = "status",
+      description = "Say who leads, which controllers live, and what waits for the state service.")
+  public static final class Status extends ClientCommand {
+    @Override
+    int run(Api api, Output out) throws Failure {
+      out.one(api.get("/v1/status"));
+      return 0;
+    }
+  }
+
+  /** Events. */
+  @Command(
+      name = "event",
+      mixinStandardHelpOptions = true,
+      description = "Look at what happened.",
+      subcommands = ListEvents.class)
+  public static final class Event {}
+
+  @Command(
+      name = "list",
+      description = "List the last events of the leader, or follow them.",
+      footer = {"", "Example:  dapplestair event list --follow --where 'kind in (lost, stopping)'"})
+  static final class ListEvents extends ClientCommand {
+    private static final long WAIT_MS = 10_000;
+
+    @Option(names = "--where", paramLabel = "EXPR", description = "only those that it holds for")
+    private String where;
+
+    @Option(
+        names = "--limit",
+        paramLabel = "N",
+        defaultValue = "100",
+        description = "the last so many (default: ${DEFAULT-VALUE})")
+    private int limit;
+
+    @Option(names = "--follow", description = "go on with what happens, until interrupted")
+    private boolean follow;
+
+    @Override
+    int run(Api api, Output out) throws Failure {
+      String path = "/v1/events?limit=500" + checked(where, Schema.EVENTS);
+      List<JsonNode> rows = new ArrayList<>();
+      JsonNode page = api.get(path);
+      String after = page.path("next").asText("0");
+      while (!page.path("rows").isEmpty()) {
+        page.path("rows").forEach(rows::add);
+        page = api.get(path + "&after=" + after);
+        after = page.path("next").asText(after);
+      }
+      List<JsonNode> last = rows.subList(Math.max(0, rows.size() - Math.max(0, limit)), rows.size());
+      show(out, last, page);
+      while (follow) {
+        page = api.poll(path + "&waitMs=" + WAIT_MS + "&after=" + after, WAIT_MS);
+        after = page.path("next").asText(after);
+        List<JsonNode> fresh = new ArrayList<>();
+        page.path("rows").forEach(fresh::add);
+        if (!fresh.isEmpty()) {
+          show(out, fresh, page);
+        }
+      }
+      return 0;
+    }
+
+    private static void show(Output out, List<JsonNode> rows, JsonNode page) {
+      out.rows(
+          Output.gathered(rows, page), "at", "kind", "job", "task", "machine", "zone", "team",
+          "reason", "count");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/client/ContextCommand.java
@@ -0,0 +1,57 @@
+package dapplestair.client;
+
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/** Contexts of the client. */
+@Command(
+    name = "context",
+    mixinStandardHelpOptions = true,
+    description = "Look at the contexts of client.toml, and choose the one in use.",
+    subcommands = {ContextCommand.ListContexts.class, ContextCommand.Use.class})
+public final class ContextCommand {
+  /** A command that only reads or writes the file. */
+  abstract static class Local implements Callable<Integer> {
+    @CommandLine.Spec CommandLine.Model.CommandSpec spec;
+
+    abstract void run(Contexts contexts) throws Failure;
+
+    @Override
+    public Integer call() {
+      try {
+        run(Contexts.load(System.getenv()));
+        spec.commandLine().getOut().flush();
+        return 0;
+      } catch (Failure f) {
+        spec.commandLine().getErr().println("dapplestair: " + f.getMessage());
+        return f.code();
+      }
+    }
+  }
+
+  @Command(name = "list", mixinStandardHelpOptions = true, description = "List contexts; * is in use.")
+  static final class ListContexts extends Local {
+    @Override
+    void run(Contexts contexts) throws Failure {
+      for (Map.Entry<String, Contexts.Context> e : contexts.all().entrySet()) {
+        String mark = e.getKey().equals(contexts.current()) ? "* " : "  ";
+        String endpoints = String.join(" ", e.getValue().endpoints());
+        spec.commandLine().getOut().println(mark + e.getKey() + "  " + endpoints);
+      }
+    }
+  }
+
+  @Command(name = "use", mixinStandardHelpOptions = true, description = "Use a context from now on.")
+  static final class Use extends Local {
+    @Parameters(paramLabel = "NAME")
+    private String name;
+
+    @Override
+    void run(Contexts contexts) throws Failure {
+      contexts.use(name);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/client/Contexts.java
@@ -0,0 +1,98 @@
+package dapplestair.client;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import dapplestair.json.Json;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Named sets of endpoints and keys, in the file {@code client.toml} of the user. */
+final class Contexts {
+  private static final TomlMapper TOML = new TomlMapper();
+
+  /** Endpoints to try in turn, and what to show them; what is not given is null. */
+  record Context(
+      List<String> endpoints, String token, Path authority, Path certificate, Path key) {}
+
+  private final Path file;
+  private final JsonNode root;
+
+  private Contexts(Path file, JsonNode root) {
+    this.file = file;
+    this.root = root;
+  }
+
+  static Contexts load(Map<String, String> env) throws Failure {
+    String home = env.getOrDefault("HOME", System.getProperty("user.home"));
+    String config = env.getOrDefault("XDG_CONFIG_HOME", home + "/.config");
+    Path file = Path.of(config, "dapplestair", "client.toml");
+    if (!Files.exists(file)) {
+      return new Contexts(file, Json.object());
+    }
+    try {
+      return new Contexts(file, TOML.readTree(Files.readString(file)));
+    } catch (JsonProcessingException e) {
+      throw new Failure(Failure.WRONG_USAGE, file + ": not TOML: " + e.getOriginalMessage());
+    } catch (IOException e) {
+      throw new Failure(Failure.WRONG_USAGE, file + ": cannot be read");
+    }
+  }
+
+  Path file() {
+    return file;
+  }
+
+  String current() {
+    return Json.text(root, "current");
+  }
+
+  Map<String, Context> all() throws Failure {
+    Map<String, Context> out = new TreeMap<>();
+    for (var it = root.path("contexts").fieldNames(); it.hasNext(); ) {
+      String name = it.next();
+      out.put(name, context(name));
+    }
+    return out;
+  }
+
+  /** A context by name, which must exist. */
+  Context context(String name) throws Failure {
+    JsonNode n = root.path("contexts").path(name);
+    if (!n.isObject()) {
+      throw new Failure(Failure.WRONG_USAGE, "no context " + name + " in " + file);
+    }
+    List<String> endpoints = new ArrayList<>();
+    n.path("endpoints").forEach(e -> endpoints.add(e.asText()));
+    if (endpoints.isEmpty()) {
+      throw new Failure(
+          Failure.WRONG_USAGE, file + ": contexts." + name + ".endpoints: must be a list of URLs");
+    }
+    return new Context(
+        endpoints, Json.text(n, "token"), path(n, "authority"), path(n, "certificate"), path(n, "key"));
+  }
+
+  private Path path(JsonNode n, String field) {
+    String v = Json.text(n, field);
+    return v == null ? null : file.resolveSibling(v);
+  }
+
+  /** Makes a context the one used when none is named. */
+  void use(String name) throws Failure {
+    context(name);
+    ObjectNode changed = ((ObjectNode) root.deepCopy()).put("current", name);
+    try {
+      Path fresh = file.resolveSibling("client.toml.new");
+      Files.writeString(fresh, TOML.writeValueAsString(changed));
+      Files.move(fresh, file, java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+    } catch (IOException e) {
+      throw new Failure(1, file + ": cannot be written");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/client/Failure.java
@@ -0,0 +1,22 @@
+package dapplestair.client;
+
+/** Why a command ends without having done what it was asked, with its exit code. */
+final class Failure extends Exception {
+  private static final long serialVersionUID = 1L;
+
+  static final int WRONG_USAGE = 2;
+  static final int UNREACHABLE = 3;
+  static final int NO_SUCH_THING = 4;
+  static final int REFUSED = 5;
+
+  private final int code;
+
+  Failure(int code, String message) {
+    super(message, null, false, false);
+    this.code = code;
+  }
+
+  int code() {
+    return code;
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/client/JobCommand.java
@@ -0,0 +1,189 @@
+package dapplestair.client;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.filter.Schema;
+import dapplestair.json.Json;
+import dapplestair.submissions.Submission;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ThreadLocalRandom;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Jobs. */
+@Command(
+    name = "job",
+    mixinStandardHelpOptions = true,
+    description = "Submit, look at and withdraw jobs.",
+    subcommands = {
+      JobCommand.Submit.class,
+      JobCommand.ListJobs.class,
+      JobCommand.Show.class,
+      JobCommand.Why.class,
+      WatchCommand.class,
+      JobCommand.Withdraw.class
+    })
+public final class JobCommand {
+  @Command(
+      name = "submit",
+      description = "Submit a job and print its ref.",
+      footer = {
+        "",
+        "The file holds one JSON object as in POST /submissions; without a ref one is made.",
+        "Example:  dapplestair job submit deploy/examples/array.json"
+      })
+  static final class Submit extends ClientCommand {
+    private static final long MOST_BYTES = 64 * 1024;
+
+    @Parameters(paramLabel = "FILE", description = "a file, or - for standard input")
+    private String file;
+
+    @Override
+    int run(Api api, Output out) throws Failure {
+      ObjectNode body = read();
+      String ref = body.path("ref").asText();
+      try {
+        JsonNode answer = api.post("/submissions", body);
+        if (answer.has("ref")) {
+          out.say(ref);
+        }
+        return 0;
+      } catch (Failure f) {
+        if (f.code() != Failure.UNREACHABLE) {
+          throw f;
+        }
+        throw new Failure(
+            f.code(),
+            f.getMessage()
+                + "\nwhether "
+                + ref
+                + " was accepted is not known; submitting it again under this ref does no harm");
+      }
+    }
+
+    private ObjectNode read() throws Failure {
+      byte[] bytes;
+      try {
+        bytes = file.equals("-") ? System.in.readAllBytes() : Files.readAllBytes(Path.of(file));
+      } catch (IOException e) {
+        throw new Failure(Failure.WRONG_USAGE, file + ": cannot be read");
+      }
+      if (bytes.length > MOST_BYTES) {
+        throw new Failure(Failure.WRONG_USAGE, file + ": over 64 KiB, more than a submission may have");
+      }
+      if (!(Json.parse(bytes) instanceof ObjectNode body)) {
+        throw new Failure(Failure.WRONG_USAGE, file + ": not a JSON object");
+      }
+      if (!body.hasNonNull("ref")) {
+        // Fifteen digits, so that two that are made at the same moment differ.
+        body.put("ref", "cli-%015d".formatted(ThreadLocalRandom.current().nextLong(1_000_000_000_000_000L)));
+      }
+      try {
+        Submission s = Submission.parse(body);
+        warnUnknown(body, s);
+      } catch (Submission.Malformed e) {
+        throw new Failure(Failure.WRONG_USAGE, file + ": " + e.getMessage());
+      }
+      return body;
+    }
+
+    /** The service ignores what it does not know; whoever wrote it meant something by it. */
+    private void warnUnknown(JsonNode body, Submission s) {
+      Set<String> unknown = new TreeSet<>();
+      Set<String> known = new TreeSet<>(Set.of("hulls", "basin", "dueS"));
+      s.toJson().fieldNames().forEachRemaining(known::add);
+      for (Iterator<String> it = body.fieldNames(); it.hasNext(); ) {
+        String name = it.next();
+        if (!known.contains(name)) {
+          unknown.add(name);
+        }
+      }
+      if (!unknown.isEmpty()) {
+        spec.commandLine().getErr().println("dapplestair: ignored, since unknown: " + unknown);
+      }
+    }
+  }
+
+  @Command(
+      name = "list",
+      description = "List jobs in the order of their refs.",
+      footer = {
+        "",
+        "Examples:",
+        "  dapplestair job list --where 'team = \"default\" and waiting > 30s'",
+        "  dapplestair job list --over --limit 20 -o csv"
+      })
+  static final class ListJobs extends ClientCommand {
+    @Option(names = "--where", paramLabel = "EXPR", description = "only those that it holds for")
+    private String where;
+
+    @Option(
+        names = "--limit",
+        paramLabel = "N",
+        defaultValue = "100",
+        description = "most rows, 0 for all (default: ${DEFAULT-VALUE})")
+    private int limit;
+
+    @Option(names = "--over", description = "those that are done or aborted instead")
+    private boolean over;
+
+    @Override
+    int run(Api api, Output out) throws Failure {
+      String path = "/v1/jobs?" + (over ? "scope=over&" : "") + "all=1";
+      JsonNode answer = pages(api, path + checked(where, Schema.JOBS) + "&", Math.max(0, limit));
+      out.rows(
+          answer, "ref", "status", "class", "team", "rank", "tasks", "done", "running",
+          "waiting_tasks", "waiting", "age");
+      return 0;
+    }
+  }
+
+  @Command(name = "show", description = "Show a job with its tasks, attempts and machines.")
+  static final class Show extends ClientCommand {
+    @Parameters(paramLabel = "REF")
+    private String ref;
+
+    @Option(names = "--from", paramLabel = "STEP", description = "attempts from this step on")
+    private int from;
+
+    @Override
+    int run(Api api, Output out) throws Failure {
+      out.one(api.get("/v1/jobs/" + encoded(ref) + "?from=" + Math.max(0, from)));
+      return 0;
+    }
+  }
+
+  @Command(name = "why", description = "Say why a job waits, and when it is expected to start.")
+  static final class Why extends ClientCommand {
+    @Parameters(paramLabel = "REF")
+    private String ref;
+
+    @Override
+    int run(Api api, Output out) throws Failure {
+      out.one(api.get("/v1/jobs/" + encoded(ref) + "/why"));
+      return 0;
+    }
+  }
+
+  @Command(name = "withdraw", description = "Withdraw jobs; prints how each of them ended.")
+  static final class Withdraw extends ClientCommand {
+    @Parameters(paramLabel = "REF", arity = "1..*")
+    private List<String> refs;
+
+    @Override
+    int run(Api api, Output out) throws Failure {
+      for (String ref : refs) {
+        JsonNode answer = api.post("/submissions/" + encoded(ref) + "/withdraw", Json.object());
+        out.say(ref + " " + answer.path("status").asText());
+      }
+      return 0;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/client/MachineCommand.java
@@ -0,0 +1,145 @@
+package dapplestair.client;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.filter.Schema;
+import dapplestair.json.Json;
+import java.util.List;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Machines. */
+@Command(
+    name = "machine",
+    mixinStandardHelpOptions = true,
+    description = "Look at machines, empty them and take them back.",
+    subcommands = {
+      MachineCommand.ListMachines.class,
+      MachineCommand.Show.class,
+      MachineCommand.Drain.class,
+      MachineCommand.Undrain.class,
+      MachineCommand.Drains.class
+    })
+public final class MachineCommand {
+  @Command(
+      name = "list",
+      description = "List machines.",
+      footer = {"", "Example:  dapplestair machine list --where 'zone = a and state != up'"})
+  static final class ListMachines extends ClientCommand {
+    @Option(names = "--where", paramLabel = "EXPR", description = "only those that it holds for")
+    private String where;
+
+    @Option(
+        names = "--limit",
+        paramLabel = "N",
+        defaultValue = "0",
+        description = "most rows, 0 for all (default: ${DEFAULT-VALUE})")
+    private int limit;
+
+    @Override
+    int run(Api api, Output out) throws Failure {
+      String path = "/v1/machines?all=1" + checked(where, Schema.MACHINES) + "&";
+      out.rows(
+          pages(api, path, Math.max(0, limit)), "id", "type", "zone", "spot", "state", "cpus",
+          "used", "tasks", "age", "silent");
+      return 0;
+    }
+  }
+
+  @Command(name = "show", description = "Show a machine with what runs on it.")
+  static final class Show extends ClientCommand {
+    @Parameters(paramLabel = "ID")
+    private String id;
+
+    @Override
+    int run(Api api, Output out) throws Failure {
+      out.one(api.get("/v1/machines/" + encoded(id)));
+      return 0;
+    }
+  }
+
+  /** Machines by name, or whole zones. */
+  abstract static class Order extends ClientCommand {
+    @Parameters(paramLabel = "ID", arity = "0..*")
+    private List<String> ids = List.of();
+
+    @Option(names = "--zone", paramLabel = "ZONE", description = "a whole zone")
+    private List<String> zones = List.of();
+
+    void all(Api api, Output out, String verb, ObjectNode body) throws Failure {
+      if (ids.isEmpty() && zones.isEmpty()) {
+        throw new Failure(Failure.WRONG_USAGE, "name a machine, or a zone with --zone");
+      }
+      for (String id : ids) {
+        say(out, id, api.post("/v1/machines/" + encoded(id) + "/" + verb, body));
+      }
+      for (String zone : zones) {
+        say(out, "zone " + zone, api.post("/v1/zones/" + encoded(zone) + "/" + verb, body));
+      }
+    }
+
+    private static void say(Output out, String what, JsonNode answer) {
+      boolean on = answer.path("drained").asBoolean();
+      String already = answer.path("changed").asBoolean() ? "" : " already";
+      out.say(what + (on ? " is drained" : " is not drained") + already);
+    }
+  }
+
+  @Command(
+      name = "drain",
+      description = {
+        "Empty machines: nothing new starts there, services move one replica at a time, work that"
+            + " saves is saved, the rest ends by itself.",
+        "A drained machine stays rented unless --return is given."
+      },
+      footer = {
+        "",
+        "Examples:",
+        "  dapplestair machine drain n-000012 --why 'disk errors' --return",
+        "  dapplestair machine drain --zone a --deadline 600"
+      })
+  static final class Drain extends Order {
+    @Option(names = "--why", paramLabel = "TEXT", description = "shown to whoever looks at it")
+    private String why = "";
+
+    @Option(names = "--return", description = "give the machine back to the cloud once it is empty")
+    private boolean giveBack;
+
+    @Option(
+        names = "--deadline",
+        paramLabel = "SECONDS",
+        description = "stop arrays after so long; services are never stopped without a place to go")
+    private double deadlineS;
+
+    @Override
+    int run(Api api, Output out) throws Failure {
+      ObjectNode body = Json.object().put("why", why).put("return", giveBack);
+      if (deadlineS > 0) {
+        body.put("deadline_s", deadlineS);
+      }
+      all(api, out, "drain", body);
+      return 0;
+    }
+  }
+
+  @Command(name = "undrain", description = "Take drained machines or zones back into use.")
+  static final class Undrain extends Order {
+    @Override
+    int run(Api api, Output out) throws Failure {
+      all(api, out, "undrain", Json.object());
+      return 0;
+    }
+  }
+
+  @Command(name = "drains", description = "List what is drained, by whom, and what is left there.")
+  static final class Drains extends ClientCommand {
+    @Override
+    int run(Api api, Output out) throws Failure {
+      out.rows(
+          api.get("/v1/drains"), "zone", "machine", "by", "at", "why", "return", "tasks_left",
+          "replicas_left", "replicas_held");
+      return 0;
+    }
+  }
+}
--- a/src/main/java/dapplestair/emulator/EmulatedState.java
+++ b/src/main/java/dapplestair/emulator/EmulatedState.java
@@ -59,6 +59,11 @@
     return List.copyOf(rows.subMap(prefix, prefix + Character.MAX_VALUE).keySet());
   }
 
+  /** Its revision now. */
+  public long epoch() {
+    return epoch;
+  }
+
   /** Puts and deletes made so far. */
   public int puts() {
     return puts;
--- /dev/null
+++ b/src/test/java/dapplestair/world/OperatorsTest.java
@@ -0,0 +1,383 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.emulator.EmulatedTask;
+import dapplestair.emulator.EmulatedWorker;
+import dapplestair.json.Json;
+import dapplestair.ports.HttpReply;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What operators are told and what they order, while everything else fails. */
+class OperatorsTest {
+  private static final World.Size ROOMY = new World.Size(6, 60, 1_000_000, 1);
+
+  private final Map<String, Integer> told = new HashMap<>();
+
+  private static World world(long seed, World.Size size) {
+    return new World(seed, size, true);
+  }
+
+  private static void ask(
+      World w, int node, String method, String path, JsonNode body, Consumer<HttpReply> done) {
+    byte[] bytes = body == null ? null : Json.bytes(body);
+    w.net.call("users", World.admin(node), method, path, bytes, 8000, done);
+  }
+
+  /** Asks until somebody answers 200. */
+  private static JsonNode answer(World w, String path) {
+    JsonNode[] out = {null};
+    for (int i = 0; i < 20 && out[0] == null; i++) {
+      ask(w, i % 3, "GET", path, null, r -> out[0] = r.status() == 200 ? Json.parse(r.body()) : null);
+      w.run(1500);
+    }
+    assertTrue(out[0] != null, "no answer to " + path);
+    return out[0];
+  }
+
+  private static void order(World w, String path, JsonNode body) {
+    boolean[] done = {false};
+    for (int i = 0; i < 20 && !done[0]; i++) {
+      ask(w, i % 3, "POST", path, body, r -> done[0] |= r.status() == 200);
+      w.run(1000);
+    }
+    assertTrue(done[0], "not taken: " + path);
+  }
+
+  // ---- never an older view ----
+
+  /** Whatever fails: an answer is as new as its question, and reasons bind. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void answersAreNeverOlderThanTheirQuestions(long seed) {
+    World w = world(seed, World.Size.SMALL);
+    Troubles troubles = new Troubles(w);
+    w.run(10_000);
+    troubles.begin(4000);
+    try {
+      for (int i = 0; i < 400; i++) {
+        question(w);
+        w.run(w.sim.between(200, 800));
+      }
+      troubles.end();
+      w.run(30_000);
+      SeededDaysTest.settle(w);
+    } catch (AssertionError e) {
+      throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+    }
+    assertTrue(told.getOrDefault("200", 0) > 150, "answers: " + told);
+    assertTrue(told.getOrDefault("waits", 0) > 3, "answers: " + told);
+  }
+
+  private void question(World w) {
+    List<String> refs =
+        w.users.told.values().stream()
+            .filter(j -> w.sim.chance(0.1) || j.finalState() == null)
+            .map(j -> j.ref)
+            .toList();
+    if (refs.isEmpty()) {
+      return;
+    }
+    String ref = refs.get((int) w.sim.between(0, refs.size() - 1));
+    String[] paths = {
+      "/v1/jobs?limit=5", "/v1/machines", "/v1/teams", "/v1/plan", "/v1/status", "/v1/events",
+      "/v1/jobs/" + ref, "/v1/jobs/" + ref + "/why", "/v1/jobs/" + ref + "/why"
+    };
+    String path = paths[(int) w.sim.between(0, paths.length - 1)];
+    int node = (int) w.sim.between(0, 2);
+    long epoch = w.state.epoch();
+    JsonNode termKey = w.state.value("live/term");
+    long term = termKey == null ? 0 : termKey.path("term").asLong();
+    long asked = w.sim.now();
+    ask(
+        w,
+        node,
+        "GET",
+        path,
+        null,
+        r -> {
+          told.merge(Integer.toString(r.status()), 1, Integer::sum);
+          if (r.status() == 200) {
+            JsonNode b = Json.parse(r.body());
+            JsonNode asOf = b.path("asOf");
+            if (asOf.path("epoch").asLong() < epoch || asOf.path("term").asLong() < term) {
+              w.checker.broken(path + " is told as of " + asOf + ", asked at " + epoch);
+            }
+            if (path.endsWith("/why")) {
+              why(w, w.users.told.get(ref), b);
+            }
+          } else if (r.status() == 503 && w.sim.now() - asked > 6000) {
+            w.checker.broken("503 after " + (w.sim.now() - asked) + " ms for " + path);
+          } else if (r.status() == 404 && w.users.told.get(ref).accepted && path.contains(ref)) {
+            w.checker.broken("404 for " + path);
+          } else if (r.status() == 500) {
+            w.checker.broken("500 for " + path);
+          }
+        });
+  }
+
+  /** Reasons of what waits are never empty, and name no rule that its job does not have. */
+  private void why(World w, Users.Told job, JsonNode b) {
+    if (b.path("waiting_tasks").asInt() == 0) {
+      return;
+    }
+    told.merge("waits", 1, Integer::sum);
+    if (b.path("reasons").isEmpty()) {
+      w.checker.broken("no reason for " + job.ref);
+    }
+    for (JsonNode r : b.path("reasons")) {
+      String reason = r.path("reason").asText();
+      boolean binds =
+          switch (reason) {
+            case "spot" -> !job.body.path("loaners").asBoolean();
+            case "spread" -> job.body.path("apart").asBoolean();
+            case "together" -> job.body.path("together").asBoolean();
+            case "gang" -> job.body.path("shape").asText().equals("gang");
+            case "held-for-services" -> job.body.path("loaners").asBoolean() && !job.service;
+            case "drained" -> !w.state.keys("live/drain").isEmpty();
+            case "team-limit" -> demand(w, job) > w.size.teamLimit() - job.cpus - 1e-6;
+            default -> true;
+          };
+      if (!binds) {
+        w.checker.broken(reason + " is named for " + job.ref + ", which has no such rule");
+      }
+    }
+  }
+
+  /** CPUs that the team's jobs could use at most; nothing can bind that lies above. */
+  private static double demand(World w, Users.Told job) {
+    return w.users.told.values().stream()
+        .filter(o -> o.body.path("owner").equals(job.body.path("owner")))
+        .mapToDouble(o -> o.cpus * o.steps)
+        .sum();
+  }
+
+  // ---- reasons, each with a state made for it ----
+
+  private static Set<String> reasons(World w, Users.Told job) {
+    Set<String> out = new HashSet<>();
+    answer(w, "/v1/jobs/" + job.ref + "/why")
+        .path("reasons")
+        .forEach(r -> out.add(r.path("reason").asText()));
+    return out;
+  }
+
+  private static World quiet(long seed, World.Size size) {
+    World w = world(seed, size);
+    w.net.loss = 0;
+    w.users.quiet = true;
+    w.run(6000);
+    return w;
+  }
+
+  @Test
+  void theTeamsLimitIsNamed() {
+    World w = quiet(1, new World.Size(40, 20, 1_000_000, 1));
+    Users.Told job = w.users.array("one", "standard", 60, 300);
+    w.run(40_000);
+    assertTrue(reasons(w, job).contains("team-limit"), reasons(w, job).toString());
+  }
+
+  @Test
+  void aCloudWithNothingToGiveIsNamed() {
+    World w = quiet(2, new World.Size(1, 1000, 1_000_000, 1));
+    Users.Told job = w.users.array("one", "standard", 100, 300);
+    w.run(40_000);
+    Set<String> all = reasons(w, job);
+    assertTrue(all.contains("cloud-refused") && all.contains("full"), all.toString());
+  }
+
+  @Test
+  void machinesOnTheirWayAreNamed() {
+    World w = quiet(3, ROOMY);
+    Users.Told job = w.users.array("one", "standard", 60, 300);
+    w.run(4500);
+    JsonNode why = answer(w, "/v1/jobs/" + job.ref + "/why");
+    boolean booting = false;
+    for (JsonNode r : why.path("reasons")) {
+      booting |= r.path("reason").asText().equals("booting") && r.path("in_s").asDouble() <= 4;
+    }
+    assertTrue(booting, why.toString());
+    assertTrue(why.path("expected_start_s").asDouble(99) <= 4, why.toString());
+  }
+
+  @Test
+  void drainedMachinesAreNamed() {
+    World w = quiet(4, new World.Size(1, 1000, 1_000_000, 1));
+    w.users.array("one", "standard", 10, 5);
+    w.run(30_000);
+    for (String zone : World.ZONES) {
+      order(w, "/v1/zones/" + zone + "/drain", Json.object());
+    }
+    Users.Told job = w.users.array("one", "standard", 4, 300);
+    w.run(10_000);
+    Set<String> all = reasons(w, job);
+    assertTrue(all.contains("drained"), all.toString());
+    for (String zone : World.ZONES) {
+      order(w, "/v1/zones/" + zone + "/undrain", null);
+    }
+    w.run(20_000);
+    assertEquals(Set.of(), reasons(w, job));
+  }
+
+  @Test
+  void aJobThatFailsEverywhereIsBackedOff() {
+    World w = quiet(5, ROOMY);
+    w.also = () -> w.cloud.machines().forEach(EmulatedWorker::sicken);
+    Users.Told job = w.users.array("one", "standard", 6, 5);
+    w.run(25_000);
+    boolean named = false;
+    for (int i = 0; i < 10 && !named; i++) {
+      named = reasons(w, job).contains("backed-off");
+      w.run(700);
+    }
+    assertTrue(named);
+  }
+
+  // ---- drain ----
+
+  private static long running(World w, Users.Told job) {
+    return w.cloud.machines().stream()
+        .filter(m -> !m.gone())
+        .flatMap(m -> m.tasks().stream())
+        .filter(t -> t.onMachine() && t.key().startsWith(job.ref + "/"))
+        .count();
+  }
+
+  /** A zone is emptied; services never lack more than the one replica on its way. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {11, 12, 13})
+  void drainingAZoneKeepsServicesWhole(long seed) {
+    World w = quiet(seed, ROOMY);
+    List<Users.Told> services =
+        List.of(w.users.service("one", 4), w.users.service("two", 6), w.users.service("one", 3));
+    w.run(60_000);
+    services.forEach(s -> assertEquals(s.steps, running(w, s), s.ref + " runs before"));
+    long[] least = {Long.MAX_VALUE};
+    w.also =
+        () -> {
+          for (Users.Told s : services) {
+            least[0] = Math.min(least[0], running(w, s) - s.steps);
+          }
+        };
+    order(w, "/v1/zones/a/drain", Json.object().put("why", "power"));
+    w.run(120_000);
+    assertTrue(least[0] >= -1, "a service lacked " + -least[0] + " replicas");
+    services.forEach(s -> assertEquals(s.steps, running(w, s), s.ref + " runs after"));
+    assertEquals(0, tasksIn(w, "a"), "tasks are left in the zone");
+  }
+
+  private static long tasksIn(World w, String zone) {
+    return w.cloud.machines().stream()
+        .filter(m -> !m.gone() && m.zone().equals(zone))
+        .flatMap(m -> m.tasks().stream())
+        .filter(EmulatedTask::onMachine)
+        .count();
+  }
+
+  /** Two zones of three: the spread leaves no place for all, so those replicas stay. */
+  @Test
+  void replicasWithoutAPlaceStay() {
+    World w = quiet(21, ROOMY);
+    Users.Told service = w.users.service("one", 4);
+    w.run(60_000);
+    order(w, "/v1/zones/a/drain", Json.object().put("deadline_s", 5));
+    order(w, "/v1/zones/b/drain", Json.object().put("deadline_s", 5));
+    w.run(90_000);
+    assertEquals(4, running(w, service));
+    assertTrue(tasksIn(w, "c") <= 2, "the spread is kept");
+  }
+
+  /** The leader ends in the middle, again and again; the next one goes on. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {31, 32, 33, 34})
+  void aDrainOutlivesItsLeader(long seed) {
+    World w = world(seed, World.Size.SMALL);
+    w.run(30_000);
+    order(w, "/v1/zones/b/drain", Json.object().put("why", "cooling").put("deadline_s", 20));
+    for (int i = 0; i < 4; i++) {
+      if (w.leader() != null) {
+        w.leader().crash(w.sim.between(1000, 6000));
+      }
+      w.run(w.sim.between(3000, 9000));
+    }
+    w.users.quiet = true;
+    w.run(90_000);
+    JsonNode drains = answer(w, "/v1/drains");
+    assertEquals("cooling", drains.path("rows").path(0).path("why").asText());
+    long arrays =
+        w.cloud.machines().stream()
+            .filter(m -> !m.gone() && m.zone().equals("b"))
+            .flatMap(m -> m.tasks().stream())
+            .filter(t -> t.onMachine() && !w.users.told.get(ref(t)).service)
+            .count();
+    assertEquals(0, arrays, "arrays are left in the zone");
+    order(w, "/v1/zones/b/undrain", null);
+    SeededDaysTest.settle(w);
+  }
+
+  private static String ref(EmulatedTask t) {
+    return t.key().substring(0, t.key().indexOf('/'));
+  }
+
+  /** A drained machine gets nothing new, is not returned unless asked, and is taken back. */
+  @Test
+  void aDrainedMachineIsLeftAlone() {
+    World w = quiet(41, ROOMY);
+    w.users.array("one", "standard", 24, 4);
+    w.run(25_000);
+    EmulatedWorker m =
+        w.cloud.machines().stream().filter(x -> x.booted() && !x.gone()).findFirst().orElseThrow();
+    order(w, "/v1/machines/" + m.id() + "/drain", Json.object());
+    w.run(10_000);
+    long[] started = {0};
+    w.also = () -> started[0] += m.tasks().stream().filter(EmulatedTask::onMachine).count();
+    for (int i = 0; i < 6; i++) {
+      w.users.array("one", "standard", 24, 4);
+      w.run(20_000);
+    }
+    assertEquals(0, started[0], "something ran on a drained machine");
+    assertTrue(!m.gone(), "a drained machine was returned");
+    order(w, "/v1/machines/" + m.id() + "/drain", Json.object().put("return", true));
+    w.run(90_000);
+    assertTrue(m.gone(), "a machine drained with return is still rented");
+    assertTrue(w.state.keys("live/drain/").isEmpty(), "the record of a machine that is gone stays");
+  }
+
+  /** Two who drain and undrain the same machine both get an answer, and the last one holds. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {51, 52, 53})
+  void twoWhoDisagreeBothGetAnAnswer(long seed) {
+    World w = world(seed, World.Size.SMALL);
+    w.run(30_000);
+    String id = w.cloud.machines().iterator().next().id();
+    int[] answers = new int[2];
+    for (int i = 0; i < 40; i++) {
+      String verb = i % 2 == 0 ? "drain" : "undrain";
+      ask(
+          w,
+          i % 3,
+          "POST",
+          "/v1/machines/" + id + "/" + verb,
+          null,
+          r -> {
+            answers[r.status() == 200 || r.status() == 409 ? 0 : 1]++;
+            assertTrue(r.status() != 500, "500");
+          });
+      w.run(w.sim.between(0, 40));
+    }
+    w.run(10_000);
+    assertEquals(40, answers[0] + answers[1]);
+    assertTrue(answers[0] >= 30, answers[0] + " of 40 answered for good");
+  }
+}
--- a/src/test/java/dapplestair/world/SeededDaysTest.java
+++ b/src/test/java/dapplestair/world/SeededDaysTest.java
@@ -133,7 +133,7 @@
   }
 
   /** No troubles and no new jobs from now on: everything accepted ends. */
-  private static void settle(World world) {
+  static void settle(World world) {
     world.users.quiet = true;
     world.run(CALM_MS);
     for (Users.Told job : world.users.told.values()) {
--- a/src/test/java/dapplestair/world/Users.java
+++ b/src/test/java/dapplestair/world/Users.java
@@ -115,6 +115,33 @@
     return t;
   }
 
+  /** Submits one service of one-CPU replicas, spread over zones, besides the random ones. */
+  Told service(String team, int replicas) {
+    ObjectNode b =
+        Json.object()
+            .put("ref", String.format("sv-%06d", ++made))
+            .put("jobclass", "serve")
+            .put("owner", team)
+            .put("shape", "daemon")
+            .put("rank", "critical")
+            .put("steps", replicas)
+            .put("vcpus", 1.0)
+            .put("accelerators", 0.0)
+            .put("memoryGb", 1.0)
+            .put("bundle", "img-2")
+            .put("imageGb", 0.5)
+            .put("together", false)
+            .put("apart", true)
+            .put("loaners", false)
+            .put("guessS", 0.0)
+            .put("snapshotEveryS", 0.0)
+            .put("snapshotS", 0.0);
+    Told t = new Told(b);
+    told.put(t.ref, t);
+    submit(t, world.sim.now() + 60_000);
+    return t;
+  }
+
   private String someNode() {
     return World.client((int) world.sim.between(0, world.nodes.size() - 1));
   }
--- a/src/test/java/dapplestair/world/World.java
+++ b/src/test/java/dapplestair/world/World.java
@@ -1,5 +1,6 @@
 package dapplestair.world;
 
+import dapplestair.admin.Access;
 import dapplestair.emulator.Directory;
 import dapplestair.emulator.EmulatedCloud;
 import dapplestair.emulator.EmulatedState;
@@ -58,6 +59,10 @@
   }
 
   final Size size;
+  private final boolean operators;
+
+  /** Checked after each step besides the rules. */
+  Runnable also = () -> {};
 
   /** Controllers refuse each other's connections, though all of them live. */
   boolean peersRefuse;
@@ -79,6 +84,12 @@
   }
 
   World(long seed, Size size) {
+    // Operators are served on half of all days, so that both ways are played.
+    this(seed, size, seed % 2 == 0);
+  }
+
+  World(long seed, Size size, boolean operators) {
+    this.operators = operators;
     this.size = size;
     sim = new Sim(seed);
     net = new Network(sim);
@@ -118,6 +129,11 @@
     return users;
   }
 
+  /** Where operators ask a node. */
+  static String admin(int node) {
+    return "node-" + node + ":9090";
+  }
+
   static String client(int node) {
     return "node-" + node + ":8080";
   }
@@ -191,6 +207,7 @@
         end,
         () -> {
           checker.check();
+          also.run();
           if (checker.broken != null) {
             throw new AssertionError(checker.broken);
           }
@@ -280,6 +297,7 @@
       this.index = index;
       this.settings = World.this.settings(index);
       net.place(client(index), this);
+      net.place(admin(index), this::operator);
     }
 
     void start() {
@@ -304,6 +322,15 @@
       }
     }
 
+    private void operator(
+        String from, String method, String path, byte[] body, Consumer<HttpReply> reply) {
+      if (life == null) {
+        reply.accept(HttpReply.of(HttpReply.NOT_SENT));
+      } else {
+        life.controller.operators(new Request(method, path, body, reply));
+      }
+    }
+
     @Override
     public void request(
         String from, String method, String path, byte[] body, Consumer<HttpReply> reply) {
@@ -315,8 +342,20 @@
     }
   }
 
-  private record Request(String method, String path, byte[] body, Consumer<HttpReply> to)
+  private record Request(String method, String uri, byte[] body, Consumer<HttpReply> to)
       implements Exchange {
+    @Override
+    public String path() {
+      int mark = uri.indexOf('?');
+      return mark < 0 ? uri : uri.substring(0, mark);
+    }
+
+    @Override
+    public String query() {
+      int mark = uri.indexOf('?');
+      return mark < 0 ? "" : uri.substring(mark + 1);
+    }
+
     @Override
     public byte[] body() {
       return body == null ? new byte[0] : body;
@@ -359,7 +398,8 @@
                       }),
               this,
               RandomSource.XO_RO_SHI_RO_128_PP.create(sim.random.nextLong()));
-      controller = new Controller(node.settings, Operator.defaults(), outside);
+      controller = new Controller(
+              node.settings, Operator.defaults(), outside, operators ? Access.open() : null);
     }
 
     void begin() {
