Command-line client, keys and roles, JSON logs; a session of real processes as a test

Need: a person on duty has a terminal, and must be told plainly when the service restarts.

Change: packages client (picocli; tables, JSON, CSV; exit codes 0 to 5; one time-out for a whole command; several endpoints in turn) and keys (certificates by Bouncy Castle, tokens stored as hashes, files read again on change, roles view and operate). Filters are checked with a caret before anybody is asked. LOG_FORMAT=json by logback, chosen by name, so that plain logs load none of it. Netty's channel numbers no longer look for a hardware address, which warned at each start.

Result: a session against emulate and daemon, killed in the middle, agrees with what the state service holds. Broken on purpose, the barrier, the moving of replicas one by one, the closing of drained machines and the spread each fail their test.

--- /dev/null
+++ b/src/main/java/dapplestair/cli/JsonLines.java
@@ -0,0 +1,36 @@
+package dapplestair.cli;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import org.slf4j.LoggerFactory;
+
+/** Lines as JSON: the sentence, its arguments and its fields apart. */
+final class JsonLines {
+  private JsonLines() {}
+
+  static void begin(String level) {
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    context.reset();
+    JsonEncoder encoder = new JsonEncoder();
+    encoder.setContext(context);
+    encoder.setWithContext(false);
+    encoder.setWithSequenceNumber(false);
+    encoder.setWithNanoseconds(false);
+    encoder.setWithThreadName(false);
+    encoder.setWithFormattedMessage(true);
+    encoder.start();
+    ConsoleAppender<ILoggingEvent> out = new ConsoleAppender<>();
+    out.setContext(context);
+    out.setTarget("System.err");
+    out.setEncoder(encoder);
+    out.start();
+    Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+    root.setLevel(Level.toLevel(level, Level.INFO));
+    root.addAppender(out);
+    context.getLogger("io.netty").setLevel(Level.WARN);
+  }
+}
--- a/src/main/java/dapplestair/cli/Main.java
+++ b/src/main/java/dapplestair/cli/Main.java
@@ -1,10 +1,10 @@
 package dapplestair.cli;
 
-import java.util.Locale;
 import dapplestair.client.ClusterCommands;
 import dapplestair.client.ContextCommand;
 import dapplestair.client.JobCommand;
 import dapplestair.client.MachineCommand;
+import dapplestair.keys.KeysCommand;
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -29,7 +29,7 @@
 
   /** Runs a command; the exit code is 2 for wrong usage or settings. */
   public static void main(String[] args) {
-    logging();
+    Logging.begin(System.getenv());
     int code = commands(args).execute(args);
     if (code != ControllerCommand.STAYS) {
       System.exit(code);
@@ -59,21 +59,10 @@
         .addSubcommand(new ClusterCommands.Event())
         .addSubcommand(new ClusterCommands.Status())
         .addSubcommand(new ContextCommand())
+        .addSubcommand(new KeysCommand())
         .addSubcommand(new AutoComplete.GenerateCompletion());
   }
 
-  private static void logging() {
-    String level = System.getenv("LOG_LEVEL");
-    System.setProperty(
-        "org.slf4j.simpleLogger.defaultLogLevel",
-        level == null ? "info" : level.toLowerCase(Locale.ROOT));
-    System.setProperty("org.slf4j.simpleLogger.log.io.netty", "warn");
-    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
-    System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
-    System.setProperty("org.slf4j.simpleLogger.showDateTime", "true");
-    System.setProperty("org.slf4j.simpleLogger.dateTimeFormat", "HH:mm:ss.SSS");
-  }
-
   @Override
   public void run() {
     throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed");
--- a/src/main/java/dapplestair/client/Api.java
+++ b/src/main/java/dapplestair/client/Api.java
@@ -201,6 +201,9 @@
       return "connection refused";
     }
     String m = e.getMessage();
+    if (m != null && m.contains("header parser received no bytes")) {
+      return "it closed the connection unanswered: does it want https?";
+    }
     return m == null ? "the connection broke" : m.lines().findFirst().orElse("");
   }
 
--- a/src/main/java/dapplestair/events/EventLog.java
+++ b/src/main/java/dapplestair/events/EventLog.java
@@ -7,12 +7,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 
 /**
  * The last events of this controller. Each has a number; numbers go on from one term to the next, as
  * the term is their high part.
  */
 public final class EventLog implements Events {
+  private static final Logger LOG = LoggerFactory.getLogger(EventLog.class);
+
   /** Events kept; what is older is forgotten. */
   public static final int MOST_KEPT = 2000;
 
@@ -44,6 +49,9 @@
     ObjectNode o =
         Json.object().put("id", ++last).put("at", clock.wall()).put("kind", kind.shown());
     fields.accept(o);
+    if (LOG.isDebugEnabled()) {
+      say(o);
+    }
     if (kept.size() == MOST_KEPT) {
       kept.poll();
     }
@@ -55,6 +63,13 @@
     }
   }
 
+  /** A line with fields, for logs that are read by programs. */
+  private static void say(ObjectNode o) {
+    LoggingEventBuilder line = LOG.atDebug();
+    o.fields().forEachRemaining(f -> line.addKeyValue(f.getKey(), f.getValue().asText()));
+    line.log("event");
+  }
+
   /** Number of the newest event. */
   public long last() {
     return last;
--- /dev/null
+++ b/src/main/java/dapplestair/keys/Authority.java
@@ -0,0 +1,159 @@
+package dapplestair.keys;
+
+import java.io.IOException;
+import java.io.StringWriter;
+import java.math.BigInteger;
+import java.security.GeneralSecurityException;
+import java.security.KeyFactory;
+import java.security.KeyPair;
+import java.security.KeyPairGenerator;
+import java.security.PrivateKey;
+import java.security.SecureRandom;
+import java.security.cert.CertificateFactory;
+import java.security.cert.X509Certificate;
+import java.security.spec.ECGenParameterSpec;
+import java.security.spec.PKCS8EncodedKeySpec;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Date;
+import java.util.List;
+import com.google.common.net.InetAddresses;
+import org.bouncycastle.asn1.x500.X500Name;
+import org.bouncycastle.asn1.x500.X500NameBuilder;
+import org.bouncycastle.asn1.x500.style.BCStyle;
+import org.bouncycastle.asn1.x509.BasicConstraints;
+import org.bouncycastle.asn1.x509.ExtendedKeyUsage;
+import org.bouncycastle.asn1.x509.Extension;
+import org.bouncycastle.asn1.x509.GeneralName;
+import org.bouncycastle.asn1.x509.GeneralNames;
+import org.bouncycastle.asn1.x509.KeyPurposeId;
+import org.bouncycastle.asn1.x509.KeyUsage;
+import org.bouncycastle.cert.jcajce.JcaX509CertificateConverter;
+import org.bouncycastle.cert.jcajce.JcaX509v3CertificateBuilder;
+import org.bouncycastle.openssl.jcajce.JcaPEMWriter;
+import org.bouncycastle.openssl.jcajce.JcaPKCS8Generator;
+import org.bouncycastle.operator.OperatorCreationException;
+import org.bouncycastle.operator.jcajce.JcaContentSignerBuilder;
+import org.bouncycastle.util.io.pem.PemReader;
+
+/** A small certificate authority, for the listeners of controllers and for their operators. */
+final class Authority {
+  // Clocks of operators' machines need not agree with this one.
+  private static final Duration BEFORE = Duration.ofHours(1);
+
+  private final X509Certificate certificate;
+  private final PrivateKey key;
+
+  private Authority(X509Certificate certificate, PrivateKey key) {
+    this.certificate = certificate;
+    this.key = key;
+  }
+
+  /** A certificate with its key, as PEM. */
+  record Issued(String certificate, String key) {}
+
+  /** A new authority with its own certificate. */
+  static Authority create(String name, Instant now, Duration lasts)
+      throws GeneralSecurityException, IOException {
+    KeyPair pair = pair();
+    X500Name self = new X500NameBuilder().addRDN(BCStyle.CN, name).build();
+    JcaX509v3CertificateBuilder b = builder(self, self, pair, now, lasts);
+    b.addExtension(Extension.basicConstraints, true, new BasicConstraints(0));
+    b.addExtension(
+        Extension.keyUsage, true, new KeyUsage(KeyUsage.keyCertSign | KeyUsage.cRLSign));
+    return new Authority(signed(b, pair.getPrivate()), pair.getPrivate());
+  }
+
+  /** Reads one that was made earlier. */
+  static Authority read(String certificatePem, String keyPem)
+      throws GeneralSecurityException, IOException {
+    X509Certificate c =
+        (X509Certificate)
+            CertificateFactory.getInstance("X.509")
+                .generateCertificate(
+                    new java.io.ByteArrayInputStream(
+                        certificatePem.getBytes(java.nio.charset.StandardCharsets.US_ASCII)));
+    try (PemReader in = new PemReader(new java.io.StringReader(keyPem))) {
+      byte[] bytes = in.readPemObject().getContent();
+      PrivateKey k = KeyFactory.getInstance("EC").generatePrivate(new PKCS8EncodedKeySpec(bytes));
+      return new Authority(c, k);
+    }
+  }
+
+  Issued own() throws IOException {
+    return new Issued(pem(certificate), pem(key));
+  }
+
+  /** For a listener that is reached under these names and addresses. */
+  Issued server(List<String> names, Instant now, Duration lasts)
+      throws GeneralSecurityException, IOException {
+    KeyPair pair = pair();
+    X500Name subject = new X500NameBuilder().addRDN(BCStyle.CN, names.get(0)).build();
+    JcaX509v3CertificateBuilder b = builder(issuer(), subject, pair, now, lasts);
+    GeneralName[] all =
+        names.stream()
+            .map(
+                n ->
+                    new GeneralName(
+                        InetAddresses.isInetAddress(n)
+                            ? GeneralName.iPAddress
+                            : GeneralName.dNSName,
+                        n))
+            .toArray(GeneralName[]::new);
+    b.addExtension(Extension.subjectAlternativeName, false, new GeneralNames(all));
+    b.addExtension(
+        Extension.extendedKeyUsage, false, new ExtendedKeyUsage(KeyPurposeId.id_kp_serverAuth));
+    return new Issued(pem(signed(b, key)), pem(pair.getPrivate()));
+  }
+
+  /** For an operator; the organisational unit says what they may do. */
+  Issued client(String name, String role, Instant now, Duration lasts)
+      throws GeneralSecurityException, IOException {
+    KeyPair pair = pair();
+    X500Name subject =
+        new X500NameBuilder().addRDN(BCStyle.OU, role).addRDN(BCStyle.CN, name).build();
+    JcaX509v3CertificateBuilder b = builder(issuer(), subject, pair, now, lasts);
+    b.addExtension(
+        Extension.extendedKeyUsage, false, new ExtendedKeyUsage(KeyPurposeId.id_kp_clientAuth));
+    return new Issued(pem(signed(b, key)), pem(pair.getPrivate()));
+  }
+
+  private X500Name issuer() {
+    return X500Name.getInstance(certificate.getSubjectX500Principal().getEncoded());
+  }
+
+  private static KeyPair pair() throws GeneralSecurityException {
+    KeyPairGenerator g = KeyPairGenerator.getInstance("EC");
+    g.initialize(new ECGenParameterSpec("secp256r1"));
+    return g.generateKeyPair();
+  }
+
+  private static JcaX509v3CertificateBuilder builder(
+      X500Name issuer, X500Name subject, KeyPair pair, Instant now, Duration lasts) {
+    return new JcaX509v3CertificateBuilder(
+        issuer,
+        new BigInteger(127, new SecureRandom()),
+        Date.from(now.minus(BEFORE)),
+        Date.from(now.plus(lasts)),
+        subject,
+        pair.getPublic());
+  }
+
+  private static X509Certificate signed(JcaX509v3CertificateBuilder b, PrivateKey by)
+      throws GeneralSecurityException {
+    try {
+      return new JcaX509CertificateConverter()
+          .getCertificate(b.build(new JcaContentSignerBuilder("SHA256withECDSA").build(by)));
+    } catch (OperatorCreationException e) {
+      throw new GeneralSecurityException(e);
+    }
+  }
+
+  private static String pem(Object what) throws IOException {
+    StringWriter out = new StringWriter();
+    try (JcaPEMWriter w = new JcaPEMWriter(out)) {
+      w.writeObject(what instanceof PrivateKey k ? new JcaPKCS8Generator(k, null) : what);
+    }
+    return out.toString();
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/keys/package-info.java
@@ -0,0 +1,2 @@
+/** Makes the keys and tokens of the operators' interface. */
+package dapplestair.keys;
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -59,6 +59,9 @@
     /** Room or waiting work has changed. */
     void changed();
 
+    /** A job was withdrawn. */
+    void withdrawn(Job job);
+
     /** A job is over. */
     void ended(String ref, boolean done);
 
@@ -181,6 +184,9 @@
       jobs.remove(ref);
       return;
     }
+    if (!job.over && !job.finishing) {
+      hooks.withdrawn(job);
+    }
     endJob(job);
   }
 
@@ -852,10 +858,16 @@
         Priority.FINISH,
         settings.workers().reportMs(),
         outcome -> {
-          if (!building || term != finishTerm || job.over) {
+          if (!building || term != finishTerm) {
             return;
           }
-          finished(job, removed, outcome);
+          if (outcome instanceof Outcome.Applied) {
+            // Also when the replica was quicker to say that the job's key is gone.
+            hooks.ended(job.spec().ref(), true);
+          }
+          if (!job.over) {
+            finished(job, removed, outcome);
+          }
         });
   }
 
@@ -881,7 +893,6 @@
     String ref = job.spec().ref();
     if (outcome instanceof Outcome.Applied) {
       removed.forEach(c -> c.stamp = 0);
-      hooks.ended(ref, true);
       endJob(job);
       return;
     }
--- a/src/main/java/dapplestair/netty/TlsGreeting.java
+++ b/src/main/java/dapplestair/netty/TlsGreeting.java
@@ -1,11 +1,13 @@
 package dapplestair.netty;
 
 import io.netty.channel.Channel;
+import io.netty.handler.ssl.NotSslRecordException;
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.ssl.SslHandler;
 import io.netty.handler.ssl.SslHandshakeCompletionEvent;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.nio.channels.ClosedChannelException;
 import java.security.cert.X509Certificate;
 import javax.net.ssl.SSLPeerUnverifiedException;
 import com.google.common.util.concurrent.RateLimiter;
@@ -49,6 +51,13 @@
     while (last.getCause() != null && last.getCause() != last) {
       last = last.getCause();
     }
+    if (last instanceof NotSslRecordException) {
+      // Its message holds all that was sent.
+      return "what it sent is not TLS";
+    }
+    if (last instanceof ClosedChannelException) {
+      return "it closed the connection: it may not trust this certificate";
+    }
     String message = last.getMessage();
     return message == null ? last.getClass().getSimpleName() : message.lines().findFirst().orElse("");
   }
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -427,6 +427,11 @@
       placer.nudge();
     }
 
+    @Override
+    public void withdrawn(Job job) {
+      events.note(Events.Kind.OVER, o -> Happenings.of(o, job).put("status", "aborted"));
+    }
+
     @Override
     public void ended(String ref, boolean done) {
       submissions.ended(ref, done);
--- /dev/null
+++ b/src/test/java/dapplestair/session/Processes.java
@@ -0,0 +1,117 @@
+package dapplestair.session;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Real processes of the program as tests have it, ended with the test. */
+final class Processes implements AutoCloseable {
+  /** How a command ended. */
+  record Ended(int code, String out, String err) {
+    List<String> lines() {
+      return out.lines().toList();
+    }
+  }
+
+  private final Path folder;
+  private final List<Process> running = new ArrayList<>();
+  private int made;
+
+  Processes(Path folder) {
+    this.folder = folder;
+  }
+
+  private ProcessBuilder builder(Map<String, String> env, String... args) {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(List.of("-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xshare:auto", "-cp"));
+    command.add(
+        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")));
+    command.add("dapplestair.cli.Main");
+    command.addAll(List.of(args));
+    ProcessBuilder b = new ProcessBuilder(command);
+    b.environment().put("XDG_CONFIG_HOME", folder.toString());
+    b.environment().remove("DAPPLESTAIR_ENDPOINT");
+    b.environment().remove("DAPPLESTAIR_TOKEN");
+    b.environment().putAll(env);
+    return b;
+  }
+
+  /** Starts a process that stays, and waits for its line `ready …`. */
+  Service start(String... args) throws Exception {
+    File out = folder.resolve("out" + made).toFile();
+    File err = folder.resolve("err" + made++).toFile();
+    Process p = builder(Map.of(), args).redirectOutput(out).redirectError(err).start();
+    running.add(p);
+    for (int i = 0; i < 6000 && p.isAlive(); i++) {
+      String text = Files.readString(out.toPath());
+      if (text.startsWith("ready ") && text.endsWith("\n")) {
+        return new Service(p, text.strip(), err.toPath());
+      }
+      Thread.sleep(10);
+    }
+    throw new AssertionError("not ready: " + Files.readString(err.toPath()));
+  }
+
+  /** Runs a command to its end. */
+  Ended run(Map<String, String> env, String... args) throws Exception {
+    return begin(env, args).end();
+  }
+
+  Begun begin(Map<String, String> env, String... args) throws IOException {
+    File out = folder.resolve("out" + made).toFile();
+    File err = folder.resolve("err" + made++).toFile();
+    Process p = builder(env, args).redirectOutput(out).redirectError(err).start();
+    running.add(p);
+    return new Begun(p, out.toPath(), err.toPath());
+  }
+
+  /** A command under way. */
+  record Begun(Process process, Path out, Path err) {
+    Ended end() throws Exception {
+      if (!process.waitFor(120, TimeUnit.SECONDS)) {
+        process.destroyForcibly();
+        throw new AssertionError("hangs: " + Files.readString(err));
+      }
+      return new Ended(process.exitValue(), Files.readString(out), Files.readString(err));
+    }
+  }
+
+  /** A process that serves. */
+  record Service(Process process, String ready, Path err) {
+    /** An address of its line. */
+    String address(String name) {
+      for (String word : ready.split(" ")) {
+        if (word.startsWith(name + "=")) {
+          return word.substring(name.length() + 1);
+        }
+      }
+      throw new AssertionError(name + " is not in: " + ready);
+    }
+
+    /** SIGKILL. */
+    void kill() throws InterruptedException {
+      process.destroyForcibly();
+      process.waitFor(20, TimeUnit.SECONDS);
+    }
+
+    /** SIGTERM; the exit code. */
+    int terminate() throws InterruptedException {
+      process.destroy();
+      if (!process.waitFor(30, TimeUnit.SECONDS)) {
+        throw new AssertionError("does not end");
+      }
+      return process.exitValue();
+    }
+  }
+
+  @Override
+  public void close() {
+    running.forEach(Process::destroyForcibly);
+  }
+}
