--- a/src/test/java/dapplestair/netty/HttpLoopbackTest.java
+++ b/src/test/java/dapplestair/netty/HttpLoopbackTest.java
@@ -97,4 +97,38 @@
       assertEquals(HttpReply.UNKNOWN, r.status());
     }
   }
+
+  /** An orderly end: what is open is answered, what comes is told to go elsewhere. */
+  @Test
+  void anOrderlyEndAnswersWhatIsOpen() throws Exception {
+    java.util.concurrent.CompletableFuture<dapplestair.ports.Exchange> asked =
+        new java.util.concurrent.CompletableFuture<>();
+    HttpServer ending = new HttpServer(loop, HttpServer.Options.users(5), asked::complete);
+    int at = ending.start(new Address("127.0.0.1", 0));
+    try (Socket s = new Socket(InetAddress.getLoopbackAddress(), at);
+        Socket kept = new Socket(InetAddress.getLoopbackAddress(), at)) {
+      s.setSoTimeout(20_000);
+      kept.setSoTimeout(20_000);
+      byte[] request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+      s.getOutputStream().write(request);
+      dapplestair.ports.Exchange open = asked.get();
+      java.util.concurrent.CountDownLatch answered = new java.util.concurrent.CountDownLatch(1);
+      java.util.concurrent.CountDownLatch drained = new java.util.concurrent.CountDownLatch(1);
+      loop.executor()
+          .execute(
+              () -> {
+                ending.drain(answered::countDown);
+                drained.countDown();
+              });
+      drained.await();
+      kept.getOutputStream().write(request);
+      String late = new String(kept.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1);
+      assertEquals("HTTP/1.1 503", late);
+      assertEquals(1, answered.getCount());
+      loop.executor().execute(() -> open.reply(200, new byte[0], 0));
+      String first = new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      assertTrue(first.startsWith("HTTP/1.1 200") && first.contains("connection: close"), first);
+      answered.await();
+    }
+  }
 }
--- a/src/test/java/dapplestair/session/PressureTest.java
+++ b/src/test/java/dapplestair/session/PressureTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.admin.Tokens;
 import dapplestair.json.Json;
 import java.io.InputStream;
 import java.net.Socket;
@@ -12,10 +13,12 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
@@ -54,6 +57,54 @@
     }
   }
 
+  /** Roles are kept, figures are served, and every logged line is JSON. */
+  @Test
+  void tokensRolesFiguresAndLines() throws Exception {
+    Files.writeString(
+        folder.resolve("tokens"),
+        "vera view " + Tokens.hash("v") + "\notto operate " + Tokens.hash("o") + "\n");
+    Path operator = folder.resolve("operator.textproto");
+    Files.writeString(operator, "admin { listen: \"127.0.0.1:0\" tokens: \"tokens\" }\n");
+    try (Processes p = new Processes(folder)) {
+      Processes.Service d =
+          p.start(
+              Map.of("LOG_FORMAT", "json", "LOG_LEVEL", "debug"),
+              "daemon", "--listen", "127.0.0.1:0", "--operator", operator.toString());
+      String admin = "http://" + d.address("admin");
+      assertEquals(401, ask(admin, "/v1/status", null, null));
+      assertEquals(401, ask(admin, "/metrics", "wrong", null));
+      assertEquals(200, ask(admin, "/v1/status", "v", null));
+      assertEquals(403, ask(admin, "/v1/zones/a/drain", "v", "{}"));
+      assertEquals(403, ask(admin, "/submissions", "v", job(1)));
+      assertEquals(200, ask(admin, "/v1/zones/a/drain", "o", "{}"));
+      assertEquals(201, ask(admin, "/submissions", "o", job(1)));
+      assertEquals(200, ask(admin, "/submissions/pr-00001", "v", null));
+      HttpResponse<byte[]> figures =
+          send(request(admin, "/metrics", "v"));
+      String text = new String(figures.body(), StandardCharsets.UTF_8);
+      assertTrue(text.contains("\ndapplestair_leading 1.0\n"), text);
+      assertTrue(text.contains("dapplestair_submission_accept_seconds_bucket{le="), text);
+      assertEquals(0, d.terminate());
+      List<String> lines = Files.readAllLines(d.err());
+      assertTrue(lines.size() > 5);
+      for (String line : lines) {
+        JsonNode n = Json.parse(line.getBytes(StandardCharsets.UTF_8));
+        assertTrue(n.path("message").isTextual(), line);
+      }
+      assertTrue(lines.stream().anyMatch(l -> l.contains("{\"kind\":\"drain\"}")));
+    }
+  }
+
+  private static HttpRequest.Builder request(String admin, String path, String token) {
+    HttpRequest.Builder b = HttpRequest.newBuilder(URI.create(admin + path));
+    return token == null ? b : b.header("Authorization", "Bearer " + token);
+  }
+
+  private int ask(String admin, String path, String token, String body) throws Exception {
+    HttpRequest.Builder b = request(admin, path, token);
+    return send(body == null ? b : b.POST(HttpRequest.BodyPublishers.ofString(body))).statusCode();
+  }
+
   private void bodies(String admin) throws Exception {
     URI drain = URI.create(admin + "/v1/machines/n-000000/drain");
     String most = "{\"why\":\"" + "x".repeat(64 * 1024 - 10) + "\"}";
--- a/src/test/java/dapplestair/session/Processes.java
+++ b/src/test/java/dapplestair/session/Processes.java
@@ -44,9 +44,14 @@
 
   /** Starts a process that stays, and waits for its line `ready …`. */
   public Service start(String... args) throws Exception {
+    return start(Map.of(), args);
+  }
+
+  /** The same with these variables. */
+  public Service start(Map<String, String> env, String... args) throws Exception {
     File out = folder.resolve("out" + made).toFile();
     File err = folder.resolve("err" + made++).toFile();
-    Process p = builder(Map.of(), args).redirectOutput(out).redirectError(err).start();
+    Process p = builder(env, args).redirectOutput(out).redirectError(err).start();
     running.add(p);
     for (int i = 0; i < 6000 && p.isAlive(); i++) {
       String text = Files.readString(out.toPath());
--- a/src/test/java/dapplestair/world/OperatorsTest.java
+++ b/src/test/java/dapplestair/world/OperatorsTest.java
@@ -257,6 +257,96 @@
     assertTrue(named);
   }
 
+  /** Machines of both kinds are up in all zones, and the cloud has no more to give. */
+  private static World full(long seed, int perPlace) {
+    World w = quiet(seed, new World.Size(perPlace, 1000, 1_000_000, 1));
+    w.users.array("one", "standard", 60, 15);
+    w.users.changed("one", 60, 15, b -> b.put("loaners", false));
+    w.run(60_000);
+    w.cloud.setCapacity(0);
+    return w;
+  }
+
+  @Test
+  void spotMachinesThatAJobDoesNotWantAreNamed() {
+    World w = full(6, 1);
+    Users.Told job = w.users.changed("one", 40, 300, b -> b.put("loaners", false));
+    w.run(12_000);
+    JsonNode why = answer(w, "/v1/jobs/" + job.ref + "/why");
+    assertEquals(Set.of(), difference(Set.of("spot", "full"), reasons(w, job)), why.toString());
+  }
+
+  private static Set<String> difference(Set<String> wanted, Set<String> found) {
+    Set<String> out = new HashSet<>(wanted);
+    out.removeAll(found);
+    return out;
+  }
+
+  @Test
+  void theOnlyZoneAllowedIsNamed() {
+    World w = full(7, 1);
+    Users.Told job = w.users.changed("one", 40, 300, b -> b.put("basin", "b"));
+    w.run(12_000);
+    Set<String> all = reasons(w, job);
+    assertEquals(Set.of(), difference(Set.of("not-allowed", "full"), all), all.toString());
+  }
+
+  @Test
+  void theZoneOfTheOtherTasksIsNamed() {
+    World w = quiet(8, new World.Size(1, 1000, 1_000_000, 1));
+    w.users.array("one", "standard", 12, 8);
+    w.run(24_000);
+    w.cloud.setCapacity(0);
+    Users.Told job = w.users.changed("one", 14, 300, b -> b.put("together", true));
+    w.run(3000);
+    Set<String> all = reasons(w, job);
+    assertTrue(all.contains("together"), all + " " + answer(w, "/v1/machines"));
+  }
+
+  @Test
+  void aCrowdedZoneIsNamed() {
+    World w = quiet(9, new World.Size(2, 1000, 1_000_000, 1));
+    order(w, "/v1/zones/b/drain", Json.object());
+    order(w, "/v1/zones/c/drain", Json.object());
+    Users.Told job = w.users.service("one", 6);
+    w.run(40_000);
+    Set<String> all = reasons(w, job);
+    assertTrue(all.contains("spread"), all.toString());
+    assertEquals(3, running(w, job));
+  }
+
+  @Test
+  void aGangThatNeedsMoreRoomIsNamed() {
+    World w = full(10, 1);
+    Users.Told job = w.users.changed("one", 60, 300, b -> b.put("shape", "gang"));
+    w.run(12_000);
+    JsonNode why = answer(w, "/v1/jobs/" + job.ref + "/why");
+    boolean named = false;
+    for (JsonNode r : why.path("reasons")) {
+      int room = r.path("room_for").asInt(-1);
+      named |= r.path("reason").asText().equals("gang") && room > 0 && room < 60;
+    }
+    assertTrue(named, why.toString());
+  }
+
+  @Test
+  void machinesThatFailEverythingAreNamed() {
+    World w = full(14, 1);
+    // What was empty has gone back meanwhile; some are up again for this.
+    w.cloud.setCapacity(1);
+    w.users.array("one", "standard", 20, 10);
+    w.run(12_000);
+    w.cloud.machines().forEach(EmulatedWorker::sicken);
+    w.users.array("one", "standard", 6, 10);
+    w.users.array("two", "standard", 6, 10);
+    w.run(10_000);
+    w.cloud.setDown(true);
+    Users.Told job = w.users.array("one", "standard", 6, 10);
+    w.run(20_000);
+    Set<String> all = reasons(w, job);
+    assertTrue(all.contains("faulty") || all.contains("returning"), all.toString());
+  }
+
   // ---- drain ----
 
   private static long running(World w, Users.Told job) {
--- a/src/test/java/dapplestair/world/Users.java
+++ b/src/test/java/dapplestair/world/Users.java
@@ -6,6 +6,7 @@
 import dapplestair.ports.HttpReply;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /** Users who submit, poll and withdraw, repeat what failed, and remember what they were told. */
 final class Users {
@@ -91,13 +92,33 @@
 
   /** Submits one array of two-CPU tasks that never save, besides the random ones. */
   Told array(String team, String rank, int steps, double runS) {
+    return changed(team, steps, runS, b -> b.put("rank", rank));
+  }
+
+  /** Submits one service of one-CPU replicas, spread over zones, besides the random ones. */
+  Told service(String team, int replicas) {
+    return changed(
+        team,
+        replicas,
+        0,
+        b ->
+            b.put("shape", "daemon")
+                .put("jobclass", "serve")
+                .put("rank", "critical")
+                .put("vcpus", 1.0)
+                .put("apart", true)
+                .put("loaners", false));
+  }
+
+  /** Submits one such array, changed by the test. */
+  Told changed(String team, int steps, double runS, Consumer<ObjectNode> change) {
     ObjectNode b =
         Json.object()
-            .put("ref", String.format("xx-%06d", ++made))
+            .put("ref", String.format("ch-%06d", ++made))
             .put("jobclass", "batch")
             .put("owner", team)
             .put("shape", "sweep")
-            .put("rank", rank)
+            .put("rank", "standard")
             .put("steps", steps)
             .put("vcpus", 2.0)
             .put("accelerators", 0.0)
@@ -110,33 +131,7 @@
             .put("guessS", runS)
             .put("snapshotEveryS", 0.0)
             .put("snapshotS", 0.0);
-    Told t = new Told(b);
-    told.put(t.ref, t);
-    submit(t, world.sim.now() + 60_000);
-    return t;
-  }
-
-  /** Submits one service of one-CPU replicas, spread over zones, besides the random ones. */
-  Told service(String team, int replicas) {
-    ObjectNode b =
-        Json.object()
-            .put("ref", String.format("sv-%06d", ++made))
-            .put("jobclass", "serve")
-            .put("owner", team)
-            .put("shape", "daemon")
-            .put("rank", "critical")
-            .put("steps", replicas)
-            .put("vcpus", 1.0)
-            .put("accelerators", 0.0)
-            .put("memoryGb", 1.0)
-            .put("bundle", "img-2")
-            .put("imageGb", 0.5)
-            .put("together", false)
-            .put("apart", true)
-            .put("loaners", false)
-            .put("guessS", 0.0)
-            .put("snapshotEveryS", 0.0)
-            .put("snapshotS", 0.0);
+    change.accept(b);
     Told t = new Told(b);
     told.put(t.ref, t);
     submit(t, world.sim.now() + 60_000);
@@ -241,7 +236,7 @@
       String path,
       byte[] body,
       long timeout,
-      java.util.function.Consumer<HttpReply> done) {
+      Consumer<HttpReply> done) {
     world.net.call("users", someNode(), method, path, body, timeout, done);
   }
 
