--- a/src/main/java/dapplestair/cli/Main.java
+++ b/src/main/java/dapplestair/cli/Main.java
@@ -5,6 +5,9 @@
 import dapplestair.client.JobCommand;
 import dapplestair.client.MachineCommand;
 import dapplestair.keys.KeysCommand;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Supplier;
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -36,31 +39,37 @@
     }
   }
 
+  private static Map<String, Supplier<Object>> all() {
+    Map<String, Supplier<Object>> out = new LinkedHashMap<>();
+    out.put("daemon", DaemonCommand::new);
+    out.put("emulate", EmulateCommand::new);
+    out.put("controller", ControllerCommand::new);
+    out.put("check-config", CheckConfigCommand::new);
+    out.put("job", JobCommand::new);
+    out.put("machine", MachineCommand::new);
+    out.put("team", ClusterCommands.Team::new);
+    out.put("plan", ClusterCommands.Plan::new);
+    out.put("event", ClusterCommands.Event::new);
+    out.put("status", ClusterCommands.Status::new);
+    out.put("context", ContextCommand::new);
+    out.put("keys", KeysCommand::new);
+    out.put("rehearse", RehearseCommand::new);
+    return out;
+  }
+
   /**
-   * The commands. A controller starts on a small machine: it does not load those that are not for
-   * it.
+   * The commands: the one that is asked for, or else all. To read the description of a command
+   * takes time, of which a controller on a small machine has little.
    */
   static CommandLine commands(String... args) {
-    CommandLine all = new CommandLine(new Main());
-    if (args.length > 0 && args[0].equals("controller")) {
-      return all.addSubcommand(new ControllerCommand());
-    }
-    if (args.length > 0 && args[0].equals("rehearse")) {
-      return all.addSubcommand(new RehearseCommand());
+    CommandLine root = new CommandLine(new Main());
+    Supplier<Object> one = args.length > 0 ? all().get(args[0]) : null;
+    if (one != null) {
+      return root.addSubcommand(one.get());
     }
-    return all.addSubcommand(new DaemonCommand())
-        .addSubcommand(new EmulateCommand())
-        .addSubcommand(new ControllerCommand())
-        .addSubcommand(new CheckConfigCommand())
-        .addSubcommand(new JobCommand())
-        .addSubcommand(new MachineCommand())
-        .addSubcommand(new ClusterCommands.Team())
-        .addSubcommand(new ClusterCommands.Plan())
-        .addSubcommand(new ClusterCommands.Event())
-        .addSubcommand(new ClusterCommands.Status())
-        .addSubcommand(new ContextCommand())
-        .addSubcommand(new KeysCommand())
-        .addSubcommand(new AutoComplete.GenerateCompletion());
+    all().values().forEach(c -> root.addSubcommand(c.get()));
+    return root.addSubcommand(new AutoComplete.GenerateCompletion())
+        .addSubcommand(new CommandLine.HelpCommand());
   }
 
   @Override
--- a/src/main/java/dapplestair/client/Api.java
+++ b/src/main/java/dapplestair/client/Api.java
@@ -12,6 +12,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.net.http.HttpTimeoutException;
+import java.security.GeneralSecurityException;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Locale;
@@ -20,7 +21,9 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import javax.net.ssl.SSLContext;
 import javax.net.ssl.SSLException;
+import javax.net.ssl.TrustManager;
 
 /**
  * Asks the endpoints in turn until one answers for good, within one time for all of it. An answer
@@ -42,13 +45,22 @@
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofMillis(timeoutMs));
     boolean secure = context.endpoints().stream().anyMatch(e -> e.startsWith("https:"));
-    if (secure) {
-      b.sslContext(tls(context));
-    }
+    b.sslContext(secure ? tls(context) : noTls());
     this.http = b.build();
   }
 
-  private static javax.net.ssl.SSLContext tls(Contexts.Context c) throws Failure {
+  /** For plain HTTP alone: the JDK's client would else read all authorities of this machine. */
+  private static SSLContext noTls() throws Failure {
+    try {
+      SSLContext none = SSLContext.getInstance("TLS");
+      none.init(null, new TrustManager[0], null);
+      return none;
+    } catch (GeneralSecurityException e) {
+      throw new Failure(1, e.getMessage());
+    }
+  }
+
+  private static SSLContext tls(Contexts.Context c) throws Failure {
     try {
       SslContextBuilder b = SslContextBuilder.forClient().sslProvider(SslProvider.JDK);
       if (c.authority() != null) {
