--- a/src/main/java/dapplestair/cli/Main.java
+++ b/src/main/java/dapplestair/cli/Main.java
@@ -5,9 +5,7 @@
 import dapplestair.client.JobCommand;
 import dapplestair.client.MachineCommand;
 import dapplestair.keys.KeysCommand;
-import java.util.LinkedHashMap;
-import java.util.Map;
-import java.util.function.Supplier;
+import java.util.List;
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -39,35 +37,52 @@
     }
   }
 
-  private static Map<String, Supplier<Object>> all() {
-    Map<String, Supplier<Object>> out = new LinkedHashMap<>();
-    out.put("daemon", DaemonCommand::new);
-    out.put("emulate", EmulateCommand::new);
-    out.put("controller", ControllerCommand::new);
-    out.put("check-config", CheckConfigCommand::new);
-    out.put("job", JobCommand::new);
-    out.put("machine", MachineCommand::new);
-    out.put("team", ClusterCommands.Team::new);
-    out.put("plan", ClusterCommands.Plan::new);
-    out.put("event", ClusterCommands.Event::new);
-    out.put("status", ClusterCommands.Status::new);
-    out.put("context", ContextCommand::new);
-    out.put("keys", KeysCommand::new);
-    out.put("rehearse", RehearseCommand::new);
-    return out;
+  private static final List<String> COMMANDS =
+      List.of(
+          "daemon",
+          "emulate",
+          "controller",
+          "check-config",
+          "job",
+          "machine",
+          "team",
+          "plan",
+          "event",
+          "status",
+          "context",
+          "keys",
+          "rehearse");
+
+  private static Object command(String name) {
+    return switch (name) {
+      case "daemon" -> new DaemonCommand();
+      case "emulate" -> new EmulateCommand();
+      case "controller" -> new ControllerCommand();
+      case "check-config" -> new CheckConfigCommand();
+      case "job" -> new JobCommand();
+      case "machine" -> new MachineCommand();
+      case "team" -> new ClusterCommands.Team();
+      case "plan" -> new ClusterCommands.Plan();
+      case "event" -> new ClusterCommands.Event();
+      case "status" -> new ClusterCommands.Status();
+      case "context" -> new ContextCommand();
+      case "keys" -> new KeysCommand();
+      case "rehearse" -> new RehearseCommand();
+      default -> null;
+    };
   }
 
   /**
-   * The commands: the one that is asked for, or else all. To read the description of a command
-   * takes time, of which a controller on a small machine has little.
+   * The commands: the one that is asked for, or else all. To load and read the description of a
+   * command takes time, of which a controller on a small machine has little.
    */
   static CommandLine commands(String... args) {
     CommandLine root = new CommandLine(new Main());
-    Supplier<Object> one = args.length > 0 ? all().get(args[0]) : null;
+    Object one = args.length > 0 ? command(args[0]) : null;
     if (one != null) {
-      return root.addSubcommand(one.get());
+      return root.addSubcommand(one);
     }
-    all().values().forEach(c -> root.addSubcommand(c.get()));
+    COMMANDS.forEach(c -> root.addSubcommand(command(c)));
     return root.addSubcommand(new AutoComplete.GenerateCompletion())
         .addSubcommand(new CommandLine.HelpCommand());
   }
--- a/src/test/java/dapplestair/session/PressureTest.java
+++ b/src/test/java/dapplestair/session/PressureTest.java
@@ -69,7 +69,11 @@
       Processes.Service d =
           p.start(
               Map.of("LOG_FORMAT", "json", "LOG_LEVEL", "debug"),
-              "daemon", "--listen", "127.0.0.1:0", "--operator", operator.toString());
+              "daemon",
+              "--listen",
+              "127.0.0.1:0",
+              "--operator",
+              operator.toString());
       String admin = "http://" + d.address("admin");
       assertEquals(401, ask(admin, "/v1/status", null, null));
       assertEquals(401, ask(admin, "/metrics", "wrong", null));
@@ -79,8 +83,7 @@
       assertEquals(200, ask(admin, "/v1/zones/a/drain", "o", "{}"));
       assertEquals(201, ask(admin, "/submissions", "o", job(1)));
       assertEquals(200, ask(admin, "/submissions/pr-00001", "v", null));
-      HttpResponse<byte[]> figures =
-          send(request(admin, "/metrics", "v"));
+      HttpResponse<byte[]> figures = send(request(admin, "/metrics", "v"));
       String text = new String(figures.body(), StandardCharsets.UTF_8);
       assertTrue(text.contains("\ndapplestair_leading 1.0\n"), text);
       assertTrue(text.contains("dapplestair_submission_accept_seconds_bucket{le="), text);
--- a/src/test/java/dapplestair/world/Users.java
+++ b/src/test/java/dapplestair/world/Users.java
@@ -232,11 +232,7 @@
   }
 
   private void call(
-      String method,
-      String path,
-      byte[] body,
-      long timeout,
-      Consumer<HttpReply> done) {
+      String method, String path, byte[] body, long timeout, Consumer<HttpReply> done) {
     world.net.call("users", someNode(), method, path, body, timeout, done);
   }
 
