A body that is no JSON object gets 400 from the operators' interface; an address in use is one line

Need: a drain with a garbled body was taken as one without any; a port in use ended daemon and emulate with a trace.

Change: both refused plainly; a test sends half a JSON object.

--- a/src/main/java/dapplestair/admin/AdminDesk.java
+++ b/src/main/java/dapplestair/admin/AdminDesk.java
@@ -127,6 +127,8 @@
       reply(x, Answer.error(404, "no such path"));
     } else if (!q.method().equals(route.role() == Role.VIEW ? "GET" : "POST")) {
       reply(x, Answer.error(405, "use " + (route.role() == Role.VIEW ? "GET" : "POST")));
+    } else if (!q.body().isObject()) {
+      reply(x, Answer.error(400, "the body is not a JSON object"));
     } else if (!q.caller().role().covers(route.role())) {
       reply(x, Answer.error(403, "this needs the role " + route.role().shown()));
     } else if (open >= MOST_OPEN) {
--- a/src/main/java/dapplestair/cli/DaemonCommand.java
+++ b/src/main/java/dapplestair/cli/DaemonCommand.java
@@ -7,7 +7,6 @@
 import dapplestair.settings.OperatorLoader;
 import dapplestair.settings.Settings.Address;
 import dapplestair.settings.SettingsException;
-import java.net.BindException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -78,13 +77,6 @@
       return run(settings, operator, users);
     } catch (SettingsException e) {
       return SettingsOptions.refuse(e);
-    } catch (Exception e) {
-      // Netty throws what it does not declare.
-      if (e instanceof BindException) {
-        System.err.println("dapplestair: " + e.getMessage());
-        return 1;
-      }
-      throw e;
     }
   }
 
--- a/src/main/java/dapplestair/cli/Main.java
+++ b/src/main/java/dapplestair/cli/Main.java
@@ -5,6 +5,7 @@
 import dapplestair.client.JobCommand;
 import dapplestair.client.MachineCommand;
 import dapplestair.keys.KeysCommand;
+import java.net.BindException;
 import java.util.List;
 import picocli.AutoComplete;
 import picocli.CommandLine;
@@ -31,12 +32,22 @@
   /** Runs a command; the exit code is 2 for wrong usage or settings. */
   public static void main(String[] args) {
     Logging.begin(System.getenv());
-    int code = commands(args).execute(args);
+    int code = commands(args).setExecutionExceptionHandler(Main::failed).execute(args);
     if (code != ControllerCommand.STAYS) {
       System.exit(code);
     }
   }
 
+  /** An address in use is the caller's mistake: one line, not a trace. */
+  private static int failed(Exception e, CommandLine of, CommandLine.ParseResult parsed)
+      throws Exception {
+    if (e instanceof BindException) {
+      of.getErr().println("dapplestair: cannot listen: " + e.getMessage());
+      return 1;
+    }
+    throw e;
+  }
+
   private static final List<String> COMMANDS =
       List.of(
           "daemon",
--- a/src/test/java/dapplestair/session/PressureTest.java
+++ b/src/test/java/dapplestair/session/PressureTest.java
@@ -124,6 +124,10 @@
     HttpResponse<byte[]> long_ =
         send(HttpRequest.newBuilder(URI.create(admin + "/v1/jobs?where=" + where)));
     assertEquals(400, long_.statusCode());
+    assertEquals(
+        400,
+        send(HttpRequest.newBuilder(drain).POST(HttpRequest.BodyPublishers.ofString("{\"why\":")))
+            .statusCode());
     assertEquals(
         405,
         send(HttpRequest.newBuilder(URI.create(admin + "/v1/machines/n-1/drain"))).statusCode());
