--- a/src/test/java/dapplestair/world/OperatorsTest.java
+++ b/src/test/java/dapplestair/world/OperatorsTest.java
@@ -329,6 +329,17 @@
     assertTrue(named, why.toString());
   }
 
+  @Test
+  void aGangThatHasWaitedLongIsNamedToThoseBehindIt() {
+    World w = full(15, 1);
+    w.users.changed("one", 60, 10, b -> b.put("shape", "gang"));
+    w.run(45_000);
+    Users.Told behind = w.users.array("one", "standard", 6, 300);
+    w.run(4000);
+    Set<String> all = reasons(w, behind);
+    assertTrue(all.contains("behind-gang"), all.toString());
+  }
+
   @Test
   void machinesThatFailEverythingAreNamed() {
     World w = full(14, 1);
