Options of listings, keys and daemons written once; what nothing called is taken out

Change: mixins Where and EmulatorOptions, a base class for commands with a role, Role made public, JobViews.status; the parameter, the lists and the methods are gone.

Result: 180 tests pass as they stood.

--- a/src/main/java/dapplestair/admin/JobViews.java
+++ b/src/main/java/dapplestair/admin/JobViews.java
@@ -67,13 +67,18 @@
     int[] counts = ledger.counts(job);
     return new JobRow(
         job.spec(),
-        counts[1] > 0 ? "running" : "queued",
+        status(counts),
         counts[0],
         counts[1],
         Math.max(0, job.spec().steps() - counts[0] - counts[1]),
         age(job.acceptedWall()));
   }
 
+  /** The word for a job that is not over, by {@link Ledger#counts}. */
+  static String status(int[] counts) {
+    return counts[1] > 0 ? "running" : "queued";
+  }
+
   private double age(long acceptedWall) {
     return Math.max(0, clock.wall() - acceptedWall) / 1000.0;
   }
@@ -210,7 +215,7 @@
     ObjectNode o =
         moment
             .object()
-            .put("status", counts[1] > 0 ? "running" : "queued")
+            .put("status", status(counts))
             .put("accepted", job.acceptedWall())
             .put("age", age(job.acceptedWall()))
             .put("tasks", s.steps())
--- a/src/main/java/dapplestair/admin/Question.java
+++ b/src/main/java/dapplestair/admin/Question.java
@@ -4,24 +4,24 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.json.Json;
 import io.netty.handler.codec.http.QueryStringDecoder;
-import java.util.List;
+import java.util.HashMap;
 import java.util.Map;
 
 /** One request, as it also travels to the leader. */
 record Question(
-    String method, String path, Map<String, List<String>> params, JsonNode body, Caller caller) {
+    String method, String path, Map<String, String> params, JsonNode body, Caller caller) {
 
   static Question read(String method, String path, String query, byte[] body, Caller caller) {
-    Map<String, List<String>> params =
-        query.isEmpty() ? Map.of() : new QueryStringDecoder(query, false).parameters();
+    Map<String, String> params = new HashMap<>();
+    // Given more than once, the first one counts.
+    new QueryStringDecoder(query, false).parameters().forEach((k, v) -> params.put(k, v.get(0)));
     return new Question(
         method, path, params, body.length == 0 ? Json.object() : Json.parse(body), caller);
   }
 
   /** A parameter, or null. */
   String param(String name) {
-    List<String> v = params.get(name);
-    return v == null || v.isEmpty() ? null : v.get(0);
+    return params.get(name);
   }
 
   /** A whole number from the query, kept between bounds. */
@@ -49,16 +49,14 @@
   ObjectNode toJson() {
     ObjectNode o = Json.object().put("method", method).put("path", path);
     ObjectNode p = o.putObject("params");
-    params.forEach((k, v) -> p.put(k, v.get(0)));
+    params.forEach(p::put);
     o.set("body", body);
     return o.put("who", caller.name()).put("role", caller.role().shown());
   }
 
   static Question parse(JsonNode n) {
-    Map<String, List<String>> params = new java.util.HashMap<>();
-    n.path("params")
-        .fields()
-        .forEachRemaining(e -> params.put(e.getKey(), List.of(e.getValue().asText())));
+    Map<String, String> params = new HashMap<>();
+    n.path("params").fields().forEachRemaining(e -> params.put(e.getKey(), e.getValue().asText()));
     Role role = Role.of(n.path("role").asText());
     return role == null
         ? null
--- a/src/main/java/dapplestair/admin/Role.java
+++ b/src/main/java/dapplestair/admin/Role.java
@@ -1,7 +1,7 @@
 package dapplestair.admin;
 
 /** What a caller may do. */
-enum Role {
+public enum Role {
   /** Look. */
   VIEW,
   /** Change things, too. */
@@ -11,7 +11,8 @@
     return ordinal() >= needed.ordinal();
   }
 
-  static Role of(String word) {
+  /** The role of this name, or null. */
+  public static Role of(String word) {
     for (Role r : values()) {
       if (r.shown().equals(word)) {
         return r;
--- a/src/main/java/dapplestair/admin/Routes.java
+++ b/src/main/java/dapplestair/admin/Routes.java
@@ -59,8 +59,8 @@
     String[] parts = q.path().substring(V1.length()).split("/", -1);
     return switch (parts.length) {
       case 1 -> all(q, parts[0]);
-      case 2 -> one(q, parts[0], parts[1]);
-      case 3 -> part(q, parts[0], parts[1], parts[2]);
+      case 2 -> one(parts[0], parts[1]);
+      case 3 -> part(parts[0], parts[1], parts[2]);
       default -> null;
     };
   }
@@ -82,7 +82,7 @@
     };
   }
 
-  private Route one(Question q, String what, String name) {
+  private Route one(String what, String name) {
     return switch (what) {
       case "jobs" ->
           view(
@@ -99,7 +99,7 @@
     };
   }
 
-  private Route part(Question q, String what, String name, String part) {
+  private Route part(String what, String name, String part) {
     if (what.equals("jobs") && part.equals("why")) {
       return view(
           true,
--- a/src/main/java/dapplestair/admin/WhyView.java
+++ b/src/main/java/dapplestair/admin/WhyView.java
@@ -67,7 +67,7 @@
   private ObjectNode explained(Job job, Explanation e) {
     String ref = job.spec().ref();
     int[] counts = ledger.counts(job);
-    ObjectNode o = nothing(ref, counts[1] > 0 ? "running" : "queued");
+    ObjectNode o = nothing(ref, JobViews.status(counts));
     o.put("waiting_tasks", e.waiting());
     if (e.waiting() == 0) {
       return o;
--- a/src/main/java/dapplestair/cli/DaemonCommand.java
+++ b/src/main/java/dapplestair/cli/DaemonCommand.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /** One controller with everything it needs, on this machine. */
@@ -31,11 +32,7 @@
 final class DaemonCommand implements Callable<Integer> {
   private static final long READY_WITHIN_MS = 60_000;
 
-  @Option(
-      names = "--config",
-      paramLabel = "FILE",
-      description = "settings, TOML; all have defaults")
-  private Path config;
+  @Mixin private EmulatorOptions file;
 
   @Option(
       names = "--operator",
@@ -57,23 +54,17 @@
 
   @Override
   public Integer call() throws Exception {
-    DaemonSettings settings;
-    Operator operator;
-    Address users;
     try {
-      settings = config == null ? DaemonSettings.defaults() : DaemonSettings.load(config);
-      operator = operatorFile == null ? Operator.defaults() : OperatorLoader.load(operatorFile);
-      users = EmulateCommand.address("--listen", listen, settings.listen());
+      DaemonSettings settings = file.settings();
+      Operator operator =
+          operatorFile == null ? Operator.defaults() : OperatorLoader.load(operatorFile);
+      Address users = EmulateCommand.address("--listen", listen, settings.listen());
       Address at = EmulateCommand.address("--admin", admin, settings.admin());
       // Unless the operators' file says who may come, everybody on this machine may.
       if (operator.admin() == null) {
         operator = operator.withAdmin(Operator.Admin.open(at));
         OperatorLoader.check(operator.admin());
       }
-    } catch (SettingsException e) {
-      return SettingsOptions.refuse(e);
-    }
-    try {
       return run(settings, operator, users);
     } catch (SettingsException e) {
       return SettingsOptions.refuse(e);
--- a/src/main/java/dapplestair/cli/EmulateCommand.java
+++ b/src/main/java/dapplestair/cli/EmulateCommand.java
@@ -4,9 +4,9 @@
 import dapplestair.daemon.Emulation;
 import dapplestair.settings.Settings.Address;
 import dapplestair.settings.SettingsException;
-import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /** Only the stand-ins, so that the cluster outlives a daemon. */
@@ -22,11 +22,7 @@
       "  dapplestair daemon --outside 127.0.0.1:8082"
     })
 final class EmulateCommand implements Callable<Integer> {
-  @Option(
-      names = "--config",
-      paramLabel = "FILE",
-      description = "settings, TOML; all have defaults")
-  private Path config;
+  @Mixin private EmulatorOptions file;
 
   @Option(names = "--listen", paramLabel = "HOST:PORT", description = "where they are served")
   private String listen;
@@ -34,8 +30,7 @@
   @Override
   public Integer call() throws Exception {
     try {
-      DaemonSettings settings =
-          config == null ? DaemonSettings.defaults() : DaemonSettings.load(config);
+      DaemonSettings settings = file.settings();
       Address at = address("--listen", listen, settings.outside());
       Emulation emulation = new Emulation(settings);
       int port = emulation.start(at);
--- a/src/main/java/dapplestair/client/ClientCommand.java
+++ b/src/main/java/dapplestair/client/ClientCommand.java
@@ -1,9 +1,6 @@
 package dapplestair.client;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import dapplestair.filter.Filter;
-import dapplestair.filter.FilterException;
-import dapplestair.filter.Schema;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -39,23 +36,13 @@
     return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
   }
 
-  /** A mistake is shown here, before anybody is asked. */
-  static String checked(String where, Schema schema) throws Failure {
-    try {
-      Filter.read(where, schema);
-      return where == null || where.isBlank() ? "" : "&where=" + encoded(where);
-    } catch (FilterException e) {
-      throw new Failure(Failure.WRONG_USAGE, "--where:\n" + e.shown(where));
-    }
-  }
-
-  /** Reads page after page; {@code limit} 0 for all. */
-  static JsonNode pages(Api api, String path, int limit) throws Failure {
+  /** Reads page after page; {@code query} is added to each, {@code limit} 0 for all. */
+  static JsonNode pages(Api api, String path, String query, int limit) throws Failure {
     List<JsonNode> rows = new ArrayList<>();
     String after = "";
     while (true) {
       int want = limit == 0 ? PAGE : Math.min(PAGE, limit - rows.size());
-      JsonNode page = api.get(path + "limit=" + want + after);
+      JsonNode page = api.get(path + "?limit=" + want + query + after);
       page.path("rows").forEach(rows::add);
       boolean more = page.path("next").isTextual() && (limit == 0 || rows.size() < limit);
       if (!more) {
--- a/src/main/java/dapplestair/client/ClusterCommands.java
+++ b/src/main/java/dapplestair/client/ClusterCommands.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /** Teams, plan, events and the service itself. */
@@ -75,8 +76,7 @@
   static final class ListEvents extends ClientCommand {
     private static final long WAIT_MS = 10_000;
 
-    @Option(names = "--where", paramLabel = "EXPR", description = "only those that it holds for")
-    private String where;
+    @Mixin private Where where;
 
     @Option(
         names = "--limit",
@@ -90,7 +90,7 @@
 
     @Override
     int run(Api api, Output out) throws Failure {
-      String path = "/v1/events?limit=500" + checked(where, Schema.EVENTS);
+      String path = "/v1/events?limit=500" + where.query(Schema.EVENTS);
       List<JsonNode> rows = new ArrayList<>();
       JsonNode page = api.get(path);
       String after = page.path("next").asText("0");
--- a/src/main/java/dapplestair/client/Contexts.java
+++ b/src/main/java/dapplestair/client/Contexts.java
@@ -45,10 +45,6 @@
     }
   }
 
-  Path file() {
-    return file;
-  }
-
   String current() {
     return Json.text(root, "current");
   }
--- a/src/main/java/dapplestair/client/JobCommand.java
+++ b/src/main/java/dapplestair/client/JobCommand.java
@@ -14,6 +14,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
@@ -124,8 +125,7 @@
         "  dapplestair job list --over --limit 20 -o csv"
       })
   static final class ListJobs extends ClientCommand {
-    @Option(names = "--where", paramLabel = "EXPR", description = "only those that it holds for")
-    private String where;
+    @Mixin private Where where;
 
     @Option(
         names = "--limit",
@@ -139,8 +139,8 @@
 
     @Override
     int run(Api api, Output out) throws Failure {
-      String path = "/v1/jobs?" + (over ? "scope=over&" : "") + "all=1";
-      JsonNode answer = pages(api, path + checked(where, Schema.JOBS) + "&", Math.max(0, limit));
+      String query = (over ? "&scope=over" : "") + where.query(Schema.JOBS);
+      JsonNode answer = pages(api, "/v1/jobs", query, Math.max(0, limit));
       out.rows(
           answer,
           "ref",
--- a/src/main/java/dapplestair/client/MachineCommand.java
+++ b/src/main/java/dapplestair/client/MachineCommand.java
@@ -6,6 +6,7 @@
 import dapplestair.json.Json;
 import java.util.List;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
@@ -27,8 +28,7 @@
       description = "List machines.",
       footer = {"", "Example:  dapplestair machine list --where 'zone = a and state != up'"})
   static final class ListMachines extends ClientCommand {
-    @Option(names = "--where", paramLabel = "EXPR", description = "only those that it holds for")
-    private String where;
+    @Mixin private Where where;
 
     @Option(
         names = "--limit",
@@ -39,9 +39,8 @@
 
     @Override
     int run(Api api, Output out) throws Failure {
-      String path = "/v1/machines?all=1" + checked(where, Schema.MACHINES) + "&";
       out.rows(
-          pages(api, path, Math.max(0, limit)),
+          pages(api, "/v1/machines", where.query(Schema.MACHINES), Math.max(0, limit)),
           "id",
           "type",
           "zone",
--- a/src/main/java/dapplestair/daemon/Loopback.java
+++ b/src/main/java/dapplestair/daemon/Loopback.java
@@ -80,8 +80,7 @@
         });
   }
 
-  @Override
-  public void close(String name) {
+  private void close(String name) {
     HttpServer server = open.remove(name);
     if (server != null) {
       server.close();
--- a/src/main/java/dapplestair/drain/Emptying.java
+++ b/src/main/java/dapplestair/drain/Emptying.java
@@ -30,12 +30,7 @@
    * @param services replicas among them
    * @param held replicas that have no other place now, or wait for another one to run again
    */
-  public record Progress(int tasks, int services, int held) {
-    /** True when nothing is left. */
-    public boolean empty() {
-      return tasks == 0;
-    }
-  }
+  public record Progress(int tasks, int services, int held) {}
 
   private final Ledger ledger;
   private final WorkerDesk desk;
--- a/src/main/java/dapplestair/emulator/Surroundings.java
+++ b/src/main/java/dapplestair/emulator/Surroundings.java
@@ -24,9 +24,6 @@
   /** Puts a place under an address; {@code opened} is told which, soon. */
   void open(String name, Place place, Consumer<String> opened);
 
-  /** Takes the address away. Whoever calls it is refused. */
-  void close(String name);
-
   /** The machine of this name is gone for good: it is silent, and its address is not used again. */
   void silence(String name);
 
--- a/src/main/java/dapplestair/events/EventLog.java
+++ b/src/main/java/dapplestair/events/EventLog.java
@@ -70,11 +70,6 @@
     line.log("event");
   }
 
-  /** Number of the newest event. */
-  public long last() {
-    return last;
-  }
-
   /** Events after a number, oldest first. */
   public Iterable<Event> after(long number) {
     List<Event> out = new ArrayList<>();
@@ -89,11 +84,6 @@
     return out;
   }
 
-  /** True when events after this number were forgotten. */
-  public boolean forgotten(long number) {
-    return kept.size() == MOST_KEPT && kept.peek().number() > number + 1;
-  }
-
   /** Runs {@code task} at the next event; false when too many wait already. */
   public boolean next(Runnable task) {
     if (waiting.size() >= MOST_FOLLOWERS) {
--- a/src/main/java/dapplestair/keys/KeysCommand.java
+++ b/src/main/java/dapplestair/keys/KeysCommand.java
@@ -1,5 +1,6 @@
 package dapplestair.keys;
 
+import dapplestair.admin.Role;
 import dapplestair.admin.Tokens;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -12,7 +13,6 @@
 import java.time.Instant;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -26,8 +26,6 @@
     description = "Make keys and tokens for the operators' interface.",
     subcommands = {KeysCommand.Init.class, KeysCommand.Client.class, KeysCommand.Token.class})
 public final class KeysCommand {
-  private static final Set<String> ROLES = Set.of("view", "operate");
-
   /** What all of them share: a folder, and failures in one line. */
   abstract static class Making implements Callable<Integer> {
     @CommandLine.Spec CommandLine.Model.CommandSpec spec;
@@ -78,12 +76,22 @@
       write(folder.resolve(name + ".key"), issued.key(), true);
       write(folder.resolve(name + ".pem"), issued.certificate(), false);
     }
+  }
+
+  /** What is made for somebody with a role. */
+  abstract static class ForRole extends Making {
+    @Option(
+        names = "--role",
+        paramLabel = "ROLE",
+        defaultValue = "view",
+        description = "view or operate")
+    private String role;
 
-    static String role(String given) throws IOException {
-      if (!ROLES.contains(given)) {
-        throw new IOException("--role: " + given + ": must be view or operate");
+    String role() throws IOException {
+      if (Role.of(role) == null) {
+        throw new IOException("--role: " + role + ": must be view or operate");
       }
-      return given;
+      return role;
     }
   }
 
@@ -128,27 +136,20 @@
       name = "client",
       mixinStandardHelpOptions = true,
       description = "Make a client certificate in a folder made by `keys init`.")
-  static final class Client extends Making {
+  static final class Client extends ForRole {
     @Parameters(index = "0", paramLabel = "FOLDER")
     private Path folder;
 
     @Parameters(index = "1", paramLabel = "NAME")
     private String name;
 
-    @Option(
-        names = "--role",
-        paramLabel = "ROLE",
-        defaultValue = "view",
-        description = "view or operate")
-    private String role;
-
     @Override
     void make(Instant now) throws GeneralSecurityException, IOException {
       Authority ca =
           Authority.read(
               Files.readString(folder.resolve("authority.pem")),
               Files.readString(folder.resolve("authority.key")));
-      write(folder, "client-" + name, ca.client(name, role(role), now, lasts()));
+      write(folder, "client-" + name, ca.client(name, role(), now, lasts()));
       say("made " + folder.resolve("client-" + name + ".pem"));
     }
   }
@@ -157,7 +158,7 @@
       name = "token",
       mixinStandardHelpOptions = true,
       description = "Add a token to a file of tokens; it is printed once.")
-  static final class Token extends Making {
+  static final class Token extends ForRole {
     private static final int BYTES = 24;
 
     @Parameters(index = "0", paramLabel = "FILE")
@@ -166,19 +167,12 @@
     @Parameters(index = "1", paramLabel = "NAME")
     private String name;
 
-    @Option(
-        names = "--role",
-        paramLabel = "ROLE",
-        defaultValue = "view",
-        description = "view or operate")
-    private String role;
-
     @Override
     void make(Instant now) throws IOException {
       if (name.isBlank() || name.contains(" ") || name.startsWith("#")) {
         throw new IOException("a name has no blanks");
       }
-      String line = line(name, role(role), this);
+      String line = line(name, role(), this);
       Files.writeString(file, line, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
     }
 
--- a/src/test/java/dapplestair/world/Network.java
+++ b/src/test/java/dapplestair/world/Network.java
@@ -31,10 +31,6 @@
     places.put(name, place);
   }
 
-  void remove(String name) {
-    places.remove(name);
-  }
-
   private static Pair pair(String a, String b) {
     return a.compareTo(b) < 0 ? new Pair(a, b) : new Pair(b, a);
   }
--- a/src/test/java/dapplestair/world/World.java
+++ b/src/test/java/dapplestair/world/World.java
@@ -255,11 +255,6 @@
       opened.accept(address(name));
     }
 
-    @Override
-    public void close(String name) {
-      net.remove(address(name));
-    }
-
     @Override
     public void silence(String name) {
       net.place(address(name), (f, m, p, b, r) -> {});
