Packages work and machines: below ledger, workers, fleet and submissions

Need: the ledger imported the job's description from submissions and reports from workers, and machine types came from fleet, though all three stand above it. Change: Submission, Shape, Rank and Report in package work, machine types in package machines; behaviour unchanged.

--- a/src/main/java/dapplestair/admin/JobViews.java
+++ b/src/main/java/dapplestair/admin/JobViews.java
@@ -12,7 +12,7 @@
 import dapplestair.ports.Clock;
 import dapplestair.state.Keys;
 import dapplestair.state.StateClient;
-import dapplestair.submissions.Submission;
+import dapplestair.work.Submission;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/dapplestair/admin/Routes.java
+++ b/src/main/java/dapplestair/admin/Routes.java
@@ -3,7 +3,7 @@
 import dapplestair.filter.Filter;
 import dapplestair.filter.FilterException;
 import dapplestair.filter.Schema;
-import dapplestair.submissions.Submission;
+import dapplestair.work.Submission;
 import java.util.function.Consumer;
 
 /** What may be asked, who may ask it, and who can answer it. */
--- a/src/main/java/dapplestair/client/JobCommand.java
+++ b/src/main/java/dapplestair/client/JobCommand.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.filter.Schema;
 import dapplestair.json.Json;
-import dapplestair.submissions.Submission;
+import dapplestair.work.Submission;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/main/java/dapplestair/fleet/Market.java
+++ b/src/main/java/dapplestair/fleet/Market.java
@@ -1,5 +1,6 @@
 package dapplestair.fleet;
 
+import dapplestair.machines.MachineType;
 import dapplestair.ports.Clock;
 import dapplestair.workers.Host;
 import java.util.ArrayDeque;
--- a/src/main/java/dapplestair/ledger/Attempt.java
+++ b/src/main/java/dapplestair/ledger/Attempt.java
@@ -1,7 +1,7 @@
 package dapplestair.ledger;
 
-import dapplestair.submissions.Submission;
-import dapplestair.workers.Report;
+import dapplestair.work.Report;
+import dapplestair.work.Submission;
 
 /** One try at running one task on one machine, from its planning until its absence is proved. */
 public final class Attempt {
--- a/src/main/java/dapplestair/ledger/Job.java
+++ b/src/main/java/dapplestair/ledger/Job.java
@@ -1,6 +1,6 @@
 package dapplestair.ledger;
 
-import dapplestair.submissions.Submission;
+import dapplestair.work.Submission;
 import it.unimi.dsi.fastutil.ints.Int2DoubleOpenHashMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectAVLTreeMap;
 import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
--- a/src/main/java/dapplestair/fleet/MachineType.java
+++ b/src/main/java/dapplestair/machines/MachineType.java
@@ -1,9 +1,9 @@
-package dapplestair.fleet;
+package dapplestair.machines;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.json.Json;
-import dapplestair.submissions.Submission;
+import dapplestair.work.Submission;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/main/java/dapplestair/fleet/MachineTypes.java
+++ b/src/main/java/dapplestair/machines/MachineTypes.java
@@ -1,9 +1,9 @@
-package dapplestair.fleet;
+package dapplestair.machines;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.json.Json;
-import dapplestair.submissions.Submission;
+import dapplestair.work.Submission;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -28,7 +28,8 @@
     return true;
   }
 
-  ObjectNode toJson() {
+  /** For the record that every controller reads. */
+  public ObjectNode toJson() {
     ObjectNode o = Json.object();
     var hulls = o.putArray("hulls");
     types.values().forEach(t -> hulls.add(t.toJson()));
--- /dev/null
+++ b/src/main/java/dapplestair/machines/package-info.java
@@ -0,0 +1,2 @@
+/** Kinds of machines that the cloud rents. */
+package dapplestair.machines;
--- a/src/main/java/dapplestair/placement/Estimates.java
+++ b/src/main/java/dapplestair/placement/Estimates.java
@@ -1,7 +1,7 @@
 package dapplestair.placement;
 
 import dapplestair.ledger.Attempt;
-import dapplestair.submissions.Submission;
+import dapplestair.work.Submission;
 import dapplestair.workers.Host;
 import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
 
--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -5,7 +5,7 @@
 import dapplestair.ports.Clock;
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
-import dapplestair.submissions.Submission;
+import dapplestair.work.Submission;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import java.util.ArrayList;
--- a/src/main/java/dapplestair/placement/Promises.java
+++ b/src/main/java/dapplestair/placement/Promises.java
@@ -1,7 +1,7 @@
 package dapplestair.placement;
 
 import dapplestair.settings.Settings;
-import dapplestair.submissions.Submission;
+import dapplestair.work.Submission;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/dapplestair/placement/Recorder.java
+++ b/src/main/java/dapplestair/placement/Recorder.java
@@ -4,7 +4,7 @@
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
 import dapplestair.ports.Clock;
-import dapplestair.submissions.Submission;
+import dapplestair.work.Submission;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
--- a/src/main/java/dapplestair/planning/Arrivals.java
+++ b/src/main/java/dapplestair/planning/Arrivals.java
@@ -1,6 +1,6 @@
 package dapplestair.planning;
 
-import dapplestair.submissions.Submission;
+import dapplestair.work.Submission;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/dapplestair/planning/DemandView.java
+++ b/src/main/java/dapplestair/planning/DemandView.java
@@ -1,19 +1,19 @@
 package dapplestair.planning;
 
 import dapplestair.fleet.Fleet;
-import dapplestair.fleet.MachineType;
-import dapplestair.fleet.MachineTypes;
 import dapplestair.fleet.Slot;
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
+import dapplestair.machines.MachineType;
+import dapplestair.machines.MachineTypes;
 import dapplestair.placement.Estimates;
 import dapplestair.planning.FleetProblem.DryTasks;
 import dapplestair.planning.FleetProblem.SlotState;
 import dapplestair.ports.Clock;
 import dapplestair.settings.Operator;
 import dapplestair.settings.Settings;
-import dapplestair.submissions.Submission;
+import dapplestair.work.Submission;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import java.util.ArrayList;
--- a/src/main/java/dapplestair/planning/FleetProblem.java
+++ b/src/main/java/dapplestair/planning/FleetProblem.java
@@ -1,6 +1,6 @@
 package dapplestair.planning;
 
-import dapplestair.fleet.MachineType;
+import dapplestair.machines.MachineType;
 import java.util.Arrays;
 import java.util.List;
 
--- a/src/main/java/dapplestair/submissions/Rank.java
+++ b/src/main/java/dapplestair/work/Rank.java
@@ -1,4 +1,4 @@
-package dapplestair.submissions;
+package dapplestair.work;
 
 /** A job's priority, highest first. */
 public enum Rank {
--- a/src/main/java/dapplestair/workers/Report.java
+++ b/src/main/java/dapplestair/work/Report.java
@@ -1,4 +1,4 @@
-package dapplestair.workers;
+package dapplestair.work;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dapplestair.json.Json;
--- a/src/main/java/dapplestair/submissions/Shape.java
+++ b/src/main/java/dapplestair/work/Shape.java
@@ -1,4 +1,4 @@
-package dapplestair.submissions;
+package dapplestair.work;
 
 /** How the tasks of a job belong together. */
 public enum Shape {
--- a/src/main/java/dapplestair/submissions/Submission.java
+++ b/src/main/java/dapplestair/work/Submission.java
@@ -1,4 +1,4 @@
-package dapplestair.submissions;
+package dapplestair.work;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
--- a/src/main/java/dapplestair/workers/Host.java
+++ b/src/main/java/dapplestair/workers/Host.java
@@ -1,8 +1,8 @@
 package dapplestair.workers;
 
-import dapplestair.fleet.MachineType;
 import dapplestair.ledger.Attempt;
-import dapplestair.submissions.Submission;
+import dapplestair.machines.MachineType;
+import dapplestair.work.Submission;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/src/test/java/dapplestair/fleet/MarketTest.java
+++ b/src/test/java/dapplestair/fleet/MarketTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import dapplestair.machines.MachineType;
 import dapplestair.ports.Clock;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/dapplestair/submissions/SubmissionTest.java
+++ b/src/test/java/dapplestair/work/SubmissionTest.java
@@ -1,4 +1,4 @@
-package dapplestair.submissions;
+package dapplestair.work;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
--- a/src/test/java/dapplestair/workers/HostTest.java
+++ b/src/test/java/dapplestair/workers/HostTest.java
@@ -3,10 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import dapplestair.fleet.MachineType;
-import dapplestair.fleet.MachineTypes;
 import dapplestair.json.Json;
-import dapplestair.submissions.Submission;
+import dapplestair.machines.MachineType;
+import dapplestair.machines.MachineTypes;
+import dapplestair.work.Submission;
 import org.junit.jupiter.api.Test;
 
 class HostTest {
