Ledger divided along its duties, Controller's requests into Doors

A Machine holds the room that attempts take, and workers' Host extends it, so the ledger imports nothing of workers or submissions. Behaviour unchanged.

--- /dev/null
+++ b/src/main/java/dapplestair/ledger/Attempts.java
@@ -0,0 +1,98 @@
+package dapplestair.ledger;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+/** The lives of attempts, from entering a machine until nothing of them is left on it. */
+final class Attempts {
+  private final Office office;
+  private final TeamUse use;
+  private final ChunkWriter writer;
+  private Consumer<Job> emptied = j -> {};
+
+  Attempts(Office office, TeamUse use, ChunkWriter writer) {
+    this.office = office;
+    this.use = use;
+    this.writer = writer;
+  }
+
+  /** {@code listener} is told when a job that is over has one attempt less. */
+  void whenEmptied(Consumer<Job> listener) {
+    emptied = listener;
+  }
+
+  void enter(Chunk c, Attempt a) {
+    c.live.put(a.step, a);
+    a.job.held++;
+    a.job.perZone.addTo(a.zone, 1);
+    use.add(a.spec());
+    office.hooks.host(a.host).hold(a);
+  }
+
+  /** Asks for a stop; repeated by the workers' duty until it is proved. */
+  void halt(Attempt a, double windDownS, StopReason why) {
+    if (!a.sent()) {
+      retire(a);
+      return;
+    }
+    if (!a.halting) {
+      a.haltAt = office.clock.now();
+      office.hooks.stopping(a, why);
+    }
+    a.halting = true;
+    office.hooks.halt(a, windDownS);
+  }
+
+  /** An attempt stops counting: it has exited, or its absence is proved. */
+  void vacate(Attempt a) {
+    if (a.exited) {
+      return;
+    }
+    a.exited = true;
+    Job job = a.job;
+    if (!a.done) {
+      job.keep(a.step, a.keptS(Math.max(a.ranBeforeExitS, a.ranS(office.clock.now()))));
+    }
+    job.perZone.addTo(a.zone, -1);
+    use.subtract(a.spec());
+    office.hooks.host(a.host).vacate(a, office.clock.now());
+  }
+
+  /** Nothing of it is left on its machine. */
+  void retire(Attempt a) {
+    vacate(a);
+    Chunk c = a.job.chunkOf(a.step);
+    if (c.live.get(a.step) == a) {
+      c.live.remove(a.step);
+      a.job.held--;
+    }
+    office.hooks.host(a.host).forget(a);
+    if (a.job.over) {
+      emptied.accept(a.job);
+    } else {
+      writer.dirty(a.job, c, false);
+    }
+    office.hooks.changed();
+  }
+
+  /** The attempt of a job that is over needs nothing more. */
+  void drop(Attempt a) {
+    retire(a);
+    if (a.done) {
+      office.hooks.clear(a.host, a.key(), a.number);
+    }
+  }
+
+  /** Its absence is proved, though nobody saw it end. */
+  void absent(Attempt a) {
+    if (a.sent() && !a.exited && !a.halting && !a.job.over) {
+      office.hooks.lost(a);
+    }
+    retire(a);
+  }
+
+  /** The machine is proved to be gone: so is all that was on it. */
+  void allAbsent(Machine machine) {
+    List.copyOf(machine.attempts()).forEach(this::absent);
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/ledger/Hooks.java
@@ -0,0 +1,43 @@
+package dapplestair.ledger;
+
+/** What the ledger asks of the other duties, and tells them. */
+public interface Hooks {
+  /** The attempt is recorded: its launch may be sent. */
+  void launch(Attempt attempt);
+
+  /** Stop it; {@code windDownS} 0 for at once. */
+  void halt(Attempt attempt, double windDownS);
+
+  /** It is told to stop for the first time, for this reason. */
+  void stopping(Attempt attempt, StopReason why);
+
+  /** It is proved to be absent, though nobody stopped it and it did not exit. */
+  void lost(Attempt attempt);
+
+  /** An exited attempt need not be reported any more. */
+  void clear(String host, String key, long number);
+
+  /** A job was accepted. */
+  void arrived(Job job);
+
+  /** Room or waiting work has changed. */
+  void changed();
+
+  /** A job was withdrawn. */
+  void withdrawn(Job job);
+
+  /** A job is over. */
+  void ended(String ref, boolean done);
+
+  /** A task runs. */
+  void started(Attempt attempt);
+
+  /** A task completed after running this long. */
+  void completed(Attempt attempt, Machine machine, double seconds);
+
+  /** A task failed by itself. */
+  void failed(Attempt attempt, Machine machine);
+
+  /** The machine of this name, known or not. */
+  Machine host(String id);
+}
--- /dev/null
+++ b/src/main/java/dapplestair/ledger/JobRecord.java
@@ -0,0 +1,42 @@
+package dapplestair.ledger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import dapplestair.work.Submission;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** How jobs are written in the state service. */
+final class JobRecord {
+  private static final Logger LOG = LoggerFactory.getLogger(JobRecord.class);
+
+  private JobRecord() {}
+
+  /** A job as accepted at a time of day, its tasks recorded by so many. */
+  static ObjectNode accepted(Submission s, long wall, int chunkSize) {
+    ObjectNode o = Json.object().put("at", wall).put("chunk", chunkSize);
+    o.set("job", s.toJson());
+    return o;
+  }
+
+  /** A job that is over. */
+  static ObjectNode over(Job job, String status) {
+    ObjectNode o = accepted(job.spec(), job.acceptedWall(), job.chunkSize());
+    return o.put("status", status);
+  }
+
+  /** Reads either, or gives null. */
+  static Job read(JsonNode value, long stamp, int otherwiseChunkSize) {
+    try {
+      return new Job(
+          Submission.parse(value.path("job")),
+          Json.number(value, "at", 0),
+          (int) Json.number(value, "chunk", otherwiseChunkSize),
+          stamp);
+    } catch (Submission.Malformed e) {
+      LOG.error("a recorded job cannot be read: {}", e.getMessage());
+      return null;
+    }
+  }
+}
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -9,11 +9,11 @@
 import dapplestair.events.EventLog;
 import dapplestair.events.Events;
 import dapplestair.fleet.Fleet;
-import dapplestair.json.Json;
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
+import dapplestair.ledger.Machine;
 import dapplestair.ledger.StopReason;
 import dapplestair.machines.MachineTypes;
 import dapplestair.metrics.Exposition;
@@ -41,7 +41,6 @@
 public final class Controller implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final long LAG_EVERY_MS = 50;
-  private static final String SUBMISSIONS = "/submissions";
 
   private final Outside outside;
   private final Settings settings;
@@ -65,6 +64,7 @@
   private final Drains drains;
   private final AdminDesk admin;
   private final Records records;
+  private final Doors doors;
   private Cancellable summary = () -> {};
   private Cancellable lag = () -> {};
 
@@ -121,6 +121,7 @@
             types,
             demand);
     submissions = new SubmissionDesk(clock, settings, state, replica, ledger, types, metrics);
+    doors = new Doors(workers, submissions, this::able, peers);
     drains =
         new Drains(
             clock,
@@ -207,69 +208,17 @@
                 state.putsSent()));
   }
 
-  // ---- requests ----
-
   /** Answers a request of a user, a worker or a health check. */
   public void handle(Exchange x) {
-    String path = x.path();
-    if (path.equals("/agent/beat")) {
-      if (method(x, "POST")) {
-        workers.beat(x);
-      }
-    } else if (path.equals("/up")) {
-      if (method(x, "GET")) {
-        up(x);
-      }
-    } else if (path.equals(SUBMISSIONS)) {
-      if (method(x, "POST")) {
-        submissions.submit(x);
-      }
-    } else if (path.startsWith(SUBMISSIONS + "/")) {
-      oneSubmission(x, path.substring(SUBMISSIONS.length() + 1));
-    } else {
-      error(x, 404, "no such path");
-    }
+    doors.handle(x);
   }
 
-  private void oneSubmission(Exchange x, String rest) {
-    int slash = rest.indexOf('/');
-    if (slash < 0) {
-      if (method(x, "GET")) {
-        submissions.poll(x, rest);
-      }
-    } else if (rest.substring(slash).equals("/withdraw")) {
-      if (method(x, "POST")) {
-        submissions.withdraw(x, rest.substring(0, slash));
-      }
-    } else {
-      error(x, 404, "no such path");
-    }
-  }
-
-  /**
-   * Unhealthy only while another controller can do better: in an outage of all, users are told when
-   * to come back instead of finding nobody.
-   */
-  private void up(Exchange x) {
-    boolean able = replica.ready() && types.known() && state.unreachableMs() == 0;
-    boolean healthy = able || !peers.anyServed();
-    x.reply(healthy ? 200 : 503, Json.bytes(Json.object().put("up", healthy)), 0);
-  }
-
-  private static boolean method(Exchange x, String wanted) {
-    if (x.method().equals(wanted)) {
-      return true;
-    }
-    error(x, 405, "use " + wanted);
-    return false;
-  }
+  // ---- between the duties ----
 
-  private static void error(Exchange x, int status, String why) {
-    x.reply(status, Json.bytes(Json.object().put("error", why)), 0);
+  private boolean able() {
+    return replica.ready() && types.known() && state.unreachableMs() == 0;
   }
 
-  // ---- between the duties ----
-
   private PeerStatus ownStatus() {
     return new PeerStatus(
         leadership.leading() ? leadership.term() : leadership.termSeen(),
@@ -346,7 +295,7 @@
     }
   }
 
-  private final class LedgerHooks implements Ledger.Hooks {
+  private final class LedgerHooks implements dapplestair.ledger.Hooks {
     @Override
     public void launch(Attempt attempt) {
       workers.launch(attempt);
@@ -402,9 +351,10 @@
     }
 
     @Override
-    public void completed(Attempt attempt, Host host, double ranS) {
+    public void completed(Attempt attempt, Machine machine, double ranS) {
       double seconds = ranS > 0 ? ranS + attempt.savedS() : 0;
       events.note(Events.Kind.COMPLETED, o -> Happenings.of(o, attempt));
+      Host host = workers.host(machine.id());
       host.taskCompleted();
       double expected = estimates.runS(attempt.spec());
       if (expected > 0 && seconds > 0) {
@@ -414,11 +364,12 @@
     }
 
     @Override
-    public void failed(Attempt attempt, Host host) {
+    public void failed(Attempt attempt, Machine machine) {
       metrics.lost();
       events.note(Events.Kind.FAILED, o -> Happenings.of(o, attempt));
       long first = settings.workers().reportMs();
       boolean jobIsWrong = ledger.failedMachines(attempt.job()) >= 2;
+      Host host = workers.host(machine.id());
       int jobs = host.taskFailed(attempt.spec().ref());
       if (jobIsWrong) {
         ledger.backOff(attempt.job(), first, 20 * first);
--- /dev/null
+++ b/src/main/java/dapplestair/node/Doors.java
@@ -0,0 +1,84 @@
+package dapplestair.node;
+
+import dapplestair.json.Json;
+import dapplestair.peers.Peers;
+import dapplestair.ports.Exchange;
+import dapplestair.submissions.SubmissionDesk;
+import dapplestair.workers.WorkerDesk;
+import java.util.function.BooleanSupplier;
+
+/** Brings each request of users, workers and health checks to the duty whose it is. */
+final class Doors {
+  private static final String SUBMISSIONS = "/submissions";
+
+  private final WorkerDesk workers;
+  private final SubmissionDesk submissions;
+  private final BooleanSupplier able;
+  private final Peers peers;
+
+  /** {@code able} says whether this controller can take requests now. */
+  Doors(WorkerDesk workers, SubmissionDesk submissions, BooleanSupplier able, Peers peers) {
+    this.workers = workers;
+    this.submissions = submissions;
+    this.able = able;
+    this.peers = peers;
+  }
+
+  /** Answers a request of a user, a worker or a health check. */
+  void handle(Exchange x) {
+    String path = x.path();
+    if (path.equals("/agent/beat")) {
+      if (method(x, "POST")) {
+        workers.beat(x);
+      }
+    } else if (path.equals("/up")) {
+      if (method(x, "GET")) {
+        up(x);
+      }
+    } else if (path.equals(SUBMISSIONS)) {
+      if (method(x, "POST")) {
+        submissions.submit(x);
+      }
+    } else if (path.startsWith(SUBMISSIONS + "/")) {
+      oneSubmission(x, path.substring(SUBMISSIONS.length() + 1));
+    } else {
+      error(x, 404, "no such path");
+    }
+  }
+
+  private void oneSubmission(Exchange x, String rest) {
+    int slash = rest.indexOf('/');
+    if (slash < 0) {
+      if (method(x, "GET")) {
+        submissions.poll(x, rest);
+      }
+    } else if (rest.substring(slash).equals("/withdraw")) {
+      if (method(x, "POST")) {
+        submissions.withdraw(x, rest.substring(0, slash));
+      }
+    } else {
+      error(x, 404, "no such path");
+    }
+  }
+
+  /**
+   * Unhealthy only while another controller can do better: in an outage of all, users are told when
+   * to come back instead of finding nobody.
+   */
+  private void up(Exchange x) {
+    boolean healthy = able.getAsBoolean() || !peers.anyServed();
+    x.reply(healthy ? 200 : 503, Json.bytes(Json.object().put("up", healthy)), 0);
+  }
+
+  private static boolean method(Exchange x, String wanted) {
+    if (x.method().equals(wanted)) {
+      return true;
+    }
+    error(x, 405, "use " + wanted);
+    return false;
+  }
+
+  private static void error(Exchange x, int status, String why) {
+    x.reply(status, Json.bytes(Json.object().put("error", why)), 0);
+  }
+}
--- a/src/main/java/dapplestair/workers/Host.java
+++ b/src/main/java/dapplestair/workers/Host.java
@@ -1,22 +1,15 @@
 package dapplestair.workers;
 
-import dapplestair.ledger.Attempt;
+import dapplestair.ledger.Machine;
 import dapplestair.machines.MachineType;
-import dapplestair.work.Submission;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 
 /** One machine as the leader knows it. */
-public final class Host {
-  private final String id;
+public final class Host extends Machine {
   String endpoint;
-  private MachineType type;
-  private String zone;
-  private boolean spot;
 
   // What its worker last said.
   long session;
@@ -47,32 +40,15 @@
   private boolean drained;
   private boolean saidUp;
   private boolean outOfReach;
-  private long idleSince;
 
-  private final Map<String, Attempt> attempts = new HashMap<>();
-
-  // When each image is here, for those that are or are being fetched.
-  private final Map<String, Long> images = new HashMap<>();
-  private long fetchesEndAt;
   private final Set<String> jobsFailed = new HashSet<>();
   private int completed;
   private int failuresInARow;
   private double slowness = 1;
-  private int holding;
-  private double serviceCpus;
-  private double cpusUsed;
-  private double gpusUsed;
-  private double memoryUsed;
 
   Host(String id, long now) {
-    this.id = id;
+    super(id, now);
     this.knownSince = now;
-    this.idleSince = now;
-  }
-
-  /** The cloud's name of it. */
-  public String id() {
-    return id;
   }
 
   /** Fills in what is learnt from the cloud or from the worker itself. */
@@ -80,26 +56,7 @@
     if (newEndpoint != null) {
       endpoint = newEndpoint;
     }
-    if (newType != null) {
-      type = newType;
-    }
-    zone = newZone;
-    spot = isSpot;
-  }
-
-  /** Its type, or null while unknown. */
-  public MachineType type() {
-    return type;
-  }
-
-  /** Its zone. */
-  public String zone() {
-    return zone;
-  }
-
-  /** True when the cloud may take it back. */
-  public boolean spot() {
-    return spot;
+    describe(newType, newZone, isSpot);
   }
 
   /** True once its worker has reported. */
@@ -117,7 +74,7 @@
     return knownSince;
   }
 
-  /** Session of its worker. */
+  @Override
   public long session() {
     return session;
   }
@@ -132,7 +89,7 @@
     return recallAt;
   }
 
-  /** True when nothing new may start on it. */
+  @Override
   public boolean closed() {
     return !acknowledged
         || gone
@@ -142,7 +99,7 @@
         || cordoned
         || recalled()
         || strays > 0
-        || type == null;
+        || type() == null;
   }
 
   /** True while a release is under way. */
@@ -205,11 +162,6 @@
     return endpoint;
   }
 
-  /** Memory in use. */
-  public double memoryUsed() {
-    return memoryUsed;
-  }
-
   /** True when it gets no new work, since the plan wants fewer of its kind. */
   public boolean cordoned() {
     return cordoned;
@@ -220,11 +172,6 @@
     cordoned = value;
   }
 
-  /** CPUs that services use here. */
-  public double serviceCpus() {
-    return serviceCpus;
-  }
-
   /** When it was rented, or {@link Long#MAX_VALUE}. */
   public long rentedAt() {
     return rentedAt;
@@ -269,116 +216,6 @@
     return endpoint != null;
   }
 
-  /** Since when nothing runs on it. */
-  public long idleSince() {
-    return idleSince;
-  }
-
-  /** Attempts on it. */
-  public Collection<Attempt> attempts() {
-    return attempts.values();
-  }
-
-  /** The attempt at this task on it, or null. */
-  public Attempt attempt(String key) {
-    return attempts.get(key);
-  }
-
-  /** True when no attempt holds room on it. */
-  public boolean idle() {
-    return holding == 0;
-  }
-
-  /** Gives an attempt its room. */
-  public void hold(Attempt a) {
-    attempts.put(a.key(), a);
-    use(a.spec(), 1);
-    if (!images.containsKey(a.spec().image())) {
-      fetchesEndAt = a.plannedAt() + Math.round(1000 * imageWaitS(a.spec(), a.plannedAt()));
-      images.put(a.spec().image(), fetchesEndAt);
-    }
-  }
-
-  /** Takes the room back; the attempt itself stays known until {@link #forget}. */
-  public void vacate(Attempt a, long now) {
-    use(a.spec(), -1);
-    if (holding == 0) {
-      cpusUsed = 0;
-      gpusUsed = 0;
-      memoryUsed = 0;
-      serviceCpus = 0;
-      idleSince = now;
-    }
-  }
-
-  /** Forgets an attempt. */
-  public void forget(Attempt a) {
-    attempts.remove(a.key(), a);
-  }
-
-  private void use(Submission s, int sign) {
-    cpusUsed += sign * s.cpus();
-    holding += sign;
-    if (s.service()) {
-      serviceCpus = Math.max(0, serviceCpus + sign * s.cpus());
-    }
-    gpusUsed += sign * s.gpus();
-    memoryUsed += sign * s.memoryGb();
-  }
-
-  /** CPUs in use. */
-  public double cpusUsed() {
-    return cpusUsed;
-  }
-
-  /** CPUs free. */
-  public double cpusFree() {
-    return type == null ? 0 : type.cpus() - cpusUsed;
-  }
-
-  /** Memory free. */
-  public double memoryFree() {
-    return type == null ? 0 : type.memoryGb() - memoryUsed;
-  }
-
-  /** Accelerators free. */
-  public double gpusFree() {
-    return type == null ? 0 : type.gpus() - gpusUsed;
-  }
-
-  /** True when one more task of the job fits now. */
-  public boolean fits(Submission s) {
-    return s.cpus() <= cpusFree() + 1e-9
-        && s.memoryGb() <= memoryFree() + 1e-9
-        && s.gpus() <= gpusFree() + 1e-9;
-  }
-
-  /** True when the job allows this machine. */
-  public boolean allowed(Submission s) {
-    return type != null
-        && type.suits(s)
-        && (s.zone() == null || s.zone().equals(zone))
-        && (s.spot() || !spot);
-  }
-
-  /** Seconds until a task that needs this image could start here; fetches share one rate. */
-  public double imageWaitS(Submission s, long now) {
-    Long ready = images.get(s.image());
-    if (ready != null) {
-      return Math.max(0, ready - now) / 1000.0;
-    }
-    return Math.max(0, fetchesEndAt - now) / 1000.0 + fetchS(s);
-  }
-
-  private double fetchS(Submission s) {
-    return type == null ? 0 : s.imageGb() / type.fetchGbPerS();
-  }
-
-  /** The image was seen in use here. */
-  public void imageSeen(String image, long now) {
-    images.put(image, Math.min(now, images.getOrDefault(image, now)));
-  }
-
   /** A task completed here. */
   public void taskCompleted() {
     completed++;
