Fleet divided along its duties

Change: Rentals (records, unknown outcomes), Releases, MachineList, Lookout (lost, late and silent machines), Stock (what is held), Supply (what the cloud has shown to give), Prospects. Behaviour unchanged.

--- a/src/main/java/dapplestair/admin/WhyView.java
+++ b/src/main/java/dapplestair/admin/WhyView.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.fleet.Fleet;
+import dapplestair.fleet.Prospects;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
 import dapplestair.placement.Explanation;
@@ -72,7 +73,7 @@
     if (e.waiting() == 0) {
       return o;
     }
-    Fleet.Prospects prospects = fleet.prospects(job.spec());
+    Prospects prospects = fleet.prospects(job.spec());
     ArrayNode reasons = o.putArray("reasons");
     e.job().forEach((v, n) -> add(reasons, v, "tasks", n, job, e));
     e.machines().forEach((v, n) -> add(reasons, v, "machines", n, job, e));
@@ -84,7 +85,7 @@
           .put("words", "machines are on their way")
           .put("in_s", prospects.nextS());
     }
-    for (Fleet.Refusal r : prospects.refusals()) {
+    for (Prospects.Refusal r : prospects.refusals()) {
       reasons
           .addObject()
           .put("reason", "cloud-refused")
@@ -123,7 +124,7 @@
   }
 
   /** The earliest of what is on its way, but not before the job may start at all; -1: unknown. */
-  private double expected(Explanation e, Fleet.Prospects prospects) {
+  private double expected(Explanation e, Prospects prospects) {
     double first = Double.POSITIVE_INFINITY;
     if (e.machines().containsKey(Verdict.FITS) || e.job().containsKey(Verdict.ROOM_ON_ITS_WAY)) {
       first = 0;
@@ -134,7 +135,7 @@
     if (prospects.booting() > 0) {
       first = Math.min(first, prospects.nextS());
     }
-    for (Fleet.Refusal r : prospects.refusals()) {
+    for (Prospects.Refusal r : prospects.refusals()) {
       first = Math.min(first, r.againS());
     }
     boolean limited = e.job().containsKey(Verdict.TEAM_LIMIT);
--- /dev/null
+++ b/src/main/java/dapplestair/fleet/MachineList.java
@@ -0,0 +1,146 @@
+package dapplestair.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.json.Json;
+import dapplestair.machines.MachineTypes;
+import dapplestair.ports.Clock;
+import dapplestair.settings.Settings;
+import dapplestair.workers.Host;
+import dapplestair.workers.WorkerDesk;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** The cloud's list of machines: which exist, which have failed, which were taken. */
+final class MachineList {
+  /** Told of machines that the list proves to be gone; everything on them is gone, too. */
+  interface Listener {
+    /** It has stopped on its own; it stays listed until it is returned. */
+    void failed(Host host);
+
+    /** The cloud has taken it. */
+    void taken(Host host);
+  }
+
+  private final Clock clock;
+  private final Settings settings;
+  private final MachineTypes types;
+  private final WorkerDesk desk;
+  private final CloudClient cloud;
+  private final Listener listener;
+  private long listedAt = Long.MIN_VALUE / 2;
+  private boolean listing;
+  private int generation;
+
+  MachineList(
+      Clock clock,
+      Settings settings,
+      MachineTypes types,
+      WorkerDesk desk,
+      CloudClient cloud,
+      Listener listener) {
+    this.clock = clock;
+    this.settings = settings;
+    this.types = types;
+    this.desk = desk;
+    this.cloud = cloud;
+    this.listener = listener;
+  }
+
+  void clear() {
+    generation++;
+    listing = false;
+    listedAt = Long.MIN_VALUE / 2;
+  }
+
+  /** When the last list was complete. */
+  long listedAt() {
+    return listedAt;
+  }
+
+  /** Lists lag by up to twice the stated time; a margin is added. */
+  long longestLag() {
+    return Math.round(2.2 * settings.cloud().listLagMs()) + 1000;
+  }
+
+  /** Asks for a list when one is due. */
+  void refresh() {
+    long now = clock.now();
+    if (!listing && now - listedAt > Math.max(settings.cloud().listLagMs() / 2, 1000)) {
+      listing = true;
+      ask(null, now, new HashSet<>(), generation);
+    }
+  }
+
+  private void ask(String from, long askedAt, Set<String> seen, int gen) {
+    cloud.list(
+        from,
+        reply -> {
+          if (gen != generation) {
+            return;
+          }
+          JsonNode body = Json.parse(reply.body());
+          if (!reply.ok() || !body.path("hosts").isArray()) {
+            ended();
+            return;
+          }
+          String last = from;
+          for (JsonNode n : body.get("hosts")) {
+            last = n.path("ref").asText();
+            seen.add(last);
+            listed(last, n);
+          }
+          if (Json.flag(body, "more") && last != null) {
+            ask(last, askedAt, seen, gen);
+          } else {
+            ended();
+            missing(askedAt, seen);
+          }
+        });
+  }
+
+  private void ended() {
+    listing = false;
+    listedAt = clock.now();
+  }
+
+  private void listed(String id, JsonNode n) {
+    if (desk.isGone(id)) {
+      return;
+    }
+    long now = clock.now();
+    Host h = desk.host(id);
+    boolean addressed = h.addressed();
+    h.describe(
+        Json.text(n, "endpoint"),
+        types.get(n.path("hull").asText()),
+        n.path("basin").asText(),
+        Json.flag(n, "loaners"));
+    h.setRentedAt(now - Math.round(1000 * Json.decimal(n, "ageS", 0)));
+    h.listed(now);
+    String status = n.path("status").asText();
+    if (status.equals("failed")) {
+      listener.failed(h);
+    } else if (status.equals("running")) {
+      h.saidUp();
+      if (!addressed) {
+        desk.reach(h);
+      }
+    }
+  }
+
+  /**
+   * Machines that the list lacks. A list may be older than the one before it, so a machine counts
+   * as gone only once it has been listed for longer than any list can lag.
+   */
+  private void missing(long askedAt, Set<String> seen) {
+    long longestLag = longestLag();
+    for (Host h : List.copyOf(desk.hosts())) {
+      if (!seen.contains(h.id())
+          && h.firstListedAt() != Long.MAX_VALUE
+          && askedAt - h.firstListedAt() > longestLag) {
+        listener.taken(h);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/fleet/Releases.java
@@ -0,0 +1,77 @@
+package dapplestair.fleet;
+
+import dapplestair.events.Events;
+import dapplestair.workers.Host;
+import dapplestair.workers.WorkerDesk;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Machines on their way back to the cloud, in lots as large as one call takes. */
+final class Releases {
+  private static final Logger LOG = LoggerFactory.getLogger(Releases.class);
+  private static final int MOST_PER_RELEASE = 100;
+
+  private final WorkerDesk desk;
+  private final CloudClient cloud;
+  private final Events events;
+  private final Set<String> waiting = new HashSet<>();
+  private boolean leading;
+  private boolean asking;
+
+  Releases(WorkerDesk desk, CloudClient cloud, Events events) {
+    this.desk = desk;
+    this.cloud = cloud;
+    this.events = events;
+  }
+
+  void lead() {
+    leading = true;
+  }
+
+  void clear() {
+    leading = false;
+    waiting.clear();
+    asking = false;
+  }
+
+  /** Returns a machine, whatever is on it. */
+  void add(Host h) {
+    h.setReleasing(true);
+    waiting.add(h.id());
+  }
+
+  /** Takes a machine that is gone already off the cloud's list. */
+  void addGone(String id) {
+    waiting.add(id);
+  }
+
+  void send() {
+    if (asking || waiting.isEmpty()) {
+      return;
+    }
+    List<String> batch = waiting.stream().limit(MOST_PER_RELEASE).toList();
+    asking = true;
+    cloud.release(
+        batch,
+        reply -> {
+          asking = false;
+          if (leading && reply.status() == 200) {
+            batch.forEach(this::returned);
+          }
+        });
+  }
+
+  /** The cloud has confirmed it: nothing is left on the machine. */
+  private void returned(String id) {
+    waiting.remove(id);
+    Host h = desk.known(id);
+    if (h != null) {
+      LOG.debug("{} is returned", id);
+      events.note(Events.Kind.RETURNED, o -> o.put("machine", id).put("zone", h.zone()));
+      desk.gone(h);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/fleet/Stock.java
@@ -0,0 +1,91 @@
+package dapplestair.fleet;
+
+import dapplestair.ports.Clock;
+import dapplestair.workers.Host;
+import dapplestair.workers.WorkerDesk;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** The machines that are held or on their way, by slot and zone. */
+final class Stock {
+  /** The shortest time a machine is charged for, from the cloud's description. */
+  private static final long CHARGED_MS = 60_000;
+
+  private final Clock clock;
+  private final WorkerDesk desk;
+  private final Rentals rentals;
+
+  Stock(Clock clock, WorkerDesk desk, Rentals rentals) {
+    this.clock = clock;
+    this.desk = desk;
+    this.rentals = rentals;
+  }
+
+  static boolean counts(Host h, Slot slot) {
+    return !h.gone()
+        && !h.releasing()
+        && !h.draining()
+        && !h.drained()
+        && !h.recalled()
+        && !h.outOfReach()
+        && h.type() != null
+        && h.type().name().equals(slot.type())
+        && h.spot() == slot.spot();
+  }
+
+  int holding(Slot slot) {
+    int n = 0;
+    for (Host h : desk.hosts()) {
+      if (counts(h, slot)) {
+        n++;
+      }
+    }
+    return n + rentals.pending(slot);
+  }
+
+  int holding(Place place) {
+    int n = 0;
+    for (Host h : desk.hosts()) {
+      if (counts(h, place.slot()) && place.zone().equals(h.zone())) {
+        n++;
+      }
+    }
+    return n + rentals.pending(place);
+  }
+
+  /** Keeps new work from so many steady machines of a slot, those that empty soonest. */
+  void cordon(Slot slot, int count) {
+    if (slot.spot()) {
+      return;
+    }
+    List<Host> up = new ArrayList<>();
+    for (Host h : desk.hosts()) {
+      if (counts(h, slot) && h.up()) {
+        up.add(h);
+      }
+    }
+    up.sort(
+        Comparator.comparingDouble(Host::serviceCpus)
+            .thenComparing(h -> !h.cordoned())
+            .thenComparingDouble(Host::cpusUsed)
+            .thenComparing(Host::id));
+    for (int i = 0; i < up.size(); i++) {
+      Host h = up.get(i);
+      h.setCordoned(i < count && h.serviceCpus() == 0);
+    }
+  }
+
+  /** Idle machines of a slot that may be returned now, those idle longest first. */
+  List<Host> returnable(Slot slot) {
+    long now = clock.now();
+    List<Host> out = new ArrayList<>();
+    for (Host h : desk.hosts()) {
+      if (counts(h, slot) && h.up() && h.idle() && now - h.rentedAt() >= CHARGED_MS) {
+        out.add(h);
+      }
+    }
+    out.sort(Comparator.comparingLong(Host::idleSince));
+    return out;
+  }
+}
