WorkerDesk divided: Courier brings orders and fences, Hearing judges silence, Roster names

Change: Courier, Hearing and Roster with their own state; the desk keeps connections and answers. Behaviour unchanged.

--- /dev/null
+++ b/src/main/java/dapplestair/workers/Courier.java
@@ -0,0 +1,204 @@
+package dapplestair.workers;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import dapplestair.leadership.Baton;
+import dapplestair.leadership.Leadership;
+import dapplestair.ledger.Attempt;
+import dapplestair.ports.Clock;
+import dapplestair.ports.HttpCaller;
+import dapplestair.ports.HttpReply;
+import dapplestair.ports.Timers;
+import dapplestair.settings.Settings;
+import dapplestair.work.Report;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+
+/** Brings orders to machines, one message at a time to each, and fences off what got no answer. */
+final class Courier {
+  /** Told of what machines answer. */
+  interface Listener {
+    /** A machine's report after its orders. */
+    void report(Host host, Report report);
+
+    /** Two calls in a row were not answered. */
+    void unanswered(Host host);
+  }
+
+  private static final int MOST_ORDERS = 200;
+
+  private final Clock clock;
+  private final Timers timers;
+  private final HttpCaller http;
+  private final Leadership leadership;
+  private final Roster roster;
+  private final Listener listener;
+  private final long reportMs;
+  private final long callMs;
+  private final Set<String> flushing = new HashSet<>();
+  private boolean leading;
+
+  Courier(
+      Clock clock,
+      Timers timers,
+      HttpCaller http,
+      Settings settings,
+      Leadership leadership,
+      Roster roster,
+      Listener listener) {
+    this.clock = clock;
+    this.timers = timers;
+    this.http = http;
+    this.leadership = leadership;
+    this.roster = roster;
+    this.listener = listener;
+    this.reportMs = settings.workers().reportMs();
+    this.callMs = Math.min(reportMs / 2, settings.workers().leaseMs() / 16);
+  }
+
+  void lead() {
+    leading = true;
+  }
+
+  void clear() {
+    leading = false;
+    flushing.clear();
+  }
+
+  /** The token to show to a machine: the term, and its fence. */
+  long token(Host host) {
+    return Baton.of(leadership.term(), host.fence);
+  }
+
+  /** Sends an order with all others of this turn. */
+  void queue(String hostId, Order order) {
+    Host host = roster.known(hostId);
+    if (host == null || !leading) {
+      return;
+    }
+    host.outbox.put(order.id(), order);
+    if (flushing.add(hostId)) {
+      timers.after(
+          0,
+          () -> {
+            flushing.remove(hostId);
+            Host h = roster.known(hostId);
+            if (h != null) {
+              send(h);
+            }
+          });
+    }
+  }
+
+  /** Sends what waits for a machine. */
+  void send(Host host) {
+    if (!host.outbox.isEmpty()) {
+      call(host, false);
+    }
+  }
+
+  /** Sends what waits, or nothing: the answer shows what is on the machine. */
+  void probe(Host host) {
+    call(host, true);
+  }
+
+  private void call(Host host, boolean evenEmpty) {
+    if (!leading
+        || !leadership.leading()
+        || host.calling
+        || host.endpoint == null
+        || clock.now() < host.callAgainAt) {
+      return;
+    }
+    List<Order> orders = new ArrayList<>();
+    List<Attempt> launches = new ArrayList<>();
+    take(host, orders, launches);
+    if (orders.isEmpty() && !evenEmpty) {
+      return;
+    }
+    ObjectNode body = Json.object().put("baton", token(host)).put("tenure", host.session);
+    ArrayNode list = body.putArray("orders");
+    orders.forEach(o -> list.add(o.toJson()));
+    launches.forEach(Attempt::launchSent);
+    host.calling = true;
+    long term = leadership.term();
+    http.call(
+        host.endpoint,
+        "POST",
+        "/orders",
+        Json.bytes(body),
+        callMs,
+        reply -> {
+          if (leading && leadership.term() == term) {
+            host.calling = false;
+            answered(host, orders, launches, reply);
+          }
+        });
+  }
+
+  private void take(Host host, List<Order> orders, List<Attempt> launches) {
+    Iterator<Order> it = host.outbox.values().iterator();
+    while (it.hasNext() && orders.size() < MOST_ORDERS) {
+      Order o = it.next();
+      it.remove();
+      if (o instanceof Order.Launch) {
+        Attempt a = host.attempt(o.key());
+        // Dropped meanwhile, or planned for a session that has ended.
+        if (a == null
+            || a.number() != o.attempt()
+            || a.sent()
+            || a.job().over()
+            || a.session() != host.session) {
+          continue;
+        }
+        launches.add(a);
+      }
+      orders.add(o);
+    }
+  }
+
+  private void answered(Host host, List<Order> orders, List<Attempt> launches, HttpReply reply) {
+    boolean executed = reply.status() == 200;
+    if (executed || reply.status() == 409) {
+      host.failedCalls = 0;
+      launches.forEach(Attempt::launchAnswered);
+      Report r = Report.parse(Json.parse(reply.body()));
+      if (r != null && r.host().equals(host.id())) {
+        listener.report(host, r);
+      }
+      if (!executed) {
+        requeue(host, orders);
+      }
+      send(host);
+      return;
+    }
+    host.failedCalls++;
+    host.callAgainAt = clock.now() + Math.min(reportMs / 3, 100L << Math.min(4, host.failedCalls));
+    if (reply.status() == HttpReply.NOT_SENT) {
+      launches.forEach(Attempt::launchNotSent);
+      orders.forEach(o -> host.outbox.putIfAbsent(o.id(), o));
+    } else {
+      // The launches may still be executed, at any later time, until the worker has seen a
+      // higher token: raise it, and conclude nothing before it is shown.
+      host.fence++;
+      launches.forEach(a -> a.launchUnknown(token(host)));
+      requeue(host, orders);
+    }
+    if (host.failedCalls == 2) {
+      listener.unanswered(host);
+    }
+  }
+
+  /** Stops may be repeated; a launch never is, nor a clear whose launch may still be on its way. */
+  private static void requeue(Host host, List<Order> orders) {
+    for (Order o : orders) {
+      if (o instanceof Order.Halt h) {
+        host.outbox.putIfAbsent(h.id(), h);
+      }
+    }
+  }
+}
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -1,10 +1,7 @@
 package dapplestair.workers;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.google.common.collect.HashMultiset;
-import com.google.common.collect.Multiset;
 import dapplestair.json.Json;
 import dapplestair.leadership.Baton;
 import dapplestair.leadership.Leadership;
@@ -16,19 +13,12 @@
 import dapplestair.ports.Clock;
 import dapplestair.ports.Exchange;
 import dapplestair.ports.HttpCaller;
-import dapplestair.ports.HttpReply;
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import dapplestair.state.StateClient;
 import dapplestair.work.Report;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -42,27 +32,17 @@
     void hostChanged(Host host);
   }
 
-  private static final int MOST_ORDERS = 200;
-  // Reports are up to a quarter late; two calls without an answer come on top.
-  private static final double OVERDUE = 1.35;
-  private static final double SILENT = 1.9;
-  private static final int MOST_GONE_REMEMBERED = 4000;
   private final Clock clock;
   private final Timers timers;
-  private final HttpCaller http;
   private final Settings settings;
   private final Leadership leadership;
   private final MachineTypes types;
   private final Ledger ledger;
   private final Listener listener;
   private final long reportMs;
-  private final long leaseMs;
-  private final long callMs;
-  private final Map<String, Host> hosts = new LinkedHashMap<>();
-  private final Set<String> goneHosts = new HashSet<>();
-  private final ZoneWatch zones;
-  private final Multiset<String> perZone = HashMultiset.create();
-  private final Set<String> flushing = new HashSet<>();
+  private final Roster roster;
+  private final Hearing hearing;
+  private final Courier courier;
   private Cancellable timer = () -> {};
   private Cancellable counting = () -> {};
   private final Peers peers;
@@ -70,9 +50,6 @@
   private boolean leading;
   private int beats;
   private int beatsBefore;
-  private long leadingSince;
-  private long tickDue;
-  private long judgeAgainAt;
 
   /** A desk without machines. */
   public WorkerDesk(
@@ -88,7 +65,6 @@
       Listener listener) {
     this.clock = clock;
     this.timers = timers;
-    this.http = http;
     this.settings = settings;
     this.leadership = leadership;
     this.peers = peers;
@@ -97,9 +73,9 @@
     this.ledger = ledger;
     this.listener = listener;
     this.reportMs = settings.workers().reportMs();
-    this.leaseMs = settings.workers().leaseMs();
-    this.zones = new ZoneWatch(Math.round(OVERDUE * reportMs));
-    this.callMs = Math.min(reportMs / 2, leaseMs / 16);
+    this.roster = new Roster(clock);
+    this.hearing = new Hearing(clock, settings, roster);
+    this.courier = new Courier(clock, timers, http, settings, leadership, roster, new Answers());
   }
 
   /** Begins to count what comes. */
@@ -111,22 +87,22 @@
 
   /** All machines not proved to be gone. */
   public Collection<Host> hosts() {
-    return hosts.values();
+    return roster.all();
   }
 
   /** A machine by name, made known if it was not. */
   public Host host(String id) {
-    return hosts.computeIfAbsent(id, i -> new Host(i, clock.now()));
+    return roster.host(id);
   }
 
   /** A machine by name, or null. */
   public Host known(String id) {
-    return hosts.get(id);
+    return roster.known(id);
   }
 
   /** True when this machine was proved to be gone. */
   public boolean isGone(String id) {
-    return goneHosts.contains(id);
+    return roster.isGone(id);
   }
 
   /** The machine is proved to be gone, with everything on it. */
@@ -134,19 +110,15 @@
     if (host.gone()) {
       return;
     }
-    host.setGone();
-    if (goneHosts.size() >= MOST_GONE_REMEMBERED) {
-      goneHosts.clear();
-    }
-    goneHosts.add(host.id());
+    roster.markGone(host);
     ledger.allAbsent(host);
-    hosts.remove(host.id());
+    roster.remove(host);
     listener.hostChanged(host);
   }
 
   /** True when it has reported lately enough to be worth giving work to. */
   public boolean fresh(Host host) {
-    return clock.now() - host.heardAt < 2 * reportMs && host.failedCalls == 0;
+    return hearing.fresh(host);
   }
 
   /**
@@ -154,21 +126,12 @@
    * should have been, too.
    */
   public boolean zoneHeard(Host silent) {
-    int machines = perZone.count(silent.zone());
-    return zones.heardForMs(silent.zone(), clock.now(), machines) > 1.5 * reportMs;
+    return hearing.zoneHeard(silent);
   }
 
   /** How long nothing was heard of it. */
   public long silentMs(Host host) {
-    return clock.now() - Math.max(host.heardAt, host.knownSince());
-  }
-
-  /** True when it was asked several times and has been silent for a while. */
-  public boolean silent(Host host) {
-    return host.expectedUp()
-        && clock.now() - Math.max(host.heardAt, host.knownSince()) > SILENT * reportMs
-        && host.failedCalls >= 2
-        && clock.now() > judgeAgainAt;
+    return hearing.silentMs(host);
   }
 
   // ---- leading ----
@@ -176,12 +139,11 @@
   /** Begins to command: every known machine is shown the new token at once. */
   public void lead() {
     leading = true;
-    for (Host h : hosts.values()) {
+    courier.lead();
+    for (Host h : roster.all()) {
       reach(h);
     }
-    tickDue = clock.now();
-    leadingSince = clock.now();
-    judgeAgainAt = clock.now() + reportMs;
+    hearing.lead();
     tick();
   }
 
@@ -189,54 +151,37 @@
   public void clear() {
     leading = false;
     timer.cancel();
-    hosts.clear();
-    goneHosts.clear();
-    flushing.clear();
-    zones.clear();
-    perZone.clear();
+    courier.clear();
+    roster.clear();
+    hearing.clear();
   }
 
   /** Shows the token to a machine, and learns what is on it. */
   public void reach(Host host) {
     if (host.endpoint != null && !host.gone()) {
-      send(host, true);
+      courier.probe(host);
     }
   }
 
-  private long token(Host host) {
-    return Baton.of(leadership.term(), host.fence);
-  }
-
   private void tick() {
     long now = clock.now();
-    if (now - tickDue > reportMs / 6) {
-      // This process itself was held up: answers wait unread, so silence proves nothing for now.
-      judgeAgainAt = now + 2 * reportMs;
-    }
-    perZone.clear();
-    for (Host h : hosts.values()) {
-      if (h.up()) {
-        perZone.add(h.zone());
-      }
-    }
-    for (Host h : List.copyOf(hosts.values())) {
-      h.setOutOfReach(silent(h));
+    hearing.turn(reportMs / 8);
+    for (Host h : List.copyOf(roster.all())) {
+      h.setOutOfReach(hearing.silent(h));
       repeatHalts(h, now);
       // A machine that misses its report is asked at once.
-      boolean overdue = h.up() && now - h.heardAt > OVERDUE * reportMs;
       boolean unknown = !h.acknowledged && h.endpoint != null;
-      if (overdue || (unknown && h.expectedUp())) {
-        send(h, true);
-      } else if (!h.outbox.isEmpty()) {
-        send(h, false);
+      if (hearing.overdue(h) || (unknown && h.expectedUp())) {
+        courier.probe(h);
+      } else {
+        courier.send(h);
       }
     }
-    if (hearsNobody(now) && peers.othersHear()) {
+    if (hearing.nobody() && peers.othersHear()) {
       // Cut off from the workers alone: their leases would run out while this controller leads.
       leadership.resign("the workers are heard by others only");
       return;
     }
-    tickDue = now + reportMs / 8;
     timer = timers.after(reportMs / 8, this::tick);
   }
 
@@ -252,136 +197,18 @@
 
   /** Sends a launch. */
   public void launch(Attempt a) {
-    queue(a.host(), new Order.Launch(a.key(), a.number()));
+    courier.queue(a.host(), new Order.Launch(a.key(), a.number()));
   }
 
   /** Sends a stop. */
   public void halt(Attempt a, double windDownS) {
     a.haltSent(clock.now(), windDownS);
-    queue(a.host(), new Order.Halt(a.key(), a.number(), windDownS));
+    courier.queue(a.host(), new Order.Halt(a.key(), a.number(), windDownS));
   }
 
   /** Takes an exited attempt out of a machine's reports. */
   public void clear(String hostId, String key, long number) {
-    queue(hostId, new Order.Clear(key, number));
-  }
-
-  private void queue(String hostId, Order order) {
-    Host host = hosts.get(hostId);
-    if (host == null || !leading) {
-      return;
-    }
-    host.outbox.put(order.id(), order);
-    // All orders of one turn go in one message.
-    if (flushing.add(hostId)) {
-      timers.after(
-          0,
-          () -> {
-            flushing.remove(hostId);
-            Host h = hosts.get(hostId);
-            if (h != null) {
-              send(h, false);
-            }
-          });
-    }
-  }
-
-  private void send(Host host, boolean probe) {
-    if (!leading
-        || !leadership.leading()
-        || host.calling
-        || host.endpoint == null
-        || clock.now() < host.callAgainAt
-        || (host.outbox.isEmpty() && !probe)) {
-      return;
-    }
-    List<Order> orders = new ArrayList<>();
-    List<Attempt> launches = new ArrayList<>();
-    take(host, orders, launches);
-    if (orders.isEmpty() && !probe) {
-      return;
-    }
-    long sentToken = token(host);
-    ObjectNode body = Json.object().put("baton", sentToken).put("tenure", host.session);
-    ArrayNode list = body.putArray("orders");
-    orders.forEach(o -> list.add(o.toJson()));
-    launches.forEach(Attempt::launchSent);
-    host.calling = true;
-    long term = leadership.term();
-    http.call(
-        host.endpoint,
-        "POST",
-        "/orders",
-        Json.bytes(body),
-        callMs,
-        reply -> {
-          if (leading && leadership.term() == term) {
-            host.calling = false;
-            answered(host, orders, launches, reply);
-          }
-        });
-  }
-
-  private void take(Host host, List<Order> orders, List<Attempt> launches) {
-    Iterator<Order> it = host.outbox.values().iterator();
-    while (it.hasNext() && orders.size() < MOST_ORDERS) {
-      Order o = it.next();
-      it.remove();
-      if (o instanceof Order.Launch) {
-        Attempt a = host.attempt(o.key());
-        // Dropped meanwhile, or planned for a session that has ended.
-        if (a == null
-            || a.number() != o.attempt()
-            || a.sent()
-            || a.job().over()
-            || a.session() != host.session) {
-          continue;
-        }
-        launches.add(a);
-      }
-      orders.add(o);
-    }
-  }
-
-  private void answered(Host host, List<Order> orders, List<Attempt> launches, HttpReply reply) {
-    boolean executed = reply.status() == 200;
-    if (executed || reply.status() == 409) {
-      host.failedCalls = 0;
-      launches.forEach(Attempt::launchAnswered);
-      Report r = Report.parse(Json.parse(reply.body()));
-      if (r != null && r.host().equals(host.id())) {
-        apply(host, r);
-      }
-      if (!executed) {
-        requeue(host, orders);
-      }
-      send(host, false);
-      return;
-    }
-    host.failedCalls++;
-    host.callAgainAt = clock.now() + Math.min(reportMs / 3, 100L << Math.min(4, host.failedCalls));
-    if (reply.status() == HttpReply.NOT_SENT) {
-      launches.forEach(Attempt::launchNotSent);
-      orders.forEach(o -> host.outbox.putIfAbsent(o.id(), o));
-    } else {
-      // The launches may still be executed, at any later time, until the worker has seen a
-      // higher token: raise it, and conclude nothing before it is shown.
-      host.fence++;
-      launches.forEach(a -> a.launchUnknown(token(host)));
-      requeue(host, orders);
-    }
-    if (host.failedCalls == 2) {
-      listener.hostChanged(host);
-    }
-  }
-
-  /** Stops may be repeated; a launch never is, nor a clear whose launch may still be on its way. */
-  private static void requeue(Host host, List<Order> orders) {
-    for (Order o : orders) {
-      if (o instanceof Order.Halt h) {
-        host.outbox.putIfAbsent(h.id(), h);
-      }
-    }
+    courier.queue(hostId, new Order.Clear(key, number));
   }
 
   // ---- reports ----
@@ -402,14 +229,14 @@
       redirect(exchange, r);
       return;
     }
-    if (goneHosts.contains(r.host())) {
+    if (roster.isGone(r.host())) {
       exchange.reply(503, Json.bytes(Json.object()), 1);
       return;
     }
     Host host = host(r.host());
     ObjectNode answer = Json.object();
     apply(host, r);
-    answer.put("baton", token(host));
+    answer.put("baton", courier.token(host));
     answer.putArray("orders");
     exchange.reply(200, Json.bytes(answer), 0);
   }
@@ -448,20 +275,6 @@
     counting = timers.after(reportMs / 2, this::countBeats);
   }
 
-  /**
-   * True when machines are there, and not one of them was heard for longer than any report takes.
-   */
-  private boolean hearsNobody(long now) {
-    boolean any = false;
-    for (Host h : hosts.values()) {
-      if (now - h.heardAt < SILENT * reportMs) {
-        return false;
-      }
-      any |= h.up();
-    }
-    return any && now > judgeAgainAt && now - leadingSince > 3 * reportMs;
-  }
-
   private void apply(Host host, Report r) {
     leadership.termShown(Baton.term(r.token()));
     if (!leading || !leadership.leading()) {
@@ -477,7 +290,7 @@
     host.tick = r.tick();
     host.tokenSeen = r.token();
     host.heardAt = clock.now();
-    zones.heard(r.zone(), clock.now(), perZone.count(r.zone()));
+    hearing.heard(r.zone());
     host.describe(r.endpoint(), types.get(r.type()), r.zone(), r.spot());
     if (!host.acknowledged && r.token() >= Baton.of(leadership.term(), 0)) {
       host.acknowledged = true;
@@ -496,18 +309,31 @@
       listener.hostChanged(host);
     }
     if (!host.acknowledged) {
-      send(host, true);
+      courier.probe(host);
     }
   }
 
   /** A task that no attempt accounts for: it is stopped and taken out of the reports. */
   private void stray(Host host, Report.Task t) {
     if (t.status() == Report.Status.EXITED) {
-      queue(host.id(), new Order.Clear(t.key(), t.attempt()));
+      courier.queue(host.id(), new Order.Clear(t.key(), t.attempt()));
     } else {
       host.strays++;
       LOG.warn("{} try {} on {} is unaccounted for", t.key(), t.attempt(), host.id());
-      queue(host.id(), new Order.Halt(t.key(), t.attempt(), 0));
+      courier.queue(host.id(), new Order.Halt(t.key(), t.attempt(), 0));
+    }
+  }
+
+  /** What machines answer to orders is worth as much as what they report by themselves. */
+  private final class Answers implements Courier.Listener {
+    @Override
+    public void report(Host host, Report report) {
+      apply(host, report);
+    }
+
+    @Override
+    public void unanswered(Host host) {
+      listener.hostChanged(host);
     }
   }
 
