--- /dev/null
+++ b/src/main/java/dapplestair/emulator/EmulatedImages.java
@@ -0,0 +1,26 @@
+package dapplestair.emulator;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** The images on one machine: one fetch serves all tasks that need it. */
+final class EmulatedImages {
+  private final Surroundings world;
+  private final Shape.Machine type;
+  private final Map<String, Long> readyAt = new HashMap<>();
+
+  EmulatedImages(Surroundings world, Shape.Machine type) {
+    this.world = world;
+    this.type = type;
+  }
+
+  /** How long a task waits for its image; the rate varies by a third. */
+  long fetchMs(EmulatedTask t) {
+    long now = world.now();
+    String image = String.valueOf(t.image());
+    long usual = Math.round(1000 * t.amount("imageGb") / type.fetchGbPerS());
+    long ready =
+        readyAt.computeIfAbsent(image, i -> now + world.between(usual * 2 / 3, usual * 4 / 3));
+    return Math.max(0, ready - now) + world.between(20, 60);
+  }
+}
--- a/src/main/java/dapplestair/emulator/EmulatedWorker.java
+++ b/src/main/java/dapplestair/emulator/EmulatedWorker.java
@@ -7,7 +7,6 @@
 import dapplestair.ports.HttpReply;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,7 +27,7 @@
   private final String zone;
   private final boolean spot;
   private final Map<String, EmulatedTask> tasks = new LinkedHashMap<>();
-  private final Map<String, Long> images = new HashMap<>();
+  private final EmulatedImages images;
   private final List<Runnable> whileHanging = new ArrayList<>();
   private String endpoint;
   private boolean gone;
@@ -59,6 +58,7 @@
     this.id = id;
     this.zone = zone;
     this.spot = spot;
+    this.images = new EmulatedImages(world, type);
     this.endpoint = world.address(id);
   }
 
@@ -356,10 +356,7 @@
     JsonNode job = cloud.book().find(EmulatedTask.ref(key));
     EmulatedTask t = new EmulatedTask(key, attempt, job);
     boolean here = tasks.values().stream().anyMatch(o -> o.key().equals(key) && !o.exited());
-    boolean room =
-        fits(t, "vcpus", type.cpus())
-            && fits(t, "memoryGb", type.memoryGb())
-            && fits(t, "accelerators", type.gpus());
+    boolean room = type.fits(t, tasks.values());
     tasks.put(name, t);
     if (job == null) {
       t.exit("unknown");
@@ -369,26 +366,10 @@
       t.exit("full");
     } else {
       long g = generation;
-      world.after(fetchMs(t), () -> start(t, g));
+      world.after(images.fetchMs(t), () -> start(t, g));
     }
   }
 
-  private boolean fits(EmulatedTask t, String field, double most) {
-    double used =
-        tasks.values().stream().filter(o -> !o.exited()).mapToDouble(o -> o.amount(field)).sum();
-    return used + t.amount(field) <= most + 1e-9;
-  }
-
-  /** One fetch serves all tasks that need the image; the rate varies by a third. */
-  private long fetchMs(EmulatedTask t) {
-    long now = world.now();
-    String image = String.valueOf(t.image());
-    long usual = Math.round(1000 * t.amount("imageGb") / type.fetchGbPerS());
-    long ready =
-        images.computeIfAbsent(image, i -> now + world.between(usual * 2 / 3, usual * 4 / 3));
-    return Math.max(0, ready - now) + world.between(20, 60);
-  }
-
   private void start(EmulatedTask t, long g) {
     if (gone || g != generation || !t.status.equals("fetching")) {
       return;
--- a/src/main/java/dapplestair/emulator/Shape.java
+++ b/src/main/java/dapplestair/emulator/Shape.java
@@ -1,5 +1,6 @@
 package dapplestair.emulator;
 
+import java.util.Collection;
 import java.util.List;
 
 /**
@@ -35,7 +36,22 @@
       double fetchGbPerS,
       double price,
       double spotPrice,
-      double bootS) {}
+      double bootS) {
+
+    /** True when one more task has room beside these; what has exited holds none. */
+    boolean fits(EmulatedTask t, Collection<EmulatedTask> others) {
+      return fits(t, others, "vcpus", cpus)
+          && fits(t, others, "memoryGb", memoryGb)
+          && fits(t, others, "accelerators", gpus);
+    }
+
+    private static boolean fits(
+        EmulatedTask t, Collection<EmulatedTask> others, String field, double most) {
+      double used =
+          others.stream().filter(o -> !o.exited()).mapToDouble(o -> o.amount(field)).sum();
+      return used + t.amount(field) <= most + 1e-9;
+    }
+  }
 
   Machine type(String name) {
     return types.stream().filter(t -> t.name().equals(name)).findFirst().orElse(null);
--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -9,7 +9,6 @@
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,7 +26,7 @@
   private final Ledger ledger;
   private final WorkerDesk desk;
   private final Estimates estimates;
-  private final Promises promises;
+  private final Ranking ranking;
   private final long pauseMs;
   private final DoubleSupplier roomForServices;
   private final Evictions evictions;
@@ -55,7 +54,7 @@
     this.desk = desk;
     this.estimates = estimates;
     this.evictions = new Evictions(clock, settings, ledger, desk);
-    this.promises = new Promises(settings.objectives());
+    this.ranking = new Ranking(clock, settings, ledger, estimates);
     this.pauseMs = settings.workers().reportMs() / 60;
   }
 
@@ -107,7 +106,7 @@
   }
 
   private void turn() {
-    List<Job> waiting = ordered();
+    List<Job> waiting = ranking.ordered();
     if (waiting.isEmpty()) {
       return;
     }
@@ -175,56 +174,6 @@
     return out;
   }
 
-  private record Ranked(Job job, int urgency, boolean borrows, int broken, double order) {}
-
-  /**
-   * Waiting jobs: by rank, guaranteed ones before borrowers, then those with the most promises left
-   * to keep, the least work first; those with none left, oldest first; those without any, by slack.
-   */
-  private List<Job> ordered() {
-    long now = clock.now();
-    List<Ranked> waiting = new ArrayList<>();
-    for (Job job : ledger.jobs()) {
-      if (!job.over() && job.heldBackUntil() <= now && job.nextFree(0) >= 0) {
-        waiting.add(ranked(job));
-      }
-    }
-    waiting.sort(
-        Comparator.comparingInt(Ranked::urgency)
-            .thenComparing(Ranked::borrows)
-            .thenComparingInt(Ranked::broken)
-            .thenComparingDouble(Ranked::order)
-            .thenComparing(r -> r.job().spec().ref()));
-    return waiting.stream().map(Ranked::job).toList();
-  }
-
-  private Ranked ranked(Job job) {
-    Submission s = job.spec();
-    double age = (clock.wall() - job.acceptedWall()) / 1000.0;
-    double run = estimates.runS(s);
-    int broken = promises.broken(s, age, run);
-    double order;
-    if (promises.allBroken(s, broken)) {
-      order = -age;
-    } else if (broken > 0 || promises.promised(s)) {
-      order = job.waiting() * s.cpus() * Math.max(1, run);
-    } else {
-      order = (Double.isFinite(s.dueS()) ? s.dueS() : 10 * run + 60) - age - run;
-    }
-    return new Ranked(job, urgency(s), !guaranteed(job), broken, order);
-  }
-
-  private static int urgency(Submission s) {
-    return 2 * s.rank().ordinal() + (s.service() ? 0 : 1);
-  }
-
-  private boolean guaranteed(Job job) {
-    Settings.Team team = settings.teams().get(job.spec().team());
-    return team != null
-        && team.cpus() > 0
-        && ledger.teamCpus(team.name()) + job.spec().cpus() <= team.cpus() + 1e-6;
-  }
-
   private void placeEach(Job job, List<Host> usable) {
     awaitsImage = false;
     int step = job.nextFree(0);
@@ -243,7 +192,7 @@
       recorder.found(job, Verdict.AWAITS_IMAGE, job.waiting());
     }
     if (step >= 0 && ledger.teamAllows(job.spec()) && !awaitsImage) {
-      int onItsWay = evictions.makeRoom(job, guaranteed(job));
+      int onItsWay = evictions.makeRoom(job, ranking.guaranteed(job));
       if (onItsWay > 0 && recorder != null) {
         recorder.found(job, Verdict.ROOM_ON_ITS_WAY, onItsWay);
       }
--- /dev/null
+++ b/src/main/java/dapplestair/placement/Ranking.java
@@ -0,0 +1,78 @@
+package dapplestair.placement;
+
+import dapplestair.ledger.Job;
+import dapplestair.ledger.Ledger;
+import dapplestair.ports.Clock;
+import dapplestair.settings.Settings;
+import dapplestair.work.Submission;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** Which waiting job is placed first. */
+final class Ranking {
+  private final Clock clock;
+  private final Settings settings;
+  private final Ledger ledger;
+  private final Estimates estimates;
+  private final Promises promises;
+
+  Ranking(Clock clock, Settings settings, Ledger ledger, Estimates estimates) {
+    this.clock = clock;
+    this.settings = settings;
+    this.ledger = ledger;
+    this.estimates = estimates;
+    this.promises = new Promises(settings.objectives());
+  }
+
+  private record Ranked(Job job, int urgency, boolean borrows, int broken, double order) {}
+
+  /**
+   * Waiting jobs: by rank, guaranteed ones before borrowers, then those with the most promises left
+   * to keep, the least work first; those with none left, oldest first; those without any, by slack.
+   */
+  List<Job> ordered() {
+    long now = clock.now();
+    List<Ranked> waiting = new ArrayList<>();
+    for (Job job : ledger.jobs()) {
+      if (!job.over() && job.heldBackUntil() <= now && job.nextFree(0) >= 0) {
+        waiting.add(ranked(job));
+      }
+    }
+    waiting.sort(
+        Comparator.comparingInt(Ranked::urgency)
+            .thenComparing(Ranked::borrows)
+            .thenComparingInt(Ranked::broken)
+            .thenComparingDouble(Ranked::order)
+            .thenComparing(r -> r.job().spec().ref()));
+    return waiting.stream().map(Ranked::job).toList();
+  }
+
+  private Ranked ranked(Job job) {
+    Submission s = job.spec();
+    double age = (clock.wall() - job.acceptedWall()) / 1000.0;
+    double run = estimates.runS(s);
+    int broken = promises.broken(s, age, run);
+    double order;
+    if (promises.allBroken(s, broken)) {
+      order = -age;
+    } else if (broken > 0 || promises.promised(s)) {
+      order = job.waiting() * s.cpus() * Math.max(1, run);
+    } else {
+      order = (Double.isFinite(s.dueS()) ? s.dueS() : 10 * run + 60) - age - run;
+    }
+    return new Ranked(job, urgency(s), !guaranteed(job), broken, order);
+  }
+
+  private static int urgency(Submission s) {
+    return 2 * s.rank().ordinal() + (s.service() ? 0 : 1);
+  }
+
+  /** True when one more of its tasks lies within its team's guarantee. */
+  boolean guaranteed(Job job) {
+    Settings.Team team = settings.teams().get(job.spec().team());
+    return team != null
+        && team.cpus() > 0
+        && ledger.teamCpus(team.name()) + job.spec().cpus() <= team.cpus() + 1e-6;
+  }
+}
