--- a/src/main/java/dapplestair/emulator/EmulatedTask.java
+++ b/src/main/java/dapplestair/emulator/EmulatedTask.java
@@ -62,7 +62,8 @@
     return job == null ? 0 : Json.decimal(job, field, 0);
   }
 
-  boolean service() {
+  /** True when it runs until it is stopped. */
+  public boolean service() {
     return "daemon".equals(Json.text(job, "shape"));
   }
 
--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -11,6 +11,7 @@
 import dapplestair.ports.HttpCaller;
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
+import dapplestair.silence.Patience;
 import dapplestair.state.Keys;
 import dapplestair.state.Outcome;
 import dapplestair.state.StateClient;
@@ -21,6 +22,7 @@
 import dapplestair.workers.WorkerDesk;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
 
 /** Rents and returns machines, and learns from the cloud which exist. Acts only for a leader. */
@@ -67,14 +69,18 @@
     this.types = types;
     this.desk = desk;
     market = new Market(clock);
+    Patience patience = new Patience(settings);
     cloud = new CloudClient(clock, timers, http, settings);
     rentals =
         new Rentals(
             clock, timers, settings, state, leadership, types, desk, cloud, events, this::refused);
-    stock = new Stock(clock, desk, rentals);
+    stock = new Stock(clock, desk, rentals, patience);
     supply = new Supply(clock, types, events, 5 * settings.workers().reportMs(), stock::holding);
+    supply.closeZones(z -> desk.zoneSilentMs(z) > 0);
     releases = new Releases(desk, cloud, events);
-    lookout = new Lookout(clock, settings, state, types, desk, releases, market, events);
+    lookout =
+        new Lookout(
+            clock, settings, state, types, desk, releases, market, patience, supply, events);
     list = new MachineList(clock, settings, types, desk, cloud, lookout);
   }
 
@@ -84,7 +90,16 @@
 
   /** Zones in which nothing is to be rented, since operators have them emptied. */
   public void closeZones(Predicate<String> closed) {
-    supply.closeZones(closed);
+    // Nothing is rented in a silent zone either: what boots there cannot be reached.
+    supply.closeZones(z -> closed.test(z) || desk.zoneSilentMs(z) > 0);
+  }
+
+  /**
+   * How much work waits for room, for the decision which silent machines to give up, and who hears
+   * of room that is lost.
+   */
+  public void weigh(DoubleSupplier waitingCpus, Runnable roomLost) {
+    lookout.weigh(waitingCpus, roomLost);
   }
 
   // ---- what the replica says ----
@@ -217,8 +232,8 @@
   }
 
   /** True when a machine is, or will be, of use in this slot. */
-  public static boolean counts(Host h, Slot slot) {
-    return Stock.counts(h, slot);
+  public boolean counts(Host h, Slot slot) {
+    return stock.counts(h, slot);
   }
 
   /** True while the cloud has lately refused this slot everywhere. */
--- a/src/main/java/dapplestair/fleet/Lookout.java
+++ b/src/main/java/dapplestair/fleet/Lookout.java
@@ -1,16 +1,21 @@
 package dapplestair.fleet;
 
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
 import dapplestair.events.Events;
 import dapplestair.ledger.Attempt;
 import dapplestair.machines.MachineType;
 import dapplestair.machines.MachineTypes;
 import dapplestair.ports.Clock;
 import dapplestair.settings.Settings;
+import dapplestair.silence.Patience;
 import dapplestair.state.StateClient;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Objects;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,8 +35,18 @@
   private final WorkerDesk desk;
   private final Releases releases;
   private final Market market;
+  private final Patience patience;
+  private final Supply supply;
+  private DoubleSupplier waitingCpus = () -> 0;
+  private Runnable roomLost = () -> {};
+
+  // Zones for whose replicas room was asked for already.
+  private final Set<String> prepared = new HashSet<>();
   private final Events events;
   private MachineList list;
+  private final Multiset<String> expectedUp = HashMultiset.create();
+  private boolean anyFresh;
+  private double freeCpus;
   private long leadingSince;
 
   Lookout(
@@ -42,6 +57,8 @@
       WorkerDesk desk,
       Releases releases,
       Market market,
+      Patience patience,
+      Supply supply,
       Events events) {
     this.clock = clock;
     this.settings = settings;
@@ -50,9 +67,17 @@
     this.desk = desk;
     this.releases = releases;
     this.market = market;
+    this.patience = patience;
+    this.supply = supply;
     this.events = events;
   }
 
+  /** {@code waiting} says how much work waits for room; {@code lost} hears of room that is lost. */
+  void weigh(DoubleSupplier waiting, Runnable lost) {
+    waitingCpus = waiting;
+    roomLost = lost;
+  }
+
   void lead(MachineList machines) {
     list = machines;
     leadingSince = clock.now();
@@ -61,6 +86,18 @@
   /** Looks at every machine. */
   void look() {
     long now = clock.now();
+    anyFresh = false;
+    boolean anyAwaited = false;
+    expectedUp.clear();
+    for (Host h : desk.hosts()) {
+      anyFresh |= desk.fresh(h);
+      anyAwaited |= h.zoneSilentMs() > 0;
+      prepare(h);
+      if (h.expectedUp()) {
+        expectedUp.add(String.valueOf(h.zone()));
+      }
+    }
+    freeCpus = anyAwaited ? freeCpus() : 0;
     for (Host h : List.copyOf(desk.hosts())) {
       inspect(h, now);
     }
@@ -104,7 +141,10 @@
   }
 
   private void judge(Host h, long now) {
-    if (h.outOfReach() && givenUp(h)) {
+    if (desk.saidGone(h)) {
+      LOG.info("{} was returned by the leader before: once more", h.id());
+      releases.add(h);
+    } else if (h.outOfReach() && givenUp(h)) {
       LOG.info("{} is silent: returning it", h.id());
       lost(h, "silent");
       market.noteTaken(h);
@@ -123,26 +163,54 @@
   }
 
   /**
-   * A silent machine is given up only while its zone is heard: if a whole zone is silent, it is
-   * rather the way there that is cut, and its tasks run on. Such a zone is waited for until its
-   * leases have run out, and longer where a controller may be keeping them.
+   * A silent machine is given up while its zone is heard, unless it hangs: then its tasks may go on
+   * within its lease. If a whole zone is silent, it is rather the way there that is cut, and its
+   * tasks run on. Both are waited for as {@link Patience} says.
    */
   private boolean givenUp(Host silent) {
+    boolean replicas = silent.serviceCpus() > 0;
+    double bootS = silent.type() == null ? longestBootS() : silent.type().bootS();
     if (desk.zoneHeard(silent)) {
+      return !silent.hanging() || patience.hangsTooLong(desk.silentMs(silent), replicas, bootS);
+    }
+    if (!anyFresh) {
+      return false;
+    }
+    if (expectedUp.count(String.valueOf(silent.zone())) <= 1) {
       return true;
     }
-    boolean zoneKnown = false;
-    boolean anyFresh = false;
-    for (Host h : desk.hosts()) {
-      anyFresh |= desk.fresh(h);
-      zoneKnown |= h != silent && h.expectedUp() && Objects.equals(h.zone(), silent.zone());
+    boolean room = !replicas && silent.cpusUsed() > 0 && silent.cpusUsed() <= freeCpus;
+    boolean givenUp =
+        patience.givenUp(
+            silent.zone(),
+            desk.silentMs(silent),
+            replicas,
+            room,
+            silent.type() != null && supply.open(new Slot(silent.type().name(), silent.spot())),
+            bootS);
+    if (givenUp) {
+      freeCpus -= silent.cpusUsed();
+    }
+    return givenUp;
+  }
+
+  /** Once for each silence of a zone, as soon as its machines with replicas count as lost. */
+  private void prepare(Host h) {
+    if (h.zoneSilentMs() == 0) {
+      prepared.remove(String.valueOf(h.zone()));
+    } else if (h.zoneSilentMs() >= patience.prepareAfterMs()
+        && prepared.add(String.valueOf(h.zone()))) {
+      roomLost.run();
     }
-    long patience = settings.workers().leaseMs() * (controllerIn(silent.zone()) ? 3 : 1);
-    return anyFresh && (!zoneKnown || desk.silentMs(silent) > patience * 21 / 20);
   }
 
-  private boolean controllerIn(String zone) {
-    return settings.peers().stream().anyMatch(p -> p.zone().equals(zone));
+  /** Room that is free now and that nothing waits for. */
+  private double freeCpus() {
+    double free = -waitingCpus.getAsDouble();
+    for (Host h : desk.hosts()) {
+      free += !h.closed() && desk.fresh(h) ? Math.max(0, h.cpusFree()) : 0;
+    }
+    return free;
   }
 
   /**
@@ -150,16 +218,20 @@
    * one that it has not heard yet: those that run must not be taken for late ones.
    */
   private boolean bootOverdue(Host h, long now) {
-    if (h.firstListedAt() == Long.MAX_VALUE || now - leadingSince < list.longestLag()) {
+    // In a silent zone it may be up, and cannot say so.
+    if (h.firstListedAt() == Long.MAX_VALUE
+        || now - leadingSince < list.longestLag()
+        || h.zoneSilentMs() > 0) {
       return false;
     }
-    double boot =
-        h.type() != null
-            ? h.type().bootS()
-            : types.all().stream().mapToDouble(MachineType::bootS).max().orElse(60);
+    double boot = h.type() == null ? longestBootS() : h.type().bootS();
     return now - h.rentedAt() > BOOT_OVERDUE * boot * 1000;
   }
 
+  private double longestBootS() {
+    return types.all().stream().mapToDouble(MachineType::bootS).max().orElse(60);
+  }
+
   /**
    * Recorded by an earlier leader, in a rental or as the place of an attempt, and gone before any
    * list of this one could hold it. Its release is the proof that its attempts need.
@@ -185,6 +257,7 @@
   }
 
   private void lost(Host h, String why) {
+    roomLost.run();
     events.note(
         Events.Kind.MACHINE_LOST,
         o -> o.put("machine", h.id()).put("zone", h.zone()).put("reason", why));
--- a/src/main/java/dapplestair/fleet/Releases.java
+++ b/src/main/java/dapplestair/fleet/Releases.java
@@ -3,9 +3,10 @@
 import dapplestair.events.Events;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -17,7 +18,9 @@
   private final WorkerDesk desk;
   private final CloudClient cloud;
   private final Events events;
-  private final Set<String> waiting = new HashSet<>();
+  // Replicas wait for the release of their former machine, so those go first.
+  private final Set<String> urgent = new LinkedHashSet<>();
+  private final Set<String> waiting = new LinkedHashSet<>();
   private boolean leading;
   private boolean asking;
 
@@ -33,6 +36,7 @@
 
   void clear() {
     leading = false;
+    urgent.clear();
     waiting.clear();
     asking = false;
   }
@@ -40,7 +44,7 @@
   /** Returns a machine, whatever is on it. */
   void add(Host h) {
     h.setReleasing(true);
-    waiting.add(h.id());
+    (h.serviceCpus() > 0 ? urgent : waiting).add(h.id());
   }
 
   /** Takes a machine that is gone already off the cloud's list. */
@@ -49,10 +53,11 @@
   }
 
   void send() {
-    if (asking || waiting.isEmpty()) {
+    List<String> batch =
+        Stream.concat(urgent.stream(), waiting.stream()).limit(MOST_PER_RELEASE).toList();
+    if (asking || batch.isEmpty()) {
       return;
     }
-    List<String> batch = waiting.stream().limit(MOST_PER_RELEASE).toList();
     asking = true;
     cloud.release(
         batch,
@@ -60,12 +65,14 @@
           asking = false;
           if (leading && reply.status() == 200) {
             batch.forEach(this::returned);
+            send();
           }
         });
   }
 
   /** The cloud has confirmed it: nothing is left on the machine. */
   private void returned(String id) {
+    urgent.remove(id);
     waiting.remove(id);
     Host h = desk.known(id);
     if (h != null) {
--- a/src/main/java/dapplestair/fleet/Stock.java
+++ b/src/main/java/dapplestair/fleet/Stock.java
@@ -1,6 +1,7 @@
 package dapplestair.fleet;
 
 import dapplestair.ports.Clock;
+import dapplestair.silence.Patience;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import java.util.ArrayList;
@@ -15,25 +16,39 @@
   private final Clock clock;
   private final WorkerDesk desk;
   private final Rentals rentals;
+  private final Patience patience;
 
-  Stock(Clock clock, WorkerDesk desk, Rentals rentals) {
+  Stock(Clock clock, WorkerDesk desk, Rentals rentals, Patience patience) {
     this.clock = clock;
     this.desk = desk;
     this.rentals = rentals;
+    this.patience = patience;
   }
 
-  static boolean counts(Host h, Slot slot) {
+  /** True when a machine is, or will be, of use in this slot. */
+  boolean counts(Host h, Slot slot) {
     return !h.gone()
         && !h.releasing()
         && !h.draining()
         && !h.drained()
         && !h.recalled()
-        && !h.outOfReach()
+        && awaited(h)
         && h.type() != null
         && h.type().name().equals(slot.type())
         && h.spot() == slot.spot();
   }
 
+  /**
+   * Machines that hang, or of a silent zone, are waited for, so that nothing is rented in their
+   * place; but the replicas on them will be lost first, and room for those must boot in time.
+   */
+  private boolean awaited(Host h) {
+    if (h.zoneSilentMs() == 0 && !h.hanging()) {
+      return !h.outOfReach();
+    }
+    return h.serviceCpus() == 0 || desk.silentMs(h) < patience.prepareAfterMs();
+  }
+
   int holding(Slot slot) {
     int n = 0;
     for (Host h : desk.hosts()) {
@@ -81,7 +96,9 @@
     long now = clock.now();
     List<Host> out = new ArrayList<>();
     for (Host h : desk.hosts()) {
-      if (counts(h, slot) && h.up() && h.idle() && now - h.rentedAt() >= CHARGED_MS) {
+      // What a silent machine does is not known.
+      boolean idle = h.up() && h.idle() && h.zoneSilentMs() == 0 && !h.hanging();
+      if (idle && counts(h, slot) && now - h.rentedAt() >= CHARGED_MS) {
         out.add(h);
       }
     }
--- a/src/main/java/dapplestair/fleet/Supply.java
+++ b/src/main/java/dapplestair/fleet/Supply.java
@@ -58,6 +58,13 @@
     return refusedUntil.getOrDefault(place, Long.MIN_VALUE) <= clock.now();
   }
 
+  /** True when some zone may have more of this slot. */
+  boolean open(Slot slot) {
+    MachineType t = types.get(slot.type());
+    return t != null
+        && t.zones().stream().anyMatch(z -> !closed.test(z) && open(new Place(slot, z)));
+  }
+
   /** True while the cloud has lately refused this slot everywhere. */
   boolean exhausted(Slot slot) {
     MachineType t = types.get(slot.type());
@@ -73,7 +80,10 @@
     int sum = 0;
     for (String z : t.zones()) {
       Place p = new Place(slot, z);
-      if (!closed.test(z)) {
+      if (closed.test(z)) {
+        // What is held there stays; nothing more is rented.
+        sum += holding.applyAsInt(p);
+      } else {
         sum += open(p) ? holding.applyAsInt(p) + otherwise : granted.getOrDefault(p, 0);
       }
     }
--- a/src/main/java/dapplestair/ledger/Chunk.java
+++ b/src/main/java/dapplestair/ledger/Chunk.java
@@ -7,7 +7,9 @@
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** The attempts and completions of a run of consecutive tasks, kept under one key. */
 final class Chunk {
@@ -22,6 +24,13 @@
   final Int2ObjectOpenHashMap<Attempt> live = new Int2ObjectOpenHashMap<>();
 
   long lastNumber;
+
+  /** The highest number that the record in the state service has reached. */
+  long recordedNumber;
+
+  /** Sheets with attempts that the record does not know of yet. */
+  final Set<Sheet> sheets = new HashSet<>();
+
   long stamp;
   boolean dirty;
   boolean urgent;
@@ -95,6 +104,7 @@
   void read(JsonNode value, long newStamp, RecordedAttempts attempts) {
     stamp = newStamp;
     lastNumber = Json.number(value, "t", 0);
+    recordedNumber = lastNumber;
     JsonNode d = value.path("d");
     for (int i = 0; i + 1 < d.size(); i += 2) {
       done.set(d.get(i).asInt(), d.get(i + 1).asInt());
--- a/src/main/java/dapplestair/ledger/ChunkWriter.java
+++ b/src/main/java/dapplestair/ledger/ChunkWriter.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 
 /** Keeps the records of attempts: puts what changed, in as few puts as may be. */
-final class ChunkWriter {
+final class ChunkWriter implements Sheets.Chunks {
   /** Told of what a put has settled. */
   interface Listener {
     /** A put of this job was made. True when the job is over, so that no more follow. */
@@ -26,6 +26,7 @@
   /** What one put of a chunk carries. */
   private static final class Flush {
     boolean built;
+    long number;
     final List<Attempt> planned = new ArrayList<>();
     final List<Attempt> completed = new ArrayList<>();
   }
@@ -36,10 +37,12 @@
   private final Office office;
   private final double bookkeepingPerS;
   private final Set<Chunk> gathering = new HashSet<>();
+  private final Sheets sheets;
   private Listener listener;
 
-  ChunkWriter(Office office) {
+  ChunkWriter(Office office, boolean withSheets) {
     this.office = office;
+    this.sheets = new Sheets(office, this, withSheets);
     this.bookkeepingPerS = BOOKKEEPING_SHARE * office.settings.state().writeRps();
   }
 
@@ -49,6 +52,7 @@
 
   void clear() {
     gathering.clear();
+    sheets.clear();
   }
 
   /** The chunk differs from its record; {@code urgent} when launches wait for the put. */
@@ -64,12 +68,46 @@
     // Both may be queued for one chunk: launches must not wait behind a put that nobody waits for.
     if (urgent && !c.launchQueued) {
       c.launchQueued = true;
-      office.timers.after(0, () -> enqueue(job, c, Priority.LAUNCH));
+      boolean service = job.spec().service();
+      office.timers.after(0, service ? () -> sheets.add(job, c) : () -> alone(job, c));
     } else if (!urgent && gathering.add(c)) {
       office.timers.after(gatherMs(), () -> enqueue(job, c, Priority.BOOKKEEPING));
     }
   }
 
+  @Override
+  public void alone(Job job, Chunk c) {
+    enqueue(job, c, job.spec().service() ? Priority.REPLICA : Priority.LAUNCH);
+  }
+
+  @Override
+  public boolean waits(Job job, Chunk c) {
+    c.launchQueued = false;
+    return office.held() && !c.inFlight && c.dirty && c.urgent && !job.over();
+  }
+
+  @Override
+  public void landed(Job job, Chunk c, boolean made) {
+    // Its own record takes over when nobody waits for the put. Before that it must, if the sheet
+    // may have been made without our knowing: entries of a lost one then count no more.
+    c.urgent = !made || c.live.values().stream().anyMatch(a -> a.phase == Attempt.Phase.PLANNED);
+    if (job.over) {
+      listener.over(job);
+    } else {
+      again(job, c);
+    }
+  }
+
+  @Override
+  public void dropped(Attempt unsent) {
+    listener.dropped(unsent);
+  }
+
+  /** Sheets of services' launches. */
+  Sheets sheets() {
+    return sheets;
+  }
+
   private void again(Job job, Chunk c) {
     if (c.dirty && !job.over()) {
       dirty(job, c, c.urgent);
@@ -109,7 +147,7 @@
   }
 
   private void unqueued(Chunk c, Priority priority) {
-    if (priority == Priority.LAUNCH) {
+    if (priority != Priority.BOOKKEEPING) {
       c.launchQueued = false;
     } else {
       gathering.remove(c);
@@ -123,6 +161,7 @@
       return null;
     }
     flush.built = true;
+    flush.number = c.lastNumber;
     c.inFlight = true;
     c.dirty = false;
     c.urgent = false;
@@ -148,6 +187,8 @@
   private void written(Job job, Chunk c, Outcome outcome, Flush flush) {
     if (outcome instanceof Outcome.Applied applied) {
       c.stamp = applied.stamp();
+      c.recordedNumber = flush.number;
+      sheets.released(c);
       if (job.over) {
         listener.over(job);
         return;
--- a/src/main/java/dapplestair/ledger/Endings.java
+++ b/src/main/java/dapplestair/ledger/Endings.java
@@ -152,6 +152,7 @@
       }
     }
     if (!left) {
+      job.chunks.values().forEach(writer.sheets()::released);
       jobs.remove(job.spec().ref(), job);
     }
   }
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -12,12 +12,16 @@
 import dapplestair.work.Report;
 import dapplestair.work.Submission;
 import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -39,20 +43,24 @@
   private final Endings endings;
   private final Evidence evidence;
   private final Door door;
+
+  // While a leader begins: the chunks that each earlier sheet still counts for.
+  private final Map<String, Set<Chunk>> claims = new HashMap<>();
   private int orphans;
 
-  /** An empty ledger. */
+  /** An empty ledger; {@code withSheets} when launches of many services share one put. */
   public Ledger(
       Clock clock,
       Timers timers,
       Settings settings,
       StateClient state,
       Leadership leadership,
+      boolean withSheets,
       Hooks hooks) {
     office = new Office(clock, timers, settings, state, leadership, hooks);
     chunkSize = Math.max(1, settings.state().valueBytes() / BYTES_PER_ATTEMPT);
     use = new TeamUse(settings);
-    writer = new ChunkWriter(office);
+    writer = new ChunkWriter(office, withSheets);
     attempts = new Attempts(office, use, writer);
     endings = new Endings(office, writer, attempts, jobs);
     evidence = new Evidence(office, attempts, writer, endings);
@@ -123,6 +131,22 @@
     }
   }
 
+  /** A sheet of attempts has this value. */
+  public void sheetPut(String key, JsonNode value, long stamp) {
+    if (!office.held()) {
+      recorded.putSheet(key, value, stamp);
+    } else {
+      writer.sheets().shown(key, stamp);
+    }
+  }
+
+  /** A sheet of attempts is gone. */
+  public void sheetRemoved(String key) {
+    if (!office.held()) {
+      recorded.removeSheet(key);
+    }
+  }
+
   // ---- taking and giving up the lead ----
 
   /** Builds attempts from the records; launches begin once nothing is unaccounted for. */
@@ -166,8 +190,14 @@
 
   private void orphanFound() {
     if (--orphans == 0) {
+      recorded
+          .sheets()
+          .forEach(
+              (key, stamp) ->
+                  writer.sheets().adopt(key, stamp, claims.getOrDefault(key, Set.of())));
       office.arm();
       recorded.clear();
+      claims.clear();
       LOG.info("ledger ready: {} jobs, {} attempts", jobs.size(), attemptCount());
       for (Job job : List.copyOf(jobs.values())) {
         endings.finishIfDone(job);
@@ -176,27 +206,58 @@
     }
   }
 
+  /**
+   * Enters what the sheets add to a job's own records. Of two sheets with the same task the higher
+   * number counts: it was given out after the other one was proved absent.
+   */
+  private void readSheets(Job job) {
+    Int2ObjectMap<Recorded.OnSheet> newest = new Int2ObjectOpenHashMap<>();
+    for (Recorded.OnSheet on : recorded.onSheets(job.spec().ref())) {
+      Sheet.Entry e = on.entry();
+      if (e.number() > job.chunkOf(e.step()).recordedNumber) {
+        newest.merge(e.step(), on, (a, b) -> a.entry().number() > b.entry().number() ? a : b);
+        claims.computeIfAbsent(on.key(), k -> new LinkedHashSet<>()).add(job.chunkOf(e.step()));
+      }
+    }
+    for (Recorded.OnSheet on : newest.values()) {
+      Sheet.Entry e = on.entry();
+      Chunk c = job.chunkOf(e.step());
+      c.lastNumber = Math.max(c.lastNumber, e.number());
+      Attempt older = c.live.get(e.step());
+      if (older != null) {
+        attempts.retire(older);
+      }
+      enter(job, c, e.step(), e.number(), e.host(), e.zone(), e.session());
+      writer.dirty(job, c, false);
+    }
+  }
+
+  private void enter(
+      Job job, Chunk c, int step, long number, String host, String zone, long session) {
+    Attempt a = new Attempt(job, step, number, host, zone, session, office.clock.now());
+    // Its launch may still be on its way from an earlier leader: only a report under a token of
+    // this term proves anything about it.
+    a.phase = Attempt.Phase.SENT;
+    a.neededToken = Baton.of(office.term(), 0);
+    attempts.enter(c, a);
+  }
+
   private void build(Job job) {
     for (Int2ObjectMap.Entry<Recorded.Row> e : recorded.of(job.spec().ref()).int2ObjectEntrySet()) {
       Chunk c = job.chunk(e.getIntKey());
       c.read(
           e.getValue().value(),
           e.getValue().stamp(),
-          (step, number, host, zone, session) -> {
-            Attempt a = new Attempt(job, step, number, host, zone, session, office.clock.now());
-            // Its launch may still be on its way from an earlier leader: only a report
-            // under a token of this term proves anything about it.
-            a.phase = Attempt.Phase.SENT;
-            a.neededToken = Baton.of(office.term(), 0);
-            attempts.enter(c, a);
-          });
+          (step, number, host, zone, session) -> enter(job, c, step, number, host, zone, session));
     }
+    readSheets(job);
   }
 
   /** Forgets everything: the replica will tell it again. */
   public void clear() {
     jobs.clear();
     recorded.clear();
+    claims.clear();
     use.clear();
     writer.clear();
     office.leave();
@@ -247,6 +308,11 @@
     return out.subList(0, Math.min(most, out.size()));
   }
 
+  /** Sheets that are on record; none before a former version may lead again. */
+  public int sheetCount() {
+    return office.held() ? writer.sheets().count() : recorded.sheets().size();
+  }
+
   /** Attempts whose absence is not proved. */
   public int attemptCount() {
     return jobs.values().stream().mapToInt(Job::held).sum();
--- a/src/main/java/dapplestair/ledger/Recorded.java
+++ b/src/main/java/dapplestair/ledger/Recorded.java
@@ -2,16 +2,24 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** The records of attempts as the replica tells them, unread: a follower needs no more. */
 final class Recorded {
+  /** An attempt and the sheet that has it. */
+  record OnSheet(String key, Sheet.Entry entry) {}
+
   /** One record and its stamp. */
   record Row(JsonNode value, long stamp) {}
 
   private final Map<String, Int2ObjectOpenHashMap<Row>> rows = new HashMap<>();
+  private final Map<String, Long> sheets = new HashMap<>();
+  private final Map<String, List<OnSheet>> onSheets = new HashMap<>();
 
   void put(String ref, int chunk, JsonNode value, long stamp) {
     rows.computeIfAbsent(ref, r -> new Int2ObjectOpenHashMap<>()).put(chunk, new Row(value, stamp));
@@ -27,8 +35,36 @@
     }
   }
 
-  List<String> refs() {
-    return List.copyOf(rows.keySet());
+  void putSheet(String key, JsonNode value, long stamp) {
+    removeSheet(key);
+    sheets.put(key, stamp);
+    for (Sheet.Entry e : Sheet.read(value)) {
+      onSheets.computeIfAbsent(e.ref(), r -> new ArrayList<>()).add(new OnSheet(key, e));
+    }
+  }
+
+  void removeSheet(String key) {
+    if (sheets.remove(key) != null) {
+      onSheets.values().forEach(list -> list.removeIf(on -> on.key().equals(key)));
+      onSheets.values().removeIf(List::isEmpty);
+    }
+  }
+
+  /** All sheets and their stamps. */
+  Map<String, Long> sheets() {
+    return sheets;
+  }
+
+  /** What sheets say of a job. */
+  List<OnSheet> onSheets(String ref) {
+    return onSheets.getOrDefault(ref, List.of());
+  }
+
+  /** Jobs with attempts on record. */
+  Set<String> refs() {
+    Set<String> out = new LinkedHashSet<>(rows.keySet());
+    out.addAll(onSheets.keySet());
+    return out;
   }
 
   /** A job's records by chunk. */
@@ -43,10 +79,13 @@
       out[0] += Chunk.countDone(r.value());
       out[1] += Chunk.countLive(r.value());
     }
+    out[1] += onSheets(ref).size();
     return out;
   }
 
   void clear() {
     rows.clear();
+    sheets.clear();
+    onSheets.clear();
   }
 }
--- /dev/null
+++ b/src/main/java/dapplestair/ledger/Sheet.java
@@ -0,0 +1,84 @@
+package dapplestair.ledger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Attempts of many jobs recorded by one put. An entry counts until its chunk's own record reaches
+ * its number: that record was written later, and knows of it.
+ */
+final class Sheet {
+  /** One recorded attempt. */
+  record Entry(String ref, int step, long number, String host, String zone, long session) {}
+
+  // About what an entry takes, its names included; measured by its own encoding in SheetTest.
+  private static final int BYTES_PER_ENTRY = 56;
+
+  final String key;
+  long stamp;
+  boolean removing;
+
+  /** Chunks whose own records do not know of this sheet's entries yet. */
+  final Set<Chunk> claims = new HashSet<>();
+
+  Sheet(String key) {
+    this.key = key;
+  }
+
+  /** How many entries surely fit in a value of so many bytes. */
+  static int capacity(int valueBytes) {
+    return Math.max(1, valueBytes / BYTES_PER_ENTRY);
+  }
+
+  /** By machine and session, then by job, so that names are written once. */
+  static ObjectNode write(List<Attempt> attempts) {
+    List<String> zones = new ArrayList<>();
+    ObjectNode byHost = Json.object();
+    for (Attempt a : attempts) {
+      if (!zones.contains(a.zone)) {
+        zones.add(a.zone);
+      }
+      String place = a.host + " " + a.session;
+      ArrayNode of = (ArrayNode) byHost.get(place);
+      if (of == null) {
+        of = byHost.putArray(place).add(zones.indexOf(a.zone));
+      }
+      of.add(a.spec().ref()).add(a.step).add(a.number);
+    }
+    ObjectNode o = Json.object();
+    ArrayNode z = o.putArray("z");
+    zones.forEach(z::add);
+    o.set("h", byHost);
+    return o;
+  }
+
+  static List<Entry> read(JsonNode value) {
+    List<Entry> out = new ArrayList<>();
+    JsonNode zones = value.path("z");
+    for (Map.Entry<String, JsonNode> e : value.path("h").properties()) {
+      int space = e.getKey().lastIndexOf(' ');
+      String host = e.getKey().substring(0, space);
+      long session = Long.parseLong(e.getKey().substring(space + 1));
+      JsonNode of = e.getValue();
+      String zone = zones.path(of.path(0).asInt()).asText();
+      for (int i = 1; i + 2 < of.size(); i += 3) {
+        out.add(
+            new Entry(
+                of.get(i).asText(),
+                of.get(i + 1).asInt(),
+                of.get(i + 2).asLong(),
+                host,
+                zone,
+                session));
+      }
+    }
+    return out;
+  }
+}
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -83,7 +83,9 @@
     peers = new Peers(clock, timers, outside.peers(), settings, this::ownStatus, this::peerStatus);
     leadership =
         new Leadership(clock, timers, outside.random(), settings, state, peers, new RoleChanges());
-    ledger = new Ledger(clock, timers, settings, state, leadership, new LedgerHooks());
+    ledger =
+        new Ledger(
+            clock, timers, settings, state, leadership, outside.launchSheets(), new LedgerHooks());
     workers =
         new WorkerDesk(
             clock,
@@ -120,6 +122,7 @@
             fleet,
             types,
             demand);
+    fleet.weigh(demand::waitingCpus, planning::soon);
     submissions = new SubmissionDesk(clock, settings, state, replica, ledger, types, metrics);
     doors = new Doors(workers, submissions, this::able, peers);
     drains =
--- a/src/main/java/dapplestair/node/Outside.java
+++ b/src/main/java/dapplestair/node/Outside.java
@@ -7,11 +7,17 @@
 import dapplestair.ports.Timers;
 import org.apache.commons.rng.UniformRandomProvider;
 
-/** Everything a controller is given from outside itself. */
+/**
+ * Everything a controller is given from outside itself.
+ *
+ * @param launchSheets whether launches of many services are recorded by one put; every controller
+ *     of the deployment must be able to read those (docs/silence.md)
+ */
 public record Outside(
     Clock clock,
     Timers timers,
     Background background,
     HttpCaller http,
     PeerNetwork peers,
-    UniformRandomProvider random) {}
+    UniformRandomProvider random,
+    boolean launchSheets) {}
--- a/src/main/java/dapplestair/node/Records.java
+++ b/src/main/java/dapplestair/node/Records.java
@@ -37,7 +37,7 @@
 
   @Override
   public void put(String key, JsonNode value, long stamp) {
-    if (key.startsWith(Keys.RUN) || key.startsWith(Keys.RENTAL)) {
+    if (key.startsWith(Keys.RUN) || key.startsWith(Keys.RENTAL) || key.startsWith(Keys.SHEET)) {
       leadership.leaderWrote();
     }
     if (key.startsWith(Keys.RUN)) {
@@ -47,6 +47,8 @@
           Integer.parseInt(key.substring(slash + 1)),
           value,
           stamp);
+    } else if (key.startsWith(Keys.SHEET)) {
+      ledger.sheetPut(key, value, stamp);
     } else if (key.startsWith(Keys.JOB)) {
       ledger.jobPut(key.substring(Keys.JOB.length()), value, stamp);
       if (admin != null) {
@@ -73,6 +75,8 @@
       int slash = key.lastIndexOf('/');
       ledger.runRemoved(
           key.substring(Keys.RUN.length(), slash), Integer.parseInt(key.substring(slash + 1)));
+    } else if (key.startsWith(Keys.SHEET)) {
+      ledger.sheetRemoved(key);
     } else if (key.startsWith(Keys.JOB)) {
       ledger.jobRemoved(key.substring(Keys.JOB.length()));
       if (admin != null) {
--- a/src/main/java/dapplestair/peers/Peers.java
+++ b/src/main/java/dapplestair/peers/Peers.java
@@ -71,6 +71,13 @@
     peers.keySet().forEach(m -> network.send(m, status));
   }
 
+  /**
+   * Tells every peer something that needs no answer; those that do not know the topic ignore it.
+   */
+  public void state(String topic, byte[] body) {
+    peers.keySet().forEach(m -> questions.tell(m, topic, body));
+  }
+
   @Override
   public void message(String member, Object message) {
     Peer peer = peers.get(member);
--- a/src/main/java/dapplestair/peers/Questions.java
+++ b/src/main/java/dapplestair/peers/Questions.java
@@ -46,6 +46,13 @@
     network.send(member, new PeerAsk(number, topic, body));
   }
 
+  /** Tells a peer something; a number that no question has says that no answer is awaited. */
+  void tell(String member, String topic, byte[] body) {
+    if (body.length <= LARGEST_BODY) {
+      network.send(member, new PeerAsk(0, topic, body));
+    }
+  }
+
   private void end(long number, byte[] answer) {
     Open o = open.remove(number);
     if (o != null) {
--- a/src/main/java/dapplestair/planning/DemandView.java
+++ b/src/main/java/dapplestair/planning/DemandView.java
@@ -19,7 +19,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** What there is to do and to do it with, as one immutable problem for the search. */
 public final class DemandView {
@@ -35,6 +37,7 @@
   private final Estimates estimates;
   private final Arrivals arrivals;
   private final long windowMs;
+  private Set<String> waitedBefore = Set.of();
 
   /** Looks at the leader's duties. */
   public DemandView(
@@ -94,6 +97,11 @@
     return held == 0 ? 1 : waiting / held;
   }
 
+  /** CPUs of all that waits for room. */
+  public double waitingCpus() {
+    return needCpus(List.of());
+  }
+
   boolean ready() {
     return ledger.armed();
   }
@@ -134,7 +142,7 @@
     List<Double> booting = new ArrayList<>();
     int busy = 0;
     for (Host h : desk.hosts()) {
-      if (!Fleet.counts(h, slot)) {
+      if (!fleet.counts(h, slot)) {
         continue;
       }
       if (h.up()) {
@@ -146,7 +154,7 @@
         }
       } else {
         double age = (clock.now() - h.rentedAt()) / 1000.0;
-        booting.add(Math.max(1, t.bootS() - Math.max(0, age)));
+        booting.add(Math.max(backS(h), Math.max(1, t.bootS() - Math.max(0, age))));
       }
     }
     // Busy machines come first: idle ones are those that a smaller plan gives up.
@@ -158,6 +166,10 @@
     double horizon = 2 * t.bootS();
     for (Host h : up) {
       double[] until = busyUntil(h, laneCpus, perMachine);
+      double backS = backS(h);
+      for (int i = 0; i < until.length; i++) {
+        until[i] = Math.max(until[i], backS);
+      }
       for (double at : until) {
         horizon = at < HeldLanes.FOR_EVER_S ? Math.max(horizon, at) : horizon;
       }
@@ -183,6 +195,11 @@
         fleet.market().takeBackChance(slot, windowMs, WINDOWS));
   }
 
+  /** What is silent and waited for is expected back after as long again as it has been so. */
+  private double backS(Host h) {
+    return h.zoneSilentMs() > 0 || h.hanging() ? desk.silentMs(h) / 1000.0 : 0;
+  }
+
   /** When each lane of a machine is free, from now. */
   private double[] busyUntil(Host h, double laneCpus, int perMachine) {
     double[] until = new double[perMachine];
@@ -238,6 +255,16 @@
       largest = slots.stream().mapToDouble(s -> s.type().cpus()).min().orElse(0);
     }
     need += need > 0 ? largest : 0;
+    double stranded = strandedCpus();
+    if (stranded > 0) {
+      // Replicas that the room there is did not take for a whole round: it lies in zones that
+      // already have all that they may. The next machine comes where there are fewest.
+      double up = 0;
+      for (SlotState s : slots) {
+        up += s.spot() ? 0 : s.up() * s.type().cpus();
+      }
+      need = Math.max(need, up + stranded);
+    }
     List<SlotState> out = new ArrayList<>(slots);
     while (room < need) {
       int cheapest = -1;
@@ -259,6 +286,20 @@
     return out;
   }
 
+  /** CPUs of services that wait now and did so a round before. */
+  private double strandedCpus() {
+    Set<String> now = new HashSet<>();
+    double sum = 0;
+    for (Job j : ledger.jobs()) {
+      if (j.spec().service() && !j.over() && j.waiting() > 0) {
+        now.add(j.spec().ref());
+        sum += waitedBefore.contains(j.spec().ref()) ? j.waiting() * j.spec().cpus() : 0;
+      }
+    }
+    waitedBefore = now;
+    return sum;
+  }
+
   /**
    * A gang that has waited a while gets machines for all of it at once; the search alone might
    * settle for fewer for ever. Machines are spread over the zones, so one that must be in one zone
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -55,6 +55,7 @@
   private ObjectNode lastWritten;
   private boolean writing;
   private Cancellable timer = () -> {};
+  private long roundAt;
   private int generation;
 
   /** Plans for what {@code demand} sees. */
@@ -119,6 +120,23 @@
     round();
   }
 
+  /**
+   * Room was lost: the next round comes soon, once for all that is lost at about the same moment,
+   * and not when its turn would be.
+   */
+  public void soon() {
+    long early = operator.planIntervalMs() / 10;
+    if (leadership.leading() && roundAt - clock.now() > early) {
+      timer.cancel();
+      roundIn(early);
+    }
+  }
+
+  private void roundIn(long ms) {
+    roundAt = clock.now() + ms;
+    timer = timers.after(ms, this::round);
+  }
+
   /** Stops. */
   public void clear() {
     generation++;
@@ -131,13 +149,12 @@
   }
 
   private void round() {
-    timer = timers.after(operator.planIntervalMs(), this::round);
     if (!demand.ready() || !types.known()) {
       // Nothing can be planned yet: look again soon rather than a whole round later.
-      timer.cancel();
-      timer = timers.after(operator.planIntervalMs() / 10, this::round);
+      roundIn(operator.planIntervalMs() / 10);
       return;
     }
+    roundIn(operator.planIntervalMs());
     FleetProblem problem = demand.problem(operator);
     Nsga2 search = new Nsga2(random, operator.population(), operator.evaluations());
     List<double[]> seeds = List.of(problem.lower(), held(problem));
--- a/src/main/java/dapplestair/state/Keys.java
+++ b/src/main/java/dapplestair/state/Keys.java
@@ -26,6 +26,9 @@
   /** Prefix of attempts. */
   public static final String RUN = LIVE + "run/";
 
+  /** Prefix of sheets, each with attempts of many jobs. */
+  public static final String SHEET = LIVE + "sheet/";
+
   /** Prefix of rentals. */
   public static final String RENTAL = LIVE + "rental/";
 
@@ -55,6 +58,11 @@
     return RUN + ref + "/" + chunk;
   }
 
+  /** One sheet; the term makes its name the leader's own. */
+  public static String sheet(long term, long number) {
+    return SHEET + term + "-" + number;
+  }
+
   /** One rental. */
   public static String rental(String name) {
     return RENTAL + name;
--- a/src/main/java/dapplestair/state/StateClient.java
+++ b/src/main/java/dapplestair/state/StateClient.java
@@ -31,6 +31,8 @@
     FLEET,
     /** A user waits for it. */
     USER,
+    /** Replicas wait for it. */
+    REPLICA,
     /** A task waits for it. */
     LAUNCH,
     /** Somebody waits to hear that all is done. */
--- a/src/main/java/dapplestair/workers/Courier.java
+++ b/src/main/java/dapplestair/workers/Courier.java
@@ -177,6 +177,8 @@
       return;
     }
     host.failedCalls++;
+    // The connection of the first failed call was closed, so a later call has made a new one.
+    host.lastCallConnected = reply.status() != HttpReply.NOT_SENT;
     host.callAgainAt = clock.now() + Math.min(reportMs / 3, 100L << Math.min(4, host.failedCalls));
     if (reply.status() == HttpReply.NOT_SENT) {
       launches.forEach(Attempt::launchNotSent);
--- a/src/main/java/dapplestair/workers/Hearing.java
+++ b/src/main/java/dapplestair/workers/Hearing.java
@@ -4,6 +4,11 @@
 import com.google.common.collect.Multiset;
 import dapplestair.ports.Clock;
 import dapplestair.settings.Settings;
+import dapplestair.silence.Account;
+import dapplestair.silence.Accounts;
+import dapplestair.silence.ZoneWatch;
+import java.util.HashMap;
+import java.util.Map;
 
 /** Who was heard when, and whether silence means anything. */
 final class Hearing {
@@ -14,8 +19,17 @@
   private final Clock clock;
   private final Roster roster;
   private final long reportMs;
+  private final long leaseMs;
   private final ZoneWatch zones;
   private final Multiset<String> perZone = HashMultiset.create();
+  private final Accounts accounts = new Accounts();
+
+  // Zones of which no machine is heard, and when one last was.
+  private final Map<String, Long> silentZones = new HashMap<>();
+
+  // Zones whose reports were only sent on to the leader.
+  private final Map<String, Long> passing = new HashMap<>();
+  private long accountNumber;
   private long leadingSince;
   private long turnDue;
   private long judgeAgainAt;
@@ -24,6 +38,7 @@
     this.clock = clock;
     this.roster = roster;
     this.reportMs = settings.workers().reportMs();
+    this.leaseMs = settings.workers().leaseMs();
     this.zones = new ZoneWatch(Math.round(OVERDUE * reportMs));
   }
 
@@ -36,6 +51,7 @@
   void clear() {
     zones.clear();
     perZone.clear();
+    silentZones.clear();
   }
 
   /** A turn begins; the next one is due {@code everyMs} later. */
@@ -52,6 +68,125 @@
         perZone.add(h.zone());
       }
     }
+    findSilentZones(now);
+  }
+
+  private static final class Heard {
+    int machines;
+    long last = Long.MIN_VALUE / 2;
+  }
+
+  /**
+   * A zone is silent when none of its machines was heard for longer than so many take to report,
+   * while others are heard. A single machine is no zone. After a beginning or a pause of this
+   * process all silence is doubtful, unless an earlier leader had noticed it already.
+   */
+  private void findSilentZones(long now) {
+    Map<String, Heard> heard = new HashMap<>();
+    for (Host h : roster.all()) {
+      if (h.expectedUp() && h.zone() != null) {
+        Heard z = heard.computeIfAbsent(h.zone(), k -> new Heard());
+        z.machines++;
+        z.last = Math.max(z.last, lastHeard(h));
+      }
+    }
+    // A zone whose machines have all been given up stays silent until one is heard there: what is
+    // rented there would not be. After a while it is tried again.
+    Map<String, Long> before = Map.copyOf(silentZones);
+    silentZones.clear();
+    before.forEach(
+        (zone, last) -> {
+          boolean heardAgain = lastHeard(zone) > last;
+          if (!heard.containsKey(zone) && !heardAgain && now - last < 3 * leaseMs) {
+            silentZones.put(zone, last);
+          }
+        });
+    boolean anyHeard = false;
+    for (Map.Entry<String, Heard> e : heard.entrySet()) {
+      Heard z = e.getValue();
+      long last = Math.max(z.last, lastHeard(e.getKey()));
+      long gap = zones.gapMs(z.machines);
+      boolean noticedBefore = succeeded() && accounts.at() - last > gap;
+      if (now - last <= gap) {
+        anyHeard = true;
+      } else if (z.machines > 1 && (now > judgeAgainAt || noticedBefore)) {
+        silentZones.put(e.getKey(), last);
+      }
+    }
+    if (!anyHeard) {
+      silentZones.clear();
+    }
+    for (Host h : roster.all()) {
+      Long last = h.zone() == null ? null : silentZones.get(h.zone());
+      h.setZoneSilentMs(last == null ? 0 : now - last);
+    }
+  }
+
+  /** When another controller, or this one in passing, heard this zone. */
+  private long lastHeard(String zone) {
+    return Math.max(accounts.zoneHeardAt(zone), passing.getOrDefault(zone, Long.MIN_VALUE / 2));
+  }
+
+  /** True when the leader before knew for certain that this machine is gone. */
+  boolean saidGone(Host host) {
+    return !host.up() && succeeded() && accounts.saidGone(host.id());
+  }
+
+  /** How long nothing was heard of this zone; 0 when it is heard or nothing can be said. */
+  long zoneSilentMs(String zone) {
+    Long last = silentZones.get(zone);
+    return last == null ? 0 : clock.now() - last;
+  }
+
+  // ---- shared with the other controllers ----
+
+  /** What another controller heard. */
+  void said(Account account) {
+    accounts.said(account, clock.now());
+  }
+
+  /** A report that this controller only sent on. */
+  void passedBy(String zone) {
+    passing.put(zone, clock.now());
+  }
+
+  /** What to tell the other controllers; of single machines only a leader that can judge tells. */
+  Account account(boolean leading, long term) {
+    long now = clock.now();
+    Map<String, Long> zoneAges = new HashMap<>();
+    Map<String, Long> late = new HashMap<>();
+    passing.forEach((zone, at) -> zoneAges.put(zone, now - at));
+    for (String zone : perZone.elementSet()) {
+      zoneAges.merge(zone, now - zones.lastHeard(zone), Math::min);
+    }
+    boolean sure = leading && now > judgeAgainAt;
+    if (sure) {
+      for (Host h : roster.all()) {
+        if (h.expectedUp() && now - lastHeard(h) > OVERDUE * reportMs) {
+          late.put(h.id(), now - lastHeard(h));
+        }
+      }
+    }
+    Map<String, Long> gone = sure ? roster.goneWithin(leaseMs) : Map.of();
+    return new Account(sure ? term : 0, ++accountNumber, zoneAges, late, gone);
+  }
+
+  /**
+   * When this machine was last heard. Before its first report of this term that is, at the latest,
+   * when an earlier leader heard it, or else when this one came to know of it.
+   */
+  private long lastHeard(Host host) {
+    if (host.up()) {
+      return host.heardAt;
+    }
+    return succeeded()
+        ? Math.min(host.knownSince(), accounts.machineHeardAt(host.id()))
+        : host.knownSince();
+  }
+
+  /** True when the leader before spoke until shortly before this one began. */
+  private boolean succeeded() {
+    return accounts.at() > leadingSince - 2 * reportMs;
   }
 
   /** A machine in this zone was heard just now. */
@@ -80,15 +215,23 @@
 
   /** How long nothing was heard of it. */
   long silentMs(Host host) {
-    return clock.now() - Math.max(host.heardAt, host.knownSince());
+    return clock.now() - lastHeard(host);
   }
 
   /** True when it was asked several times and has been silent for a while. */
   boolean silent(Host host) {
+    // What the leader before had missed already needs one call more, not a whole new judgement.
+    boolean missedBefore = missedBefore(host);
     return host.expectedUp()
         && silentMs(host) > SILENT * reportMs
-        && host.failedCalls >= 2
-        && clock.now() > judgeAgainAt;
+        && host.failedCalls >= (missedBefore ? 1 : 2)
+        && (missedBefore || clock.now() > judgeAgainAt);
+  }
+
+  private boolean missedBefore(Host host) {
+    return !host.up()
+        && succeeded()
+        && accounts.at() - accounts.machineHeardAt(host.id()) > OVERDUE * reportMs;
   }
 
   /**
--- a/src/main/java/dapplestair/workers/Host.java
+++ b/src/main/java/dapplestair/workers/Host.java
@@ -27,6 +27,7 @@
   final Map<String, Order> outbox = new LinkedHashMap<>();
   boolean calling;
   int failedCalls;
+  boolean lastCallConnected;
   long callAgainAt;
 
   // Rental.
@@ -40,6 +41,7 @@
   private boolean drained;
   private boolean saidUp;
   private boolean outOfReach;
+  private long zoneSilentMs;
 
   private final Set<String> jobsFailed = new HashSet<>();
   private int completed;
@@ -211,6 +213,23 @@
     outOfReach = value;
   }
 
+  /**
+   * True when it still takes connections, but answers nothing: it hangs, and may go on at any time
+   * within its lease. A machine without power, or behind a cut, takes none.
+   */
+  public boolean hanging() {
+    return failedCalls >= 2 && lastCallConnected;
+  }
+
+  /** How long its whole zone has been silent; 0 while the zone is heard. */
+  public long zoneSilentMs() {
+    return zoneSilentMs;
+  }
+
+  void setZoneSilentMs(long value) {
+    zoneSilentMs = value;
+  }
+
   /** True when its address is known. */
   public boolean addressed() {
     return endpoint != null;
--- a/src/main/java/dapplestair/workers/Roster.java
+++ b/src/main/java/dapplestair/workers/Roster.java
@@ -2,10 +2,9 @@
 
 import dapplestair.ports.Clock;
 import java.util.Collection;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Set;
 
 /** The machines that are not proved to be gone, and for a while the names of those that are. */
 final class Roster {
@@ -13,7 +12,7 @@
 
   private final Clock clock;
   private final Map<String, Host> hosts = new LinkedHashMap<>();
-  private final Set<String> gone = new HashSet<>();
+  private final Map<String, Long> gone = new LinkedHashMap<>();
 
   Roster(Clock clock) {
     this.clock = clock;
@@ -34,7 +33,7 @@
   }
 
   boolean isGone(String id) {
-    return gone.contains(id);
+    return gone.containsKey(id);
   }
 
   /** Its name is kept, so that a late report or list does not bring it back. */
@@ -43,7 +42,20 @@
     if (gone.size() >= MOST_GONE_REMEMBERED) {
       gone.clear();
     }
-    gone.add(host.id());
+    gone.put(host.id(), clock.now());
+  }
+
+  /** How long ago those machines were proved to be gone that were so within {@code ms}. */
+  Map<String, Long> goneWithin(long ms) {
+    long now = clock.now();
+    Map<String, Long> out = new HashMap<>();
+    gone.forEach(
+        (id, at) -> {
+          if (now - at <= ms) {
+            out.put(id, now - at);
+          }
+        });
+    return out;
   }
 
   void remove(Host host) {
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -15,6 +15,7 @@
 import dapplestair.ports.HttpCaller;
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
+import dapplestair.silence.Account;
 import dapplestair.state.StateClient;
 import dapplestair.work.Report;
 import java.util.Collection;
@@ -32,6 +33,9 @@
     void hostChanged(Host host);
   }
 
+  /** What peers tell each other about whom they heard; older ones do not know the topic. */
+  private static final String HEARD = "heard";
+
   private final Clock clock;
   private final Timers timers;
   private final Settings settings;
@@ -45,6 +49,7 @@
   private final Courier courier;
   private Cancellable timer = () -> {};
   private Cancellable counting = () -> {};
+  private Cancellable sharing = () -> {};
   private final Peers peers;
   private final StateClient state;
   private boolean leading;
@@ -78,9 +83,26 @@
     this.courier = new Courier(clock, timers, http, settings, leadership, roster, new Answers());
   }
 
-  /** Begins to count what comes. */
+  /** Begins to count what comes, and to share what is heard. */
   public void start() {
+    peers.questions().answer(HEARD, (body, reply) -> heardByOthers(body));
     countBeats();
+    share();
+  }
+
+  private void heardByOthers(byte[] body) {
+    Account account = Account.decode(body);
+    if (account != null) {
+      hearing.said(account);
+    }
+  }
+
+  private void share() {
+    Account account = hearing.account(leading && leadership.leading(), leadership.term());
+    if (account.term() > 0 || !account.zones().isEmpty()) {
+      peers.state(HEARD, account.encode());
+    }
+    sharing = timers.after(reportMs / 8, this::share);
   }
 
   // ---- machines ----
@@ -129,6 +151,19 @@
     return hearing.zoneHeard(silent);
   }
 
+  /**
+   * True when the leader before had a proof that this machine is gone, which it could not put on
+   * record. That is hearsay here; returning the machine once more proves it again.
+   */
+  public boolean saidGone(Host host) {
+    return hearing.saidGone(host);
+  }
+
+  /** How long nothing was heard of any machine in this zone while others were; 0 if any was. */
+  public long zoneSilentMs(String zone) {
+    return hearing.zoneSilentMs(zone);
+  }
+
   /** How long nothing was heard of it. */
   public long silentMs(Host host) {
     return hearing.silentMs(host);
@@ -248,6 +283,7 @@
    * end of a lease for a proof of absence, so this endangers no rule.
    */
   private void redirect(Exchange exchange, Report r) {
+    hearing.passedBy(r.zone());
     String steward = leadership.leader();
     boolean known = steward != null && !steward.equals(settings.member());
     boolean alone = !state.reachable() && !(known && peers.alive(steward));
@@ -305,6 +341,11 @@
     if (host.acknowledged) {
       strays.forEach(t -> stray(host, t));
     }
+    if (host.failedCalls > 0 && !host.calling) {
+      // Heard again: it is used as soon as it answers, not when its turn to be asked comes.
+      host.callAgainAt = clock.now();
+      courier.probe(host);
+    }
     if (first || recalledBefore != host.recalled()) {
       listener.hostChanged(host);
     }
@@ -340,6 +381,7 @@
   @Override
   public void close() {
     counting.cancel();
+    sharing.cancel();
     timer.cancel();
   }
 }
--- /dev/null
+++ b/src/test/java/dapplestair/ledger/SheetTest.java
@@ -0,0 +1,59 @@
+package dapplestair.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dapplestair.json.Json;
+import dapplestair.work.Submission;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class SheetTest {
+  private static Job job(int i) throws Submission.Malformed {
+    Submission s =
+        Submission.parse(
+            Json.object()
+                .put("ref", String.format("wk-%06d", i))
+                .put("jobclass", "c")
+                .put("owner", "t")
+                .put("shape", "daemon")
+                .put("rank", "critical")
+                .put("steps", 12)
+                .put("vcpus", 1)
+                .put("accelerators", 0)
+                .put("memoryGb", 1)
+                .put("bundle", "i")
+                .put("imageGb", 1)
+                .put("together", false)
+                .put("apart", true)
+                .put("loaners", false)
+                .put("guessS", 0)
+                .put("snapshotEveryS", 0)
+                .put("snapshotS", 0));
+    return new Job(s, 0, 128, 1);
+  }
+
+  /**
+   * As many as are said to fit take no more than a value may, though each is on its own machine.
+   */
+  @Test
+  void whatFitsFitsAndComesBack() throws Submission.Malformed {
+    int bytes = 8192;
+    List<Attempt> attempts = new ArrayList<>();
+    for (int i = 0; i < Sheet.capacity(bytes); i++) {
+      String host = String.format("n-%06d", 700 + i);
+      attempts.add(new Attempt(job(i), i % 12, 1 + i, host, "florianopolis-" + i % 3, 3, 0));
+    }
+    var value = Sheet.write(attempts);
+    assertTrue(Json.bytes(value).length <= bytes, Json.bytes(value).length + " bytes");
+    List<Sheet.Entry> read = Sheet.read(Json.parse(Json.bytes(value)));
+    assertEquals(attempts.size(), read.size());
+    for (int i = 0; i < read.size(); i++) {
+      Attempt a = attempts.get(i);
+      assertEquals(
+          new Sheet.Entry(a.spec().ref(), a.step, a.number, a.host, a.zone, a.session),
+          read.get(i));
+    }
+  }
+}
--- a/src/test/java/dapplestair/session/RestartTest.java
+++ b/src/test/java/dapplestair/session/RestartTest.java
@@ -80,8 +80,7 @@
     try (ServerSocket s = new ServerSocket(0)) {
       port = s.getLocalPort();
     }
-    unreachable(
-        ask("3s", "http://127.0.0.1:" + port), port + ": connection refused", "tried for");
+    unreachable(ask("3s", "http://127.0.0.1:" + port), port + ": connection refused", "tried for");
   }
 
   @Test
--- /dev/null
+++ b/src/test/java/dapplestair/world/FailureTimes.java
@@ -0,0 +1,132 @@
+package dapplestair.world;
+
+import dapplestair.emulator.EmulatedTask;
+import dapplestair.emulator.EmulatedWorker;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.HdrHistogram.Histogram;
+
+/**
+ * How long failures are noticed, measured in the seeded world; started by hand. Times are virtual:
+ * they hold what is decided and sent, not what a processor takes.
+ */
+public final class FailureTimes {
+  private static final int SEEDS = 200;
+  private static final int REPLICAS = 120;
+
+  private FailureTimes() {}
+
+  /** Prints the tables of docs/results.md. */
+  public static void main(String[] args) {
+    failover("leader alone ends", false);
+    failover("all controllers end, back after 1.5 s", true);
+    System.out.println(
+        "| machines lost | replicas lost | half back after | all back after | replica s |");
+    for (int lost : new int[] {10, 40, 160, 640}) {
+      curve(lost);
+    }
+  }
+
+  private static World begun(long seed, World.Size size, int replicas) {
+    World world = new World(seed, size);
+    world.net.loss = 0;
+    world.users.quiet = true;
+    for (int i = 0; i < replicas / 6; i++) {
+      world.users.service("one", 3);
+      world.users.service("two", 3);
+    }
+    world.run(40_000);
+    return world;
+  }
+
+  /** From the end to the first submission accepted and the first task started after it. */
+  private static void failover(String what, boolean all) {
+    Histogram accepted = new Histogram(60_000, 3);
+    Histogram started = new Histogram(60_000, 3);
+    IntStream.rangeClosed(1, SEEDS)
+        .parallel()
+        .forEach(
+            seed -> {
+              World world = begun(seed, World.Size.MIDDLE, REPLICAS);
+              long at = world.sim.now();
+              if (all) {
+                world.nodes.forEach(n -> n.crash(1500));
+              } else {
+                world.leader().crash(4000);
+              }
+              int before = world.checker.started;
+              Users.Told job = world.users.array("one", "high", 4, 5);
+              long acceptedAt = 0;
+              while ((world.checker.started == before || !job.accepted)
+                  && world.sim.now() - at < 60_000) {
+                world.run(20);
+                acceptedAt = acceptedAt == 0 && job.accepted ? world.sim.now() : acceptedAt;
+              }
+              long startedAt = world.sim.now();
+              acceptedAt = acceptedAt == 0 ? startedAt : acceptedAt;
+              synchronized (accepted) {
+                accepted.recordValue(acceptedAt - at);
+                started.recordValue(startedAt - at);
+              }
+            });
+    print(what + ": first accepted", accepted);
+    print(what + ": first task started", started);
+  }
+
+  private static void print(String what, Histogram h) {
+    System.out.printf(
+        "| %s | %d | %d | %d | %d |%n",
+        what,
+        h.getValueAtPercentile(50),
+        h.getValueAtPercentile(90),
+        h.getValueAtPercentile(99),
+        h.getMaxValue());
+  }
+
+  /** So many machines with all that is on them end in one second. */
+  private static void curve(int lost) {
+    World world = begun(17, new World.Size(260, 12_000, 3_600_000, 1), 7200);
+    world.run(60_000);
+    List<EmulatedWorker> up = new ArrayList<>();
+    world.cloud.machines().stream().filter(m -> m.booted() && !m.gone()).forEach(up::add);
+    int before = replicas(world);
+    Set<Integer> chosen = new HashSet<>();
+    while (chosen.size() < Math.min(lost, up.size())) {
+      chosen.add((int) world.sim.between(0, up.size() - 1));
+    }
+    chosen.forEach(i -> world.sim.after(world.sim.between(0, 1000), () -> up.get(i).end()));
+    long at = world.sim.now();
+    world.run(1000);
+    int missing = before - replicas(world);
+    long half = -1;
+    long whole = -1;
+    double sum = 0;
+    while (whole < 0 && world.sim.now() - at < 120_000) {
+      world.run(250);
+      int now = before - replicas(world);
+      sum += 0.25 * Math.max(0, now);
+      half = half < 0 && now <= missing / 2 ? world.sim.now() - at : half;
+      whole = now <= 0 ? world.sim.now() - at : whole;
+    }
+    System.out.printf(
+        "| %d of %d | %d | %.1f s | %.1f s | %.0f |%n",
+        chosen.size(), up.size(), missing, half / 1000.0, whole / 1000.0, sum);
+  }
+
+  private static int replicas(World world) {
+    int n = 0;
+    for (EmulatedWorker m : world.cloud.machines()) {
+      if (!m.gone()) {
+        n += (int) m.tasks().stream().filter(FailureTimes::up).count();
+      }
+    }
+    return n;
+  }
+
+  private static boolean up(EmulatedTask t) {
+    return t.service() && t.status().equals("running");
+  }
+}
--- a/src/test/java/dapplestair/world/Network.java
+++ b/src/test/java/dapplestair/world/Network.java
@@ -21,6 +21,12 @@
   private final Map<String, Place> places = new HashMap<>();
   private final Map<Pair, List<Runnable>> held = new HashMap<>();
   private final Set<Pair> dropping = new HashSet<>();
+
+  // Ordered pairs: what the first sends to the second is lost.
+  private final Set<Pair> deaf = new HashSet<>();
+  // Machines without power, and who has noticed that its connection to one leads nowhere.
+  private final Set<String> off = new HashSet<>();
+  private final Set<Pair> noticed = new HashSet<>();
   double loss = 0.001;
 
   Network(Sim sim) {
@@ -31,6 +37,11 @@
     places.put(name, place);
   }
 
+  /** No power: what is connected hears nothing more, and nobody can connect. */
+  void off(String name) {
+    off.add(name);
+  }
+
   private static Pair pair(String a, String b) {
     return a.compareTo(b) < 0 ? new Pair(a, b) : new Pair(b, a);
   }
@@ -43,6 +54,15 @@
     }
   }
 
+  /** Loses what one sends to the other; the way back is open. */
+  void cutOneWay(String from, String to) {
+    deaf.add(new Pair(from, to));
+  }
+
+  void healOneWay(String from, String to) {
+    deaf.remove(new Pair(from, to));
+  }
+
   void heal(String a, String b) {
     dropping.remove(pair(a, b));
     List<Runnable> late = held.remove(pair(a, b));
@@ -53,7 +73,7 @@
 
   private void carry(String a, String b, Runnable arrive) {
     Pair p = pair(a, b);
-    if (dropping.contains(p) || sim.chance(loss)) {
+    if (dropping.contains(p) || deaf.contains(new Pair(a, b)) || sim.chance(loss)) {
       return;
     }
     List<Runnable> waiting = held.get(p);
@@ -89,7 +109,12 @@
             done.accept(r);
           }
         };
-    sim.after(timeoutMs, () -> once.accept(HttpReply.of(HttpReply.UNKNOWN)));
+    boolean cannotConnect = off.contains(to) && !noticed.add(new Pair(from, to));
+    int silence = cannotConnect ? HttpReply.NOT_SENT : HttpReply.UNKNOWN;
+    sim.after(timeoutMs, () -> once.accept(HttpReply.of(silence)));
+    if (off.contains(to)) {
+      return;
+    }
     carry(
         from,
         to,
--- a/src/test/java/dapplestair/world/OperatorsTest.java
+++ b/src/test/java/dapplestair/world/OperatorsTest.java
@@ -259,8 +259,12 @@
 
   /** Machines of both kinds are up in all zones, and the cloud has no more to give. */
   private static World full(long seed, int perPlace) {
+    return full(seed, perPlace, 15);
+  }
+
+  private static World full(long seed, int perPlace, double runS) {
     World w = quiet(seed, new World.Size(perPlace, 1000, 1_000_000, 1));
-    w.users.array("one", "standard", 60, 15);
+    w.users.array("one", "standard", 60, runS);
     w.users.changed("one", 60, 15, b -> b.put("loaners", false));
     w.run(60_000);
     w.cloud.setCapacity(0);
@@ -269,7 +273,8 @@
 
   @Test
   void spotMachinesThatAJobDoesNotWantAreNamed() {
-    World w = full(6, 1);
+    // Long enough that no spot machine has been returned as idle when the question comes.
+    World w = full(6, 1, 60);
     Users.Told job = w.users.changed("one", 40, 300, b -> b.put("loaners", false));
     w.run(12_000);
     JsonNode why = answer(w, "/v1/jobs/" + job.ref + "/why");
--- /dev/null
+++ b/src/test/java/dapplestair/world/SilenceTest.java
@@ -0,0 +1,217 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dapplestair.emulator.EmulatedTask;
+import dapplestair.emulator.EmulatedWorker;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Zones that are cut off, leaders that end meanwhile, machines that hang: replicas are back soon
+ * after they are lost, nothing is returned that will be back, and the rules hold after every step.
+ */
+class SilenceTest {
+  /** The one zone without a controller. */
+  private static final String ZONE = "c";
+
+  private static final long CUT_MS = World.LEASE_MS * 8 / 5;
+
+  private static final int REPLICAS = 120;
+
+  /** Services of three replicas, one in each zone, and an array that goes on beside them. */
+  private static World begun(long seed) {
+    World world = new World(seed, World.Size.MIDDLE);
+    world.net.loss = 0;
+    world.users.quiet = true;
+    for (int i = 0; i < REPLICAS / 6; i++) {
+      world.users.service("one", 3);
+      world.users.service("two", 3);
+    }
+    world.users.array("one", "high", 60, 15);
+    world.run(40_000);
+    assertEquals(REPLICAS, replicas(world, m -> true), "replicas at the beginning");
+    return world;
+  }
+
+  private static int replicas(World world, Predicate<EmulatedWorker> where) {
+    int n = 0;
+    for (EmulatedWorker m : world.cloud.machines()) {
+      if (!m.gone() && where.test(m)) {
+        n += (int) m.tasks().stream().filter(SilenceTest::replica).count();
+      }
+    }
+    return n;
+  }
+
+  private static boolean replica(EmulatedTask t) {
+    return t.onMachine() && t.status().equals("running") && t.service();
+  }
+
+  /** Seconds times replicas that were missing while this time passed. */
+  private static double missing(World world, long ms) {
+    double sum = 0;
+    for (long t = 0; t < ms; t += 500) {
+      world.run(500);
+      sum += 0.5 * Math.max(0, REPLICAS - replicas(world, m -> true));
+    }
+    return sum;
+  }
+
+  /**
+   * The leader ends at any second of a cut. The next one knows from the last account since when the
+   * zone is silent: counted from its own beginning, replicas would be missed until the cut ends.
+   */
+  @ParameterizedTest(name = "leader ends at second {0} of the cut")
+  @ValueSource(
+      longs = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22})
+  void aLeadersEndDoesNotMakeItForgetASilence(long second) {
+    World world = begun(800 + second);
+    int inside = replicas(world, m -> m.zone().equals(ZONE));
+    world.cutZone(ZONE, second % 2 == 0, CUT_MS);
+    world.run(1000 * second);
+    double before = missingNow(world);
+    world.leader().crash(4000);
+    double missed = missing(world, CUT_MS - 1000 * second);
+    // They are lost at the end of the lease, and the cut goes on for three fifths of one.
+    double all = inside * (CUT_MS - World.LEASE_MS) / 1000.0;
+    assertTrue(
+        missed < 0.75 * all || inside == 0,
+        "missing " + missed + " replica seconds of " + all + ", " + before + " at once");
+    world.run(30_000);
+    assertEquals(REPLICAS, replicas(world, m -> true), "replicas once all is over");
+  }
+
+  private static double missingNow(World world) {
+    return REPLICAS - replicas(world, m -> true);
+  }
+
+  /** Nothing is rented where nothing can be reached; what is back is used. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {831, 832, 833, 834})
+  void nothingIsRentedInASilentZone(long seed) {
+    World world = begun(seed);
+    world.cutZone(ZONE, false, CUT_MS);
+    world.run(World.REPORT_MS * 2);
+    Set<String> before = names(world);
+    for (int i = 0; i < 4; i++) {
+      world.users.array("one", "high", 8, 6);
+      world.run(3000);
+    }
+    for (EmulatedWorker m : world.cloud.machines()) {
+      assertTrue(
+          before.contains(m.id()) || !m.zone().equals(ZONE), m.id() + " was rented in " + ZONE);
+    }
+    world.run(40_000);
+  }
+
+  private static Set<String> names(World world) {
+    return world.cloud.machines().stream().map(EmulatedWorker::id).collect(Collectors.toSet());
+  }
+
+  /** A cut in which reports still come, and one in which only orders still go. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {841, 842, 843, 844, 845, 846})
+  void aCutInOneDirection(long seed) {
+    World world = begun(seed);
+    boolean deafWorkers = seed % 2 == 0;
+    Set<EmulatedWorker> cut =
+        world.cloud.machines().stream()
+            .filter(m -> m.zone().equals(ZONE))
+            .collect(Collectors.toSet());
+    for (EmulatedWorker m : cut) {
+      for (World.Node n : world.nodes) {
+        for (String node : List.of("node-" + n.index, World.client(n.index))) {
+          if (deafWorkers) {
+            world.net.cutOneWay(node, m.endpoint());
+          } else {
+            world.net.cutOneWay(m.endpoint(), node);
+          }
+        }
+      }
+    }
+    world.run(World.LEASE_MS / 2);
+    world.leader().crash(3000);
+    world.run(World.LEASE_MS);
+    for (EmulatedWorker m : cut) {
+      for (World.Node n : world.nodes) {
+        for (String node : List.of("node-" + n.index, World.client(n.index))) {
+          world.net.healOneWay(node, m.endpoint());
+          world.net.healOneWay(m.endpoint(), node);
+        }
+      }
+    }
+    world.run(40_000);
+    assertEquals(REPLICAS, replicas(world, m -> true), "replicas once all is over");
+  }
+
+  /** Machines hang until just before, and until just after, their lease has run out. */
+  @ParameterizedTest(name = "hang of a lease and {0} ms")
+  @ValueSource(longs = {-2500, -700, -100, 100, 700, 2500})
+  void aHangAroundALease(long more) {
+    World world = begun(860 + more);
+    long hanging = 0;
+    for (EmulatedWorker m : world.cloud.machines()) {
+      if (m.zone().equals(ZONE) || world.sim.chance(0.3)) {
+        m.hang(World.LEASE_MS + more);
+        hanging++;
+      }
+    }
+    assertTrue(hanging > 0);
+    world.run(World.LEASE_MS + 40_000);
+    assertEquals(REPLICAS, replicas(world, m -> true), "replicas once all is over");
+  }
+
+  /** Leases have their full time again after an outage, and a second cut begins at once. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {881, 882, 883, 884})
+  void cutOutageAndCutAgain(long seed) {
+    World world = begun(seed);
+    world.cutZone(ZONE, true, World.LEASE_MS * 2 / 3);
+    world.run(World.LEASE_MS / 2);
+    world.state.fail();
+    world.run(World.LEASE_MS / 2);
+    world.state.recover();
+    world.run(1000);
+    world.cutZone(ZONE, seed % 2 == 0, World.LEASE_MS * 4 / 3);
+    world.run(World.LEASE_MS / 2);
+    if (world.leader() != null) {
+      world.leader().crash(2000);
+    }
+    world.run(World.LEASE_MS + 40_000);
+    assertEquals(REPLICAS, replicas(world, m -> true), "replicas once all is over");
+  }
+
+  /** All controllers end while the rentals for the lost room are unanswered. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {891, 892, 893, 894})
+  void allEndWhileRoomIsRented(long seed) {
+    World world = begun(seed);
+    world.cutZone(ZONE, false, 2 * CUT_MS);
+    world.run(World.REPORT_MS);
+    world.nodes.forEach(n -> world.net.cut("node-" + n.index, "cloud:1", true));
+    world.run(4000 + 500 * (seed % 4));
+    world.nodes.forEach(n -> n.crash(1500));
+    world.run(3000);
+    world.nodes.forEach(n -> world.net.heal("node-" + n.index, "cloud:1"));
+    world.run(2 * CUT_MS + 30_000);
+    assertEquals(REPLICAS, replicas(world, m -> true), "replicas once all is over");
+  }
+
+  /** Idle machines of a zone that is back before the wait is over are still there. */
+  @Test
+  void aZoneThatComesBackInTimeKeepsItsMachines() {
+    World world = begun(899);
+    int released = world.cloud.killedByRelease();
+    world.cutZone(ZONE, false, World.LEASE_MS / 2);
+    world.run(World.LEASE_MS);
+    assertEquals(0, world.cloud.killedByLease(), "tasks killed by the end of a lease");
+    assertEquals(released, world.cloud.killedByRelease(), "tasks killed by returning machines");
+  }
+}
--- a/src/test/java/dapplestair/world/World.java
+++ b/src/test/java/dapplestair/world/World.java
@@ -53,12 +53,16 @@
     /** The shape of a grown deployment: hundreds of machines, thousands of tasks. */
     static final Size GROWN = new Size(60, 1200, 500, 150);
 
+    /** Some dozens of machines in each zone. */
+    static final Size MIDDLE = new Size(16, 300, 2150, 12);
+
     double teamLimit() {
       return 2 * teamCpus;
     }
   }
 
   final Size size;
+  private final long seed;
   private final boolean operators;
 
   /** Checked after each step besides the rules. */
@@ -90,6 +94,7 @@
   }
 
   World(long seed, Size size, boolean operators) {
+    this.seed = seed;
     this.operators = operators;
     this.size = size;
     sim = new Sim(seed);
@@ -179,28 +184,35 @@
 
   /** Cuts a node and some machines off from everything else, for a while. */
   void cutOff(Node node, Predicate<EmulatedWorker> with, boolean hold, long ms) {
-    cutOff(node, with, hold, sim.now() + ms, new HashSet<>());
+    cutOff(List.of(node), with, hold, sim.now() + ms, new HashSet<>());
+  }
+
+  /** Cuts a zone off from everything else, for a while. */
+  void cutZone(String zone, boolean hold, long ms) {
+    List<Node> with = nodes.stream().filter(n -> n.settings.zone().equals(zone)).toList();
+    cutOff(with, m -> m.zone().equals(zone), hold, sim.now() + ms, new HashSet<>());
   }
 
   private void cutOff(
-      Node node, Predicate<EmulatedWorker> with, boolean hold, long end, Set<Runnable> heals) {
+      List<Node> with,
+      Predicate<EmulatedWorker> machines,
+      boolean hold,
+      long end,
+      Set<Runnable> heals) {
     if (sim.now() >= end) {
       heals.forEach(Runnable::run);
       return;
     }
-    Set<String> inside = new LinkedHashSet<>(List.of("node-" + node.index, client(node.index)));
+    Set<String> inside = new LinkedHashSet<>();
     Set<String> outside = new LinkedHashSet<>(List.of("state:1", "cloud:1", "users"));
     for (Node n : nodes) {
-      if (n != node) {
-        outside.add("node-" + n.index);
-        outside.add(client(n.index));
-      }
+      (with.contains(n) ? inside : outside).addAll(List.of("node-" + n.index, client(n.index)));
     }
-    cloud.machines().forEach(m -> (with.test(m) ? inside : outside).add(m.endpoint()));
+    cloud.machines().forEach(m -> (machines.test(m) ? inside : outside).add(m.endpoint()));
     inside.forEach(a -> outside.forEach(b -> net.cut(a, b, hold)));
     heals.add(() -> inside.forEach(a -> outside.forEach(b -> net.heal(a, b))));
     // Machines that are rented meanwhile are on one side of the cut as well.
-    sim.after(400, () -> cutOff(node, with, hold, end, heals));
+    sim.after(400, () -> cutOff(with, machines, hold, end, heals));
   }
 
   /** Runs for a while, checking the rules after each step. */
@@ -257,7 +269,7 @@
 
     @Override
     public void silence(String name) {
-      net.place(address(name), (f, m, p, b, r) -> {});
+      net.off(address(name));
     }
 
     @Override
@@ -395,7 +407,8 @@
                         }
                       }),
               this,
-              RandomSource.XO_RO_SHI_RO_128_PP.create(sim.random.nextLong()));
+              RandomSource.XO_RO_SHI_RO_128_PP.create(sim.random.nextLong()),
+              seed % 3 != 0);
       controller =
           new Controller(
               node.settings, Operator.defaults(), outside, operators ? Access.open() : null);
