--- a/src/main/java/dapplestair/cli/RehearseCommand.java
+++ b/src/main/java/dapplestair/cli/RehearseCommand.java
@@ -1,87 +1,142 @@
 package dapplestair.cli;
 
+import dapplestair.daemon.DaemonSettings;
+import dapplestair.daemon.Emulation;
+import dapplestair.json.Json;
 import dapplestair.netty.HttpPool;
 import dapplestair.netty.Loop;
+import dapplestair.ports.HttpReply;
 import dapplestair.settings.Operator;
-import dapplestair.settings.Settings;
+import dapplestair.settings.Settings.Address;
 import dapplestair.settings.SettingsLoader;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import picocli.CommandLine.Command;
 
-/** Runs a controller for a moment, so that the build can archive the classes it loads. */
+/**
+ * Runs two controllers for a moment against emulated stand-ins, so that the build can archive the
+ * classes that a start needs: with a state service that answers, a leader that takes over, machines
+ * that come up and tasks that run and end. What is missing from the archive costs a starting
+ * controller its reading and checking, while nobody is served.
+ */
 @Command(name = "rehearse", hidden = true, description = "Used by the build.")
 final class RehearseCommand implements Callable<Integer> {
   private static final String SETTINGS =
       """
-      member = "rehearsal"
-      zone = "z"
+      member = "rehearsal-%d"
+      zone = "a"
       client_listen = "127.0.0.1:%d"
       peer_bind = "127.0.0.1:%d"
       [[peers]]
-      member = "rehearsal-2"
-      zone = "z"
+      member = "rehearsal-%d"
+      zone = "b"
       endpoint = "127.0.0.1:%d"
       [outside]
       cloud = "127.0.0.1:%d"
       state = "127.0.0.1:%d"
       [settings]
-      zones = ["z"]
+      zones = ["a", "b", "c"]
       [[settings.teams]]
-      name = "t"
+      name = "default"
+      cpus = 8.0
+      cpus_max = 400.0
       [[settings.objectives]]
       kind = "wait"
       class = "c"
       within_s = 1.0
+      share = 0.9
       [settings.workers]
       report_s = 1.0
-      lease_s = 10.0
-      cancel_s = 20.0
+      lease_s = 12.0
+      cancel_s = 30.0
       [settings.state]
-      rps = 100.0
-      write_rps = 30.0
+      rps = 2000.0
+      write_rps = 500.0
       value_kb = 8.0
       txn_ops = 24
       [settings.cloud]
-      rps = 4.0
-      list_lag_s = 4.0
+      rps = 20.0
+      list_lag_s = 1.0
       [settings.resources]
       cpu = 1.0
       ram_mb = 256.0
-      max_connections = 100
+      max_connections = 1000
       """;
 
+  private static final String JOB =
+      """
+      {"ref":"%s","jobclass":"c","owner":"default","shape":"%s","rank":"%s","steps":%d,"vcpus":1.0,
+       "accelerators":0.0,"memoryGb":1.0,"bundle":"img","imageGb":0.1,"together":false,"apart":%b,
+       "loaners":%b,"guessS":%s,"snapshotEveryS":0.0,"snapshotS":0.0}
+      """;
+
+  private static final int CALL_MS = 2000;
+  private static final int TRIES = 100;
+
+  private final Loop loop = new Loop();
+  private final HttpPool http = new HttpPool(loop, 4, 1000);
+
   @Override
   public Integer call() throws Exception {
     int[] ports = freePorts(4);
-    String text = SETTINGS.formatted(ports[0], ports[1], ports[2], ports[3], ports[3]);
-    Settings settings = SettingsLoader.parse("rehearsal", text);
-    Loop loop = Running.start(settings, Operator.defaults()).loop();
-    HttpPool http = new HttpPool(loop, 2, 1000);
-    String self = settings.clientListen().toString();
-    String beat =
-        "{\"host\":\"h\",\"endpoint\":\"127.0.0.1:1\",\"hull\":\"x\",\"basin\":\"z\","
-            + "\"tenure\":1,\"tick\":1,\"steps\":[]}";
-    for (String[] call :
-        List.of(
-            new String[] {"GET", "/up", null},
-            new String[] {"POST", "/submissions", "{}"},
-            new String[] {"GET", "/submissions/a-1", null},
-            new String[] {"POST", "/agent/beat", beat})) {
-      CountDownLatch answered = new CountDownLatch(1);
-      byte[] body = call[2] == null ? null : call[2].getBytes(StandardCharsets.UTF_8);
-      loop.executor()
-          .execute(() -> http.call(self, call[0], call[1], body, 2000, r -> answered.countDown()));
-      answered.await(3, TimeUnit.SECONDS);
+    Emulation outside = new Emulation(DaemonSettings.defaults());
+    int at = outside.start(new Address("127.0.0.1", 0));
+    Running[] both = new Running[2];
+    for (int i = 0; i < 2; i++) {
+      int other = 1 - i;
+      String text =
+          SETTINGS.formatted(
+              i, ports[2 * i], ports[2 * i + 1], other, ports[2 * other + 1], at, at);
+      both[i] = Running.start(SettingsLoader.parse("rehearsal", text), Operator.defaults());
+      outside.register("rehearsal-" + i, "127.0.0.1:" + ports[2 * i]);
+    }
+    // Anything that does not come to pass in time only makes the archive smaller.
+    String first = "127.0.0.1:" + ports[0];
+    String second = "127.0.0.1:" + ports[2];
+    until(first, "GET", "/up", null, r -> r.status() == 200);
+    submit(first, JOB.formatted("wk-000001", "sweep", "high", 6, false, true, "0.3"));
+    for (int i = 2; i < 8; i++) {
+      submit(
+          i % 2 == 0 ? first : second,
+          JOB.formatted("wk-00000" + i, "daemon", "critical", 3, true, false, "0"));
     }
+    until(second, "GET", "/submissions/wk-000001", null, r -> said(r, "done"));
+    until(first, "GET", "/submissions/wk-000002", null, r -> said(r, "running"));
+    until(second, "POST", "/submissions/wk-000002/withdraw", "", r -> r.status() == 200);
+    both[0].stop();
+    submit(second, JOB.formatted("wk-000009", "sweep", "low", 3, false, true, "0.3"));
+    until(second, "GET", "/submissions/wk-000009", null, r -> said(r, "done"));
     return 0;
   }
 
+  private void submit(String to, String job) throws Exception {
+    until(to, "POST", "/submissions", job, r -> r.status() == 201 || r.status() == 200);
+  }
+
+  private static boolean said(HttpReply reply, String status) {
+    return status.equals(Json.text(Json.parse(reply.body()), "status"));
+  }
+
+  /** Asks again until the answer is the one waited for, or for long enough. */
+  private void until(
+      String to, String method, String path, String body, Predicate<HttpReply> wanted)
+      throws Exception {
+    for (int i = 0; i < TRIES; i++) {
+      CompletableFuture<HttpReply> answer = new CompletableFuture<>();
+      byte[] bytes = body == null ? null : body.getBytes(StandardCharsets.UTF_8);
+      loop.executor().execute(() -> http.call(to, method, path, bytes, CALL_MS, answer::complete));
+      if (wanted.test(answer.get(2L * CALL_MS, TimeUnit.MILLISECONDS))) {
+        return;
+      }
+      Thread.sleep(100);
+    }
+  }
+
   private static int[] freePorts(int n) throws java.io.IOException {
     ServerSocket[] sockets = new ServerSocket[n];
     int[] ports = new int[n];
