A hold is opened while records are read; held-for-services and awaits-image have a state of their own

Change: a starting controller opens its hold beside the listing and campaigns when its replica is complete instead of at its next look; two constructed states in OperatorsTest.

--- a/src/main/java/dapplestair/leadership/Leadership.java
+++ b/src/main/java/dapplestair/leadership/Leadership.java
@@ -57,6 +57,8 @@
   private long refusalsDoubtedUntil = Long.MIN_VALUE;
   private final Map<String, Long> termsWon = new HashMap<>();
   private long hold;
+  private long ahead;
+  private long heldAheadAt = Long.MIN_VALUE / 2;
   private long leaderStamp;
   private long term;
   private boolean leading;
@@ -191,10 +193,20 @@
     listener.follow();
   }
 
+  /** The replica is complete: whoever can lead begins at once. */
+  public void replicaReady() {
+    if (replica != null && !leading) {
+      timer.cancel();
+      tick();
+    }
+  }
+
   private void tick() {
     if (leading) {
       extend();
-    } else if (replica.ready() && state.reachable() && !busy && vacant() && mayCampaign()) {
+    } else if (!busy && !replica.ready()) {
+      holdAhead();
+    } else if (state.reachable() && !busy && vacant() && mayCampaign()) {
       campaign();
     }
     long every = leading ? ttlMs / 4 : ttlMs / 40;
@@ -239,8 +251,26 @@
         });
   }
 
+  /**
+   * While the records are still being read, the hold that a campaign needs is opened already: after
+   * the end of all controllers each exchange less is time in which nobody leads.
+   */
+  private void holdAhead() {
+    if (clock.now() - heldAheadAt < ttlMs / 3) {
+      return;
+    }
+    heldAheadAt = clock.now();
+    state.hold(ttlMs, opened -> ahead = opened);
+  }
+
   private void campaign() {
     busy = true;
+    if (ahead != 0 && clock.now() - heldAheadAt < ttlMs / 3) {
+      hold = ahead;
+      ahead = 0;
+      run(hold);
+      return;
+    }
     state.hold(
         ttlMs,
         opened -> {
--- a/src/main/java/dapplestair/node/Records.java
+++ b/src/main/java/dapplestair/node/Records.java
@@ -96,6 +96,7 @@
 
   @Override
   public void loaded() {
+    leadership.replicaReady();
     placer.nudge();
   }
 }
--- a/src/test/java/dapplestair/world/OperatorsTest.java
+++ b/src/test/java/dapplestair/world/OperatorsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.emulator.EmulatedTask;
 import dapplestair.emulator.EmulatedWorker;
 import dapplestair.json.Json;
@@ -281,6 +282,61 @@
     assertEquals(Set.of(), difference(Set.of("spot", "full"), reasons(w, job)), why.toString());
   }
 
+  /** Room on ordinary machines that work which may run on spot ones leaves to the next replicas. */
+  @Test
+  void roomHeldForServicesIsNamed() {
+    World w = quiet(8, new World.Size(1, 1000, 1_000_000, 1));
+    // Services that lately arrived are what is expected to arrive again.
+    for (int i = 0; i < 40; i++) {
+      w.users.changed(
+          "one",
+          1,
+          0,
+          b ->
+              b.put("shape", "daemon")
+                  .put("jobclass", "serve")
+                  .put("rank", "critical")
+                  .put("vcpus", 0.25)
+                  .put("loaners", false));
+    }
+    w.run(30_000);
+    w.cloud.setCapacity(0);
+    Users.Told job = w.users.array("one", "standard", 40, 300);
+    boolean named = false;
+    for (int i = 0; i < 20 && !named; i++) {
+      w.run(1000);
+      named = reasons(w, job).contains("held-for-services");
+    }
+    assertTrue(named, answer(w, "/v1/jobs/" + job.ref + "/why").toString());
+  }
+
+  /** A replica whose image lies where other work can be stopped sooner than a fetch would end. */
+  @Test
+  void aReplicaThatAwaitsItsImageSaysSo() {
+    World w = quiet(9, new World.Size(1, 1000, 1_000_000, 1));
+    Consumer<ObjectNode> service =
+        b ->
+            b.put("shape", "daemon")
+                .put("jobclass", "serve")
+                .put("rank", "critical")
+                .put("loaners", false)
+                .put("bundle", "img-large")
+                .put("vcpus", 2.0)
+                .put("imageGb", 8.0);
+    w.users.changed("one", 1, 0, service);
+    w.run(25_000);
+    // The fullest machine first: that is the one with the image. Others keep some room.
+    w.users.changed("one", 4, 300, b -> b.put("loaners", false).put("rank", "low"));
+    w.run(15_000);
+    Users.Told second = w.users.changed("one", 1, 0, service);
+    boolean named = false;
+    for (int i = 0; i < 60 && !named; i++) {
+      w.run(50);
+      named = reasons(w, second).contains("awaits-image");
+    }
+    assertTrue(named, answer(w, "/v1/jobs/" + second.ref + "/why").toString());
+  }
+
   private static Set<String> difference(Set<String> wanted, Set<String> found) {
     Set<String> out = new HashSet<>(wanted);
     out.removeAll(found);
