--- a/src/main/java/dapplestair/emulator/EmulatedWorker.java
+++ b/src/main/java/dapplestair/emulator/EmulatedWorker.java
@@ -38,7 +38,7 @@
   private long tick;
   private long baton;
   private long leaseFrom;
-  private int node;
+  private final EmulatedSteward steward;
   private boolean reporting;
   private long recallAt = -1;
   private long generation;
@@ -58,6 +58,7 @@
     this.id = id;
     this.zone = zone;
     this.spot = spot;
+    this.steward = new EmulatedSteward(cloud);
     this.images = new EmulatedImages(world, type);
     this.endpoint = world.address(id);
   }
@@ -109,8 +110,7 @@
   void boot() {
     booted = true;
     leaseFrom = world.now();
-    int controllers = cloud.directory().members().size();
-    node = controllers == 0 ? 0 : (int) world.between(0, controllers - 1);
+    steward.any(world);
     world.open(
         id,
         this,
@@ -181,18 +181,11 @@
     world.after(shape.reportMs() * 3 / 4 + world.between(0, shape.reportMs() / 2), this::heartbeat);
   }
 
-  private String controller() {
-    List<String> members = cloud.directory().members();
-    return members.isEmpty()
-        ? null
-        : cloud.directory().endpoint(members.get(node % members.size()));
-  }
-
   private void report() {
     if (gone || hanging || reporting) {
       return;
     }
-    String to = controller();
+    String to = steward.endpoint();
     if (to == null) {
       return;
     }
@@ -231,14 +224,11 @@
       }
       return;
     }
-    String steward = reply.status() == 421 ? Json.text(Json.parse(reply.body()), "steward") : null;
-    List<String> members = cloud.directory().members();
-    int named = steward == null ? -1 : members.indexOf(steward);
-    if (named >= 0 && named != node) {
-      node = named;
+    String named = reply.status() == 421 ? Json.text(Json.parse(reply.body()), "steward") : null;
+    if (steward.named(named)) {
       world.after(world.between(0, LEAST_PAUSE_MS), this::report);
     } else {
-      node = (node + 1) % Math.max(1, members.size());
+      steward.next();
       world.after(ELSEWHERE_MS, this::report);
     }
   }
--- a/src/main/java/dapplestair/ledger/Evidence.java
+++ b/src/main/java/dapplestair/ledger/Evidence.java
@@ -115,6 +115,12 @@
     office.hooks.changed();
   }
 
+  /** Doubles the pause of a job that fails wherever it runs. */
+  void backOff(Job job, long firstMs, long mostMs) {
+    job.backoffMs = Math.min(mostMs, Math.max(firstMs, job.backoffMs * 2));
+    holdBack(job, job.backoffMs);
+  }
+
   /** Keeps a job from starting tasks for a while. */
   void holdBack(Job job, long ms) {
     job.heldBackUntil = Math.max(job.heldBackUntil, office.clock.now() + ms);
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -380,11 +380,6 @@
     attempts.allAbsent(host);
   }
 
-  /** Keeps a job from starting tasks for a while. */
-  public void holdBack(Job job, long ms) {
-    evidence.holdBack(job, ms);
-  }
-
   /** True when a task of this job failed on this machine. */
   public boolean failedOn(Job job, Machine host) {
     return job.failedOn.containsKey(host.id());
@@ -397,7 +392,6 @@
 
   /** Doubles the pause of a job that fails wherever it runs. */
   public void backOff(Job job, long firstMs, long mostMs) {
-    job.backoffMs = Math.min(mostMs, Math.max(firstMs, job.backoffMs * 2));
-    holdBack(job, job.backoffMs);
+    evidence.backOff(job, firstMs, mostMs);
   }
 }
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -25,7 +25,6 @@
 import dapplestair.placement.Placer;
 import dapplestair.planning.DemandView;
 import dapplestair.planning.Planning;
-import dapplestair.ports.Cancellable;
 import dapplestair.ports.Exchange;
 import dapplestair.settings.Operator;
 import dapplestair.settings.Settings;
@@ -40,7 +39,6 @@
 /** One controller. All of it runs on one loop. */
 public final class Controller implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
-  private static final long LAG_EVERY_MS = 50;
 
   private final Outside outside;
   private final Settings settings;
@@ -65,8 +63,7 @@
   private final AdminDesk admin;
   private final Records records;
   private final Doors doors;
-  private Cancellable summary = () -> {};
-  private Cancellable lag = () -> {};
+  private final Pulse pulse;
 
   /** Wires the duties, without an operators' interface; nothing runs before {@link #start}. */
   public Controller(Settings settings, Operator operator, Outside outside) {
@@ -124,6 +121,7 @@
             demand);
     fleet.weigh(demand::waitingCpus, planning::soon);
     submissions = new SubmissionDesk(clock, settings, state, replica, ledger, types, metrics);
+    pulse = new Pulse(clock, timers, metrics, 20 * settings.workers().reportMs(), this::standing);
     doors = new Doors(workers, submissions, this::able, peers);
     drains =
         new Drains(
@@ -187,28 +185,18 @@
     workers.start();
     peers.start();
     leadership.start(replica);
-    watchLag(outside.clock().now());
-    summarise();
+    pulse.start();
   }
 
-  private void watchLag(long dueAt) {
-    long now = outside.clock().now();
-    metrics.lagged(now - dueAt);
-    lag = outside.timers().after(LAG_EVERY_MS, () -> watchLag(now + LAG_EVERY_MS));
-  }
-
-  private void summarise() {
-    summary = outside.timers().after(20 * settings.workers().reportMs(), this::summarise);
-    int jobs = ledger.jobs().size();
-    metrics.summarise(
-        "%s, %d jobs, %d attempts, %d machines, %d transactions waiting; puts: %s"
-            .formatted(
-                leadership.leading() ? "leading" : "following " + leadership.leader(),
-                jobs,
-                ledger.attemptCount(),
-                workers.hosts().size(),
-                state.queued(),
-                state.putsSent()));
+  private String standing() {
+    return "%s, %d jobs, %d attempts, %d machines, %d transactions waiting; puts: %s"
+        .formatted(
+            leadership.leading() ? "leading" : "following " + leadership.leader(),
+            ledger.jobs().size(),
+            ledger.attemptCount(),
+            workers.hosts().size(),
+            state.queued(),
+            state.putsSent());
   }
 
   /** Answers a request of a user, a worker or a health check. */
@@ -394,8 +382,7 @@
 
   @Override
   public void close() {
-    summary.cancel();
-    lag.cancel();
+    pulse.close();
     drains.close();
     planning.close();
     fleet.close();
--- a/src/main/java/dapplestair/planning/DemandView.java
+++ b/src/main/java/dapplestair/planning/DemandView.java
@@ -19,9 +19,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 
 /** What there is to do and to do it with, as one immutable problem for the search. */
 public final class DemandView {
@@ -36,8 +34,8 @@
   private final MachineTypes types;
   private final Estimates estimates;
   private final Arrivals arrivals;
+  private final Floors floors;
   private final long windowMs;
-  private Set<String> waitedBefore = Set.of();
 
   /** Looks at the leader's duties. */
   public DemandView(
@@ -56,6 +54,7 @@
     this.estimates = estimates;
     this.windowMs = 20 * settings.workers().reportMs();
     this.arrivals = new Arrivals(2 * windowMs);
+    this.floors = new Floors(clock, ledger);
   }
 
   /** A job was accepted just now. */
@@ -117,7 +116,7 @@
       slots.add(slot(t, false, laneCpus, need));
       slots.add(slot(t, true, laneCpus, need));
     }
-    slots = withRoomForGangs(withRoomForServices(slots, soon));
+    slots = floors.forGangs(floors.forServices(slots, soon), windowMs / 4);
     List<DryTasks> tasks = tasks(slots, soon, laneCpus, longestBootS);
     return new FleetProblem(slots, tasks, laneCpus, budget(operator, slots, soon));
   }
@@ -226,121 +225,6 @@
     return until;
   }
 
-  /**
-   * Steady machines are counted as busy up to what services use, what is expected of them within a
-   * boot, and one machine more, so that replicas lost with a machine start again at once. Work that
-   * may be stopped fills that room meanwhile.
-   */
-  private List<SlotState> withRoomForServices(List<SlotState> slots, List<Submission> soon) {
-    double need = 0;
-    for (Job j : ledger.jobs()) {
-      if (!j.over() && !j.spec().spot()) {
-        need += j.spec().cpus() * (j.waiting() + j.held());
-      }
-    }
-    for (Submission s : soon) {
-      if (!s.spot()) {
-        need += s.cpus() * s.steps();
-      }
-    }
-    double room = 0;
-    double largest = 0;
-    for (SlotState s : slots) {
-      if (!s.spot() && s.least() > 0) {
-        room += s.least() * s.type().cpus();
-        largest = Math.max(largest, s.type().cpus());
-      }
-    }
-    if (need > 0 && largest == 0) {
-      largest = slots.stream().mapToDouble(s -> s.type().cpus()).min().orElse(0);
-    }
-    need += need > 0 ? largest : 0;
-    double stranded = strandedCpus();
-    if (stranded > 0) {
-      // Replicas that the room there is did not take for a whole round: it lies in zones that
-      // already have all that they may. The next machine comes where there are fewest.
-      double up = 0;
-      for (SlotState s : slots) {
-        up += s.spot() ? 0 : s.up() * s.type().cpus();
-      }
-      need = Math.max(need, up + stranded);
-    }
-    List<SlotState> out = new ArrayList<>(slots);
-    while (room < need) {
-      int cheapest = -1;
-      for (int i = 0; i < out.size(); i++) {
-        SlotState s = out.get(i);
-        if (!s.spot()
-            && s.least() < s.most()
-            && (cheapest < 0 || perCpu(s) < perCpu(out.get(cheapest)))) {
-          cheapest = i;
-        }
-      }
-      if (cheapest < 0) {
-        break;
-      }
-      SlotState s = out.get(cheapest);
-      out.set(cheapest, withLeast(s, s.least() + 1));
-      room += s.type().cpus();
-    }
-    return out;
-  }
-
-  /** CPUs of services that wait now and did so a round before. */
-  private double strandedCpus() {
-    Set<String> now = new HashSet<>();
-    double sum = 0;
-    for (Job j : ledger.jobs()) {
-      if (j.spec().service() && !j.over() && j.waiting() > 0) {
-        now.add(j.spec().ref());
-        sum += waitedBefore.contains(j.spec().ref()) ? j.waiting() * j.spec().cpus() : 0;
-      }
-    }
-    waitedBefore = now;
-    return sum;
-  }
-
-  /**
-   * A gang that has waited a while gets machines for all of it at once; the search alone might
-   * settle for fewer for ever. Machines are spread over the zones, so one that must be in one zone
-   * needs as many in each.
-   */
-  private List<SlotState> withRoomForGangs(List<SlotState> slots) {
-    List<SlotState> out = new ArrayList<>(slots);
-    for (Job j : ledger.jobs()) {
-      Submission s = j.spec();
-      if (!s.gang()
-          || j.held() > 0
-          || j.waiting() == 0
-          || clock.wall() - j.acceptedWall() < windowMs / 4) {
-        continue;
-      }
-      double need = s.cpus() * j.waiting();
-      boolean zones = s.together() && s.zone() == null;
-      for (int i = 0; i < out.size() && need > 0; i++) {
-        SlotState slot = out.get(i);
-        if (slot.type().suits(s) && (s.spot() || !slot.spot())) {
-          double perMachine = Math.floor(slot.type().cpus() / s.cpus()) * s.cpus();
-          int want = (int) Math.ceil(need / perMachine);
-          want *= zones ? Math.max(1, slot.type().zones().size()) : 1;
-          int least = Math.max(slot.least(), Math.min(slot.most(), want));
-          out.set(i, withLeast(slot, least));
-          need -= least * perMachine / (zones ? slot.type().zones().size() : 1);
-        }
-      }
-    }
-    return out;
-  }
-
-  private static SlotState withLeast(SlotState s, int least) {
-    return new SlotState(
-        s.type(), s.spot(), least, s.most(), s.held(), s.up(), s.price(), s.takeBack());
-  }
-
-  private static double perCpu(SlotState s) {
-    return s.price() / s.type().cpus();
-  }
-
   private record Pending(Submission job, int count, double slackS, double arrivesS) {}
 
   /** CPUs of all that waits and is expected. */
@@ -413,7 +297,7 @@
   private static double cheapest(List<SlotState> slots, Submission job) {
     return slots.stream()
         .filter(s -> s.type().suits(job) && (job.spot() || !s.spot()))
-        .mapToDouble(DemandView::perCpu)
+        .mapToDouble(Floors::perCpu)
         .min()
         .orElse(0);
   }
--- /dev/null
+++ b/src/main/java/dapplestair/planning/Floors.java
@@ -0,0 +1,138 @@
+package dapplestair.planning;
+
+import dapplestair.ledger.Job;
+import dapplestair.ledger.Ledger;
+import dapplestair.planning.FleetProblem.SlotState;
+import dapplestair.ports.Clock;
+import dapplestair.work.Submission;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** How few machines a plan may hold: what must start at once has its room whatever it costs. */
+final class Floors {
+  private final Clock clock;
+  private final Ledger ledger;
+  private Set<String> waitedBefore = Set.of();
+
+  Floors(Clock clock, Ledger ledger) {
+    this.clock = clock;
+    this.ledger = ledger;
+  }
+
+  /**
+   * Steady machines are counted as busy up to what services use, what is expected of them within a
+   * boot, and one machine more, so that replicas lost with a machine start again at once. Work that
+   * may be stopped fills that room meanwhile.
+   */
+  List<SlotState> forServices(List<SlotState> slots, List<Submission> soon) {
+    double need = 0;
+    for (Job j : ledger.jobs()) {
+      if (!j.over() && !j.spec().spot()) {
+        need += j.spec().cpus() * (j.waiting() + j.held());
+      }
+    }
+    for (Submission s : soon) {
+      if (!s.spot()) {
+        need += s.cpus() * s.steps();
+      }
+    }
+    double room = 0;
+    double largest = 0;
+    for (SlotState s : slots) {
+      if (!s.spot() && s.least() > 0) {
+        room += s.least() * s.type().cpus();
+        largest = Math.max(largest, s.type().cpus());
+      }
+    }
+    if (need > 0 && largest == 0) {
+      largest = slots.stream().mapToDouble(s -> s.type().cpus()).min().orElse(0);
+    }
+    need += need > 0 ? largest : 0;
+    double stranded = strandedCpus();
+    if (stranded > 0) {
+      // Replicas that the room there is did not take for a whole round: it lies in zones that
+      // already have all that they may. The next machine comes where there are fewest.
+      double up = 0;
+      for (SlotState s : slots) {
+        up += s.spot() ? 0 : s.up() * s.type().cpus();
+      }
+      need = Math.max(need, up + stranded);
+    }
+    List<SlotState> out = new ArrayList<>(slots);
+    while (room < need) {
+      int cheapest = -1;
+      for (int i = 0; i < out.size(); i++) {
+        SlotState s = out.get(i);
+        if (!s.spot()
+            && s.least() < s.most()
+            && (cheapest < 0 || perCpu(s) < perCpu(out.get(cheapest)))) {
+          cheapest = i;
+        }
+      }
+      if (cheapest < 0) {
+        break;
+      }
+      SlotState s = out.get(cheapest);
+      out.set(cheapest, withLeast(s, s.least() + 1));
+      room += s.type().cpus();
+    }
+    return out;
+  }
+
+  /** CPUs of services that wait now and did so a round before. */
+  private double strandedCpus() {
+    Set<String> now = new HashSet<>();
+    double sum = 0;
+    for (Job j : ledger.jobs()) {
+      if (j.spec().service() && !j.over() && j.waiting() > 0) {
+        now.add(j.spec().ref());
+        sum += waitedBefore.contains(j.spec().ref()) ? j.waiting() * j.spec().cpus() : 0;
+      }
+    }
+    waitedBefore = now;
+    return sum;
+  }
+
+  /**
+   * A gang that has waited for longer than {@code afterMs} gets machines for all of it at once; the
+   * search alone might settle for fewer for ever. Machines are spread over the zones, so one that
+   * must be in one zone needs as many in each.
+   */
+  List<SlotState> forGangs(List<SlotState> slots, long afterMs) {
+    List<SlotState> out = new ArrayList<>(slots);
+    for (Job j : ledger.jobs()) {
+      Submission s = j.spec();
+      if (!s.gang()
+          || j.held() > 0
+          || j.waiting() == 0
+          || clock.wall() - j.acceptedWall() < afterMs) {
+        continue;
+      }
+      double need = s.cpus() * j.waiting();
+      boolean zones = s.together() && s.zone() == null;
+      for (int i = 0; i < out.size() && need > 0; i++) {
+        SlotState slot = out.get(i);
+        if (slot.type().suits(s) && (s.spot() || !slot.spot())) {
+          double perMachine = Math.floor(slot.type().cpus() / s.cpus()) * s.cpus();
+          int want = (int) Math.ceil(need / perMachine);
+          want *= zones ? Math.max(1, slot.type().zones().size()) : 1;
+          int least = Math.max(slot.least(), Math.min(slot.most(), want));
+          out.set(i, withLeast(slot, least));
+          need -= least * perMachine / (zones ? slot.type().zones().size() : 1);
+        }
+      }
+    }
+    return out;
+  }
+
+  private static SlotState withLeast(SlotState s, int least) {
+    return new SlotState(
+        s.type(), s.spot(), least, s.most(), s.held(), s.up(), s.price(), s.takeBack());
+  }
+
+  static double perCpu(SlotState s) {
+    return s.price() / s.type().cpus();
+  }
+}
