--- a/src/test/java/dapplestair/world/SilenceTest.java
+++ b/src/test/java/dapplestair/world/SilenceTest.java
@@ -204,6 +204,36 @@
     assertEquals(REPLICAS, replicas(world, m -> true), "replicas once all is over");
   }
 
+  /**
+   * Many machines end at once, their replicas start again under sheets, and the leader ends before
+   * the services' own records know of them: the next one must not start them a second time.
+   */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {901, 902, 904, 905, 907, 908})
+  void aLeaderEndsWhileOnlySheetsKnow(long seed) {
+    World world = begun(seed);
+    int stood = 0;
+    for (int round = 0; round < 3; round++) {
+      for (EmulatedWorker m : List.copyOf(world.cloud.machines())) {
+        if (m.booted() && !m.gone() && world.sim.chance(0.3)) {
+          m.end();
+        }
+      }
+      for (int i = 0; i < 150 && world.state.keys("live/sheet/").isEmpty(); i++) {
+        world.run(100);
+      }
+      stood += world.state.keys("live/sheet/").size();
+      world.run(world.sim.between(0, 600));
+      if (world.leader() != null) {
+        world.leader().crash(3000);
+      }
+      world.run(45_000);
+    }
+    assertTrue(stood > 0, "no sheet was ever written");
+    assertEquals(REPLICAS, replicas(world, m -> true), "replicas once all is over");
+    assertEquals(List.of(), world.state.keys("live/sheet/"), "sheets once all is over");
+  }
+
   /** Idle machines of a zone that is back before the wait is over are still there. */
   @Test
   void aZoneThatComesBackInTimeKeepsItsMachines() {
