Replicas count as stranded after a boot only, and rounds that come early return nothing

Cause: a round comes every 3 s, and a service that merely waited for two of them held all ordinary machines that were up; rounds brought forward by losses counted towards the delayed return, which is meant for a steady interval.

--- a/src/main/java/dapplestair/planning/Floors.java
+++ b/src/main/java/dapplestair/planning/Floors.java
@@ -6,15 +6,17 @@
 import dapplestair.ports.Clock;
 import dapplestair.work.Submission;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** How few machines a plan may hold: what must start at once has its room whatever it costs. */
 final class Floors {
   private final Clock clock;
   private final Ledger ledger;
-  private Set<String> waitedBefore = Set.of();
+  private final Map<String, Long> waitingSince = new HashMap<>();
 
   Floors(Clock clock, Ledger ledger) {
     this.clock = clock;
@@ -50,9 +52,9 @@
       largest = slots.stream().mapToDouble(s -> s.type().cpus()).min().orElse(0);
     }
     need += need > 0 ? largest : 0;
-    double stranded = strandedCpus();
+    double stranded = strandedCpus(slots);
     if (stranded > 0) {
-      // Replicas that the room there is did not take for a whole round: it lies in zones that
+      // Replicas that the room there is did not take for as long as a boot: it lies in zones that
       // already have all that they may. The next machine comes where there are fewest.
       double up = 0;
       for (SlotState s : slots) {
@@ -81,17 +83,20 @@
     return out;
   }
 
-  /** CPUs of services that wait now and did so a round before. */
-  private double strandedCpus() {
-    Set<String> now = new HashSet<>();
+  /** CPUs of services that have waited for longer than a machine boots. */
+  private double strandedCpus(List<SlotState> slots) {
+    double bootMs = 1000 * slots.stream().mapToDouble(s -> s.type().bootS()).max().orElse(0);
+    long now = clock.now();
+    Set<String> waiting = new HashSet<>();
     double sum = 0;
     for (Job j : ledger.jobs()) {
       if (j.spec().service() && !j.over() && j.waiting() > 0) {
-        now.add(j.spec().ref());
-        sum += waitedBefore.contains(j.spec().ref()) ? j.waiting() * j.spec().cpus() : 0;
+        waiting.add(j.spec().ref());
+        long since = waitingSince.computeIfAbsent(j.spec().ref(), r -> now);
+        sum += now - since > bootMs ? j.waiting() * j.spec().cpus() : 0;
       }
     }
-    waitedBefore = now;
+    waitingSince.keySet().retainAll(waiting);
     return sum;
   }
 
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -56,6 +56,7 @@
   private boolean writing;
   private Cancellable timer = () -> {};
   private long roundAt;
+  private boolean extra;
   private int generation;
 
   /** Plans for what {@code demand} sees. */
@@ -129,6 +130,7 @@
     if (leadership.leading() && roundAt - clock.now() > early) {
       timer.cancel();
       roundIn(early);
+      extra = true;
     }
   }
 
@@ -141,6 +143,7 @@
   public void clear() {
     generation++;
     timer.cancel();
+    extra = false;
     fewer.clear();
     plan = Map.of();
     applied = null;
@@ -159,12 +162,14 @@
     Nsga2 search = new Nsga2(random, operator.population(), operator.evaluations());
     List<double[]> seeds = List.of(problem.lower(), held(problem));
     int planned = generation;
+    boolean only = extra;
+    extra = false;
     double pressure = Math.min(MOST_PRESSURE, demand.pressure());
     background.compute(
         () -> best(search, problem, seeds, pressure),
         chosen -> {
           if (planned == generation && leadership.leading()) {
-            apply(problem, chosen);
+            apply(problem, chosen, only);
           }
         });
   }
@@ -199,7 +204,7 @@
         operator.riskWeight());
   }
 
-  private void apply(FleetProblem problem, Chosen chosen) {
+  private void apply(FleetProblem problem, Chosen chosen, boolean extraRound) {
     int[] counts = chosen.counts();
     Map<Slot, Integer> next = new LinkedHashMap<>();
     for (int i = 0; i < counts.length; i++) {
@@ -215,10 +220,10 @@
         new Applied(
             next, costs[0], costs[1], costs[2], problem.budget(), chosen.front(), clock.now());
     record();
-    next.forEach(this::steer);
+    next.forEach((slot, want) -> steer(slot, want, extraRound));
   }
 
-  private void steer(Slot slot, int want) {
+  private void steer(Slot slot, int want, boolean extraRound) {
     int have = fleet.holding(slot);
     if (want >= have) {
       fewer.remove(slot);
@@ -228,6 +233,10 @@
       }
       return;
     }
+    if (extraRound) {
+      // Delayed return counts rounds at a steady interval.
+      return;
+    }
     int rounds = fewer.merge(slot, 1, Integer::sum);
     if (rounds >= operator.returnAfterRounds() / 2) {
       fleet.cordon(slot, have - want);
