The test of sheets cuts the machines that hold them off, so that a leader who does not read them is caught

Cause: without the cut, a leader that reads no sheet halts the strays before it starts them again, and the test passed. Change: half of the machines are out of reach for two reports while the next leader begins. It now fails with the reading of sheets removed (ran_twice) and passes with it.

--- a/src/test/java/dapplestair/world/SilenceTest.java
+++ b/src/test/java/dapplestair/world/SilenceTest.java
@@ -213,14 +213,21 @@
           m.end();
         }
       }
-      for (int i = 0; i < 150 && world.state.keys("live/sheet/").isEmpty(); i++) {
-        world.run(100);
+      for (int i = 0; i < 3000 && world.state.keys("live/sheet/").isEmpty(); i++) {
+        world.run(5);
       }
       stood += world.state.keys("live/sheet/").size();
-      world.run(world.sim.between(0, 600));
+      // Its launches are on their way, the services' own records are not yet written.
+      world.run(world.sim.between(30, 90));
+      // Half of the machines cannot be asked for a while: only the sheets tell what runs there.
+      List<EmulatedWorker> cut =
+          world.cloud.machines().stream().filter(m -> world.sim.chance(0.5)).toList();
+      cut.forEach(m -> link(world, m, true));
       if (world.leader() != null) {
         world.leader().crash(3000);
       }
+      world.run(World.REPORT_MS * 2);
+      cut.forEach(m -> link(world, m, false));
       world.run(45_000);
     }
     assertTrue(stood > 0, "no sheet was ever written");
@@ -228,6 +235,18 @@
     assertEquals(List.of(), world.state.keys("live/sheet/"), "sheets once all is over");
   }
 
+  private static void link(World world, EmulatedWorker m, boolean cut) {
+    for (World.Node n : world.nodes) {
+      for (String node : List.of("node-" + n.index, World.client(n.index))) {
+        if (cut) {
+          world.net.cut(node, m.endpoint(), false);
+        } else {
+          world.net.heal(node, m.endpoint());
+        }
+      }
+    }
+  }
+
   /** Idle machines of a zone that is back before the wait is over are still there. */
   @Test
   void aZoneThatComesBackInTimeKeepsItsMachines() {
