Served shares of every class and team: counted by the world's checker and by the product

The leader counts the same since it leads: `team list`, metrics by team and class, the least four in the summary line.

--- a/src/main/java/dapplestair/admin/ClusterViews.java
+++ b/src/main/java/dapplestair/admin/ClusterViews.java
@@ -6,6 +6,7 @@
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
+import dapplestair.ledger.Served;
 import dapplestair.peers.Peers;
 import dapplestair.planning.Planning;
 import dapplestair.ports.Clock;
@@ -96,12 +97,13 @@
     }
     // Who borrows does not say from whom: what is lent is parted by what each leaves unused.
     double lentShare = unused <= 0 ? 0 : Math.min(1, borrowed / unused);
+    Map<String, Served.Count> served = ledger.servedByTeam();
     ObjectNode o = moment.object();
     ArrayNode rows = o.putArray("rows");
     for (Settings.Team t : new TreeMap<>(settings.teams()).values()) {
       double use = ledger.teamCpus(t.name());
-      rows.addObject()
-          .put("team", t.name())
+      ObjectNode row = rows.addObject();
+      row.put("team", t.name())
           .put("guarantee", t.cpus())
           .put("limit", t.cpusMax())
           .put("use", use)
@@ -111,6 +113,12 @@
           .put("gpus_guarantee", t.gpus())
           .put("gpus_limit", t.gpusMax())
           .put("gpus_use", ledger.teamGpus(t.name()));
+      Served.Count c = served.getOrDefault(t.name(), Served.Count.NONE);
+      row.putObject("served")
+          .put("accepted", c.accepted())
+          .put("started", c.started())
+          .put("due", c.due())
+          .put("done", c.done());
     }
     return o;
   }
--- a/src/main/java/dapplestair/ledger/Endings.java
+++ b/src/main/java/dapplestair/ledger/Endings.java
@@ -14,12 +14,15 @@
   private final ChunkWriter writer;
   private final Attempts attempts;
   private final Map<String, Job> jobs;
+  private final Served served;
 
-  Endings(Office office, ChunkWriter writer, Attempts attempts, Map<String, Job> jobs) {
+  Endings(
+      Office office, ChunkWriter writer, Attempts attempts, Map<String, Job> jobs, Served served) {
     this.office = office;
     this.writer = writer;
     this.attempts = attempts;
     this.jobs = jobs;
+    this.served = served;
     attempts.whenEmptied(this::over);
     writer.listen(this);
   }
@@ -43,6 +46,9 @@
     job.finishing = false;
     job.stamp = 0;
     job.overAt = office.clock.now();
+    if (office.armed()) {
+      served.ended(job);
+    }
     for (Chunk c : job.chunks.values()) {
       for (Attempt a : List.copyOf(c.live.values())) {
         if (!a.sent() || a.done) {
--- a/src/main/java/dapplestair/ledger/Evidence.java
+++ b/src/main/java/dapplestair/ledger/Evidence.java
@@ -72,6 +72,7 @@
       a.status = t.status();
       a.statusAt = now;
       if (t.status() == Report.Status.RUNNING) {
+        a.job.begun = true;
         office.hooks.started(a);
         host.imageSeen(a.spec().image(), now);
       } else if (t.status() == Report.Status.EXITED) {
--- a/src/main/java/dapplestair/ledger/Job.java
+++ b/src/main/java/dapplestair/ledger/Job.java
@@ -18,6 +18,10 @@
   long stamp;
 
   boolean over;
+
+  /** One of its tasks was seen to run. */
+  boolean begun;
+
   boolean finishing;
   long overAt;
   int held;
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -38,6 +38,7 @@
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final Recorded recorded = new Recorded();
   private final TeamUse use;
+  private final Served served = new Served();
   private final ChunkWriter writer;
   private final Attempts attempts;
   private final Endings endings;
@@ -62,7 +63,7 @@
     use = new TeamUse(settings);
     writer = new ChunkWriter(office, withSheets);
     attempts = new Attempts(office, use, writer);
-    endings = new Endings(office, writer, attempts, jobs);
+    endings = new Endings(office, writer, attempts, jobs, served);
     evidence = new Evidence(office, attempts, writer, endings);
     door = new Door(office, use, attempts, writer);
   }
@@ -259,6 +260,7 @@
     recorded.clear();
     claims.clear();
     use.clear();
+    served.clear();
     writer.clear();
     office.leave();
   }
@@ -318,6 +320,21 @@
     return jobs.values().stream().mapToInt(Job::held).sum();
   }
 
+  /** What became of the jobs of each team since this controller leads. */
+  public Map<String, Served.Count> servedByTeam() {
+    return served.byTeam(jobs.values());
+  }
+
+  /** What became of the jobs of each class since this controller leads. */
+  public Map<String, Served.Count> servedByClass() {
+    return served.byClass(jobs.values());
+  }
+
+  /** The teams and classes served least since then, as shares started and done; for the log. */
+  public String servedLeast() {
+    return served.least(jobs.values());
+  }
+
   /** CPUs that a team's attempts use. */
   public double teamCpus(String team) {
     return use.cpus(team);
--- /dev/null
+++ b/src/main/java/dapplestair/ledger/Served.java
@@ -0,0 +1,109 @@
+package dapplestair.ledger;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/**
+ * What became of the jobs of each team and each class since this controller leads: those that were
+ * open then and those accepted since. By the operators' word a day has failed if less than half of
+ * any one of them is served.
+ */
+public final class Served {
+  // Classes are named by users: without a bound their names would fill memory and metrics.
+  private static final int MOST_NAMES = 64;
+  private static final String OTHERS = "others";
+
+  /**
+   * Jobs of one team or class.
+   *
+   * @param accepted jobs that were accepted
+   * @param started those of which a task was seen to run
+   * @param due those that are to complete: neither services nor withdrawn
+   * @param done those that completed
+   */
+  public record Count(int accepted, int started, int due, int done) {
+    /** No jobs. */
+    public static final Count NONE = new Count(0, 0, 0, 0);
+
+    private Count plus(Count o) {
+      return new Count(accepted + o.accepted, started + o.started, due + o.due, done + o.done);
+    }
+
+    /** Share of the accepted jobs that started; 1 without any. */
+    public double startedShare() {
+      return accepted == 0 ? 1 : started / (double) accepted;
+    }
+
+    private double share() {
+      return Math.min(startedShare(), doneShare());
+    }
+
+    /** Share of what is to complete that did; 1 without any. */
+    public double doneShare() {
+      return due == 0 ? 1 : done / (double) due;
+    }
+  }
+
+  private final Map<String, Count> endedByTeam = new HashMap<>();
+  private final Map<String, Count> endedByClass = new HashMap<>();
+
+  /** A job is over, for this leader the first time. */
+  void ended(Job job) {
+    Count one = one(job);
+    add(endedByTeam, job.spec().team(), one);
+    add(endedByClass, job.spec().jobClass(), one);
+  }
+
+  void clear() {
+    endedByTeam.clear();
+    endedByClass.clear();
+  }
+
+  private static Count one(Job job) {
+    boolean done = job.allDone();
+    boolean withdrawn = job.over && !done;
+    return new Count(
+        1,
+        job.begun || job.doneCount() > 0 ? 1 : 0,
+        job.spec().service() || withdrawn ? 0 : 1,
+        done ? 1 : 0);
+  }
+
+  private static void add(Map<String, Count> to, String name, Count one) {
+    String key = to.containsKey(name) || to.size() < MOST_NAMES ? name : OTHERS;
+    to.merge(key, one, Count::plus);
+  }
+
+  /** By team, those that are over and {@code open} ones together. */
+  Map<String, Count> byTeam(Collection<Job> open) {
+    Map<String, Count> out = new TreeMap<>(endedByTeam);
+    open.stream().filter(j -> !j.over).forEach(j -> add(out, j.spec().team(), one(j)));
+    return out;
+  }
+
+  /** The same by class. */
+  Map<String, Count> byClass(Collection<Job> open) {
+    Map<String, Count> out = new TreeMap<>(endedByClass);
+    open.stream().filter(j -> !j.over).forEach(j -> add(out, j.spec().jobClass(), one(j)));
+    return out;
+  }
+
+  /** The few that are served least, for a line of the log. */
+  String least(Collection<Job> open) {
+    Map<String, Count> all = new TreeMap<>();
+    byTeam(open).forEach((name, c) -> all.put("team " + name, c));
+    byClass(open).forEach((name, c) -> all.put("class " + name, c));
+    return all.entrySet().stream()
+        .sorted(Comparator.comparingDouble(e -> e.getValue().share()))
+        .limit(4)
+        .map(
+            e ->
+                "%s %.2f/%.2f"
+                    .formatted(e.getKey(), e.getValue().startedShare(), e.getValue().doneShare()))
+        .collect(Collectors.joining(", "));
+  }
+}
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -189,14 +189,15 @@
   }
 
   private String standing() {
-    return "%s, %d jobs, %d attempts, %d machines, %d transactions waiting; puts: %s"
+    return "%s, %d jobs, %d attempts, %d machines, %d transactions waiting; puts: %s%s"
         .formatted(
             leadership.leading() ? "leading" : "following " + leadership.leader(),
             ledger.jobs().size(),
             ledger.attemptCount(),
             workers.hosts().size(),
             state.queued(),
-            state.putsSent());
+            state.putsSent(),
+            leadership.leading() ? "; served least: " + ledger.servedLeast() : "");
   }
 
   /** Answers a request of a user, a worker or a health check. */
--- a/src/main/java/dapplestair/node/Figures.java
+++ b/src/main/java/dapplestair/node/Figures.java
@@ -1,6 +1,8 @@
 package dapplestair.node;
 
+import com.google.common.collect.Maps;
 import dapplestair.admin.Duties;
+import dapplestair.ledger.Served;
 import dapplestair.metrics.Exposition;
 import dapplestair.planning.Planning;
 import dapplestair.settings.Settings;
@@ -41,6 +43,26 @@
             "Most CPUs of a team, 0 for no limit.",
             "team",
             () -> teams(d, Settings.Team::cpusMax))
+        .gauges(
+            "team_jobs_started_share",
+            "Share of a team's accepted jobs that started, since this controller leads.",
+            "team",
+            () -> Maps.transformValues(d.ledger().servedByTeam(), Served.Count::startedShare))
+        .gauges(
+            "team_jobs_done_share",
+            "Share of a team's arrays, less those withdrawn, that are done since then.",
+            "team",
+            () -> Maps.transformValues(d.ledger().servedByTeam(), Served.Count::doneShare))
+        .gauges(
+            "class_jobs_started_share",
+            "Share of a class's accepted jobs that started, since this controller leads.",
+            "class",
+            () -> Maps.transformValues(d.ledger().servedByClass(), Served.Count::startedShare))
+        .gauges(
+            "class_jobs_done_share",
+            "Share of a class's arrays, less those withdrawn, that are done since then.",
+            "class",
+            () -> Maps.transformValues(d.ledger().servedByClass(), Served.Count::doneShare))
         .gauge(
             "plan_makespan_seconds",
             "Mean makespan of the plan applied.",
--- a/src/test/java/dapplestair/world/Checker.java
+++ b/src/test/java/dapplestair/world/Checker.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 /** The rules of the protocol, checked on the world itself, knowing nothing of the product. */
 final class Checker implements Witness {
@@ -42,6 +43,7 @@
   public void started(EmulatedWorker w, EmulatedTask task) {
     started++;
     Users.Told job = world.users.told.get(ref(task.key()));
+    job.started = true;
     if (job.aborted && world.sim.now() > job.abortedAt + World.CANCEL_MS) {
       broken("ran_cancelled: " + task.key() + " starts on " + w.id());
     }
@@ -105,6 +107,57 @@
     }
   }
 
+  /** What became of the jobs of one class, or of one team. */
+  static final class Served {
+    int jobs;
+    int accepted;
+    int started;
+    int due;
+    int done;
+
+    private void add(Users.Told job) {
+      jobs++;
+      if (!job.accepted) {
+        return;
+      }
+      accepted++;
+      started += job.started ? 1 : 0;
+      // What its user has withdrawn need not complete.
+      due += job.service || job.aborted ? 0 : 1;
+      done += job.done ? 1 : 0;
+    }
+
+    boolean half() {
+      return 2 * accepted >= jobs && 2 * started >= accepted && 2 * done >= due;
+    }
+
+    @Override
+    public String toString() {
+      return "accepted %d/%d, started %d, done %d/%d".formatted(accepted, jobs, started, done, due);
+    }
+  }
+
+  /** By class and by team, from what users were told and what machines ran. */
+  Map<String, Served> served() {
+    Map<String, Served> out = new TreeMap<>();
+    for (Users.Told job : world.users.told.values()) {
+      out.computeIfAbsent("class " + job.jobClass, k -> new Served()).add(job);
+      out.computeIfAbsent("team " + job.team, k -> new Served()).add(job);
+    }
+    return out;
+  }
+
+  /** A day fails, too, if less than half of any one class or team is served. */
+  void checkServed() {
+    served()
+        .forEach(
+            (who, served) -> {
+              if (!served.half()) {
+                throw new AssertionError("less than half of " + who + " is served: " + served);
+              }
+            });
+  }
+
   /** A user was told the state of a job, having been told {@code before} when it asked. */
   void told(Users.Told job, String before, String status) {
     if (before != null && !before.equals(status)) {
--- a/src/test/java/dapplestair/world/GrownDaysTest.java
+++ b/src/test/java/dapplestair/world/GrownDaysTest.java
@@ -34,6 +34,7 @@
       world.run(40_000);
       world.users.quiet = true;
       world.run(60_000);
+      world.checker.checkServed();
     } catch (AssertionError e) {
       throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
     }
--- a/src/test/java/dapplestair/world/OperatorsTest.java
+++ b/src/test/java/dapplestair/world/OperatorsTest.java
@@ -1,6 +1,7 @@
 package dapplestair.world;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -419,6 +420,40 @@
     assertTrue(all.contains("faulty") || all.contains("returning"), all.toString());
   }
 
+  // ---- half of every class and team ----
+
+  /** The leader counts what each team was served exactly as users and machines saw it. */
+  @Test
+  void whatTeamsWereServedIsSaidAsItIs() {
+    World w = world(16, World.Size.SMALL);
+    w.net.loss = 0;
+    w.run(60_000);
+    w.users.quiet = true;
+    w.run(60_000);
+    for (JsonNode row : answer(w, "/v1/teams").path("rows")) {
+      Checker.Served seen = w.checker.served().get("team " + row.path("team").asText());
+      JsonNode told = row.path("served");
+      assertEquals(seen.accepted, told.path("accepted").asInt(), row + " " + seen);
+      assertEquals(seen.started, told.path("started").asInt(), row + " " + seen);
+      assertEquals(seen.due, told.path("due").asInt(), row + " " + seen);
+      assertEquals(seen.done, told.path("done").asInt(), row + " " + seen);
+    }
+  }
+
+  /** A day on which one team gets nothing has failed, whatever the others got. */
+  @Test
+  void aTeamThatIsNotServedFailsTheDay() {
+    World w = quiet(17, new World.Size(2, 1000, 1_000_000, 1));
+    w.users.array("one", "standard", 4, 5);
+    w.run(30_000);
+    w.checker.checkServed();
+    w.cloud.setCapacity(0);
+    w.users.array("two", "standard", 8, 500);
+    w.run(30_000);
+    AssertionError failed = assertThrows(AssertionError.class, w.checker::checkServed);
+    assertTrue(failed.getMessage().contains("team two"), failed.getMessage());
+  }
+
   // ---- drain ----
 
   private static long running(World w, Users.Told job) {
--- a/src/test/java/dapplestair/world/SeededDaysTest.java
+++ b/src/test/java/dapplestair/world/SeededDaysTest.java
@@ -144,6 +144,7 @@
           () -> job.ref + " was accepted but never ended: " + job.body);
     }
     assertTrue(world.checker.started > 50, "only " + world.checker.started + " tasks started");
+    world.checker.checkServed();
   }
 
   /**
--- a/src/test/java/dapplestair/world/Users.java
+++ b/src/test/java/dapplestair/world/Users.java
@@ -18,7 +18,10 @@
     final double cpus;
     final boolean service;
     final double runS;
+    final String team;
+    final String jobClass;
     boolean accepted;
+    boolean started;
     boolean done;
     boolean aborted;
     boolean withdrawAsked;
@@ -36,6 +39,8 @@
       this.cpus = body.path("vcpus").asDouble();
       this.service = body.path("shape").asText().equals("daemon");
       this.runS = body.path("guessS").asDouble();
+      this.team = body.path("owner").asText();
+      this.jobClass = body.path("jobclass").asText();
     }
   }
 
