--- a/src/main/java/dapplestair/admin/AdminDesk.java
+++ b/src/main/java/dapplestair/admin/AdminDesk.java
@@ -69,7 +69,8 @@
         new Routes(
             jobs,
             machines,
-            new WhyView(d.settings(), ledger, d.placer(), d.fleet(), jobs, moment, planS),
+            new WhyView(
+                d.settings(), ledger, d.placer(), d.fleet(), d.disruption(), jobs, moment, planS),
             new ClusterViews(d, machines, moment),
             new EventViews(timers, d.events(), pages),
             new DrainDesk(clock, d.settings(), d.workers(), d.drains(), moment));
--- a/src/main/java/dapplestair/admin/ClusterViews.java
+++ b/src/main/java/dapplestair/admin/ClusterViews.java
@@ -2,7 +2,10 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.disruption.Disruption;
+import dapplestair.disruption.Standing;
 import dapplestair.fleet.Slot;
+import dapplestair.json.Json;
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
@@ -23,6 +26,7 @@
   private final Settings settings;
   private final Ledger ledger;
   private final WorkerDesk desk;
+  private final Disruption disruption;
   private final Planning planning;
   private final Leadership leadership;
   private final Peers peers;
@@ -35,6 +39,7 @@
     this.settings = d.settings();
     this.ledger = d.ledger();
     this.desk = d.workers();
+    this.disruption = d.disruption();
     this.planning = d.planning();
     this.leadership = d.leadership();
     this.peers = d.peers();
@@ -98,6 +103,7 @@
     // Who borrows does not say from whom: what is lent is parted by what each leaves unused.
     double lentShare = unused <= 0 ? 0 : Math.min(1, borrowed / unused);
     Map<String, Served.Count> served = ledger.servedByTeam();
+    Map<String, Standing> standings = disruption.standings();
     ObjectNode o = moment.object();
     ArrayNode rows = o.putArray("rows");
     for (Settings.Team t : new TreeMap<>(settings.teams()).values()) {
@@ -119,6 +125,34 @@
           .put("started", c.started())
           .put("due", c.due())
           .put("done", c.done());
+      if (standings.containsKey(t.name())) {
+        Standing s = standings.get(t.name());
+        row.put("out", s.out()).set("disruption", budget(s));
+        if (s.allowed() < Integer.MAX_VALUE) {
+          row.put("out_allowed", s.allowed());
+        }
+      }
+    }
+    return o;
+  }
+
+  /** What of a team is out, and what its budget allows; what is not bounded is left out. */
+  private static ObjectNode budget(Standing s) {
+    ObjectNode o =
+        Json.object()
+            .put("replicas_wanted", s.wanted())
+            .put("replicas_out", s.out())
+            .put("replicas_stopping", s.stopping())
+            .put("array_tasks_out", s.arraysOut())
+            .put("lost_cpu_s", s.lostCpuS());
+    if (s.allowed() < Integer.MAX_VALUE) {
+      o.put("replicas_allowed", s.allowed());
+    }
+    if (s.arraysAllowed() < Integer.MAX_VALUE) {
+      o.put("array_tasks_allowed", s.arraysAllowed());
+    }
+    if (!Double.isInfinite(s.lostAllowed())) {
+      o.put("lost_cpu_s_allowed", s.lostAllowed());
     }
     return o;
   }
--- a/src/main/java/dapplestair/admin/Duties.java
+++ b/src/main/java/dapplestair/admin/Duties.java
@@ -1,5 +1,6 @@
 package dapplestair.admin;
 
+import dapplestair.disruption.Disruption;
 import dapplestair.drain.Drains;
 import dapplestair.events.EventLog;
 import dapplestair.fleet.Fleet;
@@ -32,4 +33,5 @@
     Replica replica,
     StateClient state,
     Drains drains,
+    Disruption disruption,
     EventLog events) {}
--- a/src/main/java/dapplestair/admin/MachineViews.java
+++ b/src/main/java/dapplestair/admin/MachineViews.java
@@ -180,6 +180,9 @@
       o.put("tasks_left", left.tasks())
           .put("replicas_left", left.services())
           .put("replicas_held", left.held());
+      if (left.because() != null) {
+        o.put("because", left.because());
+      }
     }
     return o;
   }
--- a/src/main/java/dapplestair/admin/WhyView.java
+++ b/src/main/java/dapplestair/admin/WhyView.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.disruption.Disruption;
+import dapplestair.disruption.Refusal;
 import dapplestair.fleet.Fleet;
 import dapplestair.fleet.Prospects;
 import dapplestair.ledger.Job;
@@ -18,6 +20,7 @@
   private final Ledger ledger;
   private final Placer placer;
   private final Fleet fleet;
+  private final Disruption disruption;
   private final JobViews jobs;
   private final Moment moment;
   private final double planIntervalS;
@@ -27,6 +30,7 @@
       Ledger ledger,
       Placer placer,
       Fleet fleet,
+      Disruption disruption,
       JobViews jobs,
       Moment moment,
       double planIntervalS) {
@@ -34,6 +38,7 @@
     this.ledger = ledger;
     this.placer = placer;
     this.fleet = fleet;
+    this.disruption = disruption;
     this.jobs = jobs;
     this.moment = moment;
     this.planIntervalS = planIntervalS;
@@ -70,6 +75,10 @@
     int[] counts = ledger.counts(job);
     ObjectNode o = nothing(ref, JobViews.status(counts));
     o.put("waiting_tasks", e.waiting());
+    Refusal refusal = disruption.refused(job);
+    if (refusal != null) {
+      o.put("not_moved", refusal.words());
+    }
     if (e.waiting() == 0) {
       return o;
     }
--- a/src/main/java/dapplestair/cli/CheckConfigCommand.java
+++ b/src/main/java/dapplestair/cli/CheckConfigCommand.java
@@ -1,5 +1,6 @@
 package dapplestair.cli;
 
+import dapplestair.settings.Settings;
 import dapplestair.settings.SettingsException;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -13,8 +14,9 @@
   @Override
   public Integer call() {
     try {
-      System.out.println("settings of " + files.settings().member() + " are good");
-      files.operator();
+      Settings settings = files.settings();
+      files.operator(settings);
+      System.out.println("settings of " + settings.member() + " are good");
       return 0;
     } catch (SettingsException e) {
       return SettingsOptions.refuse(e);
--- a/src/main/java/dapplestair/cli/ControllerCommand.java
+++ b/src/main/java/dapplestair/cli/ControllerCommand.java
@@ -1,5 +1,6 @@
 package dapplestair.cli;
 
+import dapplestair.settings.Settings;
 import dapplestair.settings.SettingsException;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -16,7 +17,8 @@
   @Override
   public Integer call() throws Exception {
     try {
-      Running.start(files.settings(), files.operator());
+      Settings settings = files.settings();
+      Running.start(settings, files.operator(settings));
     } catch (SettingsException e) {
       return SettingsOptions.refuse(e);
     }
--- a/src/main/java/dapplestair/cli/DaemonCommand.java
+++ b/src/main/java/dapplestair/cli/DaemonCommand.java
@@ -56,10 +56,9 @@
   public Integer call() throws Exception {
     try {
       DaemonSettings settings = file.settings();
-      Operator operator =
-          operatorFile == null ? Operator.defaults() : OperatorLoader.load(operatorFile);
       Address users = EmulateCommand.address("--listen", listen, settings.listen());
       Address at = EmulateCommand.address("--admin", admin, settings.admin());
+      Operator operator = SettingsOptions.operator(operatorFile, settings.controller(users, ""));
       // Unless the operators' file says who may come, everybody on this machine may.
       if (operator.admin() == null) {
         operator = operator.withAdmin(Operator.Admin.open(at));
--- a/src/main/java/dapplestair/cli/SettingsOptions.java
+++ b/src/main/java/dapplestair/cli/SettingsOptions.java
@@ -1,5 +1,6 @@
 package dapplestair.cli;
 
+import dapplestair.settings.BudgetsLoader;
 import dapplestair.settings.Operator;
 import dapplestair.settings.OperatorLoader;
 import dapplestair.settings.Settings;
@@ -27,8 +28,18 @@
     return SettingsLoader.load(config);
   }
 
-  Operator operator() throws SettingsException {
-    return operator == null ? Operator.defaults() : OperatorLoader.load(operator);
+  Operator operator(Settings settings) throws SettingsException {
+    return operator(operator, settings);
+  }
+
+  /** The operators' file, if there is one, as far as it fits the platform's settings. */
+  static Operator operator(Path file, Settings settings) throws SettingsException {
+    if (file == null) {
+      return Operator.defaults();
+    }
+    Operator read = OperatorLoader.load(file);
+    BudgetsLoader.check(file, read.budgets(), settings);
+    return read;
   }
 
   /** One clear line, and the code for unusable settings. */
--- a/src/main/java/dapplestair/client/ClusterCommands.java
+++ b/src/main/java/dapplestair/client/ClusterCommands.java
@@ -22,12 +22,23 @@
 
   @Command(
       name = "list",
-      description = "List teams: CPUs guaranteed, allowed, used, borrowed, lent and waited for.")
+      description =
+          "List teams: CPUs guaranteed, allowed, used, borrowed, lent and waited for;"
+              + " replicas out, and how many may be.")
   static final class ListTeams extends ClientCommand {
     @Override
     int run(Api api, Output out) throws Failure {
       out.rows(
-          api.get("/v1/teams"), "team", "guarantee", "limit", "use", "borrowed", "lent", "waiting");
+          api.get("/v1/teams"),
+          "team",
+          "guarantee",
+          "limit",
+          "use",
+          "borrowed",
+          "lent",
+          "waiting",
+          "out",
+          "out_allowed");
       return 0;
     }
   }
--- a/src/main/java/dapplestair/client/MachineCommand.java
+++ b/src/main/java/dapplestair/client/MachineCommand.java
@@ -154,7 +154,8 @@
           "return",
           "tasks_left",
           "replicas_left",
-          "replicas_held");
+          "replicas_held",
+          "because");
       return 0;
     }
   }
--- /dev/null
+++ b/src/main/java/dapplestair/disruption/Disruption.java
@@ -0,0 +1,268 @@
+package dapplestair.disruption;
+
+import dapplestair.ledger.Attempt;
+import dapplestair.ledger.Job;
+import dapplestair.ledger.Ledger;
+import dapplestair.ledger.Out;
+import dapplestair.ledger.StopReason;
+import dapplestair.ports.Clock;
+import dapplestair.settings.Budgets;
+import dapplestair.settings.Budgets.Budget;
+import dapplestair.workers.Host;
+import dapplestair.workers.WorkerDesk;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The one door for stops that are our own choice. What can wait asks first; what cannot, such as a
+ * notice of the cloud or room that a rank or a guarantee claims, is let through and debited. What
+ * is out is no counter: it is derived anew from the attempts on record and from what is heard of
+ * them, so that neither a change of leader nor a restart of all fills a budget up again.
+ */
+public final class Disruption {
+  private final Clock clock;
+  private final Budgets budgets;
+  private final Ledger ledger;
+  private final WorkerDesk desk;
+  private final LostWork lost;
+
+  // Of this look: how each team and job stands.
+  private final Map<String, Sum> teams = new HashMap<>();
+  private final Map<Job, Integer> missing = new HashMap<>();
+  private final Map<Job, Refusal> refusals = new HashMap<>();
+  private long lookedAt = Long.MIN_VALUE;
+  private long granted;
+  private long forced;
+
+  private static final class Sum {
+    int wanted;
+    int out;
+    int stopping;
+    int arraysOut;
+    int arraysStopping;
+  }
+
+  /** Guards what {@code ledger} runs. */
+  public Disruption(Clock clock, Budgets budgets, Ledger ledger, WorkerDesk desk, LostWork lost) {
+    this.clock = clock;
+    this.budgets = budgets;
+    this.ledger = ledger;
+    this.desk = desk;
+    this.lost = lost;
+  }
+
+  // ---- what cannot wait ----
+
+  /** Stops what must be stopped, whatever the budget says, and debits it. */
+  public void must(Attempt a, double windDownS, StopReason why) {
+    if (!a.halting()) {
+      forced++;
+      lost.debit(a.spec().team(), lossCpuS(a));
+    }
+    ledger.halt(a, windDownS, why);
+  }
+
+  /** A machine is given up with all that is on it. */
+  public void givenUp(Host host) {
+    for (Attempt a : host.attempts()) {
+      if (!a.exited() && !a.halting() && !a.job().over()) {
+        forced++;
+        lost.debit(a.spec().team(), lossCpuS(a));
+      }
+    }
+  }
+
+  // ---- what asks first ----
+
+  /**
+   * A new round of asking: what is out is derived anew. All who ask in it are asked for in the
+   * order of their deadlines, then of their age, by whoever calls.
+   */
+  public void look() {
+    lookedAt = clock.now();
+    teams.clear();
+    missing.clear();
+    refusals.keySet().removeIf(Job::over);
+    for (Job job : ledger.jobs()) {
+      if (!job.over()) {
+        count(job);
+      }
+    }
+  }
+
+  private void count(Job job) {
+    Out out = ledger.out(job, this::reached);
+    Sum sum = teams.computeIfAbsent(job.spec().team(), t -> new Sum());
+    if (job.spec().service()) {
+      sum.wanted += job.spec().steps();
+      sum.out += out.disrupted();
+      sum.stopping += out.stopping();
+      missing.put(job, out.missing());
+    } else {
+      sum.arraysOut += out.disrupted();
+      sum.arraysStopping += out.stopping();
+    }
+  }
+
+  /**
+   * Only a machine that has shown a token of this term: before, a stop of the former leader may
+   * still be carried out on it, and what it said may be older than that.
+   */
+  private boolean reached(Attempt a) {
+    Host h = desk.known(a.host());
+    return h != null
+        && h.acknowledged()
+        && !h.outOfReach()
+        && !h.hanging()
+        && !h.releasing()
+        && !h.gone();
+  }
+
+  /** Stops a task if its team's budget allows that now; null, or what stands against it. */
+  public Refusal ask(Attempt a, double windDownS, StopReason why) {
+    Refusal refusal = refusal(a);
+    if (refusal != null) {
+      refusals.put(a.job(), refusal);
+      return refusal;
+    }
+    refusals.remove(a.job());
+    granted++;
+    lost.spend(a.spec().team(), lossCpuS(a));
+    take(a);
+    ledger.halt(a, windDownS, why);
+    return null;
+  }
+
+  private void take(Attempt a) {
+    Sum sum = sum(a.spec().team());
+    if (a.spec().service()) {
+      sum.out++;
+      sum.stopping++;
+      missing.merge(a.job(), 1, Integer::sum);
+    } else {
+      sum.arraysOut++;
+      sum.arraysStopping++;
+    }
+  }
+
+  private Sum sum(String team) {
+    return teams.computeIfAbsent(team, t -> new Sum());
+  }
+
+  private Refusal refusal(Attempt a) {
+    String team = a.spec().team();
+    Budget budget = budgets.of(team);
+    Sum sum = sum(team);
+    if (a.spec().service()) {
+      int ofTeam = budget.ofTeam(sum.wanted);
+      if (sum.out >= ofTeam) {
+        return new Refusal(
+            team, "replicas of the team", ofTeam, sum.out, because(sum.out, sum.stopping));
+      }
+      int steps = a.spec().steps();
+      int ofJob = budget.ofJob(steps);
+      int gone = missing.getOrDefault(a.job(), steps);
+      return gone < ofJob
+          ? null
+          : new Refusal(
+              team, "replicas of " + a.spec().ref(), ofJob, gone, "of " + steps + " wanted");
+    }
+    if (sum.arraysOut >= budget.arrayTasks()) {
+      return new Refusal(
+          team,
+          "tasks of arrays",
+          budget.arrayTasks(),
+          sum.arraysOut,
+          because(sum.arraysOut, sum.arraysStopping));
+    }
+    return lost.refusal(team, lossCpuS(a));
+  }
+
+  private static String because(int out, int stopping) {
+    return out == 0
+        ? "zero means never"
+        : "%d being stopped, %d stopped, lost or not heard".formatted(stopping, out - stopping);
+  }
+
+  /**
+   * Work that stopping a task would throw away, CPU seconds. How long one ran under an earlier
+   * leader is not known: then at most since its job was accepted.
+   */
+  double lossCpuS(Attempt a) {
+    if (a.spec().service()) {
+      return 0;
+    }
+    double ran = a.ranS(clock.now());
+    if (a.adopted()) {
+      ran = Math.max(ran, (clock.wall() - a.job().acceptedWall()) / 1000.0);
+    }
+    double unsaved = a.spec().saves() ? Math.min(ran, a.spec().saveEveryS()) : ran;
+    return unsaved * a.spec().cpus();
+  }
+
+  // ---- views ----
+
+  /** What last stood against moving a task of a job, or null. */
+  public Refusal refused(Job job) {
+    return refusals.get(job);
+  }
+
+  /** Work a team may still throw away is told by this. */
+  public LostWork lostWork() {
+    return lost;
+  }
+
+  /** How each team stands now. */
+  public Map<String, Standing> standings() {
+    if (lookedAt != clock.now()) {
+      look();
+    }
+    Map<String, Standing> out = new TreeMap<>();
+    teams.forEach(
+        (team, s) -> {
+          Budget b = budgets.of(team);
+          out.put(
+              team,
+              new Standing(
+                  s.wanted,
+                  s.out,
+                  s.stopping,
+                  b.ofTeam(s.wanted),
+                  s.arraysOut,
+                  b.arrayTasks(),
+                  lost.spent(team),
+                  b.lostCpuS()));
+        });
+    return out;
+  }
+
+  /** Stops that asked and were granted, since this process began. */
+  public long granted() {
+    return granted;
+  }
+
+  /** Stops that could not wait, since this process began. */
+  public long forced() {
+    return forced;
+  }
+
+  /** Takes the lead. */
+  public void lead() {
+    lost.lead();
+  }
+
+  /** Forgets what only this leader knew. */
+  public void clear() {
+    teams.clear();
+    missing.clear();
+    refusals.clear();
+    lost.clear();
+  }
+
+  /** All jobs that last were refused, for tests and views. */
+  public List<Refusal> refusals() {
+    return List.copyOf(refusals.values());
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/disruption/LostWork.java
@@ -0,0 +1,215 @@
+package dapplestair.disruption;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import dapplestair.leadership.Leadership;
+import dapplestair.ports.Clock;
+import dapplestair.settings.Budgets;
+import dapplestair.settings.Settings;
+import dapplestair.state.Keys;
+import dapplestair.state.Outcome;
+import dapplestair.state.Replica;
+import dapplestair.state.StateClient;
+import dapplestair.state.StateClient.Priority;
+import dapplestair.state.Txn;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Work thrown away in the last hour, by team. Attempts on record do not tell it, so it is leased: a
+ * share of the budget is put on record before any of it is granted, and the next leader takes all
+ * that was reserved for spent. Time is cut into slices; a reservation holds in its own slice only,
+ * so that nobody spends later what counts as earlier. Teams without such a budget have no record.
+ */
+public final class LostWork {
+  private static final long HOUR_MS = 3_600_000;
+  private static final long SLICE_MS = HOUR_MS / 12;
+
+  // One reservation takes this share of the budget: some puts an hour, whatever is stopped.
+  private static final double SHARE = 1 / 16.0;
+
+  private final Clock clock;
+  private final Settings settings;
+  private final Budgets budgets;
+  private final StateClient state;
+  private final Replica replica;
+  private final Leadership leadership;
+  private final Map<String, Account> accounts = new HashMap<>();
+  private boolean leading;
+  private int generation;
+
+  private static final class Account {
+    /** What is on record as reserved, by slice. */
+    final TreeMap<Long, Double> reserved = new TreeMap<>();
+
+    /** What this leader has spent in which slice. */
+    double spent;
+
+    long slice;
+    boolean writing;
+  }
+
+  /** Nothing thrown away yet. */
+  public LostWork(
+      Clock clock,
+      Settings settings,
+      Budgets budgets,
+      StateClient state,
+      Replica replica,
+      Leadership leadership) {
+    this.clock = clock;
+    this.settings = settings;
+    this.budgets = budgets;
+    this.state = state;
+    this.replica = replica;
+    this.leadership = leadership;
+  }
+
+  /** The record of a team has this value, or is gone. */
+  public void recorded(String key, JsonNode value) {
+    Account a = account(key.substring(Keys.DISRUPTION.length()));
+    a.reserved.clear();
+    if (value != null) {
+      value
+          .path("reserved")
+          .fields()
+          .forEachRemaining(
+              e -> a.reserved.put(Long.parseLong(e.getKey()), e.getValue().asDouble()));
+    }
+  }
+
+  void lead() {
+    leading = true;
+    generation++;
+    long slice = slice();
+    for (Account a : accounts.values()) {
+      // All that is reserved counts as spent: the former leader may have done so.
+      a.slice = slice;
+      a.spent = a.reserved.getOrDefault(slice, 0.0);
+      a.writing = false;
+    }
+  }
+
+  void clear() {
+    leading = false;
+    generation++;
+    accounts.clear();
+  }
+
+  private Account account(String team) {
+    return accounts.computeIfAbsent(team, t -> new Account());
+  }
+
+  private long slice() {
+    return Math.floorDiv(clock.wall(), SLICE_MS);
+  }
+
+  /** The account in this slice: what was reserved in an earlier one and not spent is void. */
+  private Account now(String team) {
+    Account a = account(team);
+    long slice = slice();
+    if (a.slice != slice) {
+      a.slice = slice;
+      // A controller whose clock was ahead may have written of this slice already.
+      a.spent = a.reserved.getOrDefault(slice, 0.0);
+    }
+    return a;
+  }
+
+  /** Reserved or spent in the last hour, CPU seconds. */
+  double spent(String team) {
+    Account a = now(team);
+    double sum = Math.max(a.spent, a.reserved.getOrDefault(a.slice, 0.0));
+    // One slice more than an hour: what was spent at its end counts for a whole hour.
+    for (double r : a.reserved.subMap(a.slice - HOUR_MS / SLICE_MS, a.slice).values()) {
+      sum += r;
+    }
+    return sum;
+  }
+
+  /** Null when so much may be thrown away now; otherwise a reservation is begun if one may be. */
+  Refusal refusal(String team, double cpuS) {
+    double allowed = budgets.of(team).lostCpuS();
+    if (Double.isInfinite(allowed) || cpuS <= 0) {
+      return null;
+    }
+    Account a = now(team);
+    double reserved = a.reserved.getOrDefault(a.slice, 0.0);
+    if (a.spent + cpuS <= reserved + 1e-9 && !a.writing) {
+      return null;
+    }
+    double before = spent(team);
+    double wanted = a.spent + cpuS;
+    if (before - Math.max(a.spent, reserved) + wanted > allowed + 1e-9) {
+      return new Refusal(
+          team,
+          "CPU seconds thrown away in an hour",
+          allowed,
+          before,
+          allowed == 0
+              ? "zero means never"
+              : "%.1f more would be thrown away; what ran under another leader counts since its job"
+                      .formatted(cpuS)
+                  + " was accepted");
+    }
+    double room = allowed - (before - Math.max(a.spent, reserved));
+    // Twice as much, since what runs loses more by the time the put is made.
+    write(team, a, Math.min(room, a.spent + Math.max(2 * cpuS, allowed * SHARE)));
+    return new Refusal(
+        team, "CPU seconds thrown away in an hour", allowed, before, "being put on record");
+  }
+
+  /** A stop was granted: what it throws away was reserved. */
+  void spend(String team, double cpuS) {
+    if (!budgets.of(team).anyLoss()) {
+      now(team).spent += cpuS;
+    }
+  }
+
+  /** A stop could not wait: what it throws away is put on record when there is time. */
+  void debit(String team, double cpuS) {
+    if (budgets.of(team).anyLoss() || cpuS <= 0) {
+      return;
+    }
+    Account a = now(team);
+    a.spent += cpuS;
+    if (a.spent > a.reserved.getOrDefault(a.slice, 0.0)) {
+      write(team, a, a.spent + budgets.of(team).lostCpuS() * SHARE);
+    }
+  }
+
+  private void write(String team, Account a, double reserve) {
+    if (a.writing || !leading) {
+      return;
+    }
+    a.writing = true;
+    long slice = a.slice;
+    String key = Keys.DISRUPTION + team;
+    ObjectNode value = Json.object();
+    ObjectNode slices = value.putObject("reserved");
+    a.reserved
+        .tailMap(slice - HOUR_MS / SLICE_MS)
+        .forEach((s, r) -> slices.put(Long.toString(s), (double) r));
+    slices.put(Long.toString(slice), Math.max(reserve, a.reserved.getOrDefault(slice, 0.0)));
+    Txn txn = leadership.guard(new Txn()).when(key, replica.stamp(key)).put(key, value);
+    int written = generation;
+    state.commit(
+        txn,
+        Priority.BOOKKEEPING,
+        settings.workers().reportMs(),
+        outcome -> {
+          if (written != generation) {
+            return;
+          }
+          // Without an answer the replica tells what is on record; until then nothing is granted.
+          a.writing = false;
+          if (outcome instanceof Outcome.Applied) {
+            recorded(key, value);
+          } else if (outcome instanceof Outcome.Conflict c && c.failed().contains(Keys.LEADER)) {
+            leadership.guardFailed();
+          }
+        });
+  }
+}
--- a/src/main/java/dapplestair/drain/Drain.java
+++ b/src/main/java/dapplestair/drain/Drain.java
@@ -36,7 +36,12 @@
         Json.decimal(n, "deadlineS", 0));
   }
 
+  /** The moment after which work that does not save is stopped, time of day. */
+  long dueWall() {
+    return deadlineS > 0 ? atWall + Math.round(1000 * deadlineS) : Long.MAX_VALUE;
+  }
+
   boolean overdue(long nowWall) {
-    return deadlineS > 0 && nowWall - atWall > 1000 * deadlineS;
+    return nowWall > dueWall();
   }
 }
--- a/src/main/java/dapplestair/drain/Emptying.java
+++ b/src/main/java/dapplestair/drain/Emptying.java
@@ -1,10 +1,12 @@
 package dapplestair.drain;
 
+import dapplestair.disruption.Disruption;
+import dapplestair.disruption.Refusal;
 import dapplestair.fleet.Fleet;
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Job;
-import dapplestair.ledger.Ledger;
 import dapplestair.ledger.StopReason;
+import dapplestair.ports.Clock;
 import dapplestair.work.Report;
 import dapplestair.work.Submission;
 import dapplestair.workers.Host;
@@ -19,8 +21,8 @@
 
 /**
  * Empties drained machines. It only ever stops attempts and begins none, so it can put no task in
- * two places; what it must guard is that services stay whole: of each, one replica at a time, and
- * none without a place to go to.
+ * two places; what it must guard is that services stay whole: as many replicas at a time as their
+ * team's budget allows ({@link Disruption}), and none without a place to go to.
  */
 public final class Emptying {
   /**
@@ -28,28 +30,34 @@
    *
    * @param tasks attempts that are not over
    * @param services replicas among them
-   * @param held replicas that have no other place now, or wait for another one to run again
+   * @param held replicas that have no other place now, or wait for their team's budget
+   * @param because what stands against the next stop there, or null
    */
-  public record Progress(int tasks, int services, int held) {}
+  public record Progress(int tasks, int services, int held, String because) {}
 
-  private final Ledger ledger;
+  private static final String NO_PLACE = "no other machine has room for %s under its rules";
+
+  private final Clock clock;
   private final WorkerDesk desk;
   private final Fleet fleet;
+  private final Disruption disruption;
   private final Set<Host> under = new HashSet<>();
 
   // Room that this step has given to replicas on their way, by machine.
   private final Map<Host, List<Submission>> promised = new HashMap<>();
-  private final Set<Job> moving = new HashSet<>();
+  private final Map<Host, String> standing = new HashMap<>();
 
   /** Works on what the leader knows. */
-  public Emptying(Ledger ledger, WorkerDesk desk, Fleet fleet) {
-    this.ledger = ledger;
+  public Emptying(Clock clock, WorkerDesk desk, Fleet fleet, Disruption disruption) {
+    this.clock = clock;
     this.desk = desk;
     this.fleet = fleet;
+    this.disruption = disruption;
   }
 
   void clear() {
     under.clear();
+    standing.clear();
   }
 
   /** True while machines were drained at the last step. */
@@ -57,14 +65,23 @@
     return !under.isEmpty();
   }
 
-  /** One step for all drained machines. */
+  /**
+   * One step for all drained machines. Those whose deadline comes first ask first, then those whose
+   * order is older, so that none is passed over for ever.
+   */
   void step(Map<Host, Drain> drained, long nowWall) {
     under.clear();
     under.addAll(drained.keySet());
     promised.clear();
-    moving.clear();
+    standing.clear();
+    if (!drained.isEmpty()) {
+      disruption.look();
+    }
     List<Host> order = new ArrayList<>(drained.keySet());
-    order.sort(Comparator.comparing(Host::id));
+    order.sort(
+        Comparator.<Host>comparingLong(h -> drained.get(h).dueWall())
+            .thenComparingLong(h -> drained.get(h).atWall())
+            .thenComparing(Host::id));
     for (Host h : order) {
       Drain d = drained.get(h);
       for (Attempt a : List.copyOf(h.attempts())) {
@@ -81,62 +98,54 @@
   private void empty(Host h, Attempt a, boolean overdue) {
     Submission s = a.spec();
     if (s.service()) {
-      if (movable(h, a)) {
-        moving.add(a.job());
-        ledger.halt(a, 0, StopReason.DRAIN);
+      Host to = a.job().over() ? null : place(a.job(), h);
+      if (to == null) {
+        standing.putIfAbsent(h, NO_PLACE.formatted(a.key()));
+      } else if (ask(h, a, 0)) {
+        promised.computeIfAbsent(to, x -> new ArrayList<>()).add(s);
       }
     } else if (s.saves() && !s.gang() && a.status() == Report.Status.RUNNING) {
-      ledger.halt(a, 2 * s.saveS(), StopReason.DRAIN);
+      ask(h, a, 2 * s.saveS());
     } else if (overdue) {
-      ledger.halt(a, s.saves() ? 2 * s.saveS() : 0, StopReason.DRAIN);
-    }
-  }
-
-  /**
-   * A replica may be stopped only while all others of its job run, and only if a machine has room
-   * for it that the job's rules allow once it is gone from here. The protocol lets a task be in one
-   * place only, so its own replacement cannot run before it has stopped.
-   */
-  private boolean movable(Host from, Attempt a) {
-    Job job = a.job();
-    if (job.over() || moving.contains(job) || job.waiting() > 0 || !allRun(job)) {
-      return false;
-    }
-    Host to = place(job, from);
-    if (to == null) {
-      return false;
+      ask(h, a, s.saves() ? 2 * s.saveS() : 0);
     }
-    promised.computeIfAbsent(to, h -> new ArrayList<>()).add(job.spec());
-    return true;
   }
 
-  /** All replicas run on machines that were heard lately; none is being stopped. */
-  private boolean allRun(Job job) {
-    for (Attempt other : ledger.attempts(job)) {
-      Host h = desk.known(other.host());
-      if (other.halting()
-          || other.exited()
-          || other.status() != Report.Status.RUNNING
-          || h == null
-          || h.outOfReach()) {
-        return false;
-      }
+  private boolean ask(Host h, Attempt a, double windDownS) {
+    Refusal refusal = disruption.ask(a, windDownS, StopReason.DRAIN);
+    if (refusal != null) {
+      standing.putIfAbsent(h, refusal.words());
     }
-    return true;
+    return refusal == null;
   }
 
+  /**
+   * Where a replica can go once it is gone from here: a machine with room that the job's rules
+   * allow, at best one that has its image. The protocol lets a task be in one place only, so its
+   * own replacement cannot run before it has stopped.
+   */
   private Host place(Job job, Host from) {
+    Submission s = job.spec();
+    Host best = null;
+    double bestWaitS = Double.POSITIVE_INFINITY;
     for (Host h : desk.hosts()) {
       if (h != from
           && !h.closed()
           && desk.fresh(h)
-          && h.allowed(job.spec())
-          && roomBeside(h, job.spec())
+          && h.allowed(s)
+          && roomBeside(h, s)
           && zoneAllowsMove(job, from.zone(), h.zone())) {
-        return h;
+        double waitS = h.imageWaitS(s, clock.now());
+        if (waitS < bestWaitS) {
+          best = h;
+          bestWaitS = waitS;
+        }
+        if (waitS == 0) {
+          break;
+        }
       }
     }
-    return null;
+    return best;
   }
 
   private boolean roomBeside(Host h, Submission s) {
@@ -180,6 +189,6 @@
         }
       }
     }
-    return new Progress(tasks, services, held);
+    return new Progress(tasks, services, held, standing.get(host));
   }
 }
--- a/src/main/java/dapplestair/emulator/EmulatedCloud.java
+++ b/src/main/java/dapplestair/emulator/EmulatedCloud.java
@@ -170,6 +170,7 @@
     if (w != null) {
       killedByRelease += (int) w.tasks().stream().filter(EmulatedTask::onMachine).count();
       rentedAt.remove(id);
+      w.tasks().stream().filter(t -> !t.exited()).forEach(t -> witness.stopped(w, t));
       w.end();
     }
   }
--- a/src/main/java/dapplestair/emulator/EmulatedTask.java
+++ b/src/main/java/dapplestair/emulator/EmulatedTask.java
@@ -40,6 +40,11 @@
     return status;
   }
 
+  /** Seconds since it began to run; 0 if it never did. */
+  public double ranS(long now) {
+    return runsSince == 0 ? 0 : (now - runsSince) / 1000.0;
+  }
+
   boolean exited() {
     return status.equals("exited");
   }
--- a/src/main/java/dapplestair/emulator/EmulatedWorker.java
+++ b/src/main/java/dapplestair/emulator/EmulatedWorker.java
@@ -314,9 +314,11 @@
     if (!saves || windDownS < saveS) {
       keepCheckpoints(t);
       t.exit("stopped");
+      cloud.witness().stopped(this, t);
       return;
     }
     t.status = "flushing";
+    cloud.witness().stopped(this, t);
     double ran = (world.now() - t.runsSince) / 1000.0;
     long g = generation;
     world.after(
--- a/src/main/java/dapplestair/emulator/Witness.java
+++ b/src/main/java/dapplestair/emulator/Witness.java
@@ -8,6 +8,9 @@
   /** A task has completed. */
   void completed(String key);
 
+  /** A task that had not exited was stopped by an order, or by the return of its machine. */
+  default void stopped(EmulatedWorker worker, EmulatedTask task) {}
+
   /** A witness that looks away. */
   static Witness none() {
     return new Witness() {
--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -1,6 +1,7 @@
 package dapplestair.fleet;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.disruption.Disruption;
 import dapplestair.events.Events;
 import dapplestair.json.Json;
 import dapplestair.leadership.Leadership;
@@ -60,6 +61,7 @@
       Leadership leadership,
       MachineTypes types,
       WorkerDesk desk,
+      Disruption disruption,
       Events events) {
     this.clock = clock;
     this.timers = timers;
@@ -80,7 +82,17 @@
     releases = new Releases(desk, cloud, events);
     lookout =
         new Lookout(
-            clock, settings, state, types, desk, releases, market, patience, supply, events);
+            clock,
+            settings,
+            state,
+            types,
+            desk,
+            releases,
+            market,
+            patience,
+            supply,
+            disruption::givenUp,
+            events);
     list = new MachineList(clock, settings, types, desk, cloud, lookout);
   }
 
--- a/src/main/java/dapplestair/fleet/Lookout.java
+++ b/src/main/java/dapplestair/fleet/Lookout.java
@@ -15,6 +15,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -37,6 +38,7 @@
   private final Market market;
   private final Patience patience;
   private final Supply supply;
+  private final Consumer<Host> debit;
   private DoubleSupplier waitingCpus = () -> 0;
   private Runnable roomLost = () -> {};
 
@@ -59,6 +61,7 @@
       Market market,
       Patience patience,
       Supply supply,
+      Consumer<Host> debit,
       Events events) {
     this.clock = clock;
     this.settings = settings;
@@ -69,6 +72,7 @@
     this.market = market;
     this.patience = patience;
     this.supply = supply;
+    this.debit = debit;
     this.events = events;
   }
 
@@ -125,7 +129,7 @@
     }
     if (unstoppable(h, now)) {
       LOG.info("{} still holds withdrawn work: returning it", h.id());
-      releases.add(h);
+      giveUp(h);
     } else if (mayJudge()) {
       judge(h, now);
     }
@@ -148,7 +152,7 @@
       LOG.info("{} is silent: returning it", h.id());
       lost(h, "silent");
       market.noteTaken(h);
-      releases.add(h);
+      giveUp(h);
     } else if (!h.expectedUp() && bootOverdue(h, now)) {
       LOG.info("{} does not come up: returning it", h.id());
       lost(h, "does not come up");
@@ -228,6 +232,12 @@
     return now - h.rentedAt() > BOOT_OVERDUE * boot * 1000;
   }
 
+  /** What runs there ends with it: that cannot wait, and counts against its teams' budgets. */
+  private void giveUp(Host h) {
+    debit.accept(h);
+    releases.add(h);
+  }
+
   private double longestBootS() {
     return types.all().stream().mapToDouble(MachineType::bootS).max().orElse(60);
   }
--- a/src/main/java/dapplestair/ledger/Attempt.java
+++ b/src/main/java/dapplestair/ledger/Attempt.java
@@ -39,6 +39,13 @@
   boolean exited;
   boolean done;
   boolean halting;
+
+  /** It was seen to run. */
+  boolean began;
+
+  /** Read from the records of an earlier leader. */
+  boolean adopted;
+
   long haltAt;
   private long lastHaltAt;
   private double windDownS;
@@ -75,6 +82,11 @@
     return step;
   }
 
+  /** True when an earlier leader launched it, so that how long it has run is not known. */
+  public boolean adopted() {
+    return adopted;
+  }
+
   /** When it was planned, or read from the records. */
   public long plannedAt() {
     return plannedAt;
--- a/src/main/java/dapplestair/ledger/Attempts.java
+++ b/src/main/java/dapplestair/ledger/Attempts.java
@@ -64,6 +64,9 @@
     Chunk c = a.job.chunkOf(a.step);
     if (c.live.get(a.step) == a) {
       c.live.remove(a.step);
+      if (!a.done && (a.began || a.adopted)) {
+        c.interrupted(a.step);
+      }
       a.job.held--;
     }
     office.hooks.host(a.host).forget(a);
--- a/src/main/java/dapplestair/ledger/Chunk.java
+++ b/src/main/java/dapplestair/ledger/Chunk.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.json.Json;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashSet;
@@ -43,6 +44,46 @@
     this.size = Math.min(chunkSize, steps - from);
   }
 
+  // Steps whose last attempt ended before it was done, until they run again; seldom any.
+  private IntOpenHashSet interrupted;
+
+  /** Most steps that may have been interrupted before this leader came. */
+  private int unknown;
+
+  void interrupted(int step) {
+    if (interrupted == null) {
+      interrupted = new IntOpenHashSet();
+    }
+    interrupted.add(step);
+  }
+
+  void resumed(int step) {
+    if (interrupted != null) {
+      interrupted.remove(step);
+    }
+  }
+
+  /**
+   * Of the steps that wait when a leader begins, how many may have run before: every launch took a
+   * number, each step that is done or held had one at least, and the other numbers may have gone to
+   * any. A gang's members share theirs.
+   */
+  void countUnknown(boolean gang) {
+    int settled = live.size() + done.cardinality();
+    long others = gang ? (lastNumber > 0 ? size : 0) : Math.max(0, lastNumber - settled);
+    unknown = (int) Math.min(others, size - settled);
+  }
+
+  /**
+   * Steps that wait, or start again, after having been interrupted; never too few. {@code notHeld}
+   * attempts that are on record only start, or are over.
+   */
+  int awaitedAgain(int notHeld) {
+    int known = interrupted == null ? 0 : interrupted.size();
+    int candidates = size - done.cardinality() - live.size() + notHeld;
+    return Math.max(0, Math.min(candidates, known + unknown));
+  }
+
   boolean free(int step) {
     return !done.get(step - from) && !live.containsKey(step);
   }
--- a/src/main/java/dapplestair/ledger/Evidence.java
+++ b/src/main/java/dapplestair/ledger/Evidence.java
@@ -73,6 +73,8 @@
       a.statusAt = now;
       if (t.status() == Report.Status.RUNNING) {
         a.job.begun = true;
+        a.began = true;
+        a.job.chunkOf(a.step).resumed(a.step);
         office.hooks.started(a);
         host.imageSeen(a.spec().image(), now);
       } else if (t.status() == Report.Status.EXITED) {
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -239,6 +240,7 @@
     // Its launch may still be on its way from an earlier leader: only a report under a token of
     // this term proves anything about it.
     a.phase = Attempt.Phase.SENT;
+    a.adopted = true;
     a.neededToken = Baton.of(office.term(), 0);
     attempts.enter(c, a);
   }
@@ -252,6 +254,7 @@
           (step, number, host, zone, session) -> enter(job, c, step, number, host, zone, session));
     }
     readSheets(job);
+    job.chunks.values().forEach(c -> c.countUnknown(job.spec().gang()));
   }
 
   /** Forgets everything: the replica will tell it again. */
@@ -296,6 +299,11 @@
     return out;
   }
 
+  /** How many of a job's tasks are out; {@code reached} tells which attempts can be heard. */
+  public Out out(Job job, Predicate<Attempt> reached) {
+    return Out.of(job, reached);
+  }
+
   /** Up to {@code most} of a job's attempts at steps from {@code from} on, by step. */
   public List<Attempt> attempts(Job job, int from, int most) {
     List<Attempt> out = new ArrayList<>();
--- /dev/null
+++ b/src/main/java/dapplestair/ledger/Out.java
@@ -0,0 +1,46 @@
+package dapplestair.ledger;
+
+import dapplestair.work.Report;
+import java.util.function.Predicate;
+
+/**
+ * How many of a job's tasks are out. Derived from the attempts on record and from what is heard of
+ * them, so that every leader comes to it by itself, and never to less than is true: whatever is not
+ * known to run counts as out, unless it is known never to have run.
+ *
+ * @param missing tasks that are neither done nor known to run
+ * @param disrupted those among them that may have run before
+ * @param stopping those among them that are being stopped
+ */
+public record Out(int missing, int disrupted, int stopping) {
+  static Out of(Job job, Predicate<Attempt> reached) {
+    int in = 0;
+    int disrupted = 0;
+    int stopping = 0;
+    int done = 0;
+    for (Chunk c : job.chunks.values()) {
+      done += c.done.cardinality();
+      int starting = 0;
+      int ended = 0;
+      for (Attempt a : c.live.values()) {
+        if (a.done) {
+          ended++;
+        } else if (a.halting) {
+          stopping++;
+        } else if (!a.began && !a.adopted) {
+          starting++;
+        } else if (runs(a) && reached.test(a)) {
+          in++;
+        } else {
+          disrupted++;
+        }
+      }
+      disrupted += c.awaitedAgain(starting + ended);
+    }
+    return new Out(job.spec().steps() - done - in, disrupted + stopping, stopping);
+  }
+
+  private static boolean runs(Attempt a) {
+    return a.status == Report.Status.RUNNING && !a.exited;
+  }
+}
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -4,6 +4,8 @@
 import dapplestair.admin.Access;
 import dapplestair.admin.AdminDesk;
 import dapplestair.admin.Duties;
+import dapplestair.disruption.Disruption;
+import dapplestair.disruption.LostWork;
 import dapplestair.drain.Drains;
 import dapplestair.drain.Emptying;
 import dapplestair.events.EventLog;
@@ -50,6 +52,8 @@
   private final Leadership leadership;
   private final Ledger ledger;
   private final WorkerDesk workers;
+  private final Disruption disruption;
+  private final LostWork lostWork;
   private final Fleet fleet;
   private final Placer placer;
   private final Departures departures;
@@ -97,15 +101,34 @@
             this::hostChanged);
     log = access == null ? null : new EventLog(clock);
     events = access == null ? Events.OFF : log;
+    replica =
+        new Replica(state, timers, outside.random(), leadership::leading, new ReplicaEvents());
+    lostWork = new LostWork(clock, settings, operator.budgets(), state, replica, leadership);
+    disruption = new Disruption(clock, operator.budgets(), ledger, workers, lostWork);
     fleet =
         new Fleet(
-            clock, timers, outside.http(), settings, state, leadership, types, workers, events);
+            clock,
+            timers,
+            outside.http(),
+            settings,
+            state,
+            leadership,
+            types,
+            workers,
+            disruption,
+            events);
     demand = new DemandView(clock, settings, ledger, workers, fleet, types, estimates);
     placer =
-        new Placer(clock, timers, settings, ledger, workers, estimates, demand::roomForServices);
-    departures = new Departures(clock, ledger, estimates);
-    replica =
-        new Replica(state, timers, outside.random(), leadership::leading, new ReplicaEvents());
+        new Placer(
+            clock,
+            timers,
+            settings,
+            ledger,
+            workers,
+            estimates,
+            disruption,
+            demand::roomForServices);
+    departures = new Departures(clock, disruption, estimates);
     planning =
         new Planning(
             clock,
@@ -132,11 +155,11 @@
             replica,
             leadership,
             workers,
-            new Emptying(ledger, workers, fleet),
+            new Emptying(clock, workers, fleet, disruption),
             events);
     fleet.closeZones(z -> drains.zones().containsKey(z));
     admin = access == null ? null : admin(operator, access);
-    records = new Records(leadership, ledger, fleet, drains, placer, admin);
+    records = new Records(leadership, ledger, fleet, drains, lostWork, placer, admin);
   }
 
   private AdminDesk admin(Operator operator, Access access) {
@@ -156,6 +179,7 @@
             replica,
             state,
             drains,
+            disruption,
             log);
     Exposition exposition = Figures.of(duties);
     metrics.tell(exposition);
@@ -242,6 +266,7 @@
       state.leading(true);
       fleet.lead();
       ledger.lead(term);
+      disruption.lead();
       workers.lead();
       drains.lead();
       planning.lead();
@@ -262,6 +287,7 @@
       }
       fleet.clear();
       ledger.clear();
+      disruption.clear();
       workers.clear();
       // What was in memory may not be what was recorded: read all of it again.
       replica.restart();
--- a/src/main/java/dapplestair/node/Figures.java
+++ b/src/main/java/dapplestair/node/Figures.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.Maps;
 import dapplestair.admin.Duties;
+import dapplestair.disruption.Standing;
 import dapplestair.ledger.Served;
 import dapplestair.metrics.Exposition;
 import dapplestair.planning.Planning;
@@ -63,6 +64,24 @@
             "Share of a class's arrays, less those withdrawn, that are done since then.",
             "class",
             () -> Maps.transformValues(d.ledger().servedByClass(), Served.Count::doneShare))
+        .gauges(
+            "team_replicas_out",
+            "Replicas of a team that are out, for whatever reason.",
+            "team",
+            () -> Maps.transformValues(d.disruption().standings(), Standing::out))
+        .gauges(
+            "team_replicas_out_allowed",
+            "Replicas of a team that may be out before nothing more is stopped by choice.",
+            "team",
+            () -> Maps.transformValues(d.disruption().standings(), Standing::allowed))
+        .gauge(
+            "stops_granted",
+            "Stops that asked for a budget and were granted.",
+            () -> d.disruption().granted())
+        .gauge(
+            "stops_forced",
+            "Stops that could not wait for a budget.",
+            () -> d.disruption().forced())
         .gauge(
             "plan_makespan_seconds",
             "Mean makespan of the plan applied.",
--- a/src/main/java/dapplestair/node/Records.java
+++ b/src/main/java/dapplestair/node/Records.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dapplestair.admin.AdminDesk;
+import dapplestair.disruption.LostWork;
 import dapplestair.drain.Drains;
 import dapplestair.fleet.Fleet;
 import dapplestair.leadership.Leadership;
@@ -16,6 +17,7 @@
   private final Ledger ledger;
   private final Fleet fleet;
   private final Drains drains;
+  private final LostWork lostWork;
   private final Placer placer;
   private final AdminDesk admin;
 
@@ -25,12 +27,14 @@
       Ledger ledger,
       Fleet fleet,
       Drains drains,
+      LostWork lostWork,
       Placer placer,
       AdminDesk admin) {
     this.leadership = leadership;
     this.ledger = ledger;
     this.fleet = fleet;
     this.drains = drains;
+    this.lostWork = lostWork;
     this.placer = placer;
     this.admin = admin;
   }
@@ -66,6 +70,8 @@
       fleet.typesKey(value, stamp);
     } else if (key.startsWith(Keys.DRAIN) || key.startsWith(Keys.DRAIN_ZONE)) {
       drains.recorded(key, value);
+    } else if (key.startsWith(Keys.DISRUPTION)) {
+      lostWork.recorded(key, value);
     }
   }
 
@@ -91,6 +97,8 @@
     } else if (key.startsWith(Keys.DRAIN) || key.startsWith(Keys.DRAIN_ZONE)) {
       drains.recorded(key, null);
       placer.nudge();
+    } else if (key.startsWith(Keys.DISRUPTION)) {
+      lostWork.recorded(key, null);
     }
   }
 
--- a/src/main/java/dapplestair/placement/Departures.java
+++ b/src/main/java/dapplestair/placement/Departures.java
@@ -1,7 +1,7 @@
 package dapplestair.placement;
 
+import dapplestair.disruption.Disruption;
 import dapplestair.ledger.Attempt;
-import dapplestair.ledger.Ledger;
 import dapplestair.ledger.StopReason;
 import dapplestair.ports.Clock;
 import dapplestair.workers.Host;
@@ -16,13 +16,13 @@
   private static final double SURELY_LATE = 1.5;
 
   private final Clock clock;
-  private final Ledger ledger;
+  private final Disruption disruption;
   private final Estimates estimates;
 
   /** Judges by these estimates. */
-  public Departures(Clock clock, Ledger ledger, Estimates estimates) {
+  public Departures(Clock clock, Disruption disruption, Estimates estimates) {
     this.clock = clock;
-    this.ledger = ledger;
+    this.disruption = disruption;
     this.estimates = estimates;
   }
 
@@ -37,7 +37,7 @@
       double left = a.spec().service() ? noticeS : estimates.leftS(a, host, clock.now());
       double most = a.spec().saves() ? noticeS - saveS : SURELY_LATE * noticeS;
       if (left > most) {
-        ledger.halt(a, Math.max(0, Math.min(2 * saveS, noticeS)), StopReason.NOTICE);
+        disruption.must(a, Math.max(0, Math.min(2 * saveS, noticeS)), StopReason.NOTICE);
       }
     }
   }
--- a/src/main/java/dapplestair/placement/Evictions.java
+++ b/src/main/java/dapplestair/placement/Evictions.java
@@ -1,5 +1,6 @@
 package dapplestair.placement;
 
+import dapplestair.disruption.Disruption;
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
@@ -34,6 +35,7 @@
   private final Settings settings;
   private final Ledger ledger;
   private final WorkerDesk desk;
+  private final Disruption disruption;
 
   // Of this turn: teams' use beyond their guarantees, machines whose coming room is spoken for.
   private final Object2DoubleOpenHashMap<String> excess = new Object2DoubleOpenHashMap<>();
@@ -42,11 +44,12 @@
   private boolean looked;
   private Rank lowest;
 
-  Evictions(Clock clock, Settings settings, Ledger ledger, WorkerDesk desk) {
+  Evictions(Clock clock, Settings settings, Ledger ledger, WorkerDesk desk, Disruption disruption) {
     this.clock = clock;
     this.settings = settings;
     this.ledger = ledger;
     this.desk = desk;
+    this.disruption = disruption;
   }
 
   /** A new turn of placing. */
@@ -156,7 +159,8 @@
     if (excess.containsKey(a.spec().team())) {
       excess.addTo(a.spec().team(), -a.spec().cpus());
     }
-    ledger.halt(a, a.spec().saves() ? 2 * a.spec().saveS() : 0, StopReason.ROOM_NEEDED);
+    // Rank and guarantee cannot wait (PROTOCOL, Preemption): debited, never refused.
+    disruption.must(a, a.spec().saves() ? 2 * a.spec().saveS() : 0, StopReason.ROOM_NEEDED);
   }
 
   private Offer offer(Submission s, Host h, boolean fromBorrowers) {
--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -1,5 +1,6 @@
 package dapplestair.placement;
 
+import dapplestair.disruption.Disruption;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
 import dapplestair.ports.Clock;
@@ -45,6 +46,7 @@
       Ledger ledger,
       WorkerDesk desk,
       Estimates estimates,
+      Disruption disruption,
       DoubleSupplier roomForServices) {
     this.roomForServices = roomForServices;
     this.clock = clock;
@@ -53,7 +55,7 @@
     this.ledger = ledger;
     this.desk = desk;
     this.estimates = estimates;
-    this.evictions = new Evictions(clock, settings, ledger, desk);
+    this.evictions = new Evictions(clock, settings, ledger, desk, disruption);
     this.ranking = new Ranking(clock, settings, ledger, estimates);
     this.pauseMs = settings.workers().reportMs() / 60;
   }
--- /dev/null
+++ b/src/main/java/dapplestair/settings/BudgetsLoader.java
@@ -0,0 +1,72 @@
+package dapplestair.settings;
+
+import dapplestair.settings.Budgets.Budget;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads budgets of disruption from the operators' file. */
+public final class BudgetsLoader {
+  // Larger figures are slips of the keyboard.
+  private static final double MOST_REPLICAS = 1e6;
+  private static final double MOST_CPU_S = 1e12;
+
+  private BudgetsLoader() {}
+
+  static Budgets read(Path path, List<dapplestair.settings.proto.Budget> list)
+      throws SettingsException {
+    Budget others = Budgets.USUAL.others();
+    for (dapplestair.settings.proto.Budget b : list) {
+      if (b.getTeam().isEmpty()) {
+        if (others != Budgets.USUAL.others()) {
+          throw new SettingsException(path + ": disruption.team = \"\": given twice");
+        }
+        others = budget(path, b, others);
+      }
+    }
+    Map<String, Budget> teams = new HashMap<>();
+    for (dapplestair.settings.proto.Budget b : list) {
+      if (!b.getTeam().isEmpty() && teams.put(b.getTeam(), budget(path, b, others)) != null) {
+        throw new SettingsException(
+            path + ": disruption.team = \"" + b.getTeam() + "\": given twice");
+      }
+    }
+    return new Budgets(Map.copyOf(teams), others);
+  }
+
+  /** What a team does not say holds as for all others. */
+  private static Budget budget(Path path, dapplestair.settings.proto.Budget b, Budget d)
+      throws SettingsException {
+    return new Budget(
+        b.hasReplicas() ? count(path, "replicas", b.getReplicas()) : d.replicas(),
+        b.hasReplicasRatio()
+            ? ratio(path, "replicas_ratio", b.getReplicasRatio())
+            : d.replicasRatio(),
+        b.hasJobReplicas() ? count(path, "job_replicas", b.getJobReplicas()) : d.jobReplicas(),
+        b.hasJobRatio() ? ratio(path, "job_ratio", b.getJobRatio()) : d.jobRatio(),
+        b.hasArrayTasks() ? count(path, "array_tasks", b.getArrayTasks()) : d.arrayTasks(),
+        b.hasLostCpuSPerHour()
+            ? OperatorLoader.within(
+                path, "disruption.lost_cpu_s_per_hour", b.getLostCpuSPerHour(), 0, MOST_CPU_S)
+            : d.lostCpuS());
+  }
+
+  private static int count(Path path, String field, int v) throws SettingsException {
+    return (int) OperatorLoader.within(path, "disruption." + field, v, 0, MOST_REPLICAS);
+  }
+
+  private static double ratio(Path path, String field, double v) throws SettingsException {
+    return OperatorLoader.within(path, "disruption." + field, v, 0, 1);
+  }
+
+  /** A budget for a team that the platform does not know is a slip, not a wish. */
+  public static void check(Path path, Budgets budgets, Settings settings) throws SettingsException {
+    for (String team : budgets.teams().keySet()) {
+      if (!settings.teams().containsKey(team)) {
+        throw new SettingsException(
+            path + ": disruption.team = \"" + team + "\": no such team in the settings");
+      }
+    }
+  }
+}
--- a/src/main/java/dapplestair/settings/Operator.java
+++ b/src/main/java/dapplestair/settings/Operator.java
@@ -13,6 +13,7 @@
     double makespanWeight,
     double spendWeight,
     double riskWeight,
+    Budgets budgets,
     Admin admin) {
 
   /**
@@ -36,7 +37,7 @@
 
   /** What holds without an operator file. */
   public static Operator defaults() {
-    return new Operator(3_000, 20, 300, 0, 2.5, 4, 1.3, 1, 0.5, null);
+    return new Operator(3_000, 20, 300, 0, 2.5, 4, 1.3, 1, 0.5, Budgets.USUAL, null);
   }
 
   /** The same with this operators' interface. */
@@ -51,6 +52,23 @@
         makespanWeight,
         spendWeight,
         riskWeight,
+        budgets,
         other);
   }
+
+  /** The same with these budgets of disruption. */
+  public Operator withBudgets(Budgets other) {
+    return new Operator(
+        planIntervalMs,
+        population,
+        evaluations,
+        budgetPerHour,
+        budgetRatio,
+        returnAfterRounds,
+        makespanWeight,
+        spendWeight,
+        riskWeight,
+        other,
+        admin);
+  }
 }
--- a/src/main/java/dapplestair/settings/OperatorLoader.java
+++ b/src/main/java/dapplestair/settings/OperatorLoader.java
@@ -50,6 +50,7 @@
         in.hasRiskWeight()
             ? within(path, "risk_weight", in.getRiskWeight(), 0, 100)
             : d.riskWeight(),
+        BudgetsLoader.read(path, in.getDisruptionList()),
         in.hasAdmin() ? admin(path, in.getAdmin()) : null);
   }
 
@@ -106,7 +107,7 @@
     return file;
   }
 
-  private static double within(Path path, String field, double v, double low, double high)
+  static double within(Path path, String field, double v, double low, double high)
       throws SettingsException {
     if (!(v >= low && v <= high)) {
       throw new SettingsException(
--- a/src/main/java/dapplestair/state/Keys.java
+++ b/src/main/java/dapplestair/state/Keys.java
@@ -32,6 +32,12 @@
   /** Prefix of rentals. */
   public static final String RENTAL = LIVE + "rental/";
 
+  /** Prefix of what teams have reserved of their budgets of disruption. */
+  public static final String DISRUPTION = LIVE + "disruption/";
+
+  /** Prefix of orders to replace machines. */
+  public static final String REPLACE = LIVE + "replace/";
+
   /** Prefix of machines that operators have emptied. */
   public static final String DRAIN = LIVE + "drain/";
 
--- a/src/test/java/dapplestair/settings/SettingsLoaderTest.java
+++ b/src/test/java/dapplestair/settings/SettingsLoaderTest.java
@@ -88,4 +88,32 @@
     Files.writeString(file, "poulation: 1");
     assertThrows(SettingsException.class, () -> OperatorLoader.load(file));
   }
+
+  @Test
+  void budgetsOfDisruptionAreChecked(@TempDir Path dir) throws Exception {
+    Path file = dir.resolve("o.textproto");
+    Files.writeString(
+        file,
+        "disruption { team: \"t\" replicas: 0 } disruption { replicas_ratio: 0.05 job_replicas: 2 }");
+    Budgets budgets = OperatorLoader.load(file).budgets();
+    assertEquals(0, budgets.of("t").ofTeam(100));
+    assertEquals(5, budgets.of("other").ofTeam(100));
+    assertEquals(1, budgets.of("other").ofTeam(3), "a ratio above zero allows one");
+    assertEquals(2, budgets.of("t").ofJob(9), "what a team does not say holds as for others");
+    BudgetsLoader.check(file, budgets, SettingsLoader.parse("f", GOOD));
+    Files.writeString(file, "disruption { team: \"nobody\" replicas: 3 }");
+    Budgets unknown = OperatorLoader.load(file).budgets();
+    String message =
+        assertThrows(
+                SettingsException.class,
+                () -> BudgetsLoader.check(file, unknown, SettingsLoader.parse("f", GOOD)))
+            .getMessage();
+    assertTrue(
+        message.endsWith("disruption.team = \"nobody\": no such team in the settings"), message);
+    for (String bad :
+        new String[] {"replicas_ratio: -0.1", "job_ratio: 1.5", "lost_cpu_s_per_hour: nan"}) {
+      Files.writeString(file, "disruption { " + bad + " }");
+      assertThrows(SettingsException.class, () -> OperatorLoader.load(file), bad);
+    }
+  }
 }
--- a/src/test/java/dapplestair/world/Checker.java
+++ b/src/test/java/dapplestair/world/Checker.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.ToIntFunction;
 
 /** The rules of the protocol, checked on the world itself, knowing nothing of the product. */
 final class Checker implements Witness {
@@ -17,6 +18,20 @@
   // In the order in which their users were told.
   private final ArrayDeque<Users.Told> withdrawn = new ArrayDeque<>();
   int started;
+
+  // Replicas that were stopped by choice and do not run again yet, by team, and the most at once.
+  private final Map<String, Set<String>> stopped = new HashMap<>();
+  final Map<String, Integer> mostStopped = new HashMap<>();
+
+  /** Work of arrays that was stopped before it was saved. */
+  final Map<String, Double> thrownAwayCpuS = new HashMap<>();
+
+  /** How many replicas of a team may be out by choice; nothing is checked without it. */
+  ToIntFunction<String> budget;
+
+  /** How many of one job. */
+  int jobBudget = 1;
+
   String broken;
 
   Checker(World world) {
@@ -44,6 +59,7 @@
     started++;
     Users.Told job = world.users.told.get(ref(task.key()));
     job.started = true;
+    stopped.values().forEach(out -> out.remove(task.key()));
     if (job.aborted && world.sim.now() > job.abortedAt + World.CANCEL_MS) {
       broken("ran_cancelled: " + task.key() + " starts on " + w.id());
     }
@@ -107,6 +123,31 @@
     }
   }
 
+  /** Budgets of disruption are checked on what machines did, not on what the product counts. */
+  @Override
+  public void stopped(EmulatedWorker w, EmulatedTask task) {
+    Users.Told job = world.users.told.get(ref(task.key()));
+    if (job == null || job.withdrawAsked) {
+      return;
+    }
+    if (!job.service) {
+      double ranS = task.ranS(world.sim.now());
+      double every = job.body.path("snapshotEveryS").asDouble();
+      thrownAwayCpuS.merge(job.team, job.cpus * (every > 0 ? ranS % every : ranS), Double::sum);
+      return;
+    }
+    Set<String> out = stopped.computeIfAbsent(job.team, t -> new HashSet<>());
+    if (!out.add(task.key())) {
+      return;
+    }
+    out.removeIf(key -> world.users.told.get(ref(key)).withdrawAsked);
+    mostStopped.merge(job.team, out.size(), Math::max);
+    long ofJob = out.stream().filter(key -> ref(key).equals(job.ref)).count();
+    if (budget != null && (out.size() > budget.applyAsInt(job.team) || ofJob > jobBudget)) {
+      broken("budget: " + job.team + " has " + out.size() + " out by choice: " + out);
+    }
+  }
+
   /** What became of the jobs of one class, or of one team. */
   static final class Served {
     int jobs;
--- a/src/test/java/dapplestair/world/OperatorsTest.java
+++ b/src/test/java/dapplestair/world/OperatorsTest.java
@@ -30,14 +30,14 @@
     return new World(seed, size, true);
   }
 
-  private static void ask(
+  static void ask(
       World w, int node, String method, String path, JsonNode body, Consumer<HttpReply> done) {
     byte[] bytes = body == null ? null : Json.bytes(body);
     w.net.call("users", World.admin(node), method, path, bytes, 8000, done);
   }
 
   /** Asks until somebody answers 200. */
-  private static JsonNode answer(World w, String path) {
+  static JsonNode answer(World w, String path) {
     JsonNode[] out = {null};
     for (int i = 0; i < 20 && out[0] == null; i++) {
       ask(
@@ -53,7 +53,7 @@
     return out[0];
   }
 
-  private static void order(World w, String path, JsonNode body) {
+  static void order(World w, String path, JsonNode body) {
     boolean[] done = {false};
     for (int i = 0; i < 20 && !done[0]; i++) {
       ask(w, i % 3, "POST", path, body, r -> done[0] |= r.status() == 200);
--- a/src/test/java/dapplestair/world/World.java
+++ b/src/test/java/dapplestair/world/World.java
@@ -68,6 +68,9 @@
   /** Checked after each step besides the rules. */
   Runnable also = () -> {};
 
+  /** What controllers are told by their operators from their next start on. */
+  Operator operator = Operator.defaults();
+
   /** Controllers refuse each other's connections, though all of them live. */
   boolean peersRefuse;
 
@@ -410,8 +413,7 @@
               RandomSource.XO_RO_SHI_RO_128_PP.create(sim.random.nextLong()),
               seed % 3 != 0);
       controller =
-          new Controller(
-              node.settings, Operator.defaults(), outside, operators ? Access.open() : null);
+          new Controller(node.settings, operator, outside, operators ? Access.open() : null);
     }
 
     void begin() {
