--- a/src/main/java/dapplestair/admin/AdminDesk.java
+++ b/src/main/java/dapplestair/admin/AdminDesk.java
@@ -73,7 +73,8 @@
                 d.settings(), ledger, d.placer(), d.fleet(), d.disruption(), jobs, moment, planS),
             new ClusterViews(d, machines, moment),
             new EventViews(timers, d.events(), pages),
-            new DrainDesk(clock, d.settings(), d.workers(), d.drains(), moment));
+            new DrainDesk(clock, d.settings(), d.workers(), d.drains(), moment),
+            new ReplaceDesk(d, moment));
     peers.questions().answer(TOPIC, this::asked);
   }
 
--- a/src/main/java/dapplestair/admin/ClusterViews.java
+++ b/src/main/java/dapplestair/admin/ClusterViews.java
@@ -102,7 +102,7 @@
     }
     // Who borrows does not say from whom: what is lent is parted by what each leaves unused.
     double lentShare = unused <= 0 ? 0 : Math.min(1, borrowed / unused);
-    Map<String, Served.Count> served = ledger.servedByTeam();
+    Map<String, Served.Count> served = ledger.served().byTeam();
     Map<String, Standing> standings = disruption.standings();
     ObjectNode o = moment.object();
     ArrayNode rows = o.putArray("rows");
--- a/src/main/java/dapplestair/admin/DrainDesk.java
+++ b/src/main/java/dapplestair/admin/DrainDesk.java
@@ -7,6 +7,7 @@
 import dapplestair.ports.Clock;
 import dapplestair.settings.Settings;
 import dapplestair.state.Keys;
+import dapplestair.state.Wishes;
 import dapplestair.workers.WorkerDesk;
 import java.util.function.Consumer;
 
@@ -74,7 +75,7 @@
         result -> done.accept(answer(what, name, before, drain, result)));
   }
 
-  private Answer answer(String what, String name, Drain before, Drain drain, Drains.Result result) {
+  private Answer answer(String what, String name, Drain before, Drain drain, Wishes.Result result) {
     return switch (result) {
       case DONE -> {
         ObjectNode o = moment.object().put(what, name).put("drained", drain != null);
--- a/src/main/java/dapplestair/admin/Duties.java
+++ b/src/main/java/dapplestair/admin/Duties.java
@@ -6,15 +6,18 @@
 import dapplestair.fleet.Fleet;
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Ledger;
+import dapplestair.machines.MachineTypes;
 import dapplestair.peers.Peers;
 import dapplestair.placement.Placer;
 import dapplestair.planning.Planning;
 import dapplestair.ports.Clock;
 import dapplestair.ports.Timers;
+import dapplestair.replacement.Replacements;
 import dapplestair.settings.Operator;
 import dapplestair.settings.Settings;
 import dapplestair.state.Replica;
 import dapplestair.state.StateClient;
+import dapplestair.state.Wishes;
 import dapplestair.workers.WorkerDesk;
 
 /** The duties of a controller that its operators may look into. */
@@ -27,6 +30,7 @@
     Ledger ledger,
     WorkerDesk workers,
     Fleet fleet,
+    MachineTypes types,
     Placer placer,
     Planning planning,
     Peers peers,
@@ -34,4 +38,6 @@
     StateClient state,
     Drains drains,
     Disruption disruption,
+    Replacements replacements,
+    Wishes wishes,
     EventLog events) {}
--- /dev/null
+++ b/src/main/java/dapplestair/admin/ReplaceDesk.java
@@ -0,0 +1,281 @@
+package dapplestair.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import dapplestair.machines.MachineTypes;
+import dapplestair.ports.Clock;
+import dapplestair.ports.Timers;
+import dapplestair.replacement.Order;
+import dapplestair.replacement.Replacements;
+import dapplestair.replacement.Replacements.View;
+import dapplestair.replacement.Selection;
+import dapplestair.settings.Settings;
+import dapplestair.state.Keys;
+import dapplestair.state.Wishes;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.regex.Pattern;
+
+/** Orders to replace machines: given, paused, taken up again, aborted, looked at. */
+final class ReplaceDesk {
+  private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,39}");
+  private static final int LONGEST_WHY = 200;
+  private static final int MOST_ORDERS = 32;
+  private static final int MOST_NAMES = 200;
+  private static final long PATIENCE_MS = 2000;
+  private static final long AGAIN_MS = 150;
+
+  private final Clock clock;
+  private final Timers timers;
+  private final Settings settings;
+  private final MachineTypes types;
+  private final Replacements replacements;
+  private final Wishes wishes;
+  private final Moment moment;
+
+  ReplaceDesk(Duties d, Moment moment) {
+    this.clock = d.clock();
+    this.timers = d.timers();
+    this.settings = d.settings();
+    this.types = d.types();
+    this.replacements = d.replacements();
+    this.wishes = d.wishes();
+    this.moment = moment;
+  }
+
+  // ---- looking ----
+
+  ObjectNode list() {
+    ObjectNode o = moment.object();
+    ArrayNode rows = o.putArray("rows");
+    replacements.views().forEach(v -> rows.add(row(v)));
+    return o;
+  }
+
+  void show(String name, Consumer<Answer> done) {
+    View v = replacements.view(name);
+    done.accept(v == null ? missing(name) : Answer.of(moment.object().setAll(row(v))));
+  }
+
+  private static Answer missing(String name) {
+    return Answer.error(404, "no replacement " + name);
+  }
+
+  private static ObjectNode row(View v) {
+    Order order = v.order();
+    String state = v.paused() != null ? "paused" : v.phase();
+    ObjectNode o =
+        Json.object()
+            .put("name", v.name())
+            .put("state", state)
+            .put("phase", v.phase())
+            .put("replaced", Math.max(0, order.total() - v.left()))
+            .put("total", order.total())
+            .put("steps", v.steps())
+            .put("step", order.step())
+            .put("beyond", order.beyond())
+            .put("watch_s", order.watchS())
+            .put("slower", order.slower())
+            .put("by", order.by())
+            .put("at", order.atWall())
+            .put("why", order.why());
+    if (order.deadlineS() > 0) {
+      o.put("deadline_s", order.deadlineS());
+    }
+    Selection s = order.selection();
+    if (s.zone() != null) {
+      o.put("zone", s.zone());
+    }
+    if (s.type() != null) {
+      o.put("type", s.type());
+    }
+    if (s.spot() != null) {
+      o.put("spot", s.spot());
+    }
+    if (v.paused() != null) {
+      o.put("paused", v.paused()).put("goes_on", v.byWord() ? "when told to" : "by itself");
+    }
+    if (v.remark() != null) {
+      o.put("remark", v.remark());
+    }
+    if (v.endS() >= 0) {
+      o.put("expected_end_s", Math.rint(v.endS()));
+    }
+    v.batch().forEach(o.putArray("machines")::add);
+    return o;
+  }
+
+  // ---- orders ----
+
+  void start(Question q, String name, Consumer<Answer> done) throws Question.BadRequest {
+    if (!NAME.matcher(name).matches()) {
+      throw new Question.BadRequest(
+          "name = \"" + name + "\": must be up to 40 small letters, digits and hyphens");
+    }
+    Order order = order(q);
+    View before = replacements.view(name);
+    if (before != null && order.sameAs(before.order())) {
+      done.accept(told(name, before.phase(), false));
+    } else if (before != null && !before.phase().equals("done")) {
+      done.accept(Answer.error(409, "replacement " + name + " is another order, and not done"));
+    } else if (order.total() == 0) {
+      throw new Question.BadRequest("select = " + select(q.body()) + ": matches no machine");
+    } else if (before == null && replacements.views().size() >= MOST_ORDERS) {
+      done.accept(Answer.error(409, "there are " + MOST_ORDERS + " replacements: abort some"));
+    } else {
+      record(name, () -> Replacements.begun(order), "choose", done);
+    }
+  }
+
+  void pause(Question q, String name, Consumer<Answer> done) throws Question.BadRequest {
+    String why = why(q.body());
+    String words = "by " + q.caller().name() + (why.isEmpty() ? "" : ": " + why);
+    change(name, () -> replacements.told(name, words), "paused", done);
+  }
+
+  void resume(String name, Consumer<Answer> done) {
+    change(name, () -> replacements.told(name, null), "resumed", done);
+  }
+
+  /** What is still old goes back into use. */
+  void abort(String name, Consumer<Answer> done) {
+    change(name, () -> null, "aborted", done);
+  }
+
+  private void change(
+      String name, Supplier<ObjectNode> value, String state, Consumer<Answer> done) {
+    if (replacements.view(name) == null) {
+      done.accept(missing(name));
+    } else {
+      record(name, value, state, done);
+    }
+  }
+
+  private void record(
+      String name, Supplier<ObjectNode> value, String state, Consumer<Answer> done) {
+    record(name, value, state, clock.now() + PATIENCE_MS, done);
+  }
+
+  /** The leader writes to the same record as it goes on: then the wish is put to it once more. */
+  private void record(
+      String name, Supplier<ObjectNode> value, String state, long deadline, Consumer<Answer> done) {
+    wishes.record(
+        Keys.REPLACE + name,
+        value.get(),
+        deadline,
+        result -> {
+          if (result == Wishes.Result.CHANGED && clock.now() < deadline) {
+            timers.after(AGAIN_MS, () -> record(name, value, state, deadline, done));
+          } else {
+            done.accept(answer(name, state, result));
+          }
+        });
+  }
+
+  private Answer answer(String name, String state, Wishes.Result result) {
+    return switch (result) {
+      case DONE -> told(name, state, true);
+      case CHANGED -> Answer.error(409, "replacement " + name + " was changed just now");
+      case REFUSED -> Answer.later("the state service takes no changes now: nothing was changed");
+      case UNKNOWN ->
+          Answer.later("the state service did not answer: whether it is recorded is not known");
+    };
+  }
+
+  private Answer told(String name, String state, boolean changed) {
+    return Answer.of(moment.object().put("name", name).put("state", state).put("changed", changed));
+  }
+
+  // ---- what is asked for ----
+
+  private Order order(Question q) throws Question.BadRequest {
+    JsonNode b = q.body();
+    long now = clock.wall();
+    Selection selection = selection(b, now);
+    int total = replacements.covered(selection);
+    double ratio = number(b, "step_ratio", 0, 0, 1);
+    double usual = ratio > 0 ? Math.max(1, Math.min(MOST_NAMES, Math.ceil(ratio * total))) : 1;
+    int step = (int) number(b, "step", usual, 1, MOST_NAMES);
+    if (b.has("step_ratio") && (ratio == 0 || b.has("step"))) {
+      throw new Question.BadRequest(
+          "step_ratio = " + b.get("step_ratio") + ": must be above 0, and stand without step");
+    }
+    return new Order(
+        q.caller().name(),
+        now,
+        why(b),
+        selection,
+        total,
+        step,
+        ratio,
+        (int) number(b, "beyond", 0, 0, MOST_NAMES),
+        number(b, "watch_s", 2 * settings.workers().reportMs() / 1000.0, 0, 1e6),
+        number(b, "deadline_s", 0, 0, 1e7),
+        number(b, "slower", 1.5, 1, 100));
+  }
+
+  private static ObjectNode select(JsonNode b) {
+    ObjectNode o = Json.object();
+    for (String field : new String[] {"zone", "type", "spot", "older_s", "machines"}) {
+      if (b.has(field)) {
+        o.set(field, b.get(field));
+      }
+    }
+    return o;
+  }
+
+  private Selection selection(JsonNode b, long now) throws Question.BadRequest {
+    String zone = Json.text(b, "zone");
+    if (zone != null && !settings.zones().contains(zone)) {
+      throw new Question.BadRequest("zone = \"" + zone + "\": no such zone");
+    }
+    String type = Json.text(b, "type");
+    if (type != null && types.get(type) == null) {
+      throw new Question.BadRequest("type = \"" + type + "\": no such type");
+    }
+    if (b.has("spot") && !b.get("spot").isBoolean()) {
+      throw new Question.BadRequest("spot = " + b.get("spot") + ": must be true or false");
+    }
+    Set<String> names = new TreeSet<>();
+    b.path("machines").forEach(n -> names.add(n.asText()));
+    if (names.size() > MOST_NAMES) {
+      throw new Question.BadRequest("machines: must be at most " + MOST_NAMES);
+    }
+    double olderS = number(b, "older_s", 0, 0, 1e9);
+    if (zone == null && type == null && !b.has("spot") && names.isEmpty() && olderS == 0) {
+      throw new Question.BadRequest("select = {}: name a zone, a type, a kind, an age or machines");
+    }
+    long before = olderS > 0 ? now - Math.round(1000 * olderS) : 0;
+    return new Selection(
+        zone, type, b.has("spot") ? b.get("spot").asBoolean() : null, before, names);
+  }
+
+  private static String why(JsonNode b) throws Question.BadRequest {
+    String why = Json.text(b, "why");
+    if (why != null && why.length() > LONGEST_WHY) {
+      throw new Question.BadRequest("why: must have at most " + LONGEST_WHY + " characters");
+    }
+    return why == null ? "" : why;
+  }
+
+  private static double number(JsonNode b, String field, double otherwise, double low, double high)
+      throws Question.BadRequest {
+    if (!b.has(field)) {
+      return otherwise;
+    }
+    JsonNode v = b.get(field);
+    if (!v.isNumber() || !(v.asDouble() >= low && v.asDouble() <= high)) {
+      throw new Question.BadRequest(
+          "%s = %s: must be a number from %s to %s".formatted(field, v, show(low), show(high)));
+    }
+    return v.asDouble();
+  }
+
+  private static String show(double v) {
+    return v == Math.rint(v) ? Long.toString((long) v) : Double.toString(v);
+  }
+}
--- a/src/main/java/dapplestair/admin/Routes.java
+++ b/src/main/java/dapplestair/admin/Routes.java
@@ -20,6 +20,7 @@
   private final ClusterViews cluster;
   private final EventViews events;
   private final DrainDesk drains;
+  private final ReplaceDesk replacements;
 
   Routes(
       JobViews jobs,
@@ -27,13 +28,15 @@
       WhyView why,
       ClusterViews cluster,
       EventViews events,
-      DrainDesk drains) {
+      DrainDesk drains,
+      ReplaceDesk replacements) {
     this.jobs = jobs;
     this.machines = machines;
     this.why = why;
     this.cluster = cluster;
     this.events = events;
     this.drains = drains;
+    this.replacements = replacements;
   }
 
   /** Something that answers a question. */
@@ -76,6 +79,7 @@
       case "teams" -> view(true, (x, done) -> done.accept(Answer.of(cluster.teams())));
       case "plan" -> view(true, (x, done) -> done.accept(Answer.of(cluster.plan())));
       case "status" -> view(true, (x, done) -> done.accept(Answer.of(cluster.status())));
+      case "replacements" -> view(true, (x, done) -> done.accept(Answer.of(replacements.list())));
       case "drains" -> view(true, (x, done) -> done.accept(Answer.of(machines.drains())));
       case "events" -> new Route(Role.VIEW, true, waitMs(q), this::listEvents);
       default -> null;
@@ -95,6 +99,7 @@
                 }
               });
       case "machines" -> view(true, (x, done) -> machines.show(name, done));
+      case "replacements" -> view(true, (x, done) -> replacements.show(name, done));
       default -> null;
     };
   }
@@ -111,6 +116,9 @@
             }
           });
     }
+    if (what.equals("replacements")) {
+      return replacement(name, part);
+    }
     boolean on = part.equals("drain");
     if (!on && !part.equals("undrain")) {
       return null;
@@ -123,6 +131,20 @@
     };
   }
 
+  private Route replacement(String name, String part) {
+    return switch (part) {
+      case "start" -> order((x, done) -> replacements.start(x, name, done));
+      case "pause" -> order((x, done) -> replacements.pause(x, name, done));
+      case "resume" -> order((x, done) -> replacements.resume(name, done));
+      case "abort" -> order((x, done) -> replacements.abort(name, done));
+      default -> null;
+    };
+  }
+
+  private static Route order(Handler handler) {
+    return new Route(Role.OPERATE, true, 0, handler);
+  }
+
   private static long waitMs(Question q) {
     try {
       return q.number("waitMs", 0, 0, LONGEST_POLL_MS);
--- a/src/main/java/dapplestair/cli/Main.java
+++ b/src/main/java/dapplestair/cli/Main.java
@@ -4,6 +4,7 @@
 import dapplestair.client.ContextCommand;
 import dapplestair.client.JobCommand;
 import dapplestair.client.MachineCommand;
+import dapplestair.client.ReplaceCommand;
 import dapplestair.keys.KeysCommand;
 import java.net.BindException;
 import java.util.List;
@@ -56,6 +57,7 @@
           "check-config",
           "job",
           "machine",
+          "replace",
           "team",
           "plan",
           "event",
@@ -72,6 +74,7 @@
       case "check-config" -> new CheckConfigCommand();
       case "job" -> new JobCommand();
       case "machine" -> new MachineCommand();
+      case "replace" -> new ReplaceCommand();
       case "team" -> new ClusterCommands.Team();
       case "plan" -> new ClusterCommands.Plan();
       case "event" -> new ClusterCommands.Event();
--- a/src/main/java/dapplestair/disruption/Disruption.java
+++ b/src/main/java/dapplestair/disruption/Disruption.java
@@ -190,7 +190,7 @@
    * Work that stopping a task would throw away, CPU seconds. How long one ran under an earlier
    * leader is not known: then at most since its job was accepted.
    */
-  double lossCpuS(Attempt a) {
+  public double lossCpuS(Attempt a) {
     if (a.spec().service()) {
       return 0;
     }
--- a/src/main/java/dapplestair/drain/Drains.java
+++ b/src/main/java/dapplestair/drain/Drains.java
@@ -8,11 +8,11 @@
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import dapplestair.state.Keys;
-import dapplestair.state.Outcome;
 import dapplestair.state.Replica;
 import dapplestair.state.StateClient;
 import dapplestair.state.StateClient.Priority;
 import dapplestair.state.Txn;
+import dapplestair.state.Wishes;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import java.util.HashMap;
@@ -21,30 +21,21 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
  * Which machines and zones are drained, as recorded. Every controller knows; the leader empties
  * them, a step at a time. Nothing here is remembered but the records, so the next leader goes on.
  */
 public final class Drains implements AutoCloseable {
-  /** How an order ended. */
-  public enum Result {
-    /** Recorded, or recorded already. */
-    DONE,
-    /** Somebody else changed it at the same moment: look again. */
-    CHANGED,
-    /** It cannot be told whether it is recorded. */
-    UNKNOWN,
-    /** Surely not recorded: the state service is busy or out. */
-    REFUSED
-  }
-
   private final Clock clock;
   private final Timers timers;
   private final Settings settings;
   private final StateClient state;
   private final Replica replica;
+  private final Wishes wishes;
   private final Leadership leadership;
   private final WorkerDesk desk;
   private final Emptying emptying;
@@ -55,6 +46,8 @@
   private boolean leading;
   private long leadingSince;
   private Cancellable timer = () -> {};
+  private Function<Host, Drain> also = h -> null;
+  private BooleanSupplier anyElse = () -> false;
 
   /** No drains yet. */
   public Drains(
@@ -63,6 +56,7 @@
       Settings settings,
       StateClient state,
       Replica replica,
+      Wishes wishes,
       Leadership leadership,
       WorkerDesk desk,
       Emptying emptying,
@@ -72,12 +66,19 @@
     this.settings = settings;
     this.state = state;
     this.replica = replica;
+    this.wishes = wishes;
     this.leadership = leadership;
     this.desk = desk;
     this.emptying = emptying;
     this.events = events;
   }
 
+  /** Machines may be under other orders as well; {@code any} tells whether some are. */
+  public void also(Function<Host, Drain> other, BooleanSupplier any) {
+    also = other;
+    anyElse = any;
+  }
+
   // ---- what the replica says ----
 
   /** A drain's key has this value, or is gone. */
@@ -116,10 +117,15 @@
 
   // ---- views ----
 
-  /** The order that a machine is under, its own before its zone's, or null. */
+  /** The order that a machine is under, its own before others', or null. */
   public Drain of(Host host) {
-    Drain own = machines.get(host.id());
-    return own != null || host.zone() == null ? own : zones.get(host.zone());
+    Drain found = machines.get(host.id());
+    if (found == null && host.zone() != null) {
+      found = zones.get(host.zone());
+    }
+    // A machine that is to be replaced is given back, whoever else has it emptied.
+    Drain replaced = also.apply(host);
+    return replaced != null && (found == null || !found.giveBack()) ? replaced : found;
   }
 
   /** Drained machines by name; they need not exist any more. */
@@ -140,65 +146,23 @@
   // ---- orders ----
 
   /** Records an order for a key of {@link Keys#DRAIN} or {@link Keys#DRAIN_ZONE}; null ends it. */
-  public void order(String key, Drain drain, long deadline, Consumer<Result> done) {
-    long stamp = replica.stamp(key);
-    if (drain == null && stamp == 0) {
-      done.accept(Result.DONE);
-      return;
-    }
-    Txn txn = new Txn().when(key, stamp);
-    if (drain == null) {
-      txn.remove(key);
-    } else {
-      txn.put(key, drain.toJson());
-    }
-    state.commit(
-        txn,
-        Priority.USER,
-        Math.max(0, deadline - clock.now()),
-        outcome -> {
-          if (outcome instanceof Outcome.Applied) {
-            done.accept(Result.DONE);
-          } else if (outcome instanceof Outcome.Conflict) {
-            // Somebody else's change, or our own write that went unanswered before.
-            settle(key, drain, -1, deadline, done);
-          } else if (outcome instanceof Outcome.Unknown) {
-            settle(key, drain, stamp, deadline, done);
-          } else {
-            done.accept(Result.REFUSED);
-          }
-        });
-  }
-
-  /** No answer: what is recorded now tells, unless the write is still to come. */
-  private void settle(
-      String key, Drain drain, long stampBefore, long deadline, Consumer<Result> done) {
-    state.get(
-        key,
-        read -> {
-          boolean asWanted =
-              read.known()
-                  && (drain == null ? !read.exists() : drain.toJson().equals(read.value()));
-          if (asWanted) {
-            done.accept(Result.DONE);
-          } else if (read.known() && read.stamp() == stampBefore && clock.now() < deadline) {
-            // The same condition again: only one of the two can ever be applied.
-            order(key, drain, deadline, done);
-          } else {
-            done.accept(read.known() ? Result.CHANGED : Result.UNKNOWN);
-          }
-        });
+  public void order(String key, Drain drain, long deadline, Consumer<Wishes.Result> done) {
+    wishes.record(key, drain == null ? null : drain.toJson(), deadline, done);
   }
 
   // ---- leading ----
 
   /** A machine is newly heard of: it is closed at once if it is drained. */
   public void mark(Host host) {
-    if (leading && !(machines.isEmpty() && zones.isEmpty())) {
+    if (leading && any()) {
       host.setDrained(of(host) != null);
     }
   }
 
+  private boolean any() {
+    return !machines.isEmpty() || !zones.isEmpty() || anyElse.getAsBoolean();
+  }
+
   /** Goes on with whatever is recorded. */
   public void lead() {
     leading = true;
@@ -216,7 +180,7 @@
     if (!leading) {
       return;
     }
-    if (machines.isEmpty() && zones.isEmpty() && !emptying.any()) {
+    if (!any() && !emptying.any()) {
       return;
     }
     Map<Host, Drain> drained = new HashMap<>();
--- a/src/main/java/dapplestair/drain/Emptying.java
+++ b/src/main/java/dapplestair/drain/Emptying.java
@@ -32,8 +32,9 @@
    * @param services replicas among them
    * @param held replicas that have no other place now, or wait for their team's budget
    * @param because what stands against the next stop there, or null
+   * @param noPlace true when a replica has nowhere to go
    */
-  public record Progress(int tasks, int services, int held, String because) {}
+  public record Progress(int tasks, int services, int held, String because, boolean noPlace) {}
 
   private static final String NO_PLACE = "no other machine has room for %s under its rules";
 
@@ -46,6 +47,7 @@
   // Room that this step has given to replicas on their way, by machine.
   private final Map<Host, List<Submission>> promised = new HashMap<>();
   private final Map<Host, String> standing = new HashMap<>();
+  private final Set<Host> placeless = new HashSet<>();
 
   /** Works on what the leader knows. */
   public Emptying(Clock clock, WorkerDesk desk, Fleet fleet, Disruption disruption) {
@@ -58,6 +60,7 @@
   void clear() {
     under.clear();
     standing.clear();
+    placeless.clear();
   }
 
   /** True while machines were drained at the last step. */
@@ -74,6 +77,7 @@
     under.addAll(drained.keySet());
     promised.clear();
     standing.clear();
+    placeless.clear();
     if (!drained.isEmpty()) {
       disruption.look();
     }
@@ -101,6 +105,7 @@
       Host to = a.job().over() ? null : place(a.job(), h);
       if (to == null) {
         standing.putIfAbsent(h, NO_PLACE.formatted(a.key()));
+        placeless.add(h);
       } else if (ask(h, a, 0)) {
         promised.computeIfAbsent(to, x -> new ArrayList<>()).add(s);
       }
@@ -189,6 +194,6 @@
         }
       }
     }
-    return new Progress(tasks, services, held, standing.get(host));
+    return new Progress(tasks, services, held, standing.get(host), placeless.contains(host));
   }
 }
--- a/src/main/java/dapplestair/emulator/EmulatedCloud.java
+++ b/src/main/java/dapplestair/emulator/EmulatedCloud.java
@@ -34,6 +34,8 @@
   private final ArrayDeque<Snapshot> snapshots = new ArrayDeque<>();
   private boolean down;
   private double capacity = 1;
+  private double neverBoots;
+  private boolean sick;
   private String violation;
   private int killedByRelease;
   private int killedByLease;
@@ -47,6 +49,7 @@
     this.book = book;
     this.directory = directory;
     this.witness = witness;
+    this.neverBoots = shape.neverBoots();
     snapshot();
   }
 
@@ -62,6 +65,16 @@
     down = value;
   }
 
+  /** Share of the machines rented from now on that never come up. */
+  public void setNeverBoots(double share) {
+    neverBoots = share;
+  }
+
+  /** Machines rented from now on fail every task. */
+  public void setSick(boolean value) {
+    sick = value;
+  }
+
   /** Share of its machines that the cloud has to give. */
   public void setCapacity(double share) {
     capacity = share;
@@ -170,7 +183,7 @@
     if (w != null) {
       killedByRelease += (int) w.tasks().stream().filter(EmulatedTask::onMachine).count();
       rentedAt.remove(id);
-      w.tasks().stream().filter(t -> !t.exited()).forEach(t -> witness.stopped(w, t));
+      w.tasks().stream().filter(t -> !t.exited()).forEach(t -> witness.returned(w, t));
       w.end();
     }
   }
@@ -229,7 +242,10 @@
       machines.put(id, w);
       rentedAt.put(id, world.now());
       hosts.add(id);
-      if (!world.chance(shape.neverBoots())) {
+      if (sick) {
+        w.sicken();
+      }
+      if (!world.chance(neverBoots)) {
         long bootMs = Math.round(1000 * type.bootS());
         world.after(
             world.between(bootMs / 8, bootMs * 3 / 2),
--- a/src/main/java/dapplestair/emulator/EmulatedWorker.java
+++ b/src/main/java/dapplestair/emulator/EmulatedWorker.java
@@ -153,6 +153,11 @@
     sick = true;
   }
 
+  /** Milliseconds since it sent the last report that was answered. */
+  public long unansweredMs() {
+    return world.now() - leaseFrom;
+  }
+
   // ---- lease and reports ----
 
   private void lease() {
--- a/src/main/java/dapplestair/emulator/Witness.java
+++ b/src/main/java/dapplestair/emulator/Witness.java
@@ -8,7 +8,10 @@
   /** A task has completed. */
   void completed(String key);
 
-  /** A task that had not exited was stopped by an order, or by the return of its machine. */
+  /** A machine was returned with a task that had not exited. */
+  default void returned(EmulatedWorker worker, EmulatedTask task) {}
+
+  /** A task that had not exited was stopped by an order. */
   default void stopped(EmulatedWorker worker, EmulatedTask task) {}
 
   /** A witness that looks away. */
--- a/src/main/java/dapplestair/events/Events.java
+++ b/src/main/java/dapplestair/events/Events.java
@@ -38,6 +38,8 @@
     MACHINE_LOST,
     /** A machine or a zone is to be emptied, or no longer. */
     DRAIN,
+    /** An order to replace machines has come further; {@code reason} says why it pauses. */
+    REPLACEMENT,
     /** This controller leads from now on. */
     LEADING;
 
--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -77,7 +77,14 @@
         new Rentals(
             clock, timers, settings, state, leadership, types, desk, cloud, events, this::refused);
     stock = new Stock(clock, desk, rentals, patience);
-    supply = new Supply(clock, types, events, 5 * settings.workers().reportMs(), stock::holding);
+    supply =
+        new Supply(
+            clock,
+            types,
+            events,
+            5 * settings.workers().reportMs(),
+            stock::holding,
+            stock::staying);
     supply.closeZones(z -> desk.zoneSilentMs(z) > 0);
     releases = new Releases(desk, cloud, events);
     lookout =
@@ -253,6 +260,11 @@
     return supply.capacity(slot, otherwise);
   }
 
+  /** True when the cloud may have more of a slot somewhere. */
+  public boolean mayHaveMore(Slot slot) {
+    return supply.open(slot);
+  }
+
   /** Keeps new work from so many steady machines of a slot, those that empty soonest. */
   public void cordon(Slot slot, int count) {
     stock.cordon(slot, count);
--- a/src/main/java/dapplestair/fleet/Stock.java
+++ b/src/main/java/dapplestair/fleet/Stock.java
@@ -59,6 +59,19 @@
     return n + rentals.pending(slot);
   }
 
+  /** The same without machines that are about to be replaced: new ones go where those leave. */
+  int staying(Place place) {
+    int n = 0;
+    for (Host h : desk.hosts()) {
+      if (h.leavesAt() == Long.MAX_VALUE
+          && counts(h, place.slot())
+          && place.zone().equals(h.zone())) {
+        n++;
+      }
+    }
+    return n + rentals.pending(place);
+  }
+
   int holding(Place place) {
     int n = 0;
     for (Host h : desk.hosts()) {
--- a/src/main/java/dapplestair/fleet/Supply.java
+++ b/src/main/java/dapplestair/fleet/Supply.java
@@ -25,6 +25,7 @@
   private final Events events;
   private final long refusalMs;
   private final ToIntFunction<Place> holding;
+  private final ToIntFunction<Place> staying;
   private final Map<Place, Long> refusedUntil = new HashMap<>();
   private final Map<Place, Integer> granted = new HashMap<>();
   private Predicate<String> closed = z -> false;
@@ -35,12 +36,14 @@
       MachineTypes types,
       Events events,
       long refusalMs,
-      ToIntFunction<Place> holding) {
+      ToIntFunction<Place> holding,
+      ToIntFunction<Place> staying) {
     this.clock = clock;
     this.types = types;
     this.events = events;
     this.refusalMs = refusalMs;
     this.holding = holding;
+    this.staying = staying;
   }
 
   void closeZones(Predicate<String> newClosed) {
@@ -92,7 +95,7 @@
       Place p = new Place(slot, z);
       if (open(p) && !closed.test(z)) {
         share.put(p, 0);
-        have.put(p, holding.applyAsInt(p));
+        have.put(p, staying.applyAsInt(p));
       }
     }
     for (int i = 0; i < count && !share.isEmpty(); i++) {
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -39,7 +39,7 @@
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final Recorded recorded = new Recorded();
   private final TeamUse use;
-  private final Served served = new Served();
+  private final Served served = new Served(jobs.values());
   private final ChunkWriter writer;
   private final Attempts attempts;
   private final Endings endings;
@@ -328,19 +328,9 @@
     return jobs.values().stream().mapToInt(Job::held).sum();
   }
 
-  /** What became of the jobs of each team since this controller leads. */
-  public Map<String, Served.Count> servedByTeam() {
-    return served.byTeam(jobs.values());
-  }
-
-  /** What became of the jobs of each class since this controller leads. */
-  public Map<String, Served.Count> servedByClass() {
-    return served.byClass(jobs.values());
-  }
-
-  /** The teams and classes served least since then, as shares started and done; for the log. */
-  public String servedLeast() {
-    return served.least(jobs.values());
+  /** What became of the jobs of each team and class since this controller leads. */
+  public Served served() {
+    return served;
   }
 
   /** CPUs that a team's attempts use. */
--- a/src/main/java/dapplestair/ledger/Served.java
+++ b/src/main/java/dapplestair/ledger/Served.java
@@ -48,9 +48,15 @@
     }
   }
 
+  private final Collection<Job> open;
   private final Map<String, Count> endedByTeam = new HashMap<>();
   private final Map<String, Count> endedByClass = new HashMap<>();
 
+  /** {@code open} shows all jobs that are not cleaned up. */
+  Served(Collection<Job> open) {
+    this.open = open;
+  }
+
   /** A job is over, for this leader the first time. */
   void ended(Job job) {
     Count one = one(job);
@@ -78,25 +84,25 @@
     to.merge(key, one, Count::plus);
   }
 
-  /** By team, those that are over and {@code open} ones together. */
-  Map<String, Count> byTeam(Collection<Job> open) {
+  /** By team, those that are over and those that are open. */
+  public Map<String, Count> byTeam() {
     Map<String, Count> out = new TreeMap<>(endedByTeam);
     open.stream().filter(j -> !j.over).forEach(j -> add(out, j.spec().team(), one(j)));
     return out;
   }
 
   /** The same by class. */
-  Map<String, Count> byClass(Collection<Job> open) {
+  public Map<String, Count> byClass() {
     Map<String, Count> out = new TreeMap<>(endedByClass);
     open.stream().filter(j -> !j.over).forEach(j -> add(out, j.spec().jobClass(), one(j)));
     return out;
   }
 
   /** The few that are served least, for a line of the log. */
-  String least(Collection<Job> open) {
+  public String least() {
     Map<String, Count> all = new TreeMap<>();
-    byTeam(open).forEach((name, c) -> all.put("team " + name, c));
-    byClass(open).forEach((name, c) -> all.put("class " + name, c));
+    byTeam().forEach((name, c) -> all.put("team " + name, c));
+    byClass().forEach((name, c) -> all.put("class " + name, c));
     return all.entrySet().stream()
         .sorted(Comparator.comparingDouble(e -> e.getValue().share()))
         .limit(4)
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -12,11 +12,7 @@
 import dapplestair.events.Events;
 import dapplestair.fleet.Fleet;
 import dapplestair.leadership.Leadership;
-import dapplestair.ledger.Attempt;
-import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
-import dapplestair.ledger.Machine;
-import dapplestair.ledger.StopReason;
 import dapplestair.machines.MachineTypes;
 import dapplestair.metrics.Exposition;
 import dapplestair.metrics.Metrics;
@@ -28,10 +24,13 @@
 import dapplestair.planning.DemandView;
 import dapplestair.planning.Planning;
 import dapplestair.ports.Exchange;
+import dapplestair.replacement.Replacements;
+import dapplestair.replacement.Room;
 import dapplestair.settings.Operator;
 import dapplestair.settings.Settings;
 import dapplestair.state.Replica;
 import dapplestair.state.StateClient;
+import dapplestair.state.Wishes;
 import dapplestair.submissions.SubmissionDesk;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
@@ -64,6 +63,7 @@
   private final EventLog log;
   private final Events events;
   private final Drains drains;
+  private final Replacements replacements;
   private final AdminDesk admin;
   private final Records records;
   private final Doors doors;
@@ -84,9 +84,8 @@
     peers = new Peers(clock, timers, outside.peers(), settings, this::ownStatus, this::peerStatus);
     leadership =
         new Leadership(clock, timers, outside.random(), settings, state, peers, new RoleChanges());
-    ledger =
-        new Ledger(
-            clock, timers, settings, state, leadership, outside.launchSheets(), new LedgerHooks());
+    LedgerHooks hooks = new LedgerHooks(clock, settings, metrics, estimates);
+    ledger = new Ledger(clock, timers, settings, state, leadership, outside.launchSheets(), hooks);
     workers =
         new WorkerDesk(
             clock,
@@ -144,8 +143,10 @@
             demand);
     fleet.weigh(demand::waitingCpus, planning::soon);
     submissions = new SubmissionDesk(clock, settings, state, replica, ledger, types, metrics);
+    hooks.wire(ledger, workers, demand, placer, submissions, events);
     pulse = new Pulse(clock, timers, metrics, 20 * settings.workers().reportMs(), this::standing);
     doors = new Doors(workers, submissions, this::able, peers);
+    Wishes wishes = new Wishes(clock, state, replica);
     drains =
         new Drains(
             clock,
@@ -153,16 +154,31 @@
             settings,
             state,
             replica,
+            wishes,
             leadership,
             workers,
             new Emptying(clock, workers, fleet, disruption),
             events);
+    replacements =
+        new Replacements(
+            clock,
+            timers,
+            settings,
+            state,
+            leadership,
+            types,
+            workers,
+            drains,
+            disruption,
+            new Room(workers, fleet, types, planning),
+            events);
+    planning.beyond(replacements::extra);
     fleet.closeZones(z -> drains.zones().containsKey(z));
-    admin = access == null ? null : admin(operator, access);
-    records = new Records(leadership, ledger, fleet, drains, lostWork, placer, admin);
+    admin = access == null ? null : admin(operator, access, wishes);
+    records = new Records(leadership, ledger, fleet, drains, replacements, lostWork, placer, admin);
   }
 
-  private AdminDesk admin(Operator operator, Access access) {
+  private AdminDesk admin(Operator operator, Access access, Wishes wishes) {
     Duties duties =
         new Duties(
             settings,
@@ -173,6 +189,7 @@
             ledger,
             workers,
             fleet,
+            types,
             placer,
             planning,
             peers,
@@ -180,6 +197,8 @@
             state,
             drains,
             disruption,
+            replacements,
+            wishes,
             log);
     Exposition exposition = Figures.of(duties);
     metrics.tell(exposition);
@@ -221,7 +240,7 @@
             workers.hosts().size(),
             state.queued(),
             state.putsSent(),
-            leadership.leading() ? "; served least: " + ledger.servedLeast() : "");
+            leadership.leading() ? "; served least: " + ledger.served().least() : "");
   }
 
   /** Answers a request of a user, a worker or a health check. */
@@ -269,6 +288,7 @@
       disruption.lead();
       workers.lead();
       drains.lead();
+      replacements.lead();
       planning.lead();
       if (log != null) {
         log.begin(term);
@@ -282,6 +302,7 @@
       state.leading(false);
       planning.clear();
       drains.clear();
+      replacements.clear();
       if (admin != null) {
         admin.clear();
       }
@@ -313,104 +334,11 @@
     }
   }
 
-  private final class LedgerHooks implements dapplestair.ledger.Hooks {
-    @Override
-    public void launch(Attempt attempt) {
-      workers.launch(attempt);
-    }
-
-    @Override
-    public void halt(Attempt attempt, double windDownS) {
-      workers.halt(attempt, windDownS);
-    }
-
-    @Override
-    public void clear(String host, String key, long number) {
-      workers.clear(host, key, number);
-    }
-
-    @Override
-    public void stopping(Attempt attempt, StopReason why) {
-      events.note(Events.Kind.STOPPING, o -> Happenings.of(o, attempt).put("reason", why.shown()));
-    }
-
-    @Override
-    public void lost(Attempt attempt) {
-      events.note(Events.Kind.LOST, o -> Happenings.of(o, attempt));
-    }
-
-    @Override
-    public void arrived(Job job) {
-      demand.arrived(job.spec());
-      events.note(Events.Kind.ACCEPTED, o -> Happenings.of(o, job));
-    }
-
-    @Override
-    public void changed() {
-      placer.nudge();
-    }
-
-    @Override
-    public void withdrawn(Job job) {
-      events.note(Events.Kind.OVER, o -> Happenings.of(o, job).put("status", "aborted"));
-    }
-
-    @Override
-    public void ended(String ref, boolean done) {
-      submissions.ended(ref, done);
-      events.note(
-          Events.Kind.OVER, o -> o.put("job", ref).put("status", done ? "done" : "aborted"));
-    }
-
-    @Override
-    public void started(Attempt attempt) {
-      metrics.started(outside.clock().wall() - attempt.job().acceptedWall());
-      events.note(Events.Kind.STARTED, o -> Happenings.of(o, attempt));
-    }
-
-    @Override
-    public void completed(Attempt attempt, Machine machine, double ranS) {
-      double seconds = ranS > 0 ? ranS + attempt.savedS() : 0;
-      events.note(Events.Kind.COMPLETED, o -> Happenings.of(o, attempt));
-      Host host = workers.host(machine.id());
-      host.taskCompleted();
-      double expected = estimates.runS(attempt.spec());
-      if (expected > 0 && seconds > 0) {
-        host.observeSlowness(seconds / expected);
-      }
-      estimates.observe(attempt.spec(), seconds);
-    }
-
-    @Override
-    public void failed(Attempt attempt, Machine machine) {
-      metrics.lost();
-      events.note(Events.Kind.FAILED, o -> Happenings.of(o, attempt));
-      long first = settings.workers().reportMs();
-      boolean jobIsWrong = ledger.failedMachines(attempt.job()) >= 2;
-      Host host = workers.host(machine.id());
-      int jobs = host.taskFailed(attempt.spec().ref());
-      if (jobIsWrong) {
-        ledger.backOff(attempt.job(), first, 20 * first);
-      }
-      // Two machines agree: it is the job. Two jobs agree: it is the machine. One job that fails
-      // again and again on one machine alone would otherwise go on there for ever.
-      boolean machineIsFaulty = jobs >= 2 || (host.failuresInARow() >= 4 && !jobIsWrong);
-      if (machineIsFaulty && !host.draining()) {
-        LOG.info("{} fails what it starts: it is emptied", host.id());
-        host.setDraining(true);
-      }
-    }
-
-    @Override
-    public Host host(String id) {
-      return workers.host(id);
-    }
-  }
-
   @Override
   public void close() {
     pulse.close();
     drains.close();
+    replacements.close();
     planning.close();
     fleet.close();
     workers.close();
--- a/src/main/java/dapplestair/node/Figures.java
+++ b/src/main/java/dapplestair/node/Figures.java
@@ -48,22 +48,22 @@
             "team_jobs_started_share",
             "Share of a team's accepted jobs that started, since this controller leads.",
             "team",
-            () -> Maps.transformValues(d.ledger().servedByTeam(), Served.Count::startedShare))
+            () -> Maps.transformValues(d.ledger().served().byTeam(), Served.Count::startedShare))
         .gauges(
             "team_jobs_done_share",
             "Share of a team's arrays, less those withdrawn, that are done since then.",
             "team",
-            () -> Maps.transformValues(d.ledger().servedByTeam(), Served.Count::doneShare))
+            () -> Maps.transformValues(d.ledger().served().byTeam(), Served.Count::doneShare))
         .gauges(
             "class_jobs_started_share",
             "Share of a class's accepted jobs that started, since this controller leads.",
             "class",
-            () -> Maps.transformValues(d.ledger().servedByClass(), Served.Count::startedShare))
+            () -> Maps.transformValues(d.ledger().served().byClass(), Served.Count::startedShare))
         .gauges(
             "class_jobs_done_share",
             "Share of a class's arrays, less those withdrawn, that are done since then.",
             "class",
-            () -> Maps.transformValues(d.ledger().servedByClass(), Served.Count::doneShare))
+            () -> Maps.transformValues(d.ledger().served().byClass(), Served.Count::doneShare))
         .gauges(
             "team_replicas_out",
             "Replicas of a team that are out, for whatever reason.",
--- /dev/null
+++ b/src/main/java/dapplestair/node/LedgerHooks.java
@@ -0,0 +1,150 @@
+package dapplestair.node;
+
+import dapplestair.events.Events;
+import dapplestair.ledger.Attempt;
+import dapplestair.ledger.Hooks;
+import dapplestair.ledger.Job;
+import dapplestair.ledger.Ledger;
+import dapplestair.ledger.Machine;
+import dapplestair.ledger.StopReason;
+import dapplestair.metrics.Metrics;
+import dapplestair.placement.Estimates;
+import dapplestair.placement.Placer;
+import dapplestair.planning.DemandView;
+import dapplestair.ports.Clock;
+import dapplestair.settings.Settings;
+import dapplestair.submissions.SubmissionDesk;
+import dapplestair.workers.Host;
+import dapplestair.workers.WorkerDesk;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What the ledger tells and asks, brought to the duties whose it is. */
+final class LedgerHooks implements Hooks {
+  private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+
+  private final Clock clock;
+  private final Settings settings;
+  private final Metrics metrics;
+  private final Estimates estimates;
+  private Ledger ledger;
+  private WorkerDesk workers;
+  private DemandView demand;
+  private Placer placer;
+  private SubmissionDesk submissions;
+  private Events events;
+
+  LedgerHooks(Clock clock, Settings settings, Metrics metrics, Estimates estimates) {
+    this.clock = clock;
+    this.settings = settings;
+    this.metrics = metrics;
+    this.estimates = estimates;
+  }
+
+  /** The ledger is made before those that hear of it. */
+  void wire(
+      Ledger newLedger,
+      WorkerDesk newWorkers,
+      DemandView newDemand,
+      Placer newPlacer,
+      SubmissionDesk newSubmissions,
+      Events newEvents) {
+    ledger = newLedger;
+    workers = newWorkers;
+    demand = newDemand;
+    placer = newPlacer;
+    submissions = newSubmissions;
+    events = newEvents;
+  }
+
+  @Override
+  public void launch(Attempt attempt) {
+    workers.launch(attempt);
+  }
+
+  @Override
+  public void halt(Attempt attempt, double windDownS) {
+    workers.halt(attempt, windDownS);
+  }
+
+  @Override
+  public void clear(String host, String key, long number) {
+    workers.clear(host, key, number);
+  }
+
+  @Override
+  public void stopping(Attempt attempt, StopReason why) {
+    events.note(Events.Kind.STOPPING, o -> Happenings.of(o, attempt).put("reason", why.shown()));
+  }
+
+  @Override
+  public void lost(Attempt attempt) {
+    events.note(Events.Kind.LOST, o -> Happenings.of(o, attempt));
+  }
+
+  @Override
+  public void arrived(Job job) {
+    demand.arrived(job.spec());
+    events.note(Events.Kind.ACCEPTED, o -> Happenings.of(o, job));
+  }
+
+  @Override
+  public void changed() {
+    placer.nudge();
+  }
+
+  @Override
+  public void withdrawn(Job job) {
+    events.note(Events.Kind.OVER, o -> Happenings.of(o, job).put("status", "aborted"));
+  }
+
+  @Override
+  public void ended(String ref, boolean done) {
+    submissions.ended(ref, done);
+    events.note(Events.Kind.OVER, o -> o.put("job", ref).put("status", done ? "done" : "aborted"));
+  }
+
+  @Override
+  public void started(Attempt attempt) {
+    metrics.started(clock.wall() - attempt.job().acceptedWall());
+    events.note(Events.Kind.STARTED, o -> Happenings.of(o, attempt));
+  }
+
+  @Override
+  public void completed(Attempt attempt, Machine machine, double ranS) {
+    double seconds = ranS > 0 ? ranS + attempt.savedS() : 0;
+    events.note(Events.Kind.COMPLETED, o -> Happenings.of(o, attempt));
+    Host host = workers.host(machine.id());
+    host.taskCompleted();
+    double expected = estimates.runS(attempt.spec());
+    if (expected > 0 && seconds > 0) {
+      host.observeSlowness(seconds / expected);
+    }
+    estimates.observe(attempt.spec(), seconds);
+  }
+
+  @Override
+  public void failed(Attempt attempt, Machine machine) {
+    metrics.lost();
+    events.note(Events.Kind.FAILED, o -> Happenings.of(o, attempt));
+    long first = settings.workers().reportMs();
+    boolean jobIsWrong = ledger.failedMachines(attempt.job()) >= 2;
+    Host host = workers.host(machine.id());
+    int jobs = host.taskFailed(attempt.spec().ref());
+    if (jobIsWrong) {
+      ledger.backOff(attempt.job(), first, 20 * first);
+    }
+    // Two machines agree: it is the job. Two jobs agree: it is the machine. One job that fails
+    // again and again on one machine alone would otherwise go on there for ever.
+    boolean machineIsFaulty = jobs >= 2 || (host.failuresInARow() >= 4 && !jobIsWrong);
+    if (machineIsFaulty && !host.draining()) {
+      LOG.info("{} fails what it starts: it is emptied", host.id());
+      host.setDraining(true);
+    }
+  }
+
+  @Override
+  public Host host(String id) {
+    return workers.host(id);
+  }
+}
--- a/src/main/java/dapplestair/node/Records.java
+++ b/src/main/java/dapplestair/node/Records.java
@@ -8,6 +8,7 @@
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Ledger;
 import dapplestair.placement.Placer;
+import dapplestair.replacement.Replacements;
 import dapplestair.state.Keys;
 import dapplestair.state.Replica;
 
@@ -17,6 +18,7 @@
   private final Ledger ledger;
   private final Fleet fleet;
   private final Drains drains;
+  private final Replacements replacements;
   private final LostWork lostWork;
   private final Placer placer;
   private final AdminDesk admin;
@@ -27,6 +29,7 @@
       Ledger ledger,
       Fleet fleet,
       Drains drains,
+      Replacements replacements,
       LostWork lostWork,
       Placer placer,
       AdminDesk admin) {
@@ -34,6 +37,7 @@
     this.ledger = ledger;
     this.fleet = fleet;
     this.drains = drains;
+    this.replacements = replacements;
     this.lostWork = lostWork;
     this.placer = placer;
     this.admin = admin;
@@ -70,6 +74,8 @@
       fleet.typesKey(value, stamp);
     } else if (key.startsWith(Keys.DRAIN) || key.startsWith(Keys.DRAIN_ZONE)) {
       drains.recorded(key, value);
+    } else if (key.startsWith(Keys.REPLACE)) {
+      replacements.recorded(key, value, stamp);
     } else if (key.startsWith(Keys.DISRUPTION)) {
       lostWork.recorded(key, value);
     }
@@ -97,6 +103,8 @@
     } else if (key.startsWith(Keys.DRAIN) || key.startsWith(Keys.DRAIN_ZONE)) {
       drains.recorded(key, null);
       placer.nudge();
+    } else if (key.startsWith(Keys.REPLACE)) {
+      replacements.recorded(key, null, 0);
     } else if (key.startsWith(Keys.DISRUPTION)) {
       lostWork.recorded(key, null);
     }
--- a/src/main/java/dapplestair/placement/Estimates.java
+++ b/src/main/java/dapplestair/placement/Estimates.java
@@ -35,4 +35,10 @@
   public double leftS(Attempt a, Host h, long now) {
     return Math.max(0, runS(a.spec()) - a.savedS()) * h.slowness() - a.ranS(now);
   }
+
+  /** True when a task that begins on a machine now ends before that is emptied. */
+  boolean endsBefore(Submission s, Host h, long now) {
+    double ms = 1000 * (h.imageWaitS(s, now) + runS(s) * h.slowness());
+    return !s.service() && now + ms < h.leavesAt();
+  }
 }
--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -254,6 +254,9 @@
   private Verdict judge(Job job, Host h) {
     Submission s = job.spec();
     if (h.fits(s) && h.allowed(s) && !h.closed() && leavesServiceRoom(s, h)) {
+      if (h.leavesAt() != Long.MAX_VALUE && !estimates.endsBefore(s, h, clock.now())) {
+        return Verdict.LEAVING;
+      }
       if (ledger.zoneAllows(job, h.zone())) {
         return Verdict.FITS;
       }
--- a/src/main/java/dapplestair/placement/Verdict.java
+++ b/src/main/java/dapplestair/placement/Verdict.java
@@ -20,6 +20,8 @@
   FAULTY(Scope.MACHINE, "fails what it starts, so it is emptied"),
   /** Emptied by operators. */
   DRAINED(Scope.MACHINE, "drained by operators"),
+  /** To be replaced soon. */
+  LEAVING(Scope.MACHINE, "to be replaced before it would end there"),
   /** The plan wants fewer. */
   CORDONED(Scope.MACHINE, "the plan wants fewer of its kind"),
   /** The cloud takes it. */
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -23,6 +23,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToIntFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -54,6 +55,7 @@
   private Applied applied;
   private ObjectNode lastWritten;
   private boolean writing;
+  private ToIntFunction<Slot> beyond = s -> 0;
   private Cancellable timer = () -> {};
   private long roundAt;
   private boolean extra;
@@ -110,6 +112,11 @@
     return applied;
   }
 
+  /** How many machines of a slot are held beyond the plan while others are replaced. */
+  public void beyond(ToIntFunction<Slot> extra) {
+    beyond = extra;
+  }
+
   /** Machines of a slot that are or will be of use. */
   public int holding(Slot slot) {
     return fleet.holding(slot);
@@ -223,7 +230,9 @@
     next.forEach((slot, want) -> steer(slot, want, extraRound));
   }
 
-  private void steer(Slot slot, int want, boolean extraRound) {
+  private void steer(Slot slot, int planned, boolean extraRound) {
+    // Machines that are being replaced: the plan's counts stay as they are.
+    int want = Math.max(0, planned + beyond.applyAsInt(slot));
     int have = fleet.holding(slot);
     if (want >= have) {
       fewer.remove(slot);
--- /dev/null
+++ b/src/main/java/dapplestair/replacement/Judge.java
@@ -0,0 +1,75 @@
+package dapplestair.replacement;
+
+import dapplestair.disruption.Disruption;
+import dapplestair.disruption.Standing;
+import dapplestair.workers.Host;
+import dapplestair.workers.WorkerDesk;
+import java.util.List;
+import java.util.Map;
+
+/** Whether a step goes well, and whose fault it is if it does not. */
+final class Judge {
+  // Of so few completions a machine's speed says little.
+  private static final int ENOUGH = 2;
+
+  private final WorkerDesk desk;
+  private final Disruption disruption;
+  private final Machines machines;
+
+  Judge(WorkerDesk desk, Disruption disruption, Machines machines) {
+    this.desk = desk;
+    this.disruption = disruption;
+    this.machines = machines;
+  }
+
+  /** What is wrong around the order, or null; such a pause ends by itself. */
+  String outside(boolean lagging) {
+    if (lagging) {
+      return "the leader's own loop lags behind";
+    }
+    for (Host h : desk.hosts()) {
+      if (h.zoneSilentMs() > 0) {
+        return "zone " + h.zone() + " is silent";
+      }
+    }
+    return null;
+  }
+
+  /** Replicas that are out, for whatever reason, by team; or null. */
+  String replicasOut() {
+    for (Map.Entry<String, Standing> e : disruption.standings().entrySet()) {
+      // Below half of its budget the next step may go on; what it moves is asked for anyway.
+      if (2L * e.getValue().out() > e.getValue().allowed()) {
+        return "%d replicas of team %s are not back".formatted(e.getValue().out(), e.getKey());
+      }
+    }
+    return null;
+  }
+
+  /** What is wrong with the new machines, or null; only an operator's word ends such a pause. */
+  String newMachines(Order order, long since) {
+    List<Host> fresh = machines.fresh(order, since);
+    long up = fresh.stream().filter(Host::up).count();
+    List<Host> failing =
+        fresh.stream().filter(h -> h.draining() || h.failuresInARow() > ENOUGH).toList();
+    // One bad machine in many is chance, and is given up as ever.
+    if (!failing.isEmpty() && failing.size() * 4L >= up) {
+      return "new machines fail tasks: %d of %d, such as %s"
+          .formatted(failing.size(), up, failing.get(0).id());
+    }
+    double now = slowness(fresh);
+    double before = slowness(machines.old(order));
+    if (now > order.slower() * before) {
+      return "new machines take %.2f times as long as the old".formatted(now / before);
+    }
+    return null;
+  }
+
+  private static double slowness(List<Host> of) {
+    return of.stream()
+        .filter(h -> h.completed() >= ENOUGH)
+        .mapToDouble(Host::slowness)
+        .average()
+        .orElse(1);
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/replacement/Progress.java
@@ -0,0 +1,109 @@
+package dapplestair.replacement;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Where an order stands, as recorded: all that the next leader needs to go on.
+ *
+ * @param phase of the step under way
+ * @param steps steps begun
+ * @param batch the machines of this step
+ * @param stepWall when the step, or its present phase, began
+ * @param judgedWall machines rented since then are what this step is judged by
+ * @param paused why nothing is done now, or null
+ * @param byWord true when only an operator's word ends the pause
+ * @param remark what is noteworthy about how it goes on, or null
+ */
+record Progress(
+    Phase phase,
+    int steps,
+    Set<String> batch,
+    long stepWall,
+    long judgedWall,
+    String paused,
+    boolean byWord,
+    String remark) {
+  /** What is being done. */
+  enum Phase {
+    /** The next machines are still to be chosen. */
+    CHOOSE,
+    /** New machines are on their way; the old ones work on. */
+    RAISE,
+    /** The old ones are emptied and returned; afterwards the step is watched. */
+    EMPTY,
+    /** No old machine is left. */
+    DONE
+  }
+
+  static final Progress BEGIN = new Progress(Phase.CHOOSE, 0, Set.of(), 0, 0, null, false, null);
+
+  Progress in(Phase next, long wall) {
+    return new Progress(next, steps, batch, wall, judgedWall, null, false, remark);
+  }
+
+  Progress step(Phase next, Set<String> machines, long wall) {
+    return new Progress(next, steps + 1, machines, wall, wall, null, false, null);
+  }
+
+  Progress only(Set<String> machines, long wall, String why) {
+    return new Progress(Phase.EMPTY, steps, machines, wall, judgedWall, null, false, why);
+  }
+
+  Progress pause(String why, boolean untilTold) {
+    return new Progress(phase, steps, batch, stepWall, judgedWall, why, untilTold, remark);
+  }
+
+  /** Goes on. Whoever says so by his word has seen the new machines there are. */
+  Progress resume(long wall) {
+    return new Progress(phase, steps, batch, wall, byWord ? wall : judgedWall, null, false, remark);
+  }
+
+  Progress remark(String what) {
+    return new Progress(phase, steps, batch, stepWall, judgedWall, paused, byWord, what);
+  }
+
+  void write(ObjectNode to) {
+    ObjectNode o = to.putObject("progress");
+    o.put("phase", phase.name()).put("steps", steps).put("at", stepWall).put("since", judgedWall);
+    ArrayNode names = o.putArray("batch");
+    batch.forEach(names::add);
+    if (paused != null) {
+      o.put("paused", paused).put("byWord", byWord);
+    }
+    if (remark != null) {
+      o.put("remark", remark);
+    }
+  }
+
+  static Progress read(JsonNode n) {
+    JsonNode p = n.path("progress");
+    if (!p.isObject()) {
+      return BEGIN;
+    }
+    Set<String> batch = new TreeSet<>();
+    p.path("batch").forEach(x -> batch.add(x.asText()));
+    return new Progress(
+        phase(Json.text(p, "phase")),
+        (int) Json.number(p, "steps", 0),
+        batch,
+        Json.number(p, "at", 0),
+        Json.number(p, "since", 0),
+        Json.text(p, "paused"),
+        Json.flag(p, "byWord"),
+        Json.text(p, "remark"));
+  }
+
+  private static Phase phase(String name) {
+    for (Phase p : Phase.values()) {
+      if (p.name().equals(name)) {
+        return p;
+      }
+    }
+    return Phase.CHOOSE;
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/replacement/Replacements.java
@@ -0,0 +1,290 @@
+package dapplestair.replacement;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.disruption.Disruption;
+import dapplestair.drain.Drain;
+import dapplestair.drain.Drains;
+import dapplestair.events.Events;
+import dapplestair.fleet.Slot;
+import dapplestair.leadership.Leadership;
+import dapplestair.machines.MachineTypes;
+import dapplestair.ports.Cancellable;
+import dapplestair.ports.Clock;
+import dapplestair.ports.Timers;
+import dapplestair.replacement.Progress.Phase;
+import dapplestair.settings.Settings;
+import dapplestair.state.Keys;
+import dapplestair.state.StateClient;
+import dapplestair.workers.Host;
+import dapplestair.workers.WorkerDesk;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Carries orders to replace machines on, a step at a time: new machines first, then the old are
+ * emptied through the door for disruption and returned, then the step is watched. Where an order
+ * stands is on record before anything is done of it, so any leader goes on from there.
+ */
+public final class Replacements implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(Replacements.class);
+
+  private final Clock clock;
+  private final Timers timers;
+  private final Settings settings;
+  private final StateClient state;
+  private final Machines machines;
+  private final Room room;
+  private final Steps steps;
+  private final Map<String, Running> orders = new TreeMap<>();
+  private final Set<Host> leaving = new HashSet<>();
+  private boolean leading;
+  private long due;
+  private long lagUntil = Long.MIN_VALUE / 2;
+  private Cancellable timer = () -> {};
+
+  /** No orders yet. */
+  public Replacements(
+      Clock clock,
+      Timers timers,
+      Settings settings,
+      StateClient state,
+      Leadership leadership,
+      MachineTypes types,
+      WorkerDesk desk,
+      Drains drains,
+      Disruption disruption,
+      Room room,
+      Events events) {
+    this.clock = clock;
+    this.timers = timers;
+    this.settings = settings;
+    this.state = state;
+    this.room = room;
+    machines = new Machines(clock, desk, disruption);
+    steps =
+        new Steps(
+            clock,
+            settings,
+            state,
+            leadership,
+            types,
+            drains,
+            events,
+            machines,
+            new Judge(desk, disruption, machines),
+            room,
+            orders,
+            this::extra,
+            this::markLeaving);
+    drains.also(this::drain, this::any);
+  }
+
+  // ---- what the replica says ----
+
+  /** An order's key has this value, or is gone. */
+  public void recorded(String key, JsonNode value, long stamp) {
+    String name = key.substring(Keys.REPLACE.length());
+    Running known = orders.get(name);
+    if (value == null) {
+      orders.remove(name);
+      if (leading) {
+        LOG.info("replacement {} is ended", name);
+        steps.note(name, "ended", null);
+      }
+    } else if (known == null || known.stamp < stamp) {
+      if (known != null && known.order.equals(Order.parse(value))) {
+        // What this leader has seen of the step under way stays.
+        known.progress = Progress.read(value);
+        known.stamp = stamp;
+      } else {
+        orders.put(name, new Running(name, value, stamp));
+      }
+    }
+  }
+
+  /** Forgets all records: the replica tells them again. */
+  public void clear() {
+    leading = false;
+    steps.begin();
+    timer.cancel();
+    orders.clear();
+    leaving.clear();
+  }
+
+  // ---- leading ----
+
+  /** Goes on with whatever is recorded. */
+  public void lead() {
+    leading = true;
+    steps.begin();
+    due = clock.now();
+    orders.values().forEach(r -> r.writing = false);
+    tick();
+  }
+
+  private void tick() {
+    long now = clock.now();
+    long reportMs = settings.workers().reportMs();
+    if (now - due > reportMs / 2) {
+      lagUntil = now + 2 * reportMs;
+    }
+    for (Running r : List.copyOf(orders.values())) {
+      if (!r.writing && state.unreachableMs() == 0) {
+        steps.look(r, now < lagUntil);
+      }
+    }
+    markLeaving();
+    due = now + reportMs / 6;
+    timer = timers.after(reportMs / 6, this::tick);
+  }
+
+  /** Machines that are about to be emptied take only what ends before. */
+  private void markLeaving() {
+    if (orders.isEmpty() && leaving.isEmpty()) {
+      return;
+    }
+    Set<Host> now = new HashSet<>();
+    for (Running r : orders.values()) {
+      if (r.active() && r.progress.phase() == Phase.RAISE) {
+        for (Host h : machines.left(r.progress.batch())) {
+          long bootMs = Math.round(1000 * steps.bootS(h));
+          h.setLeavesAt(clock.now() - (clock.wall() - r.progress.stepWall()) + bootMs);
+          now.add(h);
+        }
+      }
+    }
+    leaving.removeAll(now);
+    leaving.forEach(h -> h.setLeavesAt(Long.MAX_VALUE));
+    leaving.clear();
+    leaving.addAll(now);
+  }
+
+  // ---- what others ask ----
+
+  private boolean any() {
+    return !orders.isEmpty();
+  }
+
+  /** The order under which a machine is emptied now, or null. */
+  private Drain drain(Host h) {
+    for (Running r : orders.values()) {
+      if (r.active() && r.progress.phase() == Phase.EMPTY && r.progress.batch().contains(h.id())) {
+        return new Drain(
+            r.order.by(),
+            r.progress.stepWall(),
+            "replacement " + r.name,
+            true,
+            r.order.deadlineS());
+      }
+    }
+    return null;
+  }
+
+  /**
+   * How many machines of a kind are to be held beyond the plan's count, or below it. Old machines
+   * that are being emptied are no room and not counted as held, but they are still there: what
+   * takes their place must not come up before they are gone, but for as many as may be beyond.
+   */
+  public int extra(Slot slot) {
+    int extra = 0;
+    for (Running r : orders.values()) {
+      if (r.progress.phase() == Phase.CHOOSE || r.progress.phase() == Phase.DONE) {
+        continue;
+      }
+      Map<Slot, Integer> left = Machines.bySlot(machines.left(r.progress.batch()));
+      int mine = left.getOrDefault(slot, 0);
+      // Where a replica has no place to go, all that may be beyond is: the next comes in the zone
+      // that has fewest.
+      int share = room.share(left, slot, r.order.beyond());
+      int beyond = mine > 0 && r.cramped ? r.order.beyond() : Math.min(mine, share);
+      // While it pauses the old are back in use, and the new are kept for when it goes on.
+      extra += r.active() && r.progress.phase() == Phase.EMPTY ? beyond - mine : beyond;
+    }
+    return extra;
+  }
+
+  /** How many machines an order like this would be about now. */
+  public int covered(Selection selection) {
+    return machines.selected(selection).size();
+  }
+
+  // ---- views ----
+
+  /**
+   * An order as it stands.
+   *
+   * @param left old machines that are still there
+   * @param endS seconds until it is expected to be done, or -1
+   */
+  public record View(
+      String name,
+      Order order,
+      String phase,
+      int steps,
+      Collection<String> batch,
+      int left,
+      String paused,
+      boolean byWord,
+      String remark,
+      double endS) {}
+
+  /** All orders, by name. */
+  public List<View> views() {
+    return orders.values().stream().map(this::view).toList();
+  }
+
+  /** One order, or null. */
+  public View view(String name) {
+    Running r = orders.get(name);
+    return r == null ? null : view(r);
+  }
+
+  private View view(Running r) {
+    int left = r.progress.phase() == Phase.DONE ? 0 : machines.old(r.order).size();
+    int done = r.order.total() - left;
+    double elapsedS = (clock.wall() - r.order.atWall()) / 1000.0;
+    double endS =
+        left == 0 ? 0 : done <= 0 || r.progress.paused() != null ? -1 : elapsedS / done * left;
+    return new View(
+        r.name,
+        r.order,
+        r.progress.phase().name().toLowerCase(java.util.Locale.ROOT),
+        r.progress.steps(),
+        new TreeSet<>(r.progress.batch()),
+        left,
+        r.progress.paused(),
+        r.progress.byWord(),
+        r.progress.remark(),
+        endS);
+  }
+
+  /** The recorded form of a new order. */
+  public static ObjectNode begun(Order order) {
+    ObjectNode o = order.toJson();
+    Progress.BEGIN.write(o);
+    return o;
+  }
+
+  /** The recorded form of an order that pauses by an operator's word, or goes on; null: no such. */
+  public ObjectNode told(String name, String pause) {
+    Running r = orders.get(name);
+    if (r == null) {
+      return null;
+    }
+    return r.record(
+        pause != null ? r.progress.pause(pause, true) : r.progress.resume(clock.wall()));
+  }
+
+  @Override
+  public void close() {
+    timer.cancel();
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/replacement/Room.java
@@ -0,0 +1,88 @@
+package dapplestair.replacement;
+
+import dapplestair.fleet.Fleet;
+import dapplestair.fleet.Slot;
+import dapplestair.machines.MachineType;
+import dapplestair.machines.MachineTypes;
+import dapplestair.planning.Planning;
+import dapplestair.workers.Host;
+import dapplestair.workers.WorkerDesk;
+import java.util.Map;
+import java.util.function.ToIntFunction;
+
+/**
+ * Machines beyond the plan's count: how many the plan's own budget still pays for, and whether they
+ * are up. The counts themselves stay the plan's.
+ */
+public final class Room {
+  private final WorkerDesk desk;
+  private final Fleet fleet;
+  private final MachineTypes types;
+  private final Planning planning;
+
+  /** Beside what {@code planning} holds. */
+  public Room(WorkerDesk desk, Fleet fleet, MachineTypes types, Planning planning) {
+    this.desk = desk;
+    this.fleet = fleet;
+    this.types = types;
+    this.planning = planning;
+  }
+
+  /** How many of {@code beyond} machines the budget pays for beside the plan. */
+  int affords(Map<Slot, Integer> batch, int beyond) {
+    Planning.Applied plan = planning.applied();
+    if (plan == null) {
+      return 0;
+    }
+    double left = plan.budgetPerHour() - plan.perHour();
+    if (Double.isNaN(left)) {
+      return beyond;
+    }
+    int n = 0;
+    for (Map.Entry<Slot, Integer> e : batch.entrySet()) {
+      MachineType t = types.get(e.getKey().type());
+      double price = t == null ? Double.POSITIVE_INFINITY : t.price(e.getKey().spot());
+      for (int i = share(batch, e.getKey(), beyond); i > 0 && left >= price; i--) {
+        left -= price;
+        n++;
+      }
+    }
+    return n;
+  }
+
+  /** How many of {@code beyond} fall to one kind: in order, as many as there are old ones of it. */
+  int share(Map<Slot, Integer> batch, Slot slot, int beyond) {
+    int rest = beyond;
+    for (Map.Entry<Slot, Integer> e : batch.entrySet()) {
+      int n = Math.min(rest, e.getValue());
+      if (e.getKey().equals(slot)) {
+        return n;
+      }
+      rest -= n;
+    }
+    return 0;
+  }
+
+  /** True when all that plan and order want is up and heard. */
+  boolean ready(Map<Slot, Integer> batch, ToIntFunction<Slot> extra) {
+    Planning.Applied plan = planning.applied();
+    if (plan == null) {
+      return false;
+    }
+    for (Slot slot : batch.keySet()) {
+      int up = 0;
+      for (Host h : desk.hosts()) {
+        up += fleet.counts(h, slot) && h.acknowledged() && desk.fresh(h) ? 1 : 0;
+      }
+      if (up < plan.counts().getOrDefault(slot, 0) + extra.applyAsInt(slot)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** True when the cloud may still have more of one of these kinds. */
+  boolean open(Map<Slot, Integer> batch) {
+    return batch.keySet().stream().anyMatch(fleet::mayHaveMore);
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/replacement/Running.java
@@ -0,0 +1,39 @@
+package dapplestair.replacement;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** An order with where it stands, as this controller last saw it recorded. */
+final class Running {
+  final String name;
+  final Order order;
+  Progress progress;
+  long stamp;
+
+  /** A put is under way: nothing new is decided before its outcome is known. */
+  boolean writing;
+
+  // Of this leader only: since when something has stood still or gone wrong.
+  long badSince;
+  String bad;
+  long goodSince;
+  long emptiedAt;
+  boolean cramped;
+
+  Running(String name, JsonNode value, long stamp) {
+    this.name = name;
+    this.order = Order.parse(value);
+    this.progress = Progress.read(value);
+    this.stamp = stamp;
+  }
+
+  ObjectNode record(Progress p) {
+    ObjectNode o = order.toJson();
+    p.write(o);
+    return o;
+  }
+
+  boolean active() {
+    return progress.paused() == null && progress.phase() != Progress.Phase.DONE;
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/replacement/Steps.java
@@ -0,0 +1,304 @@
+package dapplestair.replacement;
+
+import dapplestair.drain.Drains;
+import dapplestair.events.Events;
+import dapplestair.fleet.Slot;
+import dapplestair.leadership.Leadership;
+import dapplestair.machines.MachineType;
+import dapplestair.machines.MachineTypes;
+import dapplestair.ports.Clock;
+import dapplestair.replacement.Progress.Phase;
+import dapplestair.settings.Settings;
+import dapplestair.state.Keys;
+import dapplestair.state.Outcome;
+import dapplestair.state.StateClient;
+import dapplestair.state.StateClient.Priority;
+import dapplestair.state.Txn;
+import dapplestair.workers.Host;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** How an order goes from step to step: on record first, then done. */
+final class Steps {
+  private static final Logger LOG = LoggerFactory.getLogger(Replacements.class);
+
+  // Machines on record for one step: as many names as one value holds with room to spare.
+  static final int MOST_AT_ONCE = 200;
+
+  // As the lookout: usual boots take up to 1.5 times the stated time, a bad day nearly doubles
+  // that.
+  private static final double BOOT_OVERDUE = 3.0;
+
+  private final Clock clock;
+  private final Settings settings;
+  private final StateClient state;
+  private final Leadership leadership;
+  private final MachineTypes types;
+  private final Drains drains;
+  private final Events events;
+  private final Machines machines;
+  private final Judge judge;
+  private final Room room;
+  private final Map<String, Running> orders;
+  private final ToIntFunction<Slot> extra;
+  private final Runnable changed;
+  private long leadingSince;
+  private boolean lags;
+  private int generation;
+
+  /** Works on {@code orders}; {@code changed} hears of each step that is on record. */
+  Steps(
+      Clock clock,
+      Settings settings,
+      StateClient state,
+      Leadership leadership,
+      MachineTypes types,
+      Drains drains,
+      Events events,
+      Machines machines,
+      Judge judge,
+      Room room,
+      Map<String, Running> orders,
+      ToIntFunction<Slot> extra,
+      Runnable changed) {
+    this.clock = clock;
+    this.settings = settings;
+    this.state = state;
+    this.leadership = leadership;
+    this.types = types;
+    this.drains = drains;
+    this.events = events;
+    this.machines = machines;
+    this.judge = judge;
+    this.room = room;
+    this.orders = orders;
+    this.extra = extra;
+    this.changed = changed;
+  }
+
+  /** A new leader, or none: what an earlier one has under way means nothing here. */
+  void begin() {
+    generation++;
+    leadingSince = clock.now();
+  }
+
+  /** Carries an order on as far as it can go now; nothing of it may be under way. */
+  void look(Running r, boolean lagging) {
+    lags = lagging;
+    if (r.progress.paused() != null) {
+      resumeIfWell(r);
+      return;
+    }
+    if (r.progress.phase() == Phase.DONE) {
+      return;
+    }
+    String wrong = judge.outside(lagging);
+    String fault = wrong == null ? judge.newMachines(r.order, r.progress.judgedWall()) : null;
+    if (wrong != null || fault != null) {
+      pause(r, wrong != null ? wrong : fault, fault != null);
+      return;
+    }
+    switch (r.progress.phase()) {
+      case CHOOSE -> choose(r);
+      case RAISE -> raise(r);
+      case EMPTY -> empty(r);
+      default -> {}
+    }
+  }
+
+  /**
+   * A new leader knows all machines from records and attempts at once, but for those that only a
+   * list can tell: what is there no more is not concluded before lists have had the time.
+   */
+  private boolean knowsAll() {
+    return clock.now() - leadingSince > Math.round(2.2 * settings.cloud().listLagMs()) + 1000;
+  }
+
+  private void choose(Running r) {
+    if (!knowsAll()) {
+      return;
+    }
+    List<Host> old = machines.old(r.order);
+    if (old.isEmpty()) {
+      write(r, r.progress.step(Phase.DONE, Set.of(), clock.wall()), () -> {});
+      return;
+    }
+    Set<String> taken = new HashSet<>();
+    orders.values().stream()
+        .filter(o -> o != r && o.progress.phase() != Phase.DONE)
+        .forEach(o -> taken.addAll(o.progress.batch()));
+    int most = Math.min(MOST_AT_ONCE, r.order.step());
+    Set<String> batch = machines.next(old, taken, r.progress.batch(), most);
+    if (batch.isEmpty()) {
+      return;
+    }
+    List<Host> hosts = machines.left(batch);
+    int beyond = room.affords(Machines.bySlot(hosts), r.order.beyond());
+    Phase phase = beyond > 0 ? Phase.RAISE : Phase.EMPTY;
+    Progress next = r.progress.step(phase, batch, clock.wall());
+    if (r.order.beyond() > 0 && beyond == 0) {
+      next = next.remark("the plan's budget pays for no machine beyond: none beyond in this step");
+    }
+    write(r, next, () -> {});
+  }
+
+  /** Waits for new machines; without any to have it goes on machine by machine. */
+  private void raise(Running r) {
+    List<Host> left = machines.left(r.progress.batch());
+    if (left.isEmpty()) {
+      write(r, r.progress.in(Phase.EMPTY, clock.wall()), () -> {});
+      return;
+    }
+    if (room.ready(Machines.bySlot(left), extra)) {
+      write(r, r.progress.in(Phase.EMPTY, clock.wall()), () -> {});
+      return;
+    }
+    long since = clock.wall() - r.progress.stepWall();
+    double bootS = left.stream().mapToDouble(this::bootS).max().orElse(60);
+    if (since < BOOT_OVERDUE * 1000 * bootS) {
+      return;
+    }
+    if (!room.open(Machines.bySlot(left))) {
+      String first = left.get(0).id();
+      String why = "the cloud has no machine beyond to give: one by one, none beyond";
+      write(r, r.progress.only(Set.of(first), clock.wall(), why), () -> {});
+    } else if (since > 2 * BOOT_OVERDUE * 1000 * bootS) {
+      pause(r, "new machines do not come up", true);
+    }
+  }
+
+  private void empty(Running r) {
+    List<Host> left = machines.left(r.progress.batch());
+    if (!left.isEmpty() || !knowsAll()) {
+      r.emptiedAt = 0;
+      remarkIfStuck(r, left);
+      return;
+    }
+    long now = clock.now();
+    if (r.emptiedAt == 0) {
+      r.emptiedAt = now;
+      r.cramped = false;
+      r.badSince = 0;
+    }
+    if (now - r.emptiedAt < 1000 * r.order.watchS()) {
+      return;
+    }
+    String out = judge.replicasOut();
+    if (out == null) {
+      choose(r);
+    } else if (now - r.emptiedAt > 1000 * r.order.watchS() + settings.workers().leaseMs()) {
+      pause(r, out, false);
+    }
+  }
+
+  /**
+   * What stands still for longer than a lease says why, on record; seldom enough to cost little.
+   */
+  private void remarkIfStuck(Running r, List<Host> left) {
+    long now = clock.now();
+    String why = null;
+    for (Host h : left) {
+      String because = drains.progress(h).because();
+      if (because != null) {
+        why = h.id() + ": " + because;
+        break;
+      }
+    }
+    if (why == null) {
+      r.badSince = 0;
+      return;
+    }
+    boolean noRoom = left.stream().anyMatch(h -> drains.progress(h).noPlace());
+    if (r.badSince == 0) {
+      r.badSince = now;
+    }
+    r.cramped |= noRoom && now - r.badSince > settings.workers().reportMs();
+    if (noRoom && left.size() > 1 && now - r.badSince > 2 * settings.workers().reportMs()) {
+      // The others go back into use, and their room with them.
+      String only = machines.next(left, Set.of(), Set.of(), 1).stream().findFirst().orElse(null);
+      if (only != null) {
+        r.badSince = 0;
+        String said = "no room for what runs on " + left.size() + " machines: one by one";
+        write(r, r.progress.only(Set.of(only), r.progress.stepWall(), said), () -> {});
+      }
+    } else if (now - r.badSince > settings.workers().leaseMs() && !why.equals(r.bad)) {
+      r.bad = why;
+      r.badSince = now;
+      write(r, r.progress.remark(why), () -> {});
+    }
+  }
+
+  private void pause(Running r, String why, boolean untilTold) {
+    LOG.info("replacement {} pauses: {}", r.name, why);
+    write(r, r.progress.pause(why, untilTold), () -> note(r.name, "paused", why));
+  }
+
+  private void resumeIfWell(Running r) {
+    boolean well =
+        !r.progress.byWord() && judge.outside(lags) == null && judge.replicasOut() == null;
+    if (!well) {
+      r.goodSince = 0;
+    } else if (r.goodSince == 0) {
+      r.goodSince = clock.now();
+    } else if (clock.now() - r.goodSince > 2 * settings.workers().reportMs()) {
+      write(r, r.progress.resume(clock.wall()), () -> note(r.name, "resumed", null));
+    }
+  }
+
+  /** On record first; nothing of it is done before. */
+  private void write(Running r, Progress next, Runnable then) {
+    r.writing = true;
+    String key = Keys.REPLACE + r.name;
+    Txn txn = leadership.guard(new Txn()).when(key, r.stamp).put(key, r.record(next));
+    int written = generation;
+    state.commit(
+        txn,
+        Priority.BOOKKEEPING,
+        settings.workers().reportMs(),
+        outcome -> {
+          if (written != generation) {
+            return;
+          }
+          Running now = orders.get(r.name);
+          if (now != null) {
+            now.writing = false;
+          }
+          if (outcome instanceof Outcome.Applied a) {
+            if (now != null && now.stamp < a.stamp()) {
+              now.stamp = a.stamp();
+              now.progress = next;
+            }
+            changed.run();
+            note(r.name, next.phase().name().toLowerCase(java.util.Locale.ROOT), next.remark());
+            then.run();
+          } else if (outcome instanceof Outcome.Conflict c && c.failed().contains(Keys.LEADER)) {
+            leadership.guardFailed();
+          }
+          // Otherwise the replica shows what is on record, and the next look goes on from there.
+        });
+  }
+
+  /** How long such a machine takes to boot. */
+  double bootS(Host h) {
+    return h.type() == null
+        ? types.all().stream().mapToDouble(MachineType::bootS).max().orElse(60)
+        : h.type().bootS();
+  }
+
+  /** An event of an order. */
+  void note(String name, String what, String why) {
+    events.note(
+        Events.Kind.REPLACEMENT,
+        o -> {
+          o.put("replacement", name).put("state", what);
+          if (why != null) {
+            o.put("reason", why);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/state/Wishes.java
@@ -0,0 +1,82 @@
+package dapplestair.state;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.ports.Clock;
+import dapplestair.state.StateClient.Priority;
+import java.util.function.Consumer;
+
+/** Records what operators wish, each wish conditional on the record that they were shown. */
+public final class Wishes {
+  /** How a wish ended. */
+  public enum Result {
+    /** Recorded, or recorded already. */
+    DONE,
+    /** Somebody else changed it at the same moment: look again. */
+    CHANGED,
+    /** It cannot be told whether it is recorded. */
+    UNKNOWN,
+    /** Surely not recorded: the state service is busy or out. */
+    REFUSED
+  }
+
+  private final Clock clock;
+  private final StateClient state;
+  private final Replica replica;
+
+  /** Writes by this client, on what this replica shows. */
+  public Wishes(Clock clock, StateClient state, Replica replica) {
+    this.clock = clock;
+    this.state = state;
+    this.replica = replica;
+  }
+
+  /** Gives a key this value, or removes it if there is none. */
+  public void record(String key, ObjectNode value, long deadline, Consumer<Result> done) {
+    long stamp = replica.stamp(key);
+    if (value == null && stamp == 0) {
+      done.accept(Result.DONE);
+      return;
+    }
+    Txn txn = new Txn().when(key, stamp);
+    if (value == null) {
+      txn.remove(key);
+    } else {
+      txn.put(key, value);
+    }
+    state.commit(
+        txn,
+        Priority.USER,
+        Math.max(0, deadline - clock.now()),
+        outcome -> {
+          if (outcome instanceof Outcome.Applied) {
+            done.accept(Result.DONE);
+          } else if (outcome instanceof Outcome.Conflict) {
+            // Somebody else's change, or our own write that went unanswered before.
+            settle(key, value, -1, deadline, done);
+          } else if (outcome instanceof Outcome.Unknown) {
+            settle(key, value, stamp, deadline, done);
+          } else {
+            done.accept(Result.REFUSED);
+          }
+        });
+  }
+
+  /** No answer: what is recorded now tells, unless the write is still to come. */
+  private void settle(
+      String key, ObjectNode value, long stampBefore, long deadline, Consumer<Result> done) {
+    state.get(
+        key,
+        read -> {
+          boolean asWanted =
+              read.known() && (value == null ? !read.exists() : value.equals(read.value()));
+          if (asWanted) {
+            done.accept(Result.DONE);
+          } else if (read.known() && read.stamp() == stampBefore && clock.now() < deadline) {
+            // The same condition again: only one of the two can ever be applied.
+            record(key, value, deadline, done);
+          } else {
+            done.accept(read.known() ? Result.CHANGED : Result.UNKNOWN);
+          }
+        });
+  }
+}
--- a/src/main/java/dapplestair/workers/Host.java
+++ b/src/main/java/dapplestair/workers/Host.java
@@ -40,6 +40,7 @@
   private boolean cordoned;
   private boolean drained;
   private boolean saidUp;
+  private long leavesAt = Long.MAX_VALUE;
   private boolean outOfReach;
   private long zoneSilentMs;
 
@@ -251,6 +252,21 @@
     return jobsFailed.size();
   }
 
+  /** Tasks completed here, as far as this leader has seen. */
+  public int completed() {
+    return completed;
+  }
+
+  /** When it is to be emptied, steady time, or {@link Long#MAX_VALUE}. */
+  public long leavesAt() {
+    return leavesAt;
+  }
+
+  /** It is to be emptied then: it takes only what ends before. */
+  public void setLeavesAt(long at) {
+    leavesAt = at;
+  }
+
   /** Failures since a task last completed here. */
   public int failuresInARow() {
     return failuresInARow;
--- a/src/test/java/dapplestair/world/Checker.java
+++ b/src/test/java/dapplestair/world/Checker.java
@@ -148,6 +148,14 @@
     }
   }
 
+  /** A machine that nobody has heard for a while is given up, not chosen. */
+  @Override
+  public void returned(EmulatedWorker w, EmulatedTask task) {
+    if (w.unansweredMs() < 3 * World.REPORT_MS / 2) {
+      stopped(w, task);
+    }
+  }
+
   /** What became of the jobs of one class, or of one team. */
   static final class Served {
     int jobs;
--- /dev/null
+++ b/src/test/java/dapplestair/world/ReplacementTest.java
@@ -0,0 +1,361 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.emulator.EmulatedWorker;
+import dapplestair.json.Json;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.StreamSupport;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Workers replaced in steps while machines, zones, leaders, cloud and state service fail. */
+class ReplacementTest {
+  private static final String NIGHT = "/v1/replacements/night";
+
+  static Set<String> machines(World w) {
+    return w.cloud.machines().stream()
+        .filter(m -> !m.gone())
+        .map(EmulatedWorker::id)
+        .collect(Collectors.toSet());
+  }
+
+  private static ObjectNode all(int step, int beyond) {
+    return Json.object().put("older_s", 0.001).put("step", step).put("beyond", beyond);
+  }
+
+  /** Waits until the order is done; its last view. */
+  static JsonNode untilDone(World w, long mostMs) {
+    JsonNode seen = null;
+    for (long t = 0; t < mostMs; t += 3000) {
+      seen = OperatorsTest.answer(w, NIGHT);
+      if (seen.path("state").asText().equals("done")) {
+        return seen;
+      }
+      w.run(1500);
+    }
+    throw new AssertionError("not done: " + seen);
+  }
+
+  private static void assertReplaced(World w, Set<String> before, int replicas) {
+    Set<String> left = machines(w);
+    left.retainAll(before);
+    assertEquals(Set.of(), left, "old machines are left");
+    w.run(30_000);
+    assertEquals(replicas, DisruptionTest.replicas(w), "replicas in the end");
+  }
+
+  /** All machines go, new ones first, within the budgets; then nothing old is left. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 3, 4})
+  void aFleetIsNewInTheMorning(long seed) {
+    World w = DisruptionTest.begun(seed, 2, 3);
+    Set<String> before = machines(w);
+    int replicas = DisruptionTest.replicas(w);
+    OperatorsTest.order(w, NIGHT + "/start", all(3, 3));
+    int killed = w.cloud.killedByRelease();
+    JsonNode end = untilDone(w, 900_000);
+    assertReplaced(w, before, replicas);
+    assertEquals(killed, w.cloud.killedByRelease(), "tasks killed by returning machines");
+    assertTrue(end.path("steps").asInt() >= before.size() / 3, end.toString());
+  }
+
+  /** What goes wrong while workers are replaced. */
+  enum Trouble {
+    LEADERS_END {
+      @Override
+      void strike(World w) {
+        if (w.leader() != null) {
+          w.leader().crash(w.sim.between(500, 5000));
+        }
+      }
+    },
+    ALL_END {
+      @Override
+      void strike(World w) {
+        w.nodes.forEach(n -> n.crash(w.sim.between(500, 5000)));
+      }
+    },
+    OLD_DIES {
+      @Override
+      void strike(World w) {
+        batch(w).stream().limit(1).forEach(EmulatedWorker::end);
+      }
+    },
+    OLD_HANGS {
+      @Override
+      void strike(World w) {
+        batch(w).stream().limit(1).forEach(m -> m.hang(w.sim.between(2000, 25_000)));
+      }
+    },
+    OLD_IS_CUT_OFF {
+      @Override
+      void strike(World w) {
+        boolean hold = w.sim.chance(0.5);
+        for (EmulatedWorker m : batch(w)) {
+          for (World.Node n : w.nodes) {
+            for (String node : List.of("node-" + n.index, World.client(n.index))) {
+              w.net.cut(node, m.endpoint(), hold);
+              w.sim.after(9000, () -> w.net.heal(node, m.endpoint()));
+            }
+          }
+        }
+      }
+    },
+    OLD_IS_TAKEN {
+      @Override
+      void strike(World w) {
+        batch(w).stream().limit(1).forEach(m -> m.recall(w.sim.between(1000, 9000)));
+      }
+    },
+    TAKER_DIES_WHILE_IT_FETCHES {
+      @Override
+      void strike(World w) {
+        w.cloud.machines().stream()
+            .filter(m -> !m.gone())
+            .filter(m -> m.tasks().stream().anyMatch(t -> t.status().equals("fetching")))
+            .limit(1)
+            .toList()
+            .forEach(EmulatedWorker::end);
+      }
+    },
+    ANSWERS_ARE_LOST {
+      @Override
+      void strike(World w) {
+        for (EmulatedWorker m : batch(w)) {
+          for (World.Node n : w.nodes) {
+            w.net.cutOneWay(m.endpoint(), "node-" + n.index);
+            w.sim.after(4000, () -> w.net.healOneWay(m.endpoint(), "node-" + n.index));
+          }
+        }
+      }
+    },
+    NEW_ONES_SELDOM_BOOT {
+      @Override
+      void strike(World w) {
+        w.cloud.setNeverBoots(w.sim.chance(0.5) ? 0.5 : 0);
+      }
+    },
+    CLOUD_IS_OUT {
+      @Override
+      void strike(World w) {
+        boolean down = w.sim.chance(0.5);
+        w.cloud.setDown(down);
+        w.cloud.setCapacity(down ? 1 : 0.4);
+        w.sim.after(
+            12_000,
+            () -> {
+              w.cloud.setDown(false);
+              w.cloud.setCapacity(1);
+            });
+      }
+    },
+    STATE_IS_OUT {
+      @Override
+      void strike(World w) {
+        w.state.fail();
+        w.sim.after(w.sim.between(2000, 15_000), w.state::recover);
+      }
+    },
+    A_ZONE_IS_CUT {
+      @Override
+      void strike(World w) {
+        w.cutZone(World.ZONES.get((int) w.sim.between(0, 2)), w.sim.chance(0.5), 14_000);
+      }
+    },
+    A_BURST_COMES {
+      @Override
+      void strike(World w) {
+        w.users.array("two", "standard", 80, 8);
+        w.users.service("two", 2);
+      }
+    },
+    SPOT_WAVE {
+      @Override
+      void strike(World w) {
+        for (EmulatedWorker m : w.cloud.machines()) {
+          if (m.spot() && w.sim.chance(0.5)) {
+            m.recall(w.sim.chance(0.5) ? 0 : 6000);
+          }
+        }
+      }
+    };
+
+    abstract void strike(World w);
+
+    /** The machines that are being emptied, by what is on record. */
+    static List<EmulatedWorker> batch(World w) {
+      JsonNode order = w.state.value("live/replace/night");
+      Set<String> names =
+          order == null
+              ? Set.of()
+              : StreamSupport.stream(order.path("progress").path("batch").spliterator(), false)
+                  .map(JsonNode::asText)
+                  .collect(Collectors.toSet());
+      return w.cloud.machines().stream().filter(m -> !m.gone() && names.contains(m.id())).toList();
+    }
+  }
+
+  /** Whatever fails, budgets hold and the order goes on until the fleet is new. */
+  @ParameterizedTest(name = "{0}")
+  @EnumSource(Trouble.class)
+  void theOrderGoesOnThrough(Trouble trouble) {
+    for (long seed = 1; seed <= 2; seed++) {
+      World w = DisruptionTest.begun(100 * trouble.ordinal() + seed, 2, 3);
+      try {
+        Set<String> before = machines(w);
+        OperatorsTest.order(w, NIGHT + "/start", all(3, 3));
+        for (int i = 0; i < 7; i++) {
+          w.run(w.sim.between(1500, 9000));
+          trouble.strike(w);
+        }
+        w.run(10_000);
+        w.cloud.setNeverBoots(0);
+        untilDone(w, 900_000);
+        int wanted =
+            w.users.told.values().stream()
+                .filter(j -> j.service && j.accepted)
+                .mapToInt(j -> j.steps)
+                .sum();
+        assertReplaced(w, before, wanted);
+        w.checker.checkServed();
+      } catch (AssertionError e) {
+        throw new AssertionError(trouble + ", seed " + seed + ": " + e.getMessage(), e);
+      }
+    }
+  }
+
+  /** New machines that fail every task stop the order until somebody says go on. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {61, 62, 63})
+  void badNewMachinesPauseTheOrder(long seed) {
+    World w = DisruptionTest.begun(seed, 2, 3);
+    Set<String> before = machines(w);
+    int replicas = DisruptionTest.replicas(w);
+    w.cloud.setSick(true);
+    OperatorsTest.order(w, NIGHT + "/start", all(4, 4));
+    w.users.array("one", "high", 60, 5);
+    JsonNode seen = null;
+    for (int i = 0; i < 60 && (seen == null || !seen.has("paused")); i++) {
+      w.users.array("two", "high", 20, 5);
+      w.run(2000);
+      seen = OperatorsTest.answer(w, NIGHT);
+    }
+    assertEquals("when told to", seen.path("goes_on").asText(), seen.toString());
+    assertTrue(seen.path("paused").asText().contains("fail tasks"), seen.toString());
+    w.leader().crash(3000);
+    w.run(60_000);
+    seen = OperatorsTest.answer(w, NIGHT);
+    assertEquals("paused", seen.path("state").asText(), "another leader has not forgotten it");
+    w.cloud.setSick(false);
+    w.run(30_000);
+    OperatorsTest.order(w, NIGHT + "/resume", Json.object());
+    untilDone(w, 900_000);
+    assertReplaced(w, before, replicas);
+  }
+
+  /** Aborted half way: what is still old is in use again, and stays. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {71, 72})
+  void abortTakesTheOldBackIntoUse(long seed) {
+    World w = DisruptionTest.begun(seed, 2, 3);
+    Set<String> before = machines(w);
+    OperatorsTest.order(w, NIGHT + "/start", all(2, 2));
+    for (int i = 0; i < 200 && before.equals(intersection(machines(w), before)); i++) {
+      w.run(1000);
+    }
+    OperatorsTest.order(w, NIGHT + "/abort", Json.object());
+    w.run(3000);
+    assertEquals(null, w.state.value("live/replace/night"));
+    for (JsonNode row : OperatorsTest.answer(w, "/v1/machines").path("rows")) {
+      assertTrue(!row.path("drained").asBoolean(), "still drained: " + row);
+    }
+    w.run(20_000);
+    assertEquals(72, DisruptionTest.replicas(w), "replicas in the end");
+  }
+
+  private static Set<String> intersection(Set<String> a, Set<String> b) {
+    a.retainAll(b);
+    return a;
+  }
+
+  /** A drain of machines, one of a zone and two replacements of the same ones; all end. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {81, 82, 83})
+  void ordersThatOverlapAllEnd(long seed) {
+    World w = DisruptionTest.begun(seed, 1, 2);
+    Set<String> before = machines(w);
+    String some = before.stream().sorted().findFirst().orElseThrow();
+    OperatorsTest.order(w, NIGHT + "/start", all(2, 2));
+    OperatorsTest.order(w, "/v1/replacements/second/start", all(1, 1).put("spot", false));
+    OperatorsTest.order(w, "/v1/machines/" + some + "/drain", Json.object());
+    OperatorsTest.order(w, "/v1/zones/b/drain", Json.object());
+    w.run(40_000);
+    w.leader().crash(2000);
+    w.run(20_000);
+    OperatorsTest.order(w, "/v1/zones/b/undrain", Json.object());
+    untilDone(w, 900_000);
+    assertReplaced(w, before, 72);
+    JsonNode second = OperatorsTest.answer(w, "/v1/replacements/second");
+    w.run(60_000);
+    second = OperatorsTest.answer(w, "/v1/replacements/second");
+    assertEquals("done", second.path("state").asText(), second.toString());
+  }
+
+  /** What cannot be meant is refused with field and value, and nothing is recorded. */
+  @Test
+  void badInputIsRefused() {
+    World w = DisruptionTest.begun(91, 1, 1);
+    String[][] bad = {
+      {"{\"zone\":\"x\"}", "zone = \"x\": no such zone"},
+      {"{\"type\":\"huge\"}", "type = \"huge\": no such type"},
+      {"{\"zone\":\"a\",\"older_s\":1e8}", "matches no machine"},
+      {"{}", "name a zone"},
+      {"{\"zone\":\"a\",\"step\":0}", "step = 0: must be a number from 1 to 200"},
+      {"{\"zone\":\"a\",\"beyond\":-1}", "beyond = -1"},
+      {"{\"zone\":\"a\",\"step_ratio\":0}", "step_ratio = 0"},
+      {"{\"zone\":\"a\",\"step_ratio\":7}", "step_ratio = 7"},
+      {"{\"zone\":\"a\",\"watch_s\":\"long\"}", "watch_s = \"long\""}
+    };
+    for (String[] b : bad) {
+      int[] status = {0};
+      String[] words = {""};
+      OperatorsTest.ask(
+          w,
+          0,
+          "POST",
+          NIGHT + "/start",
+          Json.parse(b[0].getBytes(java.nio.charset.StandardCharsets.UTF_8)),
+          r -> {
+            status[0] = r.status();
+            words[0] = new String(r.body(), java.nio.charset.StandardCharsets.UTF_8);
+          });
+      w.run(3000);
+      assertEquals(400, status[0], b[0] + " " + words[0]);
+      assertTrue(words[0].replace("\\", "").contains(b[1]), words[0]);
+    }
+    assertEquals(null, w.state.value("live/replace/night"));
+  }
+
+  /** The same order is the same order, also when no old machine is left. */
+  @Test
+  void anOrderRepeatedIsTheSame() {
+    World w = DisruptionTest.begun(92, 3, 3);
+    ObjectNode order = Json.object().put("zone", "a").put("step", 4).put("beyond", 4);
+    OperatorsTest.order(w, NIGHT + "/start", order);
+    long at = w.state.value("live/replace/night").path("at").asLong();
+    w.run(5000);
+    OperatorsTest.order(w, NIGHT + "/start", order);
+    assertEquals(at, w.state.value("live/replace/night").path("at").asLong());
+    untilDone(w, 600_000);
+    OperatorsTest.order(w, NIGHT + "/start", order);
+    assertEquals(at, w.state.value("live/replace/night").path("at").asLong());
+  }
+}
