--- a/src/main/java/dapplestair/admin/ReplaceDesk.java
+++ b/src/main/java/dapplestair/admin/ReplaceDesk.java
@@ -105,7 +105,7 @@
     if (v.endS() >= 0) {
       o.put("expected_end_s", Math.rint(v.endS()));
     }
-    v.batch().forEach(o.putArray("machines")::add);
+    o.put("machines", String.join(" ", v.batch()));
     return o;
   }
 
--- a/src/main/java/dapplestair/client/Api.java
+++ b/src/main/java/dapplestair/client/Api.java
@@ -175,7 +175,12 @@
   }
 
   private static Failure refused(String endpoint, HttpResponse<byte[]> r) {
-    int code = r.statusCode() == 404 ? Failure.NO_SUCH_THING : Failure.REFUSED;
+    int code =
+        switch (r.statusCode()) {
+          case 400 -> Failure.WRONG_USAGE;
+          case 404 -> Failure.NO_SUCH_THING;
+          default -> Failure.REFUSED;
+        };
     return new Failure(code, error(r) + " (" + r.statusCode() + " from " + endpoint + ")");
   }
 
--- a/src/main/java/dapplestair/replacement/Replacements.java
+++ b/src/main/java/dapplestair/replacement/Replacements.java
@@ -256,7 +256,7 @@
     return new View(
         r.name,
         r.order,
-        r.progress.phase().name().toLowerCase(java.util.Locale.ROOT),
+        phase(r.progress),
         r.progress.steps(),
         new TreeSet<>(r.progress.batch()),
         left,
@@ -266,6 +266,11 @@
         endS);
   }
 
+  private String phase(Progress p) {
+    boolean watched = p.phase() == Phase.EMPTY && machines.left(p.batch()).isEmpty();
+    return watched ? "watch" : p.phase().name().toLowerCase(java.util.Locale.ROOT);
+  }
+
   /** The recorded form of a new order. */
   public static ObjectNode begun(Order order) {
     ObjectNode o = order.toJson();
