--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -260,11 +260,6 @@
     return supply.capacity(slot, otherwise);
   }
 
-  /** True when the cloud may have more of a slot somewhere. */
-  public boolean mayHaveMore(Slot slot) {
-    return supply.open(slot);
-  }
-
   /** Keeps new work from so many steady machines of a slot, those that empty soonest. */
   public void cordon(Slot slot, int count) {
     stock.cordon(slot, count);
--- a/src/main/java/dapplestair/replacement/Room.java
+++ b/src/main/java/dapplestair/replacement/Room.java
@@ -80,9 +80,4 @@
     }
     return true;
   }
-
-  /** True when the cloud may still have more of one of these kinds. */
-  boolean open(Map<Slot, Integer> batch) {
-    return batch.keySet().stream().anyMatch(fleet::mayHaveMore);
-  }
 }
--- a/src/main/java/dapplestair/replacement/Steps.java
+++ b/src/main/java/dapplestair/replacement/Steps.java
@@ -163,12 +163,21 @@
     if (since < BOOT_OVERDUE * 1000 * bootS) {
       return;
     }
-    if (!room.open(Machines.bySlot(left))) {
-      String first = left.get(0).id();
-      String why = "the cloud has no machine beyond to give: one by one, none beyond";
-      write(r, r.progress.only(Set.of(first), clock.wall(), why), () -> {});
-    } else if (since > 2 * BOOT_OVERDUE * 1000 * bootS) {
-      pause(r, "new machines do not come up", true);
+    List<Host> fresh = machines.fresh(r.order, r.progress.judgedWall());
+    int up = (int) fresh.stream().filter(Host::up).count();
+    if (up == 0 && !fresh.isEmpty()) {
+      // They are there, and not one of them boots: that is their fault, not the cloud's.
+      if (since > 2 * BOOT_OVERDUE * 1000 * bootS) {
+        pause(r, "new machines do not come up", true);
+      }
+      return;
+    }
+    Set<String> fewer = machines.next(left, Set.of(), Set.of(), Math.max(1, up));
+    if (!fewer.isEmpty()) {
+      String why =
+          "the cloud gave %d machines beyond for %d: %d at a time"
+              .formatted(up, left.size(), fewer.size());
+      write(r, r.progress.only(fewer, clock.wall(), why), () -> {});
     }
   }
 
--- a/src/test/java/dapplestair/world/DisruptionTest.java
+++ b/src/test/java/dapplestair/world/DisruptionTest.java
@@ -260,4 +260,19 @@
     assertTrue(lost <= most + 1e-6, lost + " CPU seconds thrown away of " + most);
     assertTrue(array.accepted && !array.done);
   }
+
+  /** Operators lower a budget while more is out than it allows: nothing more goes until it fits. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {31, 32, 33})
+  void aBudgetLoweredBelowWhatIsOut(long seed) {
+    World w = begun(seed, 6, 6);
+    OperatorsTest.order(w, "/v1/zones/c/drain", Json.object());
+    w.run(600);
+    assertTrue(w.checker.mostStopped.get("one") > 1, "only one was out");
+    allow(w, 1, 1);
+    w.checker.mostStopped.clear();
+    w.run(150_000);
+    assertEquals(2 * REPLICAS, replicas(w), "replicas in the end");
+    assertEquals(0, tasksIn(w, "c"), "tasks left in the zone");
+  }
 }
--- a/src/test/java/dapplestair/world/ReplacementTest.java
+++ b/src/test/java/dapplestair/world/ReplacementTest.java
@@ -232,6 +232,52 @@
     }
   }
 
+  /** Troubles of every kind, alone and overlapping, over some hundred machines in three zones. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {501, 502})
+  void aLargeFleetIsNewThroughAMixOfTroubles(long seed) {
+    World w = new World(seed, World.Size.GROWN, true);
+    w.checker.budget = team -> Math.max(1, (int) Math.ceil(0.1 * wanted(w, team)));
+    try {
+      w.users.quiet = true;
+      w.run(8000);
+      for (int i = 0; i < 210; i++) {
+        w.users.service(i % 2 == 0 ? "one" : "two", 6);
+      }
+      boolean[] busy = {true};
+      ReplacementCosts.load(w, busy);
+      w.run(100_000);
+      Set<String> before = machines(w);
+      assertTrue(before.size() > 200, before.size() + " machines");
+      Troubles troubles = new Troubles(w);
+      OperatorsTest.order(w, NIGHT + "/start", all(20, 20));
+      troubles.begin(9000);
+      w.run(120_000);
+      troubles.end();
+      busy[0] = false;
+      w.run(30_000);
+      JsonNode seen = OperatorsTest.answer(w, NIGHT);
+      if (seen.path("goes_on").asText().equals("when told to")) {
+        OperatorsTest.order(w, NIGHT + "/resume", Json.object());
+      }
+      untilDone(w, 1_500_000);
+      Set<String> left = machines(w);
+      left.retainAll(before);
+      assertEquals(Set.of(), left, "old machines are left");
+      w.checker.checkServed();
+    } catch (AssertionError e) {
+      throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+    }
+  }
+
+  /** As users see it; services that just came or went are the product's to know a moment later. */
+  private static int wanted(World w, String team) {
+    return w.users.told.values().stream()
+        .filter(j -> j.service && j.team.equals(team) && j.accepted && !j.aborted)
+        .mapToInt(j -> j.steps)
+        .sum();
+  }
+
   /** New machines that fail every task stop the order until somebody says go on. */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {61, 62, 63})
