--- a/src/test/java/dapplestair/world/ReplacementTest.java
+++ b/src/test/java/dapplestair/world/ReplacementTest.java
@@ -327,6 +327,26 @@
     assertEquals(72, DisruptionTest.replicas(w), "replicas in the end");
   }
 
+  /** What a former leader wrote arrives when the order has been aborted: it stays aborted. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {75, 76, 77, 78})
+  void aLateWriteDoesNotRevive(long seed) {
+    World w = DisruptionTest.begun(seed, 2, 3);
+    for (int i = 0; i < 5; i++) {
+      OperatorsTest.order(w, NIGHT + "/start", all(1, i % 2).put("watch_s", 0));
+      w.run(w.sim.between(1000, 9000));
+      World.Node leader = w.leader();
+      w.net.cut("node-" + leader.index, "state:1", true);
+      for (int k = 0; k < 60 && (w.leader() == null || w.leader() == leader); k++) {
+        w.run(500);
+      }
+      OperatorsTest.order(w, NIGHT + "/abort", Json.object());
+      w.net.heal("node-" + leader.index, "state:1");
+      w.run(8000);
+      assertEquals(null, w.state.value("live/replace/night"), "the order is back");
+    }
+  }
+
   private static Set<String> intersection(Set<String> a, Set<String> b) {
     a.retainAll(b);
     return a;
