--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -243,6 +243,16 @@
             });
   }
 
+  /** Rents one more in this zone; false when nothing is to be had there now. */
+  public boolean rentIn(Slot slot, String zone) {
+    Place place = new Place(slot, zone);
+    if (!leading || !supply.mayRent(place)) {
+      return false;
+    }
+    rentals.begin(place, 1);
+    return true;
+  }
+
   // ---- views ----
 
   /** Machines of a slot that are or will be of use. */
--- a/src/main/java/dapplestair/fleet/Supply.java
+++ b/src/main/java/dapplestair/fleet/Supply.java
@@ -61,11 +61,15 @@
     return refusedUntil.getOrDefault(place, Long.MIN_VALUE) <= clock.now();
   }
 
+  /** True when there may be more, and something may be rented there. */
+  boolean mayRent(Place place) {
+    return open(place) && !closed.test(place.zone());
+  }
+
   /** True when some zone may have more of this slot. */
   boolean open(Slot slot) {
     MachineType t = types.get(slot.type());
-    return t != null
-        && t.zones().stream().anyMatch(z -> !closed.test(z) && open(new Place(slot, z)));
+    return t != null && t.zones().stream().anyMatch(z -> mayRent(new Place(slot, z)));
   }
 
   /** Most machines of a slot that the cloud has shown to give, or {@code otherwise}. */
@@ -93,7 +97,7 @@
     Map<Place, Integer> have = new HashMap<>();
     for (String z : type.zones()) {
       Place p = new Place(slot, z);
-      if (open(p) && !closed.test(z)) {
+      if (mayRent(p)) {
         share.put(p, 0);
         have.put(p, staying.applyAsInt(p));
       }
--- a/src/main/java/dapplestair/replacement/Room.java
+++ b/src/main/java/dapplestair/replacement/Room.java
@@ -63,6 +63,28 @@
     return 0;
   }
 
+  /**
+   * Returns an empty machine of the same kind in another zone and rents one where this one is: its
+   * replicas may go there whatever their spread. The count stays the same; false if none is empty.
+   */
+  boolean swap(Host stuck) {
+    if (stuck.type() == null) {
+      return false;
+    }
+    Slot slot = Machines.slot(stuck);
+    for (Host h : desk.hosts()) {
+      if (h.up()
+          && h.idle()
+          && fleet.counts(h, slot)
+          && desk.fresh(h)
+          && !stuck.zone().equals(h.zone())
+          && fleet.rentIn(slot, stuck.zone())) {
+        return fleet.release(h);
+      }
+    }
+    return false;
+  }
+
   /** True when all that plan and order want is up and heard. */
   boolean ready(Map<Slot, Integer> batch, ToIntFunction<Slot> extra) {
     Planning.Applied plan = planning.applied();
--- a/src/main/java/dapplestair/replacement/Running.java
+++ b/src/main/java/dapplestair/replacement/Running.java
@@ -19,6 +19,7 @@
   long goodSince;
   long emptiedAt;
   boolean cramped;
+  long swappedAt;
 
   Running(String name, JsonNode value, long stamp) {
     this.name = name;
--- a/src/main/java/dapplestair/replacement/Steps.java
+++ b/src/main/java/dapplestair/replacement/Steps.java
@@ -227,6 +227,7 @@
       r.badSince = now;
     }
     r.cramped |= noRoom && now - r.badSince > settings.workers().reportMs();
+    swapIfCramped(r, left, now);
     if (noRoom && left.size() > 1 && now - r.badSince > 2 * settings.workers().reportMs()) {
       // The others go back into use, and their room with them.
       String only = machines.next(left, Set.of(), Set.of(), 1).stream().findFirst().orElse(null);
@@ -242,6 +243,23 @@
     }
   }
 
+  /**
+   * Once for each time that a machine may take to come: an empty one for one where it is needed.
+   */
+  private void swapIfCramped(Running r, List<Host> left, long now) {
+    if (!r.cramped) {
+      r.swappedAt = 0;
+      return;
+    }
+    Host stuck = left.get(0);
+    if (r.swappedAt == 0) {
+      r.swappedAt = now;
+    } else if (now - r.swappedAt > BOOT_OVERDUE * 1000 * bootS(stuck) && room.swap(stuck)) {
+      LOG.info("replacement {}: an empty machine is given for one in {}", r.name, stuck.zone());
+      r.swappedAt = now;
+    }
+  }
+
   private void pause(Running r, String why, boolean untilTold) {
     LOG.info("replacement {} pauses: {}", r.name, why);
     write(r, r.progress.pause(why, untilTold), () -> note(r.name, "paused", why));
--- a/src/test/java/dapplestair/session/ReplaceSessionTest.java
+++ b/src/test/java/dapplestair/session/ReplaceSessionTest.java
@@ -109,6 +109,11 @@
       until("replicas", () -> replicas() == SERVICES * REPLICAS);
       TreeSet<String> old = machines();
       assertTrue(old.size() >= (LONG ? 40 : 6), old.toString());
+      Ended bad = run("replace", "start", "night", "--zone", "nowhere");
+      assertEquals(2, bad.code(), bad.err());
+      assertTrue(bad.err().contains("zone = \"nowhere\": no such zone"), bad.err());
+      assertEquals(2, run("replace", "start", "night", "--zone", "a", "--step", "0").code());
+      assertEquals(4, run("replace", "show", "night").code());
       good("replace", "start", "night", "--older", "0.5", "--step", "4", "--beyond", "4");
       for (int i = 0; i < KILLS; i++) {
         int before = left(old);
--- a/src/test/java/dapplestair/world/ReplacementCosts.java
+++ b/src/test/java/dapplestair/world/ReplacementCosts.java
@@ -11,6 +11,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import org.HdrHistogram.Histogram;
 
 /**
  * What it costs to replace all workers under load, in the seeded world; started by hand. Times are
@@ -39,6 +40,10 @@
     int perPlace = args.length > 0 ? Integer.parseInt(args[0]) : 60;
     int services = args.length > 1 ? Integer.parseInt(args[1]) : 200;
     boolean few = args.length > 2;
+    if (few && args[2].equals("look")) {
+      look(perPlace, services);
+      return;
+    }
     List<Way> ways = new ArrayList<>(List.of(new Way(0, 1, false), new Way(0, 0.1, false)));
     for (double step : few ? new double[] {0.05} : new double[] {0.01, 0.05, 0.2}) {
       for (double budget : few ? new double[] {0.02} : new double[] {0.01, 0.02, 0.1}) {
@@ -51,6 +56,24 @@
     ways.parallelStream().map(w -> play(w, perPlace, services)).forEachOrdered(System.out::println);
   }
 
+  /** Processor time of one scrape of the metrics, which looks at all attempts several times. */
+  private static void look(int perPlace, int services) {
+    World w = begun(new Way(0.05, 0.1, true), perPlace, services);
+    int attempts = w.cloud.machines().stream().mapToInt(m -> m.gone() ? 0 : m.tasks().size()).sum();
+    Histogram micros = new Histogram(60_000_000, 3);
+    for (int i = 0; i < 400; i++) {
+      w.run(50);
+      long at = System.nanoTime();
+      w.leader().ask("GET", "/metrics", r -> {});
+      if (i >= 100) {
+        micros.recordValue((System.nanoTime() - at) / 1000);
+      }
+    }
+    System.out.printf(
+        "%d attempts: median %d, 99 of 100 %d microseconds%n",
+        attempts, micros.getValueAtPercentile(50), micros.getValueAtPercentile(99));
+  }
+
   private static World begun(Way way, int perPlace, int services) {
     World w = new World(4711, new World.Size(perPlace, 8.0 * perPlace * 3, 1_000_000, 1), true);
     w.net.loss = 0;
--- a/src/test/java/dapplestair/world/ReplacementTest.java
+++ b/src/test/java/dapplestair/world/ReplacementTest.java
@@ -164,6 +164,25 @@
         w.sim.after(w.sim.between(2000, 15_000), w.state::recover);
       }
     },
+    CLOUD_ACTS_LATE {
+      @Override
+      void strike(World w) {
+        late(w, "cloud:1");
+      }
+    },
+    STATE_ACTS_LATE {
+      @Override
+      void strike(World w) {
+        late(w, "state:1");
+      }
+    },
+    GUARANTEE_IS_CALLED {
+      @Override
+      void strike(World w) {
+        w.users.changed("two", 60, 6, b -> b.put("rank", "high").put("loaners", false));
+        w.users.changed("one", 60, 20, b -> b.put("rank", "low").put("loaners", false));
+      }
+    },
     A_ZONE_IS_CUT {
       @Override
       void strike(World w) {
@@ -190,6 +209,15 @@
 
     abstract void strike(World w);
 
+    /** What a leader sends there is held back, and done when another one may lead. */
+    private static void late(World w, String to) {
+      if (w.leader() != null) {
+        String from = "node-" + w.leader().index;
+        w.net.cut(from, to, true);
+        w.sim.after(w.sim.between(2000, 12_000), () -> w.net.heal(from, to));
+      }
+    }
+
     /** The machines that are being emptied, by what is on record. */
     static List<EmulatedWorker> batch(World w) {
       JsonNode order = w.state.value("live/replace/night");
@@ -307,6 +335,28 @@
     assertReplaced(w, before, replicas);
   }
 
+  /** What an order writes: one put a step, and one more while new machines are waited for. */
+  @ParameterizedTest(name = "{0} beyond")
+  @ValueSource(ints = {0, 1})
+  void twoPutsForAMachineAtMost(int beyond) {
+    World w = DisruptionTest.begun(93 + beyond, 3, 3);
+    int before = machines(w).size();
+    String[] last = {""};
+    int[] writes = {0};
+    w.also =
+        () -> {
+          String now = String.valueOf(w.state.value("live/replace/night"));
+          writes[0] += now.equals(last[0]) ? 0 : 1;
+          last[0] = now;
+        };
+    OperatorsTest.order(w, NIGHT + "/start", all(1, beyond));
+    int steps = untilDone(w, 1_500_000).path("steps").asInt();
+    // The order itself, its end, and what it remarks on its way.
+    assertTrue(
+        writes[0] <= (1 + beyond) * steps + 4 && steps <= before + 1,
+        writes[0] + " writes for " + before + " machines in " + steps + " steps");
+  }
+
   /** Aborted half way: what is still old is in use again, and stays. */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {71, 72})
--- a/src/test/java/dapplestair/world/World.java
+++ b/src/test/java/dapplestair/world/World.java
@@ -335,6 +335,11 @@
       }
     }
 
+    /** What an operator asks, without the network between. */
+    void ask(String method, String path, Consumer<HttpReply> reply) {
+      operator("users", method, path, null, reply);
+    }
+
     private void operator(
         String from, String method, String path, byte[] body, Consumer<HttpReply> reply) {
       if (life == null) {
