The life of each zone on record; late reports of returned machines no longer make a zone look silent

Cause: nobody knew after a change of leader that a zone had been cut, and zones that flap were rented in at once. And, found by its tests: reports that a cut held back came from machines that an earlier leader had returned. To the next one these were all there was of the zone, which thus was silent again as soon as it was back: nothing rented there for 3 leases, its ghosts waited for. Change: package zones: steady, cut, lost, returning, a put for each change, carried on by the next leader; zones that were cut more than once are held down, doubling, and nothing is rented there. zone list, /v1/zones, events. Machines that no record and no list knows do not count for a zone's silence, and are returned once lists have had the time.

--- a/src/main/java/dapplestair/admin/ClusterViews.java
+++ b/src/main/java/dapplestair/admin/ClusterViews.java
@@ -7,6 +7,7 @@
 import dapplestair.fleet.Slot;
 import dapplestair.json.Json;
 import dapplestair.leadership.Leadership;
+import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
 import dapplestair.ledger.Served;
@@ -15,7 +16,9 @@
 import dapplestair.ports.Clock;
 import dapplestair.settings.Settings;
 import dapplestair.state.StateClient;
+import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
+import dapplestair.zones.Zones;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
@@ -28,6 +31,7 @@
   private final WorkerDesk desk;
   private final Disruption disruption;
   private final Planning planning;
+  private final Zones zones;
   private final Leadership leadership;
   private final Peers peers;
   private final StateClient state;
@@ -41,6 +45,7 @@
     this.desk = d.workers();
     this.disruption = d.disruption();
     this.planning = d.planning();
+    this.zones = d.zones();
     this.leadership = d.leadership();
     this.peers = d.peers();
     this.state = d.state();
@@ -157,6 +162,51 @@
     return o;
   }
 
+  /** Zones: where each stands, and what is there. */
+  ObjectNode zones() {
+    ObjectNode o = moment.object();
+    ArrayNode rows = o.putArray("rows");
+    zones
+        .lives()
+        .forEach(
+            (zone, life) -> {
+              int there = 0;
+              int unheard = 0;
+              int replicas = 0;
+              int tasks = 0;
+              int unproved = 0;
+              for (Host h : desk.hosts()) {
+                if (!zone.equals(h.zone())) {
+                  continue;
+                }
+                boolean lost = h.outOfReach() || h.zoneSilentMs() > 0;
+                there++;
+                unheard += lost ? 1 : 0;
+                for (Attempt a : h.attempts()) {
+                  if (!a.exited()) {
+                    replicas += a.spec().service() ? 1 : 0;
+                    tasks += a.spec().service() ? 0 : 1;
+                    unproved += lost ? 1 : 0;
+                  }
+                }
+              }
+              rows.addObject()
+                  .put("zone", zone)
+                  .put("state", life.state().shown())
+                  .put("since", life.sinceWall())
+                  .put("cuts", life.cuts())
+                  .put("steady_in_s", zones.heldS(zone))
+                  .put("silent_s", desk.zoneSilentMs(zone) / 1000.0)
+                  .put("machines", there)
+                  .put("unheard", unheard)
+                  .put("replicas", replicas)
+                  .put("tasks", tasks)
+                  .put("not_proved", unproved)
+                  .put("by", life.by());
+            });
+    return o;
+  }
+
   /** The plan applied last. */
   ObjectNode plan() {
     ObjectNode o = moment.object();
--- a/src/main/java/dapplestair/admin/Duties.java
+++ b/src/main/java/dapplestair/admin/Duties.java
@@ -19,6 +19,7 @@
 import dapplestair.state.StateClient;
 import dapplestair.state.Wishes;
 import dapplestair.workers.WorkerDesk;
+import dapplestair.zones.Zones;
 
 /** The duties of a controller that its operators may look into. */
 public record Duties(
@@ -39,5 +40,6 @@
     Drains drains,
     Disruption disruption,
     Replacements replacements,
+    Zones zones,
     Wishes wishes,
     EventLog events) {}
--- a/src/main/java/dapplestair/admin/Routes.java
+++ b/src/main/java/dapplestair/admin/Routes.java
@@ -78,6 +78,7 @@
       case "machines" -> view(true, this::listMachines);
       case "teams" -> view(true, (x, done) -> done.accept(Answer.of(cluster.teams())));
       case "plan" -> view(true, (x, done) -> done.accept(Answer.of(cluster.plan())));
+      case "zones" -> view(true, (x, done) -> done.accept(Answer.of(cluster.zones())));
       case "status" -> view(true, (x, done) -> done.accept(Answer.of(cluster.status())));
       case "replacements" -> view(true, (x, done) -> done.accept(Answer.of(replacements.list())));
       case "drains" -> view(true, (x, done) -> done.accept(Answer.of(machines.drains())));
--- a/src/main/java/dapplestair/cli/Main.java
+++ b/src/main/java/dapplestair/cli/Main.java
@@ -59,6 +59,7 @@
           "machine",
           "replace",
           "team",
+          "zone",
           "plan",
           "event",
           "status",
@@ -75,6 +76,7 @@
       case "job" -> new JobCommand();
       case "machine" -> new MachineCommand();
       case "replace" -> new ReplaceCommand();
+      case "zone" -> new ClusterCommands.Zone();
       case "team" -> new ClusterCommands.Team();
       case "plan" -> new ClusterCommands.Plan();
       case "event" -> new ClusterCommands.Event();
--- a/src/main/java/dapplestair/client/ClusterCommands.java
+++ b/src/main/java/dapplestair/client/ClusterCommands.java
@@ -43,6 +43,36 @@
     }
   }
 
+  /** Zones. */
+  @Command(
+      name = "zone",
+      mixinStandardHelpOptions = true,
+      description = "Look at zones.",
+      subcommands = ListZones.class)
+  public static final class Zone {}
+
+  @Command(
+      name = "list",
+      description = "List zones: steady, cut, lost or returning, and what is there.")
+  static final class ListZones extends ClientCommand {
+    @Override
+    int run(Api api, Output out) throws Failure {
+      out.rows(
+          api.get("/v1/zones"),
+          "zone",
+          "state",
+          "since",
+          "cuts",
+          "steady_in_s",
+          "machines",
+          "unheard",
+          "replicas",
+          "tasks",
+          "not_proved");
+      return 0;
+    }
+  }
+
   /** The plan. */
   @Command(
       name = "plan",
--- a/src/main/java/dapplestair/events/Events.java
+++ b/src/main/java/dapplestair/events/Events.java
@@ -40,6 +40,8 @@
     DRAIN,
     /** An order to replace machines has come further; {@code reason} says why it pauses. */
     REPLACEMENT,
+    /** A zone is cut, lost, returning or steady again. */
+    ZONE,
     /** This controller leads from now on. */
     LEADING;
 
--- a/src/main/java/dapplestair/fleet/Lookout.java
+++ b/src/main/java/dapplestair/fleet/Lookout.java
@@ -245,9 +245,13 @@
   /**
    * Recorded by an earlier leader, in a rental or as the place of an attempt, and gone before any
    * list of this one could hold it. Its release is the proof that its attempts need.
+   *
+   * <p>Such a machine may have been heard all the same: a report that a cut held back arrives when
+   * the machine has long been returned. Then it must not make its zone look silent for long.
    */
   private boolean neverListed(Host h, long now) {
-    return !h.up()
+    boolean ghost = h.up() && desk.silentMs(h) > 2 * settings.workers().reportMs();
+    return (!h.up() || ghost)
         && h.firstListedAt() == Long.MAX_VALUE
         && list.listedAt() - h.knownSince() > list.longestLag()
         && now - Math.min(h.rentedAt(), h.knownSince()) > list.longestLag();
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -34,6 +34,7 @@
 import dapplestair.submissions.SubmissionDesk;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
+import dapplestair.zones.Zones;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -64,6 +65,7 @@
   private final Events events;
   private final Drains drains;
   private final Replacements replacements;
+  private final Zones zones;
   private final AdminDesk admin;
   private final Records records;
   private final Doors doors;
@@ -173,9 +175,12 @@
             new Room(workers, fleet, types, planning),
             events);
     planning.beyond(replacements::extra);
-    fleet.closeZones(z -> drains.zones().containsKey(z));
+    zones = new Zones(clock, timers, settings, state, replica, leadership, workers, events);
+    fleet.closeZones(z -> drains.zones().containsKey(z) || zones.heldDown(z));
     admin = access == null ? null : admin(operator, access, wishes);
-    records = new Records(leadership, ledger, fleet, drains, replacements, lostWork, placer, admin);
+    records =
+        new Records(
+            leadership, ledger, fleet, drains, replacements, lostWork, zones, placer, admin);
   }
 
   private AdminDesk admin(Operator operator, Access access, Wishes wishes) {
@@ -198,6 +203,7 @@
             drains,
             disruption,
             replacements,
+            zones,
             wishes,
             log);
     Exposition exposition = Figures.of(duties);
@@ -289,6 +295,7 @@
       workers.lead();
       drains.lead();
       replacements.lead();
+      zones.lead();
       planning.lead();
       if (log != null) {
         log.begin(term);
@@ -303,6 +310,7 @@
       planning.clear();
       drains.clear();
       replacements.clear();
+      zones.clear();
       if (admin != null) {
         admin.clear();
       }
@@ -339,6 +347,7 @@
     pulse.close();
     drains.close();
     replacements.close();
+    zones.close();
     planning.close();
     fleet.close();
     workers.close();
--- a/src/main/java/dapplestair/node/Records.java
+++ b/src/main/java/dapplestair/node/Records.java
@@ -11,6 +11,7 @@
 import dapplestair.replacement.Replacements;
 import dapplestair.state.Keys;
 import dapplestair.state.Replica;
+import dapplestair.zones.Zones;
 
 /** Hands each record of the replica to the duty whose it is. */
 final class Records implements Replica.Listener {
@@ -20,6 +21,7 @@
   private final Drains drains;
   private final Replacements replacements;
   private final LostWork lostWork;
+  private final Zones zones;
   private final Placer placer;
   private final AdminDesk admin;
 
@@ -31,6 +33,7 @@
       Drains drains,
       Replacements replacements,
       LostWork lostWork,
+      Zones zones,
       Placer placer,
       AdminDesk admin) {
     this.leadership = leadership;
@@ -39,6 +42,7 @@
     this.drains = drains;
     this.replacements = replacements;
     this.lostWork = lostWork;
+    this.zones = zones;
     this.placer = placer;
     this.admin = admin;
   }
@@ -74,6 +78,8 @@
       fleet.typesKey(value, stamp);
     } else if (key.startsWith(Keys.DRAIN) || key.startsWith(Keys.DRAIN_ZONE)) {
       drains.recorded(key, value);
+    } else if (key.startsWith(Keys.ZONE)) {
+      zones.recorded(key, value);
     } else if (key.startsWith(Keys.REPLACE)) {
       replacements.recorded(key, value, stamp);
     } else if (key.startsWith(Keys.DISRUPTION)) {
@@ -103,6 +109,8 @@
     } else if (key.startsWith(Keys.DRAIN) || key.startsWith(Keys.DRAIN_ZONE)) {
       drains.recorded(key, null);
       placer.nudge();
+    } else if (key.startsWith(Keys.ZONE)) {
+      zones.recorded(key, null);
     } else if (key.startsWith(Keys.REPLACE)) {
       replacements.recorded(key, null, 0);
     } else if (key.startsWith(Keys.DISRUPTION)) {
--- a/src/main/java/dapplestair/silence/Patience.java
+++ b/src/main/java/dapplestair/silence/Patience.java
@@ -26,7 +26,7 @@
   }
 
   /** When what runs in a silent zone is lost, counted from when the zone was last heard. */
-  private long lostAfterMs(String zone) {
+  public long lostAfterMs(String zone) {
     int leases = keeper(zone) ? LEASES_BEHIND_A_KEEPER : 1;
     return Math.round(DRIFT * leases * settings.workers().leaseMs());
   }
--- a/src/main/java/dapplestair/state/Keys.java
+++ b/src/main/java/dapplestair/state/Keys.java
@@ -35,6 +35,9 @@
   /** Prefix of what teams have reserved of their budgets of disruption. */
   public static final String DISRUPTION = LIVE + "disruption/";
 
+  /** Prefix of zones that were cut, and how they stand since. */
+  public static final String ZONE = LIVE + "zone/";
+
   /** Prefix of orders to replace machines. */
   public static final String REPLACE = LIVE + "replace/";
 
--- a/src/main/java/dapplestair/workers/Hearing.java
+++ b/src/main/java/dapplestair/workers/Hearing.java
@@ -84,7 +84,7 @@
   private void findSilentZones(long now) {
     Map<String, Heard> heard = new HashMap<>();
     for (Host h : roster.all()) {
-      if (h.expectedUp() && h.zone() != null) {
+      if (h.expectedUp() && h.zone() != null && !ghost(h)) {
         Heard z = heard.computeIfAbsent(h.zone(), k -> new Heard());
         z.machines++;
         z.last = Math.max(z.last, lastHeard(h));
@@ -122,6 +122,16 @@
     }
   }
 
+  /**
+   * A report that a cut held back may come from a machine that was returned meanwhile, under an
+   * earlier leader. Nothing more is heard of it, which says nothing of its zone: counted, it made a
+   * zone that was back look silent, in which nothing is rented for three leases.
+   */
+  private boolean ghost(Host host) {
+    return host.firstListedAt() == Long.MAX_VALUE
+        && (host.rentedAt() == Long.MAX_VALUE || succeeded() && accounts.saidGone(host.id()));
+  }
+
   /** When another controller, or this one in passing, heard this zone. */
   private long lastHeard(String zone) {
     return Math.max(accounts.zoneHeardAt(zone), passing.getOrDefault(zone, Long.MIN_VALUE / 2));
@@ -138,6 +148,12 @@
     return last == null ? 0 : clock.now() - last;
   }
 
+  /** True when one of the zone's machines was heard within the longest time between two reports. */
+  boolean zoneHeardNow(String zone) {
+    long last = Math.max(zones.lastHeard(zone), lastHeard(zone));
+    return clock.now() - last < Math.round(OVERDUE * reportMs);
+  }
+
   // ---- shared with the other controllers ----
 
   /** What another controller heard. */
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -164,6 +164,11 @@
     return hearing.zoneSilentMs(zone);
   }
 
+  /** True when one of the zone's machines was heard lately, by this controller or another. */
+  public boolean zoneHeardNow(String zone) {
+    return hearing.zoneHeardNow(zone);
+  }
+
   /** How long nothing was heard of it. */
   public long silentMs(Host host) {
     return hearing.silentMs(host);
--- /dev/null
+++ b/src/main/java/dapplestair/zones/Zones.java
@@ -0,0 +1,254 @@
+package dapplestair.zones;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.events.Events;
+import dapplestair.leadership.Leadership;
+import dapplestair.ports.Cancellable;
+import dapplestair.ports.Clock;
+import dapplestair.ports.Timers;
+import dapplestair.settings.Settings;
+import dapplestair.silence.Patience;
+import dapplestair.state.Keys;
+import dapplestair.state.Outcome;
+import dapplestair.state.Replica;
+import dapplestair.state.StateClient;
+import dapplestair.state.StateClient.Priority;
+import dapplestair.state.Txn;
+import dapplestair.workers.Host;
+import dapplestair.workers.WorkerDesk;
+import dapplestair.zones.ZoneLife.State;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The life of each zone, a put for each change of state and none for any machine, so that the next
+ * leader goes on where the former stood. It proves nothing: what it decides is where nothing is
+ * rented, and for how long a zone that flaps is held down.
+ */
+public final class Zones implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(Zones.class);
+
+  // A zone that was cut again within so many leases flaps; each time it is held down for twice as
+  // long as the time before, up to the most.
+  private static final int MEMORY_LEASES = 16;
+  private static final int MOST_HELD_LEASES = 8;
+
+  // As long as the desk calls a zone silent of which no machine is left.
+  private static final int TRIED_AGAIN_LEASES = 3;
+
+  private final Clock clock;
+  private final Timers timers;
+  private final Settings settings;
+  private final StateClient state;
+  private final Replica replica;
+  private final Leadership leadership;
+  private final WorkerDesk desk;
+  private final Patience patience;
+  private final Events events;
+  private final Map<String, ZoneLife> lives = new TreeMap<>();
+  private final Set<String> writing = new HashSet<>();
+  private final Map<String, Long> triedAt = new HashMap<>();
+  private boolean leading;
+  private int generation;
+  private Cancellable timer = () -> {};
+
+  /** All zones are steady until something else is on record. */
+  public Zones(
+      Clock clock,
+      Timers timers,
+      Settings settings,
+      StateClient state,
+      Replica replica,
+      Leadership leadership,
+      WorkerDesk desk,
+      Events events) {
+    this.clock = clock;
+    this.timers = timers;
+    this.settings = settings;
+    this.state = state;
+    this.replica = replica;
+    this.leadership = leadership;
+    this.desk = desk;
+    this.events = events;
+    patience = new Patience(settings);
+  }
+
+  // ---- what the replica says ----
+
+  /** A zone's key has this value, or is gone. */
+  public void recorded(String key, JsonNode value) {
+    String zone = key.substring(Keys.ZONE.length());
+    if (value == null) {
+      lives.remove(zone);
+    } else {
+      lives.put(zone, ZoneLife.parse(value));
+    }
+  }
+
+  /** Forgets all records: the replica tells them again. */
+  public void clear() {
+    leading = false;
+    generation++;
+    timer.cancel();
+    lives.clear();
+    writing.clear();
+    triedAt.clear();
+  }
+
+  // ---- leading ----
+
+  /** Goes on where the former leader stood. */
+  public void lead() {
+    leading = true;
+    generation++;
+    writing.clear();
+    tick();
+  }
+
+  private void tick() {
+    if (state.unreachableMs() == 0) {
+      for (String zone : known()) {
+        if (!writing.contains(zone)) {
+          look(zone, life(zone));
+        }
+      }
+    }
+    timer = timers.after(settings.workers().reportMs() / 4, this::tick);
+  }
+
+  /** Zones of the settings, and those of which there are, or were, machines. */
+  private Set<String> known() {
+    Set<String> out = new TreeSet<>(settings.zones());
+    out.addAll(lives.keySet());
+    for (Host h : desk.hosts()) {
+      if (h.zone() != null) {
+        out.add(h.zone());
+      }
+    }
+    return out;
+  }
+
+  private void look(String zone, ZoneLife life) {
+    long silentMs = desk.zoneSilentMs(zone);
+    long wall = clock.wall();
+    String me = settings.member();
+    switch (life.state()) {
+      case STEADY -> cutIfSilent(zone, life, silentMs);
+      case CUT -> {
+        if (silentMs > patience.lostAfterMs(zone)) {
+          write(zone, life.to(State.LOST, wall, me));
+        } else {
+          returnIfHeard(zone, life, silentMs);
+        }
+      }
+      case LOST -> returnIfHeard(zone, life, silentMs);
+      case RETURNING -> {
+        if (silentMs > 0) {
+          cutIfSilent(zone, life, silentMs);
+        } else if (wall - life.sinceWall() > heldMs(life)) {
+          write(zone, life.to(State.STEADY, wall, me));
+        }
+      }
+      default -> {}
+    }
+  }
+
+  private void cutIfSilent(String zone, ZoneLife life, long silentMs) {
+    if (silentMs >= patience.prepareAfterMs()) {
+      long wall = clock.wall() - silentMs;
+      write(zone, life.cut(wall, settings.member(), MEMORY_LEASES * settings.workers().leaseMs()));
+    }
+  }
+
+  /**
+   * To a new leader no zone is silent before it could judge; so it needs to be heard. One without
+   * any machine left cannot be heard: after a while it is tried again.
+   */
+  private void returnIfHeard(String zone, ZoneLife life, long silentMs) {
+    long now = clock.now();
+    boolean heard = silentMs == 0 && desk.zoneHeardNow(zone);
+    boolean empty = silentMs == 0 && desk.hosts().stream().noneMatch(h -> zone.equals(h.zone()));
+    if (!empty) {
+      triedAt.remove(zone);
+    }
+    long since = empty ? triedAt.computeIfAbsent(zone, z -> now) : now;
+    if (heard || now - since > TRIED_AGAIN_LEASES * settings.workers().leaseMs()) {
+      write(zone, life.to(State.RETURNING, clock.wall(), settings.member()));
+    }
+  }
+
+  private void write(String zone, ZoneLife next) {
+    writing.add(zone);
+    String key = Keys.ZONE + zone;
+    Txn txn = leadership.guard(new Txn()).when(key, replica.stamp(key)).put(key, next.toJson());
+    int written = generation;
+    state.commit(
+        txn,
+        Priority.BOOKKEEPING,
+        settings.workers().reportMs(),
+        outcome -> {
+          if (written != generation) {
+            return;
+          }
+          // Without an answer the replica tells; the next look goes on from there.
+          timers.after(settings.workers().reportMs() / 4, () -> writing.remove(zone));
+          if (outcome instanceof Outcome.Applied) {
+            lives.put(zone, next);
+            LOG.info("zone {} is {}", zone, next.state().shown());
+            events.note(
+                Events.Kind.ZONE,
+                o ->
+                    o.put("zone", zone)
+                        .put("state", next.state().shown())
+                        .put("cuts", next.cuts()));
+          } else if (outcome instanceof Outcome.Conflict c && c.failed().contains(Keys.LEADER)) {
+            leadership.guardFailed();
+          }
+        });
+  }
+
+  // ---- views ----
+
+  /** Where a zone stands. */
+  public ZoneLife life(String zone) {
+    return lives.getOrDefault(zone, ZoneLife.NEW);
+  }
+
+  /** All zones of which anything is known, by name. */
+  public Map<String, ZoneLife> lives() {
+    Map<String, ZoneLife> out = new TreeMap<>();
+    known().forEach(z -> out.put(z, life(z)));
+    return out;
+  }
+
+  /** How long a zone has to be heard before it is steady again: doubling with each cut. */
+  long heldMs(ZoneLife life) {
+    int leases = 1 << Math.min(30, Math.max(0, life.cuts() - 1));
+    return Math.min(MOST_HELD_LEASES, leases) * settings.workers().leaseMs();
+  }
+
+  /** Seconds until a returning zone is steady, 0 for any other. */
+  public double heldS(String zone) {
+    ZoneLife life = life(zone);
+    return life.state() != State.RETURNING
+        ? 0
+        : Math.max(0, heldMs(life) - (clock.wall() - life.sinceWall())) / 1000.0;
+  }
+
+  /** True while nothing is to be rented there: it has flapped, and is not steady yet. */
+  public boolean heldDown(String zone) {
+    ZoneLife life = life(zone);
+    return leading && life.cuts() > 1 && life.state() != State.STEADY;
+  }
+
+  @Override
+  public void close() {
+    timer.cancel();
+  }
+}
