Plans hold: the search begins from shares of what waits, and a plan stands unless another is nearer by a twentieth

Each swing upwards rented and reset the rounds of delayed return. Change: seeds for a quarter, half, three quarters and all of what waits, and the last plan; the plan that stands stays if it is within a twentieth of the nearest. Room that the swings gave by chance is asked for: makespan weight 2.1 (1.3).

--- a/src/main/java/dapplestair/planning/FleetProblem.java
+++ b/src/main/java/dapplestair/planning/FleetProblem.java
@@ -2,6 +2,7 @@
 
 import dapplestair.machines.MachineType;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -66,6 +67,30 @@
     return slots.stream().mapToDouble(SlotState::most).toArray();
   }
 
+  /**
+   * A plan that holds the least, and beyond it machines for so large a share of what waits, where a
+   * CPU costs least: a place for the search to begin from, the same for the same demand.
+   */
+  double[] toward(double share) {
+    double[] x = lower();
+    double need = 0;
+    for (DryTasks t : tasks) {
+      need += share * t.count() * t.lanes() * laneCpus;
+    }
+    Integer[] order = new Integer[x.length];
+    Arrays.setAll(order, i -> i);
+    Arrays.sort(order, Comparator.comparingDouble(i -> Floors.perCpu(slots.get(i))));
+    for (int i : order) {
+      SlotState s = slots.get(i);
+      double more = Math.min(s.most() - x[i], Math.ceil(need / s.type().cpus()));
+      if (more > 0) {
+        x[i] += more;
+        need -= more * s.type().cpus();
+      }
+    }
+    return x;
+  }
+
   /** Whole machines. */
   static int[] counts(double[] x) {
     return Arrays.stream(x).mapToInt(v -> (int) Math.round(v)).toArray();
--- a/src/main/java/dapplestair/planning/Nsga2.java
+++ b/src/main/java/dapplestair/planning/Nsga2.java
@@ -234,6 +234,27 @@
         .orElseThrow();
   }
 
+  /**
+   * The same, but for a plan that stands already: another one takes its place only if it is nearer
+   * to the origin by more than {@code inertia}, a ratio. So chance in the search does not move it.
+   */
+  static Individual nearestOrigin(
+      List<Individual> front, Individual standing, double inertia, double... weights) {
+    List<Individual> all = new ArrayList<>(front);
+    all.add(standing);
+    Individual best = nearestOrigin(front, weights);
+    double[] greatest = new double[standing.costs.length];
+    for (Individual i : all) {
+      for (int m = 0; m < greatest.length; m++) {
+        greatest[m] = Math.max(greatest[m], i.costs[m]);
+      }
+    }
+    boolean stays =
+        distance(standing.costs, greatest, weights)
+            <= (1 + inertia) * distance(best.costs, greatest, weights);
+    return stays ? standing : best;
+  }
+
   private static double distance(double[] costs, double[] greatest, double[] weights) {
     double sum = 0;
     for (int m = 0; m < costs.length; m++) {
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -19,6 +19,7 @@
 import dapplestair.state.StateClient.Priority;
 import dapplestair.state.Txn;
 import dapplestair.workers.Host;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -36,6 +37,12 @@
 public final class Planning implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(Planning.class);
 
+  // Of what waits; where the search begins, so that the front spans the same costs each time.
+  private static final double[] SHARES = {0.25, 0.5, 0.75, 1};
+
+  // How much nearer a plan must be than the one that stands.
+  private static final double INERTIA = 0.05;
+
   // With as much waiting as the fleet can hold, more weight would change nothing.
   private static final double MOST_PRESSURE = 1;
 
@@ -167,13 +174,18 @@
     roundIn(operator.planIntervalMs());
     FleetProblem problem = demand.problem(operator);
     Nsga2 search = new Nsga2(random, operator.population(), operator.evaluations());
-    List<double[]> seeds = List.of(problem.lower(), held(problem));
+    List<double[]> seeds = new ArrayList<>(List.of(problem.lower(), held(problem)));
+    addShares(problem, seeds);
+    double[] last = last(problem);
+    if (last != null) {
+      seeds.add(last);
+    }
     int planned = generation;
     boolean only = extra;
     extra = false;
     double pressure = Math.min(MOST_PRESSURE, demand.pressure());
     background.compute(
-        () -> best(search, problem, seeds, pressure),
+        () -> best(search, problem, seeds, last, pressure),
         chosen -> {
           if (planned == generation && leadership.leading()) {
             apply(problem, chosen, only);
@@ -187,15 +199,42 @@
         .toArray();
   }
 
+  static void addShares(FleetProblem problem, List<double[]> seeds) {
+    for (double share : SHARES) {
+      seeds.add(problem.toward(share));
+    }
+  }
+
+  /** The plan applied last, within the bounds of now; null when there is none. */
+  private double[] last(FleetProblem problem) {
+    if (plan.isEmpty()) {
+      return null;
+    }
+    double[] x = problem.lower();
+    double[] upper = problem.upper();
+    for (int i = 0; i < x.length; i++) {
+      FleetProblem.SlotState s = problem.slots().get(i);
+      int wanted = plan.getOrDefault(new Slot(s.type().name(), s.spot()), 0);
+      x[i] = Math.max(x[i], Math.min(upper[i], wanted));
+    }
+    return x;
+  }
+
+  private static Nsga2.Individual standing(FleetProblem problem, double[] last) {
+    double[] costs = last == null ? null : problem.evaluate(last);
+    return costs == null ? null : new Nsga2.Individual(last, costs);
+  }
+
   private record Chosen(int[] counts, double[] costs, int front) {}
 
-  private Chosen best(Nsga2 search, FleetProblem problem, List<double[]> seeds, double pressure) {
+  private Chosen best(
+      Nsga2 search, FleetProblem problem, List<double[]> seeds, double[] last, double pressure) {
     List<Nsga2.Individual> front = search.search(problem, seeds);
     if (front.isEmpty()) {
       double[] unknown = {Double.NaN, Double.NaN, Double.NaN};
       return new Chosen(FleetProblem.counts(problem.lower()), unknown, 0);
     }
-    Nsga2.Individual nearest = chosen(front, pressure);
+    Nsga2.Individual nearest = chosen(front, standing(problem, last), pressure);
     return new Chosen(FleetProblem.counts(nearest.x()), nearest.costs(), front.size());
   }
 
@@ -203,12 +242,14 @@
    * The more work waits, the more its makespan weighs. With one weight for all times, a fleet that
    * is lean enough in calm hours lags behind a burst, and one that keeps up with bursts idles.
    */
-  private Nsga2.Individual chosen(List<Nsga2.Individual> front, double pressure) {
-    return Nsga2.nearestOrigin(
-        front,
-        operator.makespanWeight() * (1 + 2 * pressure),
-        operator.spendWeight(),
-        operator.riskWeight());
+  private Nsga2.Individual chosen(
+      List<Nsga2.Individual> front, Nsga2.Individual standing, double pressure) {
+    double[] weights = {
+      operator.makespanWeight() * (1 + 2 * pressure), operator.spendWeight(), operator.riskWeight()
+    };
+    return standing == null
+        ? Nsga2.nearestOrigin(front, weights)
+        : Nsga2.nearestOrigin(front, standing, INERTIA, weights);
   }
 
   private void apply(FleetProblem problem, Chosen chosen, boolean extraRound) {
--- a/src/main/java/dapplestair/settings/Operator.java
+++ b/src/main/java/dapplestair/settings/Operator.java
@@ -37,7 +37,7 @@
 
   /** What holds without an operator file. */
   public static Operator defaults() {
-    return new Operator(3_000, 20, 300, 0, 2.5, 4, 1.3, 1, 0.5, Budgets.USUAL, null);
+    return new Operator(3_000, 20, 300, 0, 2.5, 4, 2.1, 1, 0.5, Budgets.USUAL, null);
   }
 
   /** The same with this operators' interface. */
--- /dev/null
+++ b/src/test/java/dapplestair/planning/PlansHoldTest.java
@@ -0,0 +1,124 @@
+package dapplestair.planning;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dapplestair.machines.MachineType;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+
+/** The same demand gets the same plan, whatever chance the search has; other demand another. */
+class PlansHoldTest {
+  private static final double INERTIA = 0.05;
+  private static final double[] WEIGHTS = {2.1, 1, 0.5};
+
+  private static FleetProblem.SlotState slot(String name, double cpus, boolean spot, double price) {
+    MachineType t =
+        new MachineType(name, cpus, 0, 64, 50, 1, price, price / 2, 25, List.of("a", "b"));
+    return new FleetProblem.SlotState(
+        t, spot, spot ? 0 : 5, 400, new HeldLanes(List.of(), 50), 0, price, spot ? 0.1 : 0);
+  }
+
+  /** Eight variables and as many arrays as are asked for. */
+  private static FleetProblem problem(int jobs) {
+    List<FleetProblem.SlotState> slots = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      double cpus = 8 << (i % 3);
+      slots.add(slot("t" + i, cpus, false, cpus * (0.04 + 0.004 * i)));
+      slots.add(slot("t" + i, cpus, true, cpus * (0.02 + 0.002 * i)));
+    }
+    boolean[] all = new boolean[slots.size()];
+    Arrays.fill(all, true);
+    List<FleetProblem.DryTasks> tasks = new ArrayList<>();
+    for (int i = 0; i < jobs; i++) {
+      tasks.add(new FleetProblem.DryTasks(all, 60, 2, 20 + i % 7, false, 0.9, 0));
+    }
+    return new FleetProblem(slots, tasks, 2, 1e9);
+  }
+
+  /** How many different plans so many rounds choose, one after the other. */
+  private static int plans(FleetProblem problem, boolean standing) {
+    Set<List<Integer>> out = new HashSet<>();
+    double[] last = null;
+    for (int round = 0; round < 25; round++) {
+      List<double[]> seeds = new ArrayList<>(List.of(problem.lower()));
+      if (standing) {
+        Planning.addShares(problem, seeds);
+        if (last != null) {
+          seeds.add(last);
+        }
+      }
+      var random = RandomSource.XO_RO_SHI_RO_128_PP.create(round);
+      List<Nsga2.Individual> front = new Nsga2(random, 20, 300).search(problem, seeds);
+      Nsga2.Individual chosen =
+          last == null || !standing
+              ? Nsga2.nearestOrigin(front, WEIGHTS)
+              : Nsga2.nearestOrigin(
+                  front, new Nsga2.Individual(last, problem.evaluate(last)), INERTIA, WEIGHTS);
+      last = chosen.x();
+      out.add(Arrays.stream(FleetProblem.counts(last)).boxed().toList());
+    }
+    return out.size();
+  }
+
+  @Test
+  void theSameDemandGetsTheSamePlan() {
+    int with = plans(problem(40), true);
+    int without = plans(problem(40), false);
+    assertTrue(without > 20, "the search alone chose " + without + " plans of 25");
+    assertTrue(with <= 4, with + " plans of 25");
+  }
+
+  /** A plan does not stand against demand that has changed. */
+  @Test
+  void otherDemandGetsAnotherPlan() {
+    FleetProblem few = problem(10);
+    FleetProblem many = problem(80);
+    double[] small = chosen(few, null);
+    double[] large = chosen(many, small);
+    assertTrue(cpus(many, large) > 1.5 * cpus(few, small), "does not grow with the demand");
+    assertTrue(cpus(few, chosen(few, large)) < 0.7 * cpus(many, large), "does not shrink with it");
+  }
+
+  private static double[] chosen(FleetProblem problem, double[] last) {
+    List<double[]> seeds = new ArrayList<>(List.of(problem.lower()));
+    Planning.addShares(problem, seeds);
+    if (last != null) {
+      seeds.add(last);
+    }
+    var random = RandomSource.XO_RO_SHI_RO_128_PP.create(5);
+    List<Nsga2.Individual> front = new Nsga2(random, 20, 300).search(problem, seeds);
+    return last == null
+        ? Nsga2.nearestOrigin(front, WEIGHTS).x()
+        : Nsga2.nearestOrigin(
+                front, new Nsga2.Individual(last, problem.evaluate(last)), INERTIA, WEIGHTS)
+            .x();
+  }
+
+  private static double cpus(FleetProblem problem, double[] x) {
+    double sum = 0;
+    for (int i = 0; i < x.length; i++) {
+      sum += x[i] * problem.slots().get(i).type().cpus();
+    }
+    return sum;
+  }
+
+  /** A share of what waits: within the bounds, cheapest first, all of it for one. */
+  @Test
+  void sharesStayWithinTheBounds() {
+    FleetProblem p = problem(40);
+    double[] all = p.toward(1);
+    double[] quarter = p.toward(0.25);
+    for (int i = 0; i < all.length; i++) {
+      assertTrue(all[i] >= p.lower()[i] && all[i] <= p.upper()[i]);
+      assertTrue(quarter[i] <= all[i]);
+    }
+    assertTrue(cpus(p, all) >= 40 * 60 * 4, "room for all that waits");
+    assertEquals(400, all[1], "the cheapest kind is used up first");
+  }
+}
