--- a/src/test/java/dapplestair/world/ReplacementCosts.java
+++ b/src/test/java/dapplestair/world/ReplacementCosts.java
@@ -51,6 +51,9 @@
         ways.add(new Way(step, budget, false));
       }
     }
+    if (few && args[2].equals("one")) {
+      ways.removeIf(w -> !w.beyond());
+    }
     System.out.println(
         "| way | machines | minutes | replica s out | worst 30 s | CPU s thrown away | money | puts |");
     ways.parallelStream().map(w -> play(w, perPlace, services)).forEachOrdered(System.out::println);
