Drains that lack room get a spare machine in each zone; a test asks as of its question

Cause: with plans that hold, a zone's drain stood with 2 of 72 replicas left: the spare machine lay in the zone that already had two of their three. Before, the plan's swings had given them room by chance. Change: while drained machines hold replicas without a place for two report intervals, the floor of steady machines has one spare in each zone, not one in all. Orders to replace machines are not meant: they say how many may be beyond. And a test that took a 404 for wrong which was true when it was asked now remembers what held then.

--- a/src/main/java/dapplestair/drain/Drains.java
+++ b/src/main/java/dapplestair/drain/Drains.java
@@ -45,6 +45,7 @@
   private final Set<String> forgetting = new HashSet<>();
   private boolean leading;
   private long leadingSince;
+  private long lacksSince;
   private Cancellable timer = () -> {};
   private Function<Host, Drain> also = h -> null;
   private BooleanSupplier anyElse = () -> false;
@@ -113,6 +114,7 @@
     zones.clear();
     forgetting.clear();
     emptying.clear();
+    lacksSince = 0;
   }
 
   // ---- views ----
@@ -143,6 +145,13 @@
     return emptying.progress(host);
   }
 
+  /** True when replicas on drained machines have had no place to go for a while. */
+  public boolean lackRoom() {
+    return leading
+        && lacksSince != 0
+        && clock.now() - lacksSince > 2 * settings.workers().reportMs();
+  }
+
   // ---- orders ----
 
   /** Records an order for a key of {@link Keys#DRAIN} or {@link Keys#DRAIN_ZONE}; null ends it. */
@@ -192,6 +201,11 @@
       }
     }
     emptying.step(drained, clock.wall());
+    // Orders to replace machines say themselves how many may be beyond.
+    boolean lack =
+        drained.keySet().stream()
+            .anyMatch(h -> also.apply(h) == null && emptying.progress(h).noPlace());
+    lacksSince = !lack ? 0 : lacksSince == 0 ? clock.now() : lacksSince;
     forget();
   }
 
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -161,6 +161,7 @@
             workers,
             new Emptying(clock, workers, fleet, disruption),
             events);
+    demand.drainsLackRoom(drains::lackRoom);
     replacements =
         new Replacements(
             clock,
--- a/src/main/java/dapplestair/planning/DemandView.java
+++ b/src/main/java/dapplestair/planning/DemandView.java
@@ -20,6 +20,7 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 /** What there is to do and to do it with, as one immutable problem for the search. */
 public final class DemandView {
@@ -101,6 +102,11 @@
     return needCpus(List.of());
   }
 
+  /** {@code lack} tells whether drained machines hold replicas that have no place to go. */
+  public void drainsLackRoom(BooleanSupplier lack) {
+    floors.drainsLackRoom(lack);
+  }
+
   boolean ready() {
     return ledger.armed();
   }
--- a/src/main/java/dapplestair/planning/Floors.java
+++ b/src/main/java/dapplestair/planning/Floors.java
@@ -11,12 +11,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 /** How few machines a plan may hold: what must start at once has its room whatever it costs. */
 final class Floors {
   private final Clock clock;
   private final Ledger ledger;
   private final Map<String, Long> waitingSince = new HashMap<>();
+  private BooleanSupplier drainsLackRoom = () -> false;
 
   Floors(Clock clock, Ledger ledger) {
     this.clock = clock;
@@ -51,7 +53,9 @@
     if (need > 0 && largest == 0) {
       largest = slots.stream().mapToDouble(s -> s.type().cpus()).min().orElse(0);
     }
-    need += need > 0 ? largest : 0;
+    // Replicas on drained machines that have no place: the room that is spare lies in zones that
+    // already have all that they may, so there is some in each.
+    need += need > 0 ? largest * (drainsLackRoom.getAsBoolean() ? zones(slots) : 1) : 0;
     double stranded = strandedCpus(slots);
     if (stranded > 0) {
       // Replicas that the room there is did not take for as long as a boot: it lies in zones that
@@ -83,6 +87,15 @@
     return out;
   }
 
+  /** {@code lack} tells whether drained machines hold replicas that have no place to go. */
+  void drainsLackRoom(BooleanSupplier lack) {
+    drainsLackRoom = lack;
+  }
+
+  private static int zones(List<SlotState> slots) {
+    return slots.stream().mapToInt(s -> s.type().zones().size()).max().orElse(1);
+  }
+
   /** CPUs of services that have waited for longer than a machine boots. */
   private double strandedCpus(List<SlotState> slots) {
     double bootMs = 1000 * slots.stream().mapToDouble(s -> s.type().bootS()).max().orElse(0);
--- a/src/test/java/dapplestair/world/OperatorsTest.java
+++ b/src/test/java/dapplestair/world/OperatorsTest.java
@@ -114,6 +114,7 @@
     JsonNode termKey = w.state.value("live/term");
     long term = termKey == null ? 0 : termKey.path("term").asLong();
     long asked = w.sim.now();
+    boolean accepted = w.users.told.get(ref).accepted;
     ask(
         w,
         node,
@@ -133,7 +134,7 @@
             }
           } else if (r.status() == 503 && w.sim.now() - asked > 6000) {
             w.checker.broken("503 after " + (w.sim.now() - asked) + " ms for " + path);
-          } else if (r.status() == 404 && w.users.told.get(ref).accepted && path.contains(ref)) {
+          } else if (r.status() == 404 && accepted && path.contains(ref)) {
             w.checker.broken("404 for " + path);
           } else if (r.status() == 500) {
             w.checker.broken("500 for " + path);
