One place each for a refused guard, a machine's boot time, a list's lag and a debit

How long a machine boots stood in Lookout and again in the steps of a replacement: now MachineTypes.bootS. The longest lag of a list was computed again there: the machine list is asked. Two debits of the door are one, two methods that nobody called are gone, two branches with the same end are one.

--- a/src/main/java/dapplestair/disruption/Disruption.java
+++ b/src/main/java/dapplestair/disruption/Disruption.java
@@ -11,7 +11,6 @@
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -58,8 +57,7 @@
   /** Stops what must be stopped, whatever the budget says, and debits it. */
   public void must(Attempt a, double windDownS, StopReason why) {
     if (!a.halting()) {
-      forced++;
-      lost.debit(a.spec().team(), lossCpuS(a));
+      debit(a);
     }
     ledger.halt(a, windDownS, why);
   }
@@ -68,12 +66,16 @@
   public void givenUp(Host host) {
     for (Attempt a : host.attempts()) {
       if (!a.exited() && !a.halting() && !a.job().over()) {
-        forced++;
-        lost.debit(a.spec().team(), lossCpuS(a));
+        debit(a);
       }
     }
   }
 
+  private void debit(Attempt a) {
+    forced++;
+    lost.debit(a.spec().team(), lossCpuS(a));
+  }
+
   // ---- what asks first ----
 
   /**
@@ -94,7 +96,7 @@
 
   private void count(Job job) {
     Out out = ledger.out(job, this::reached);
-    Sum sum = teams.computeIfAbsent(job.spec().team(), t -> new Sum());
+    Sum sum = sum(job.spec().team());
     if (job.spec().service()) {
       sum.wanted += job.spec().steps();
       sum.out += out.disrupted();
@@ -209,11 +211,6 @@
     return refusals.get(job);
   }
 
-  /** Work a team may still throw away is told by this. */
-  public LostWork lostWork() {
-    return lost;
-  }
-
   /** How each team stands now. */
   public Map<String, Standing> standings() {
     if (lookedAt != clock.now()) {
@@ -260,9 +257,4 @@
     refusals.clear();
     lost.clear();
   }
-
-  /** All jobs that last were refused, for tests and views. */
-  public List<Refusal> refusals() {
-    return List.copyOf(refusals.values());
-  }
 }
--- a/src/main/java/dapplestair/disruption/LostWork.java
+++ b/src/main/java/dapplestair/disruption/LostWork.java
@@ -207,8 +207,8 @@
           a.writing = false;
           if (outcome instanceof Outcome.Applied) {
             recorded(key, value);
-          } else if (outcome instanceof Outcome.Conflict c && c.failed().contains(Keys.LEADER)) {
-            leadership.guardFailed();
+          } else {
+            leadership.deposedBy(outcome);
           }
         });
   }
--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -14,7 +14,6 @@
 import dapplestair.settings.Settings;
 import dapplestair.silence.Patience;
 import dapplestair.state.Keys;
-import dapplestair.state.Outcome;
 import dapplestair.state.StateClient;
 import dapplestair.state.StateClient.Priority;
 import dapplestair.state.Txn;
@@ -203,10 +202,8 @@
         Priority.LAUNCH,
         settings.workers().reportMs(),
         outcome -> {
-          if (leading
-              && outcome instanceof Outcome.Conflict c
-              && c.failed().contains(Keys.LEADER)) {
-            leadership.guardFailed();
+          if (leading) {
+            leadership.deposedBy(outcome);
           }
         });
   }
@@ -253,6 +250,11 @@
     return true;
   }
 
+  /** A machine that no list has shown for so long is not there; milliseconds. */
+  public long longestListLag() {
+    return list.longestLag();
+  }
+
   // ---- views ----
 
   /** Machines of a slot that are or will be of use. */
--- a/src/main/java/dapplestair/fleet/Lookout.java
+++ b/src/main/java/dapplestair/fleet/Lookout.java
@@ -4,7 +4,6 @@
 import com.google.common.collect.Multiset;
 import dapplestair.events.Events;
 import dapplestair.ledger.Attempt;
-import dapplestair.machines.MachineType;
 import dapplestair.machines.MachineTypes;
 import dapplestair.ports.Clock;
 import dapplestair.settings.Settings;
@@ -173,7 +172,7 @@
    */
   private boolean givenUp(Host silent) {
     boolean replicas = silent.serviceCpus() > 0;
-    double bootS = silent.type() == null ? longestBootS() : silent.type().bootS();
+    double bootS = types.bootS(silent.type());
     if (desk.zoneHeard(silent)) {
       return !silent.hanging() || patience.hangsTooLong(desk.silentMs(silent), replicas, bootS);
     }
@@ -228,7 +227,7 @@
         || h.zoneSilentMs() > 0) {
       return false;
     }
-    double boot = h.type() == null ? longestBootS() : h.type().bootS();
+    double boot = types.bootS(h.type());
     return now - h.rentedAt() > BOOT_OVERDUE * boot * 1000;
   }
 
@@ -238,10 +237,6 @@
     releases.add(h);
   }
 
-  private double longestBootS() {
-    return types.all().stream().mapToDouble(MachineType::bootS).max().orElse(60);
-  }
-
   /**
    * Recorded by an earlier leader, in a rental or as the place of an attempt, and gone before any
    * list of this one could hold it. Its release is the proof that its attempts need.
--- a/src/main/java/dapplestair/fleet/Rentals.java
+++ b/src/main/java/dapplestair/fleet/Rentals.java
@@ -174,8 +174,8 @@
   }
 
   private void guarded(Outcome outcome) {
-    if (outcome instanceof Outcome.Conflict c && c.failed().contains(Keys.LEADER) && leading) {
-      leadership.guardFailed();
+    if (leading) {
+      leadership.deposedBy(outcome);
     }
   }
 
--- a/src/main/java/dapplestair/leadership/Leadership.java
+++ b/src/main/java/dapplestair/leadership/Leadership.java
@@ -167,8 +167,19 @@
     }
   }
 
-  /** Some write found that the leader key is not ours any more. */
-  public void guardFailed() {
+  /**
+   * True when a write was refused since the leader's key was not as expected: somebody else leads,
+   * and this controller steps down if it still believed to lead itself.
+   */
+  public boolean deposedBy(Outcome outcome) {
+    if (outcome instanceof Outcome.Conflict c && c.failed().contains(Keys.LEADER)) {
+      guardFailed();
+      return true;
+    }
+    return false;
+  }
+
+  private void guardFailed() {
     if (leading) {
       stepDown("a guarded write was refused");
     }
--- a/src/main/java/dapplestair/ledger/ChunkWriter.java
+++ b/src/main/java/dapplestair/ledger/ChunkWriter.java
@@ -203,8 +203,7 @@
     c.dirty = true;
     c.urgent |= !flush.planned.isEmpty();
     if (outcome instanceof Outcome.Conflict conflict) {
-      if (conflict.failed().contains(Keys.LEADER)) {
-        office.leadership.guardFailed();
+      if (office.leadership.deposedBy(outcome)) {
         return;
       }
       if (conflict.failed().contains(Keys.job(job.spec().ref()))) {
--- a/src/main/java/dapplestair/ledger/Endings.java
+++ b/src/main/java/dapplestair/ledger/Endings.java
@@ -124,8 +124,7 @@
       return;
     }
     if (outcome instanceof Outcome.Conflict conflict) {
-      if (conflict.failed().contains(Keys.LEADER)) {
-        office.leadership.guardFailed();
+      if (office.leadership.deposedBy(outcome)) {
         return;
       }
       if (conflict.failed().contains(Keys.job(ref))) {
@@ -180,9 +179,8 @@
           if (outcome instanceof Outcome.Applied) {
             c.stamp = 0;
             over(job);
-          } else if (outcome instanceof Outcome.Conflict conflict
-              && conflict.failed().contains(Keys.LEADER)) {
-            office.leadership.guardFailed();
+          } else if (office.leadership.deposedBy(outcome)) {
+            return;
           } else if (outcome instanceof Outcome.Refused) {
             office.timers.after(4 * office.retryMs, () -> over(job));
           } else {
--- a/src/main/java/dapplestair/ledger/Sheets.java
+++ b/src/main/java/dapplestair/ledger/Sheets.java
@@ -194,8 +194,7 @@
       }
     } else if (outcome instanceof Outcome.Conflict conflict) {
       sheets.remove(flight.sheet.key);
-      if (conflict.failed().contains(Keys.LEADER)) {
-        office.leadership.guardFailed();
+      if (office.leadership.deposedBy(outcome)) {
         return;
       }
       dropWithdrawn(flight, conflict);
@@ -258,8 +257,8 @@
           s.removing = false;
           if (outcome instanceof Outcome.Applied) {
             sheets.remove(s.key);
-          } else if (outcome instanceof Outcome.Conflict c && c.failed().contains(Keys.LEADER)) {
-            office.leadership.guardFailed();
+          } else if (office.leadership.deposedBy(outcome)) {
+            return;
           } else if (outcome instanceof Outcome.Conflict) {
             sheets.remove(s.key);
           } else {
--- a/src/main/java/dapplestair/machines/MachineTypes.java
+++ b/src/main/java/dapplestair/machines/MachineTypes.java
@@ -55,4 +55,11 @@
   public boolean anySuits(Submission s) {
     return types.values().stream().anyMatch(t -> t.suits(s));
   }
+
+  /** Seconds that a machine of this type takes to boot; of an unknown one, null, at most. */
+  public double bootS(MachineType type) {
+    return type != null
+        ? type.bootS()
+        : all().stream().mapToDouble(MachineType::bootS).max().orElse(60);
+  }
 }
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -333,8 +333,8 @@
           writing = false;
           if (outcome instanceof Outcome.Applied) {
             lastWritten = value;
-          } else if (outcome instanceof Outcome.Conflict c && c.failed().contains(Keys.LEADER)) {
-            leadership.guardFailed();
+          } else {
+            leadership.deposedBy(outcome);
           }
         });
   }
--- a/src/main/java/dapplestair/replacement/Replacements.java
+++ b/src/main/java/dapplestair/replacement/Replacements.java
@@ -40,6 +40,7 @@
   private final Timers timers;
   private final Settings settings;
   private final StateClient state;
+  private final MachineTypes types;
   private final Machines machines;
   private final Room room;
   private final Steps steps;
@@ -68,6 +69,7 @@
     this.settings = settings;
     this.state = state;
     this.room = room;
+    this.types = types;
     machines = new Machines(clock, desk, disruption);
     steps =
         new Steps(
@@ -155,7 +157,7 @@
     for (Running r : orders.values()) {
       if (r.active() && r.progress.phase() == Phase.RAISE) {
         for (Host h : machines.left(r.progress.batch())) {
-          long bootMs = Math.round(1000 * steps.bootS(h));
+          long bootMs = Math.round(1000 * types.bootS(h.type()));
           h.setLeavesAt(clock.now() - (clock.wall() - r.progress.stepWall()) + bootMs);
           now.add(h);
         }
--- a/src/main/java/dapplestair/replacement/Room.java
+++ b/src/main/java/dapplestair/replacement/Room.java
@@ -85,6 +85,11 @@
     return false;
   }
 
+  /** Within this time lists show whatever there is; milliseconds. */
+  long longestListLag() {
+    return fleet.longestListLag();
+  }
+
   /** True when all that plan and order want is up and heard. */
   boolean ready(Map<Slot, Integer> batch, ToIntFunction<Slot> extra) {
     Planning.Applied plan = planning.applied();
--- a/src/main/java/dapplestair/replacement/Steps.java
+++ b/src/main/java/dapplestair/replacement/Steps.java
@@ -4,7 +4,6 @@
 import dapplestair.events.Events;
 import dapplestair.fleet.Slot;
 import dapplestair.leadership.Leadership;
-import dapplestair.machines.MachineType;
 import dapplestair.machines.MachineTypes;
 import dapplestair.ports.Clock;
 import dapplestair.replacement.Progress.Phase;
@@ -116,7 +115,7 @@
    * list can tell: what is there no more is not concluded before lists have had the time.
    */
   private boolean knowsAll() {
-    return clock.now() - leadingSince > Math.round(2.2 * settings.cloud().listLagMs()) + 1000;
+    return clock.now() - leadingSince > room.longestListLag();
   }
 
   private void choose(Running r) {
@@ -125,7 +124,7 @@
     }
     List<Host> old = machines.old(r.order);
     if (old.isEmpty()) {
-      write(r, r.progress.done(clock.wall()), () -> {});
+      write(r, r.progress.done(clock.wall()));
       return;
     }
     Set<String> taken = new HashSet<>();
@@ -144,22 +143,18 @@
     if (r.order.beyond() > 0 && beyond == 0) {
       next = next.remark("the plan's budget pays for no machine beyond: none beyond in this step");
     }
-    write(r, next, () -> {});
+    write(r, next);
   }
 
   /** Waits for new machines; without any to have it goes on machine by machine. */
   private void raise(Running r) {
     List<Host> left = machines.left(r.progress.batch());
-    if (left.isEmpty()) {
-      write(r, r.progress.in(Phase.EMPTY, clock.wall()), () -> {});
-      return;
-    }
-    if (room.ready(Machines.bySlot(left), extra)) {
-      write(r, r.progress.in(Phase.EMPTY, clock.wall()), () -> {});
+    if (left.isEmpty() || room.ready(Machines.bySlot(left), extra)) {
+      write(r, r.progress.in(Phase.EMPTY, clock.wall()));
       return;
     }
     long since = clock.wall() - r.progress.stepWall();
-    double bootS = left.stream().mapToDouble(this::bootS).max().orElse(60);
+    double bootS = left.stream().mapToDouble(h -> types.bootS(h.type())).max().orElse(60);
     if (since < BOOT_OVERDUE * 1000 * bootS) {
       return;
     }
@@ -177,7 +172,7 @@
       String why =
           "the cloud gave %d machines beyond for %d: %d at a time"
               .formatted(up, left.size(), fewer.size());
-      write(r, r.progress.only(fewer, clock.wall(), why), () -> {});
+      write(r, r.progress.only(fewer, clock.wall(), why));
     }
   }
 
@@ -234,12 +229,12 @@
       if (only != null) {
         r.badSince = 0;
         String said = "no room for what runs on " + left.size() + " machines: one by one";
-        write(r, r.progress.only(Set.of(only), r.progress.stepWall(), said), () -> {});
+        write(r, r.progress.only(Set.of(only), r.progress.stepWall(), said));
       }
     } else if (now - r.badSince > settings.workers().leaseMs() && !why.equals(r.bad)) {
       r.bad = why;
       r.badSince = now;
-      write(r, r.progress.remark(why), () -> {});
+      write(r, r.progress.remark(why));
     }
   }
 
@@ -254,7 +249,8 @@
     Host stuck = left.get(0);
     if (r.swappedAt == 0) {
       r.swappedAt = now;
-    } else if (now - r.swappedAt > BOOT_OVERDUE * 1000 * bootS(stuck) && room.swap(stuck)) {
+    } else if (now - r.swappedAt > BOOT_OVERDUE * 1000 * types.bootS(stuck.type())
+        && room.swap(stuck)) {
       LOG.info("replacement {}: an empty machine is given for one in {}", r.name, stuck.zone());
       r.swappedAt = now;
     }
@@ -277,6 +273,10 @@
     }
   }
 
+  private void write(Running r, Progress next) {
+    write(r, next, () -> {});
+  }
+
   /** On record first; nothing of it is done before. */
   private void write(Running r, Progress next, Runnable then) {
     r.writing = true;
@@ -303,20 +303,14 @@
             changed.run();
             note(r.name, next.phase().name().toLowerCase(java.util.Locale.ROOT), next.remark());
             then.run();
-          } else if (outcome instanceof Outcome.Conflict c && c.failed().contains(Keys.LEADER)) {
-            leadership.guardFailed();
+          } else {
+            leadership.deposedBy(outcome);
           }
-          // Otherwise the replica shows what is on record, and the next look goes on from there.
+          // Without an answer the replica shows what is on record, and the next look goes on from
+          // there.
         });
   }
 
-  /** How long such a machine takes to boot. */
-  double bootS(Host h) {
-    return h.type() == null
-        ? types.all().stream().mapToDouble(MachineType::bootS).max().orElse(60)
-        : h.type().bootS();
-  }
-
   /** An event of an order. */
   void note(String name, String what, String why) {
     events.note(
--- a/src/main/java/dapplestair/zones/Zones.java
+++ b/src/main/java/dapplestair/zones/Zones.java
@@ -207,8 +207,8 @@
                     o.put("zone", zone)
                         .put("state", next.state().shown())
                         .put("cuts", next.cuts()));
-          } else if (outcome instanceof Outcome.Conflict c && c.failed().contains(Keys.LEADER)) {
-            leadership.guardFailed();
+          } else {
+            leadership.deposedBy(outcome);
           }
         });
   }
