A step has no more machines beyond than the budget paid for when it began

Cause: found on reading again. Room.affords counted what the plan's budget still pays for, but the order's own figure was held all the same once that was more than none: 14 machines where 13 were paid for. Change: the step's record has how many it may have beyond; where replicas have no place, the budget is asked again.

--- a/src/main/java/dapplestair/replacement/Progress.java
+++ b/src/main/java/dapplestair/replacement/Progress.java
@@ -15,6 +15,7 @@
  * @param batch the machines of this step
  * @param stepWall when the step, or its present phase, began
  * @param judgedWall machines rented since then are what this step is judged by
+ * @param beyond machines beyond the old that this step may have: as many as the budget paid for
  * @param paused why nothing is done now, or null
  * @param byWord true when only an operator's word ends the pause
  * @param remark what is noteworthy about how it goes on, or null
@@ -25,6 +26,7 @@
     Set<String> batch,
     long stepWall,
     long judgedWall,
+    int beyond,
     String paused,
     boolean byWord,
     String remark) {
@@ -40,40 +42,45 @@
     DONE
   }
 
-  static final Progress BEGIN = new Progress(Phase.CHOOSE, 0, Set.of(), 0, 0, null, false, null);
+  static final Progress BEGIN = new Progress(Phase.CHOOSE, 0, Set.of(), 0, 0, 0, null, false, null);
 
   Progress in(Phase next, long wall) {
-    return new Progress(next, steps, batch, wall, judgedWall, null, false, remark);
+    return new Progress(next, steps, batch, wall, judgedWall, beyond, null, false, remark);
   }
 
   Progress done(long wall) {
-    return new Progress(Phase.DONE, steps, Set.of(), wall, judgedWall, null, false, null);
+    return new Progress(Phase.DONE, steps, Set.of(), wall, judgedWall, 0, null, false, null);
   }
 
-  Progress step(Phase next, Set<String> machines, long wall) {
-    return new Progress(next, steps + 1, machines, wall, wall, null, false, null);
+  Progress step(Phase next, Set<String> machines, int more, long wall) {
+    return new Progress(next, steps + 1, machines, wall, wall, more, null, false, null);
   }
 
   Progress only(Set<String> machines, long wall, String why) {
-    return new Progress(Phase.EMPTY, steps, machines, wall, judgedWall, null, false, why);
+    return new Progress(Phase.EMPTY, steps, machines, wall, judgedWall, beyond, null, false, why);
   }
 
   Progress pause(String why, boolean untilTold) {
-    return new Progress(phase, steps, batch, stepWall, judgedWall, why, untilTold, remark);
+    return new Progress(phase, steps, batch, stepWall, judgedWall, beyond, why, untilTold, remark);
   }
 
   /** Goes on. Whoever says so by his word has seen the new machines there are. */
   Progress resume(long wall) {
-    return new Progress(phase, steps, batch, wall, byWord ? wall : judgedWall, null, false, remark);
+    return new Progress(
+        phase, steps, batch, wall, byWord ? wall : judgedWall, beyond, null, false, remark);
   }
 
   Progress remark(String what) {
-    return new Progress(phase, steps, batch, stepWall, judgedWall, paused, byWord, what);
+    return new Progress(phase, steps, batch, stepWall, judgedWall, beyond, paused, byWord, what);
   }
 
   void write(ObjectNode to) {
     ObjectNode o = to.putObject("progress");
-    o.put("phase", phase.name()).put("steps", steps).put("at", stepWall).put("since", judgedWall);
+    o.put("phase", phase.name())
+        .put("steps", steps)
+        .put("at", stepWall)
+        .put("since", judgedWall)
+        .put("beyond", beyond);
     ArrayNode names = o.putArray("batch");
     batch.forEach(names::add);
     if (paused != null) {
@@ -97,6 +104,7 @@
         batch,
         Json.number(p, "at", 0),
         Json.number(p, "since", 0),
+        (int) Json.number(p, "beyond", 0),
         Json.text(p, "paused"),
         Json.flag(p, "byWord"),
         Json.text(p, "remark"));
--- a/src/main/java/dapplestair/replacement/Replacements.java
+++ b/src/main/java/dapplestair/replacement/Replacements.java
@@ -205,8 +205,10 @@
       int mine = left.getOrDefault(slot, 0);
       // Where a replica has no place to go, all that may be beyond is: the next comes in the zone
       // that has fewest.
-      int share = room.share(left, slot, r.order.beyond());
-      int beyond = mine > 0 && r.cramped ? r.order.beyond() : Math.min(mine, share);
+      int beyond =
+          mine > 0 && r.cramped
+              ? room.affords(Map.of(slot, r.order.beyond()), r.order.beyond())
+              : room.share(left, slot, r.progress.beyond());
       // While it pauses the old are back in use, and the new are kept for when it goes on.
       extra += r.active() && r.progress.phase() == Phase.EMPTY ? beyond - mine : beyond;
     }
--- a/src/main/java/dapplestair/replacement/Steps.java
+++ b/src/main/java/dapplestair/replacement/Steps.java
@@ -139,7 +139,7 @@
     List<Host> hosts = machines.left(batch);
     int beyond = room.affords(Machines.bySlot(hosts), r.order.beyond());
     Phase phase = beyond > 0 ? Phase.RAISE : Phase.EMPTY;
-    Progress next = r.progress.step(phase, batch, clock.wall());
+    Progress next = r.progress.step(phase, batch, beyond, clock.wall());
     if (r.order.beyond() > 0 && beyond == 0) {
       next = next.remark("the plan's budget pays for no machine beyond: none beyond in this step");
     }
--- a/src/test/java/dapplestair/world/ReplacementTest.java
+++ b/src/test/java/dapplestair/world/ReplacementTest.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.emulator.EmulatedWorker;
 import dapplestair.json.Json;
+import dapplestair.settings.Operator;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -357,6 +358,42 @@
         writes[0] + " writes for " + before + " machines in " + steps + " steps");
   }
 
+  /** Machines beyond are had only as far as the plan's own budget leaves money for them. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {96, 97, 98})
+  void theBudgetBoundsWhatIsBeyond(long seed) {
+    World w = DisruptionTest.begun(seed, 3, 3);
+    // What arrays needed is given back first.
+    w.run(60_000);
+    long held = steady(w);
+    Operator o = w.operator;
+    w.operator =
+        new Operator(
+            o.planIntervalMs(),
+            o.population(),
+            o.evaluations(),
+            held + 2,
+            o.budgetRatio(),
+            o.returnAfterRounds(),
+            o.makespanWeight(),
+            o.spendWeight(),
+            o.riskWeight(),
+            o.budgets(),
+            null);
+    w.nodes.forEach(n -> n.crash(1000));
+    w.run(15_000);
+    OperatorsTest.order(w, NIGHT + "/start", all(6, 6));
+    long[] most = {0};
+    w.also = () -> most[0] = Math.max(most[0], steady(w));
+    w.run(90_000);
+    assertTrue(most[0] <= held + 2, most[0] + " machines, " + held + " before, two more paid for");
+    assertTrue(most[0] > held, "none beyond, though two are paid for");
+  }
+
+  private static long steady(World w) {
+    return w.cloud.machines().stream().filter(m -> !m.gone() && !m.spot()).count();
+  }
+
   /** Aborted half way: what is still old is in use again, and stays. */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {71, 72})
