--- a/src/main/java/dapplestair/admin/ClusterViews.java
+++ b/src/main/java/dapplestair/admin/ClusterViews.java
@@ -19,6 +19,7 @@
 import dapplestair.ports.Clock;
 import dapplestair.settings.Settings;
 import dapplestair.state.StateClient;
+import dapplestair.withdrawals.Withdrawals;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import dapplestair.zones.Zones;
@@ -44,6 +45,7 @@
   private final StateClient state;
   private final MachineViews machines;
   private final Moment moment;
+  private final Withdrawals withdrawals;
 
   ClusterViews(Duties d, MachineViews machines, Moment moment) {
     this.clock = d.clock();
@@ -61,6 +63,7 @@
     this.state = d.state();
     this.machines = machines;
     this.moment = moment;
+    this.withdrawals = d.withdrawals();
   }
 
   /** Who leads, who lives, what waits where. */
@@ -97,6 +100,14 @@
             .put("puts", p.status().puts());
       }
     }
+    ObjectNode w = o.putObject("withdrawals").put("open", withdrawals.open());
+    if (withdrawals.open() > 0) {
+      w.put("oldest_s", withdrawals.openMs() / 1000.0);
+    }
+    if (withdrawals.ageMs() < Integer.MAX_VALUE) {
+      w.put("known_to_age_s", withdrawals.ageMs() / 1000.0);
+    }
+    w.put("keeps_leases", withdrawals.mayRenew());
     ObjectNode s =
         o.putObject("state")
             .put("reachable", state.reachable())
--- /dev/null
+++ b/src/test/java/dapplestair/withdrawals/KnownToTest.java
@@ -0,0 +1,90 @@
+package dapplestair.withdrawals;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dapplestair.ports.Clock;
+import dapplestair.settings.Settings;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Up to when a controller knows all, case by case (docs/withdrawals.md). */
+class KnownToTest {
+  private long now = 100_000;
+  private long records = KnownTo.NEVER;
+  private final Clock clock =
+      new Clock() {
+        @Override
+        public long now() {
+          return now;
+        }
+
+        @Override
+        public long wall() {
+          return now;
+        }
+      };
+  private final KnownTo knownTo = new KnownTo(clock, () -> records, List.of("b", "c"));
+
+  private void tells(String member, long log) {
+    KnownTo.Peer p = knownTo.peer(member);
+    if (p.log != log) {
+      knownTo.met(p, log);
+    }
+    knownTo.told(p, now);
+  }
+
+  @Test
+  void nothingIsKnownBeforeTheRecordsWereRead() {
+    tells("b", 1);
+    tells("c", 1);
+    assertTrue(knownTo.ageMs() > Integer.MAX_VALUE);
+  }
+
+  /** In an outage of all it goes on as long as all tell, and stands still when one does not. */
+  @Test
+  void theLeastOfAllPeers() {
+    tells("b", 1);
+    tells("c", 1);
+    records = now;
+    now += 10;
+    tells("b", 1);
+    tells("c", 1);
+    now += 30_000;
+    tells("b", 1);
+    assertEquals(30_000, knownTo.ageMs(), "one is dead or cut off, which cannot be told");
+    tells("c", 1);
+    assertEquals(0, knownTo.ageMs());
+  }
+
+  /** Its new life does not know what the former one confirmed: only the records do. */
+  @Test
+  void aPeerThatIsBackAtOnceRemembersNothing() {
+    tells("b", 1);
+    tells("c", 1);
+    records = now;
+    now += 10;
+    tells("b", 1);
+    tells("c", 1);
+    now += 500;
+    tells("b", 2);
+    tells("c", 1);
+    now += 5000;
+    tells("b", 2);
+    tells("c", 1);
+    assertEquals(5500, knownTo.ageMs());
+    records = now;
+    now += 7;
+    tells("b", 2);
+    tells("c", 1);
+    assertEquals(0, knownTo.ageMs());
+  }
+
+  @Test
+  void theWindowLeavesALeaseAndASixteenth() {
+    assertEquals(
+        66_000 - 36_000 - 2250, Withdrawals.windowMs(new Settings.Workers(6000, 36_000, 66_000)));
+    assertEquals(
+        12_000, Withdrawals.windowMs(new Settings.Workers(6000, 36_000, 30_000)), "the least");
+  }
+}
--- a/src/test/java/dapplestair/world/GapTest.java
+++ b/src/test/java/dapplestair/world/GapTest.java
@@ -202,6 +202,33 @@
         });
   }
 
+  /** The first layer: who confirms tells, and the old leader ends the tasks at once. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {8101, 8102})
+  void whoConfirmsTells(long seed) {
+    Day d = new Day(seed);
+    refuse(d);
+    d.withdraw(d.second);
+    d.w.state.fail();
+    d.w.run(World.REPORT_MS);
+    assertEquals(0, d.running(d.withdrawn), "withdrawn tasks");
+  }
+
+  /** The second layer: nobody can be told, so who confirmed ends the tasks on their machines. */
+  @ParameterizedTest(name = "seed {0}, links {1}")
+  @CsvSource({"8103,refused", "8104,held"})
+  void whoConfirmsActs(long seed, String links) {
+    Day d = new Day(seed);
+    refuse(d);
+    d.links(d.old, d.second, links);
+    d.links(d.old, d.third, links);
+    d.links(d.second, d.third, links);
+    d.withdraw(d.second);
+    d.w.state.fail();
+    d.w.run(World.CANCEL_MS / 2);
+    assertEquals(0, d.running(d.withdrawn), "withdrawn tasks");
+  }
+
   /** Launches are on the wire while their jobs are withdrawn, and arrive any time later. */
   @ParameterizedTest(name = "seed {0}, arriving after {1} ms, links {2}")
   @CsvSource({
--- /dev/null
+++ b/src/test/java/dapplestair/world/Meetings.java
@@ -0,0 +1,27 @@
+package dapplestair.world;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Plays more meetings than a build has time for: {@code Meetings FROM TO} plays these seeds and
+ * prints each that broke a rule.
+ */
+final class Meetings {
+  private Meetings() {}
+
+  public static void main(String[] args) {
+    long from = Long.parseLong(args[0]);
+    long to = Long.parseLong(args[1]);
+    List<String> broken = new ArrayList<>();
+    for (long seed = from; seed <= to; seed++) {
+      try {
+        MeetingsTest.play(seed);
+      } catch (AssertionError e) {
+        broken.add(e.getMessage());
+        System.out.println(e.getMessage());
+      }
+    }
+    System.out.printf("%d seeds, %d failed%n", to - from + 1, broken.size());
+  }
+}
--- a/src/test/java/dapplestair/world/Network.java
+++ b/src/test/java/dapplestair/world/Network.java
@@ -35,6 +35,12 @@
 
   long copyLateMs = 60_000;
 
+  /**
+   * Share of transactions that get no answer and are carried out later, after newer ones of the
+   * same controller.
+   */
+  double lateWrites;
+
   Network(Sim sim) {
     this.sim = sim;
   }
@@ -128,6 +134,11 @@
     if (copied > 0 && body != null && sim.chance(copied)) {
       copy(from, to, method, path, body);
     }
+    if (lateWrites > 0 && path.equals("/commit") && sim.chance(lateWrites)) {
+      Place store = places.get(to);
+      sim.after(sim.between(2000, 12_000), () -> store.request(from, method, path, body, r -> {}));
+      return;
+    }
     carry(
         from,
         to,
--- a/src/test/java/dapplestair/world/Troubles.java
+++ b/src/test/java/dapplestair/world/Troubles.java
@@ -33,6 +33,11 @@
     return all.isEmpty() ? null : all.get((int) w.sim.between(0, all.size() - 1));
   }
 
+  /** One of any kind at this moment, those of late writes among them. */
+  void any() {
+    one((int) w.sim.between(0, 20));
+  }
+
   private void one(int kind) {
     World.Node node = w.nodes.get((int) w.sim.between(0, 2));
     String name = "node-" + node.index;
@@ -125,6 +130,10 @@
           w.sim.after(w.sim.between(500, 1500), () -> node.crash(w.sim.between(60, 500)));
         }
       }
+      case 20 -> {
+        w.net.lateWrites = 0.25;
+        w.sim.after(ms, () -> w.net.lateWrites = 0);
+      }
       default -> {
         if (m != null) {
           m.sicken();
--- a/src/test/java/dapplestair/world/Users.java
+++ b/src/test/java/dapplestair/world/Users.java
@@ -95,6 +95,9 @@
   private int made;
   boolean quiet;
 
+  /** Share of arrays that are withdrawn within seconds. */
+  double withdrawnArrays = 0.15;
+
   /**
    * By the operators' letter, no job may go without an answer for longer once troubles are over.
    */
@@ -155,7 +158,7 @@
     Told t = new Told(b);
     told.put(t.ref, t);
     submit(t, world.sim.now() + 60_000);
-    if (service || world.sim.chance(0.15)) {
+    if (service || world.sim.chance(withdrawnArrays)) {
       world.sim.after(world.sim.between(500, service ? 60_000 : 8_000), () -> withdraw(t));
     }
   }
