A withdrawal is told after one read barrier, without reading its record once more

An abort that is known to be applied needs the barrier (where its tasks are) and not the record of its end: one request less for each withdrawal.

--- a/src/main/java/dapplestair/submissions/SubmissionDesk.java
+++ b/src/main/java/dapplestair/submissions/SubmissionDesk.java
@@ -316,9 +316,9 @@
         Math.max(0, deadline - clock.now()),
         outcome -> {
           if (outcome instanceof Outcome.Applied) {
-            // Looked at once more: where its tasks are is on record by now, and whoever tells the
-            // user has read it. If that fails the user is told nothing yet.
-            withdraw(x, ref, deadline);
+            // Where its tasks are is on record by now, and whoever tells the user has read it: what
+            // is told to the others is all there is. If that fails the user is told nothing yet.
+            replica.barrier(passed -> withdrawn(x, ref, passed));
           } else if (outcome instanceof Outcome.Refused || clock.now() >= deadline) {
             busy(x);
           } else {
@@ -328,6 +328,15 @@
         });
   }
 
+  private void withdrawn(Exchange x, String ref, boolean passed) {
+    if (passed) {
+      ended(ref, false);
+      over(x, 200, ref, false);
+    } else {
+      busy(x);
+    }
+  }
+
   // ---- answers ----
 
   /** A final state. That a job is withdrawn is told to the other controllers before its user. */
