--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -80,7 +80,7 @@
   private final Blame blame;
   private final AdminDesk admin;
   private final Records records;
-  private final Doors doors;
+  private final HttpRouter router;
   private final Pulse pulse;
   private final SelfReport self;
 
@@ -218,8 +218,8 @@
         new SelfReport(
             leadership, ledger, workers, submissions, withdrawals, state, replica, types);
     pulse = new Pulse(clock, timers, metrics, 20 * settings.workers().reportMs(), self::line);
-    doors =
-        new Doors(
+    router =
+        new HttpRouter(
             workers,
             submissions,
             self::able,
@@ -335,7 +335,7 @@
 
   /** Answers a request of a user, a worker or a health check. */
   public void handle(Exchange x) {
-    doors.handle(x);
+    router.handle(x);
   }
 
   // ---- between the duties ----
--- a/src/main/java/dapplestair/node/Doors.java
+++ b/src/main/java/dapplestair/node/HttpRouter.java
@@ -9,7 +9,7 @@
 import java.util.function.LongSupplier;
 
 /** Brings each request of users, workers and health checks to the duty whose it is. */
-final class Doors {
+final class HttpRouter {
   private static final String SUBMISSIONS = "/submissions";
 
   private final WorkerDesk workers;
@@ -23,7 +23,7 @@
    * {@code able} says whether this controller can take requests now, {@code unreachableMs} for how
    * long the state service has not answered; from {@code doubtfulMs} on it is no passing trouble.
    */
-  Doors(
+  HttpRouter(
       WorkerDesk workers,
       SubmissionDesk submissions,
       BooleanSupplier able,
