--- a/src/main/java/dapplestair/leadership/Baton.java
+++ b/src/main/java/dapplestair/leadership/FencingToken.java
@@ -1,7 +1,7 @@
 package dapplestair.leadership;
 
 /** The token shown to workers: the term in the high bits, a fence counter in the low ones. */
-public final class Baton {
+public final class FencingToken {
   private static final int FENCE_BITS = 24;
   private static final long STEP = 1 << 12;
 
@@ -11,7 +11,7 @@
    */
   public static final long MOST_AHEAD = STEP / 2;
 
-  private Baton() {}
+  private FencingToken() {}
 
   /** The token of a term, raised {@code fence} times. */
   public static long of(long term, long fence) {
@@ -19,26 +19,26 @@
   }
 
   /** How often a term's token was raised. */
-  public static long fence(long baton) {
-    return baton & ((1L << FENCE_BITS) - 1);
+  public static long fence(long token) {
+    return token & ((1L << FENCE_BITS) - 1);
   }
 
   /**
-   * The token that a controller that does not lead may show to a worker that shows {@code baton}:
+   * The token that a controller that does not lead may show to a worker that shows {@code token}:
    * in the same term, above every one that the leader may have used for this worker without its
    * being shown ({@link #MOST_AHEAD}). Negative when there is none left.
    *
    * <p>Whoever raises a token, what follows from it stays true: a message that carries a lower one
    * is not executed any more. A leader that meets the raised token goes on from there.
    */
-  public static long raisedByOther(long baton) {
-    long raised = (fence(baton) / STEP + 1) * STEP;
+  public static long raisedByOther(long token) {
+    long raised = (fence(token) / STEP + 1) * STEP;
     // Half of the numbers are left to the leader's own raises.
-    return raised >= 1L << (FENCE_BITS - 1) ? -1 : of(term(baton), raised);
+    return raised >= 1L << (FENCE_BITS - 1) ? -1 : of(term(token), raised);
   }
 
   /** The term of a token. */
-  public static long term(long baton) {
-    return baton >>> FENCE_BITS;
+  public static long term(long token) {
+    return token >>> FENCE_BITS;
   }
 }
--- a/src/main/java/dapplestair/ledger/Takeover.java
+++ b/src/main/java/dapplestair/ledger/Takeover.java
@@ -1,6 +1,6 @@
 package dapplestair.ledger;
 
-import dapplestair.leadership.Baton;
+import dapplestair.leadership.FencingToken;
 import dapplestair.state.Keys;
 import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
@@ -157,7 +157,7 @@
     // this term proves anything about it.
     a.phase = Attempt.Phase.SENT;
     a.adopted = true;
-    a.neededToken = Baton.of(office.term(), 0);
+    a.neededToken = FencingToken.of(office.term(), 0);
     attempts.enter(c, a);
   }
 
--- a/src/main/java/dapplestair/withdrawals/Enforcer.java
+++ b/src/main/java/dapplestair/withdrawals/Enforcer.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.json.Json;
-import dapplestair.leadership.Baton;
+import dapplestair.leadership.FencingToken;
 import dapplestair.ports.Clock;
 import dapplestair.ports.HttpCaller;
 import dapplestair.ports.HttpReply;
@@ -133,7 +133,7 @@
   }
 
   private void halt(String endpoint, Report r, List<Left> tasks) {
-    long token = Baton.raisedByOther(r.token());
+    long token = FencingToken.raisedByOther(r.token());
     if (token < 0) {
       calling.remove(r.host());
       return;
--- a/src/main/java/dapplestair/workers/Courier.java
+++ b/src/main/java/dapplestair/workers/Courier.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.json.Json;
-import dapplestair.leadership.Baton;
+import dapplestair.leadership.FencingToken;
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Attempt;
 import dapplestair.ports.Clock;
@@ -75,7 +75,7 @@
 
   /** The token to show to a machine: the term, and its fence. */
   long token(Host host) {
-    return Baton.of(leadership.term(), host.fence);
+    return FencingToken.of(leadership.term(), host.fence);
   }
 
   /** Sends an order with all others of this turn. */
@@ -179,8 +179,11 @@
    * package withdrawals.
    */
   private boolean mayLaunch(Host host) {
-    long shown = Baton.term(host.tokenSeen) == leadership.term() ? Baton.fence(host.tokenSeen) : 0;
-    return withdrawals.mayLaunch() && host.fence - shown < Baton.MOST_AHEAD;
+    long shown =
+        FencingToken.term(host.tokenSeen) == leadership.term()
+            ? FencingToken.fence(host.tokenSeen)
+            : 0;
+    return withdrawals.mayLaunch() && host.fence - shown < FencingToken.MOST_AHEAD;
   }
 
   private void answered(Host host, List<Order> orders, List<Attempt> launches, HttpReply reply) {
--- a/src/main/java/dapplestair/workers/LeaseRenewal.java
+++ b/src/main/java/dapplestair/workers/LeaseRenewal.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.json.Json;
-import dapplestair.leadership.Baton;
+import dapplestair.leadership.FencingToken;
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Ledger;
@@ -75,7 +75,7 @@
       // The launch is under way: after this answer it is executed no more.
       host.fence++;
     }
-    return answer(Baton.of(leadership.term(), host.fence), halts);
+    return answer(FencingToken.of(leadership.term(), host.fence), halts);
   }
 
   /**
@@ -116,7 +116,7 @@
     if (shown || clock.now() - withdrawals.newestAt() > withdrawals.keptMs()) {
       return r.token();
     }
-    long token = Baton.raisedByOther(r.token());
+    long token = FencingToken.raisedByOther(r.token());
     raised.remove(r.host());
     raised.put(r.host(), new Raised(token, clock.now()));
     return token;
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.json.Json;
-import dapplestair.leadership.Baton;
+import dapplestair.leadership.FencingToken;
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Ledger;
@@ -272,7 +272,7 @@
     }
     // A higher token means that somebody else leads by now. To be looked at before any 200: a
     // worker that has to drop a 200 stays here while its lease runs out.
-    leadership.termShown(Baton.term(r.token()));
+    leadership.termShown(FencingToken.term(r.token()));
     withdrawals.addressed(r.host(), r.endpoint());
     beats++;
     if (!leading || !leadership.leading()) {
@@ -321,7 +321,7 @@
       exchange.reply(503, Json.bytes(Json.object()), 1);
       return;
     }
-    if (alone && Baton.term(r.token()) >= leadership.termSeen()) {
+    if (alone && FencingToken.term(r.token()) >= leadership.termSeen()) {
       keep(exchange, renewal.byOther(r));
       return;
     }
@@ -350,13 +350,13 @@
    * that comes late. Facts in it are facts all the same, and proofs have their own conditions.
    */
   private void apply(Host host, Report r, boolean answer) {
-    leadership.termShown(Baton.term(r.token()));
+    leadership.termShown(FencingToken.term(r.token()));
     if (!leading || !leadership.leading()) {
       return;
     }
-    if (Baton.term(r.token()) == leadership.term()) {
+    if (FencingToken.term(r.token()) == leadership.term()) {
       // Another controller may have raised it: what lies below is not executed any more.
-      host.fence = Math.max(host.fence, Baton.fence(r.token()));
+      host.fence = Math.max(host.fence, FencingToken.fence(r.token()));
     }
     if (!r.after(host.session, host.tick) || host.gone()) {
       return;
@@ -365,14 +365,14 @@
     host.session = r.session();
     host.tick = r.tick();
     host.tokenSeen = r.token();
-    long challenge = Math.max(host.challenge, Baton.of(leadership.term(), 0));
+    long challenge = Math.max(host.challenge, FencingToken.of(leadership.term(), 0));
     boolean reached = answer || r.token() >= challenge;
     if (reached) {
       host.heardAt = clock.now();
       hearing.heard(r.zone());
     }
     host.describe(r.endpoint(), types.get(r.type()), r.zone(), r.spot());
-    if (!host.acknowledged && r.token() >= Baton.of(leadership.term(), 0)) {
+    if (!host.acknowledged && r.token() >= FencingToken.of(leadership.term(), 0)) {
       host.acknowledged = true;
     }
     boolean recalledBefore = host.recalled();
