A raised token lies above all that the leader may use

Found by reading the proof again: the next multiple of 4,096 can lie one above the worker's token, below one with which the leader's launch is on its way.

--- a/src/main/java/dapplestair/leadership/FencingToken.java
+++ b/src/main/java/dapplestair/leadership/FencingToken.java
@@ -32,7 +32,9 @@
    * is not executed any more. A leader that meets the raised token goes on from there.
    */
   public static long raisedByOther(long token) {
-    long raised = (fence(token) / STEP + 1) * STEP;
+    // Above what the leader may be ahead by, and by as much again for what it may see and use while
+    // this one is on its way: the next multiple alone may lie one above the worker's.
+    long raised = (fence(token) / STEP + 2) * STEP;
     // Half of the numbers are left to the leader's own raises.
     return raised >= 1L << (FENCE_BITS - 1) ? -1 : of(term(token), raised);
   }
