--- a/src/test/java/dapplestair/world/Meetings.java
+++ b/src/test/java/dapplestair/world/Meetings.java
@@ -15,6 +15,9 @@
     long to = Long.parseLong(args[1]);
     List<String> broken = new ArrayList<>();
     for (long seed = from; seed <= to; seed++) {
+      if (seed % 25 == 0) {
+        System.out.println("at seed " + seed);
+      }
       try {
         MeetingsTest.play(seed);
       } catch (AssertionError e) {
