--- a/src/test/java/dapplestair/withdrawals/KnownToTest.java
+++ b/src/test/java/dapplestair/withdrawals/KnownToTest.java
@@ -34,6 +34,15 @@
     knownTo.told(p, now);
   }
 
+  private void allTellAfterTheRecordsWereRead() {
+    tells("b", 1);
+    tells("c", 1);
+    records = now;
+    now += 10;
+    tells("b", 1);
+    tells("c", 1);
+  }
+
   @Test
   void nothingIsKnownBeforeTheRecordsWereRead() {
     tells("b", 1);
@@ -44,12 +53,7 @@
   /** In an outage of all it goes on as long as all tell, and stands still when one does not. */
   @Test
   void theLeastOfAllPeers() {
-    tells("b", 1);
-    tells("c", 1);
-    records = now;
-    now += 10;
-    tells("b", 1);
-    tells("c", 1);
+    allTellAfterTheRecordsWereRead();
     now += 30_000;
     tells("b", 1);
     assertEquals(30_000, knownTo.ageMs(), "one is dead or cut off, which cannot be told");
@@ -60,12 +64,7 @@
   /** Its new life does not know what the former one confirmed: only the records do. */
   @Test
   void aPeerThatIsBackAtOnceRemembersNothing() {
-    tells("b", 1);
-    tells("c", 1);
-    records = now;
-    now += 10;
-    tells("b", 1);
-    tells("c", 1);
+    allTellAfterTheRecordsWereRead();
     now += 500;
     tells("b", 2);
     tells("c", 1);
--- a/src/test/java/dapplestair/world/CancelTimes.java
+++ b/src/test/java/dapplestair/world/CancelTimes.java
@@ -24,7 +24,7 @@
         seeds,
         d -> {
           GapTest.refuse(d);
-          links(d, "refused");
+          d.links("refused", true);
         },
         d -> d.w.state.fail());
     measure(
@@ -32,7 +32,7 @@
         seeds,
         d -> {
           GapTest.refuse(d);
-          links(d, "refused");
+          d.links("refused", true);
         },
         d -> {
           d.w.state.fail();
@@ -48,12 +48,6 @@
         d -> {});
   }
 
-  private static void links(GapTest.Day d, String how) {
-    d.links(d.old, d.second, how);
-    d.links(d.old, d.third, how);
-    d.links(d.second, d.third, how);
-  }
-
   private static void measure(
       String trouble, int seeds, Consumer<GapTest.Day> before, Consumer<GapTest.Day> after) {
     Histogram ms = new Histogram(World.CANCEL_MS * 4, 3);
--- a/src/test/java/dapplestair/world/GapTest.java
+++ b/src/test/java/dapplestair/world/GapTest.java
@@ -66,12 +66,21 @@
       return jobs.stream().mapToLong(this::running).sum();
     }
 
-    void links(World.Node a, World.Node b, String how) {
+    private void links(World.Node a, World.Node b, String how) {
       if (how.equals("refused") || how.equals("held")) {
         w.net.cut("node-" + a.index, "node-" + b.index, how.equals("held"));
       }
     }
 
+    /** Those of the old leader to both others, and theirs to each other if {@code all}. */
+    void links(String how, boolean all) {
+      links(old, second, how);
+      links(old, third, how);
+      if (all) {
+        links(second, third, how);
+      }
+    }
+
     void healLinks() {
       for (World.Node a : w.nodes) {
         for (World.Node b : w.nodes) {
@@ -143,9 +152,7 @@
   void confirmedByAFollower(long seed, String links, long ends, long oldEnds) {
     Day d = new Day(seed);
     refuse(d);
-    d.links(d.old, d.second, links);
-    d.links(d.old, d.third, links);
-    d.links(d.second, d.third, links);
+    d.links(links, true);
     d.withdraw(d.second);
     assertEquals(d.old, d.w.leader());
     d.outage(
@@ -178,8 +185,7 @@
       }
     }
     refuse(d);
-    d.links(d.old, d.second, links);
-    d.links(d.old, d.third, links);
+    d.links(links, false);
     d.w.run(4000);
     World.Node leader = d.w.leader();
     assertTrue(leader != null && leader != d.old, "nobody else leads");
@@ -220,9 +226,7 @@
   void whoConfirmsActs(long seed, String links) {
     Day d = new Day(seed);
     refuse(d);
-    d.links(d.old, d.second, links);
-    d.links(d.old, d.third, links);
-    d.links(d.second, d.third, links);
+    d.links(links, true);
     d.withdraw(d.second);
     d.w.state.fail();
     d.w.run(World.CANCEL_MS / 2);
@@ -255,8 +259,7 @@
     }
     d.w.run(1200);
     refuse(d);
-    d.links(d.old, d.second, links);
-    d.links(d.old, d.third, links);
+    d.links(links, false);
     d.withdraw(d.second);
     d.w.sim.after(5 * World.CANCEL_MS / 2, () -> later.forEach(d.w.users::withdraw));
     d.outage(
--- a/src/test/java/dapplestair/world/Network.java
+++ b/src/test/java/dapplestair/world/Network.java
@@ -168,6 +168,6 @@
 
   /** One-way message; {@code question} when it is a question among controllers, or an answer. */
   void tell(String from, String to, boolean question, Runnable arrive) {
-    carry(question ? sim.amongControllers() : sim.random, from, to, arrive);
+    carry(question ? sim.amongControllers : sim.random, from, to, arrive);
   }
 }
--- a/src/test/java/dapplestair/world/ReplacementTest.java
+++ b/src/test/java/dapplestair/world/ReplacementTest.java
@@ -10,6 +10,7 @@
 import dapplestair.settings.Operator;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.StreamSupport;
 import org.junit.jupiter.api.Test;
@@ -34,34 +35,30 @@
 
   /** Waits until the order is done; its last view. */
   static JsonNode untilDone(World w, long mostMs) {
+    return untilDone(w, mostMs, seen -> {});
+  }
+
+  private static JsonNode untilDone(World w, long mostMs, Consumer<JsonNode> each) {
     JsonNode seen = null;
     for (long t = 0; t < mostMs; t += 3000) {
       seen = OperatorsTest.answer(w, NIGHT);
       if (seen.path("state").asText().equals("done")) {
         return seen;
       }
+      each.accept(seen);
       w.run(1500);
     }
     throw new AssertionError("not done: " + seen);
   }
 
   /**
-   * As {@link #untilDone}, with operators who let an order go on each time it stands still until it
-   * is told to: how often new machines look slower than the old ones is luck.
+   * Operators let an order go on each time it stands still until it is told to: how often new
+   * machines look slower than the old ones is luck.
    */
-  private static void untilDoneWithResumes(World w, long mostMs) {
-    long end = w.sim.now() + mostMs;
-    while (w.sim.now() < end) {
-      JsonNode seen = OperatorsTest.answer(w, NIGHT);
-      if (seen.path("goes_on").asText().equals("when told to")) {
-        OperatorsTest.order(w, NIGHT + "/resume", Json.object());
-      }
-      if (seen.path("state").asText().equals("done")) {
-        return;
-      }
-      w.run(1500);
+  private static void goOn(World w, JsonNode seen) {
+    if (seen.path("goes_on").asText().equals("when told to")) {
+      OperatorsTest.order(w, NIGHT + "/resume", Json.object());
     }
-    untilDone(w, 1);
   }
 
   private static void assertReplaced(World w, Set<String> before, int replicas) {
@@ -304,7 +301,7 @@
       troubles.end();
       busy[0] = false;
       w.run(30_000);
-      untilDoneWithResumes(w, 1_500_000);
+      untilDone(w, 1_500_000, seen -> goOn(w, seen));
       Set<String> left = machines(w);
       left.retainAll(before);
       assertEquals(Set.of(), left, "old machines are left");
--- a/src/test/java/dapplestair/world/Sim.java
+++ b/src/test/java/dapplestair/world/Sim.java
@@ -16,7 +16,7 @@
   final SplittableRandom random;
 
   /** For what controllers ask each other: how much they do must not change the luck of all else. */
-  private final SplittableRandom amongControllers;
+  final SplittableRandom amongControllers;
 
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private long now;
@@ -56,11 +56,6 @@
     now = end;
   }
 
-  /** Luck for questions among controllers. */
-  SplittableRandom amongControllers() {
-    return amongControllers;
-  }
-
   boolean chance(double p) {
     return random.nextDouble() < p;
   }
--- a/src/test/java/dapplestair/world/Users.java
+++ b/src/test/java/dapplestair/world/Users.java
@@ -272,11 +272,15 @@
 
   /** Withdraws through one controller, once; what it answers counts like any other answer. */
   void withdrawAt(Told t, World.Node node) {
+    withdrawAt(t, World.client(node.index), () -> {});
+  }
+
+  private void withdrawAt(Told t, String client, Runnable otherwise) {
     t.withdrawAsked = true;
     String before = t.finalState();
     world.net.call(
         "users",
-        World.client(node.index),
+        client,
         "POST",
         "/submissions/" + t.ref + "/withdraw",
         null,
@@ -286,6 +290,8 @@
             heard(t, before, r);
           } else if (r.status() == 404) {
             world.checker.broken("forgotten: withdrawing " + t.ref + " gets 404");
+          } else {
+            otherwise.run();
           }
         });
   }
@@ -301,22 +307,7 @@
           });
       return;
     }
-    t.withdrawAsked = true;
-    String before = t.finalState();
-    call(
-        "POST",
-        "/submissions/" + t.ref + "/withdraw",
-        null,
-        5000,
-        r -> {
-          if (r.status() == 200) {
-            heard(t, before, r);
-          } else if (r.status() == 404) {
-            world.checker.broken("forgotten: withdrawing " + t.ref + " gets 404");
-          } else {
-            world.sim.after(1000, () -> withdraw(t));
-          }
-        });
+    withdrawAt(t, someNode(), () -> world.sim.after(1000, () -> withdraw(t)));
   }
 
   private void askForUnknown() {
