Withdrawals read again: orders and bounded maps in one place each, and two classes of their own

Orders on the wire were put together a second and third time in Enforcer and LeaseRenewal: Order lies in package work now and writes messages and calls for all. Three maps that keep their latest entries are one class (Latest). A leader's token comes from Courier again, the view of a live job from Ledger.live, a task's job from Report.Task.

--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -109,7 +109,6 @@
             settings,
             peers,
             leadership,
-            leadership.process(),
             this::recordsAsOf,
             new WithdrawalsHeard());
     workers =
--- a/src/main/java/dapplestair/submissions/SubmissionDesk.java
+++ b/src/main/java/dapplestair/submissions/SubmissionDesk.java
@@ -17,9 +17,9 @@
 import dapplestair.state.StateClient.Priority;
 import dapplestair.state.Txn;
 import dapplestair.withdrawals.Withdrawals;
+import dapplestair.work.Latest;
 import dapplestair.work.Rank;
 import dapplestair.work.Submission;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -47,15 +47,7 @@
   private final long patienceMs;
   private final PutOff putOff;
   private final Unanswered unanswered;
-  private final Map<String, Boolean> over =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-          return size() > MOST_OVER_KEPT;
-        }
-      };
+  private final Map<String, Boolean> over = new Latest<>(MOST_OVER_KEPT);
   private int pending;
 
   /** Serves users of this controller. */
@@ -109,7 +101,7 @@
           over(x, 200, ref, over.get(ref));
           return;
         }
-        if (ledger.job(ref) != null && !ledger.job(ref).over()) {
+        if (ledger.live(ref)) {
           look(x, ref);
           return;
         }
--- a/src/main/java/dapplestair/withdrawals/Enforcer.java
+++ b/src/main/java/dapplestair/withdrawals/Enforcer.java
@@ -10,6 +10,8 @@
 import dapplestair.ports.HttpReply;
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
+import dapplestair.work.Latest;
+import dapplestair.work.Order;
 import dapplestair.work.Report;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -44,17 +46,10 @@
   private final Timers timers;
   private final HttpCaller http;
   private final Settings settings;
-  private final Withdrawals withdrawals;
+  private final OpenWithdrawals open;
+  private final long launchMs;
   private final long callMs;
-  private final Map<String, String> addresses =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
-          return size() > MOST_ADDRESSES;
-        }
-      };
+  private final Map<String, String> addresses = new Latest<>(MOST_ADDRESSES);
   private final Set<String> calling = new HashSet<>();
 
   // What is proved to be absent, by job; forgotten with the job.
@@ -62,13 +57,22 @@
   private boolean asking;
   private boolean returning;
 
+  /**
+   * Launches may be sent for {@code launchMs} after a withdrawal by one who does not know of it.
+   */
   Enforcer(
-      Clock clock, Timers timers, HttpCaller http, Settings settings, Withdrawals withdrawals) {
+      Clock clock,
+      Timers timers,
+      HttpCaller http,
+      Settings settings,
+      OpenWithdrawals open,
+      long launchMs) {
     this.clock = clock;
     this.timers = timers;
     this.http = http;
     this.settings = settings;
-    this.withdrawals = withdrawals;
+    this.open = open;
+    this.launchMs = launchMs;
     this.callMs = settings.workers().reportMs() / 2;
   }
 
@@ -78,21 +82,22 @@
   }
 
   /** One turn over all withdrawals that nobody is known to carry out. */
-  void enforce(List<Withdrawal> open) {
-    absent.keySet().retainAll(open.stream().map(Withdrawal::ref).toList());
+  void enforce() {
+    List<Withdrawal> all = open.all();
+    absent.keySet().retainAll(all.stream().map(Withdrawal::ref).toList());
     Map<String, List<Left>> byHost = new LinkedHashMap<>();
     List<String> hopeless = new ArrayList<>();
     long cancelMs = settings.workers().cancelMs();
-    for (Withdrawal w : open) {
+    for (Withdrawal w : all) {
       long ageMs = clock.now() - w.at();
-      boolean carriedOn = withdrawals.carriedOn(w.ref());
+      boolean carriedOn = open.carriedOn(w.ref());
       if (ageMs < cancelMs / 16 || carriedOn && ageMs < cancelMs / 2) {
         continue;
       }
       Set<Withdrawal.Place> gone = absent.getOrDefault(w.ref(), Set.of());
       List<Withdrawal.Place> left = w.places().stream().filter(p -> !gone.contains(p)).toList();
       if (left.isEmpty()) {
-        withdrawals.proved(w.ref());
+        open.proved(w.ref());
       }
       for (Withdrawal.Place p : left) {
         byHost.computeIfAbsent(p.host(), h -> new ArrayList<>()).add(new Left(w, p));
@@ -138,16 +143,11 @@
       calling.remove(r.host());
       return;
     }
-    ObjectNode body = Json.object().put("baton", token).put("tenure", r.session());
-    ArrayNode orders = body.putArray("orders");
-    for (Left t : tasks) {
-      orders
-          .addObject()
-          .put("verb", "halt")
-          .put("step", t.place().key(t.ref()))
-          .put("try", t.place().number())
-          .put("windDownS", 0);
-    }
+    List<Order.Halt> halts =
+        tasks.stream()
+            .map(t -> new Order.Halt(t.place().key(t.ref()), t.place().number(), 0))
+            .toList();
+    ObjectNode body = Order.call(token, r.session(), halts);
     long sentAt = clock.now();
     http.call(
         endpoint,
@@ -177,7 +177,7 @@
         .filter(t -> t.status() != Report.Status.EXITED)
         .forEach(t -> there.add(t.key()));
     for (Left t : tasks) {
-      boolean settled = sentAt > t.withdrawal().at() + 2 * withdrawals.launchMs();
+      boolean settled = sentAt > t.withdrawal().at() + 2 * launchMs;
       boolean laterSession = after.session() > t.place().session();
       if (laterSession || settled && !there.contains(t.place().key(t.ref()))) {
         absent.computeIfAbsent(t.ref(), k -> new HashSet<>()).add(t.place());
@@ -240,10 +240,10 @@
       return;
     }
     Set<String> gone = new HashSet<>(hosts);
-    for (String ref : withdrawals.openRefs()) {
-      withdrawals.placesOf(ref).stream()
+    for (Withdrawal w : open.all()) {
+      w.places().stream()
           .filter(p -> gone.contains(p.host()))
-          .forEach(p -> absent.computeIfAbsent(ref, k -> new HashSet<>()).add(p));
+          .forEach(p -> absent.computeIfAbsent(w.ref(), k -> new HashSet<>()).add(p));
     }
   }
 }
--- a/src/main/java/dapplestair/withdrawals/KnownWithdrawals.java
+++ b/src/main/java/dapplestair/withdrawals/KnownWithdrawals.java
@@ -2,7 +2,6 @@
 
 import dapplestair.ports.Clock;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -48,11 +47,6 @@
     return known.get(ref);
   }
 
-  Collection<Withdrawal> all() {
-    forget();
-    return known.values();
-  }
-
   /** Enters one; true when it is new. What is learned of its places later is added. */
   boolean learn(String ref, long ageMs, List<Withdrawal.Place> places) {
     forget();
@@ -92,7 +86,11 @@
 
   /** It is about to be told to a user here. False if it was before. */
   boolean log(String ref) {
-    return numbers.putIfAbsent(ref, lastNumber + 1) == null && ++lastNumber > 0;
+    if (numbers.containsKey(ref)) {
+      return false;
+    }
+    numbers.put(ref, ++lastNumber);
+    return true;
   }
 
   /** True when a user was told of it here. */
@@ -135,7 +133,8 @@
     return clock.now() - forgotAt < keptMs;
   }
 
-  private void forget() {
+  /** What is too old to matter goes. */
+  void forget() {
     long before = clock.now() - keptMs;
     Iterator<Withdrawal> oldest = known.values().iterator();
     while (oldest.hasNext()) {
--- /dev/null
+++ b/src/main/java/dapplestair/withdrawals/OpenWithdrawals.java
@@ -0,0 +1,91 @@
+package dapplestair.withdrawals;
+
+import dapplestair.ports.Clock;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/** Withdrawals that users were told of here and that are not known to be carried out. */
+final class OpenWithdrawals {
+  private static final class Open {
+    final long toldAt;
+    long carriedOnAt = KnownTo.NEVER;
+
+    Open(long toldAt) {
+      this.toldAt = toldAt;
+    }
+  }
+
+  private final Clock clock;
+  private final KnownWithdrawals known;
+  private final long carriedOnMs;
+  private final Map<String, Open> open = new LinkedHashMap<>();
+
+  /** Whoever says that it carries one on is believed for {@code carriedOnMs}. */
+  OpenWithdrawals(Clock clock, KnownWithdrawals known, long carriedOnMs) {
+    this.clock = clock;
+    this.known = known;
+    this.carriedOnMs = carriedOnMs;
+  }
+
+  /** Its user is told now. */
+  void told(String ref) {
+    open.put(ref, new Open(clock.now()));
+  }
+
+  /** It is proved that nothing is left of it. */
+  void proved(String ref) {
+    open.remove(ref);
+  }
+
+  /** Those of which this holds need nothing more. */
+  void prove(Predicate<String> carriedOut) {
+    open.keySet().removeIf(carriedOut);
+  }
+
+  /** A leader says that it carries this one out. */
+  void carriedOnNow(String ref) {
+    Open o = open.get(ref);
+    if (o != null) {
+      o.carriedOnAt = clock.now();
+    }
+  }
+
+  /** True while a leader says that it carries this one out. */
+  boolean carriedOn(String ref) {
+    Open o = open.get(ref);
+    return o == null || clock.now() - o.carriedOnAt < carriedOnMs;
+  }
+
+  int size() {
+    return open.size();
+  }
+
+  boolean isEmpty() {
+    return open.isEmpty();
+  }
+
+  /** For how long the oldest has been open, milliseconds. */
+  long oldestMs() {
+    return open.values().stream().mapToLong(o -> clock.now() - o.toldAt).max().orElse(0);
+  }
+
+  List<String> refs() {
+    return List.copyOf(open.keySet());
+  }
+
+  /** Each with its places, as of the moment at which its user was told. */
+  List<Withdrawal> all() {
+    List<Withdrawal> out = new ArrayList<>();
+    open.forEach(
+        (ref, o) -> {
+          Withdrawal w = known.get(ref);
+          if (w != null) {
+            out.add(new Withdrawal(ref, o.toldAt, w.places()));
+          }
+        });
+    return out;
+  }
+}
--- a/src/main/java/dapplestair/withdrawals/WithdrawalCodec.java
+++ b/src/main/java/dapplestair/withdrawals/WithdrawalCodec.java
@@ -70,7 +70,16 @@
     }
   }
 
+  /** Writes an answer, or gives null when it is too large for one message. */
   static byte[] encode(Answer answer) {
+    try {
+      return write(answer);
+    } catch (KryoException e) {
+      return null;
+    }
+  }
+
+  private static byte[] write(Answer answer) {
     Output out = new Output(256, LARGEST);
     out.writeByte(FORM);
     out.writeLong(answer.asker());
--- a/src/main/java/dapplestair/withdrawals/Withdrawals.java
+++ b/src/main/java/dapplestair/withdrawals/Withdrawals.java
@@ -1,6 +1,5 @@
 package dapplestair.withdrawals;
 
-import com.esotericsoftware.kryo.KryoException;
 import dapplestair.leadership.Leadership;
 import dapplestair.peers.Peers;
 import dapplestair.ports.Cancellable;
@@ -9,10 +8,7 @@
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
@@ -26,9 +22,6 @@
 public final class Withdrawals implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(Withdrawals.class);
 
-  /** What is asked of a peer's log, every few moments. */
-  private static final String ASK = "withdrawn";
-
   /** What is about to be told to a user. */
   private static final String TELL = "withdrawing";
 
@@ -49,16 +42,6 @@
     boolean proved(String ref);
   }
 
-  /** Withdrawals that were told here and are not known to be carried out. */
-  private static final class Open {
-    final long toldAt;
-    long carriedOnAt = KnownTo.NEVER;
-
-    Open(long toldAt) {
-      this.toldAt = toldAt;
-    }
-  }
-
   private record Telling(String ref, Runnable then) {}
 
   private final Clock clock;
@@ -69,23 +52,19 @@
   private final Listener listener;
   private final KnownWithdrawals known;
   private final KnownTo knownTo;
+  private final LogExchange logs;
   private final Enforcer enforcer;
-  private final Map<String, Open> open = new LinkedHashMap<>();
+  private final OpenWithdrawals open;
   private final long process;
   private final long reportMs;
-  private final long everyMs;
   private final long windowMs;
+  private final long keptMs;
   private final LongSupplier stateAsOf;
   private List<Telling> telling = new ArrayList<>();
-  private long asked;
   private long newestAt = KnownTo.NEVER;
-  private Cancellable timer = () -> {};
   private Cancellable looking = () -> {};
 
-  /**
-   * {@code process} tells this process from its earlier lives; {@code stateAsOf} is when the newest
-   * read of the records was asked for.
-   */
+  /** {@code stateAsOf} is when the newest read of the records was asked for. */
   public Withdrawals(
       Clock clock,
       Timers timers,
@@ -93,7 +72,6 @@
       Settings settings,
       Peers peers,
       Leadership leadership,
-      long process,
       LongSupplier stateAsOf,
       Listener listener) {
     this.clock = clock;
@@ -101,17 +79,21 @@
     this.settings = settings;
     this.peers = peers;
     this.leadership = leadership;
-    this.process = process | 1;
+    this.process = leadership.process() | 1;
     this.stateAsOf = stateAsOf;
     this.listener = listener;
     this.reportMs = settings.workers().reportMs();
-    this.everyMs = reportMs / 8;
     this.windowMs = windowMs(settings.workers());
-    this.known = new KnownWithdrawals(clock, 2 * settings.workers().cancelMs());
+    this.keptMs = 2 * settings.workers().cancelMs();
+    this.known = new KnownWithdrawals(clock, keptMs);
+    this.open = new OpenWithdrawals(clock, known, 2 * reportMs);
     this.knownTo =
         new KnownTo(
             clock, stateAsOf, settings.peers().stream().map(Settings.Peer::member).toList());
-    this.enforcer = new Enforcer(clock, timers, http, settings, this);
+    this.logs =
+        new LogExchange(
+            clock, timers, settings, peers, leadership, process, known, knownTo, this::learn);
+    this.enforcer = new Enforcer(clock, timers, http, settings, open, launchMs());
   }
 
   /**
@@ -119,8 +101,11 @@
    * in time. A sixteenth of a lease is left for clocks that drift and for what is under way.
    */
   static long windowMs(Settings.Workers w) {
-    long left = w.cancelMs() - w.leaseMs() - w.leaseMs() / 16;
-    return Math.max(left, leastWindowMs(w));
+    return Math.max(leftMs(w), leastWindowMs(w));
+  }
+
+  private static long leftMs(Settings.Workers w) {
+    return w.cancelMs() - w.leaseMs() - w.leaseMs() / 16;
   }
 
   private static long leastWindowMs(Settings.Workers w) {
@@ -130,7 +115,7 @@
   /** Begins to ask and to answer peers. */
   public void start() {
     Settings.Workers w = settings.workers();
-    if (w.cancelMs() - w.leaseMs() - w.leaseMs() / 16 < leastWindowMs(w)) {
+    if (leftMs(w) < leastWindowMs(w)) {
       LOG.warn(
           "cancel_s ({} s) is not above lease_s ({} s) by two reports and more: while controllers "
               + "cannot reach the state service or each other, a withdrawn job may hold its machines "
@@ -139,9 +124,8 @@
           w.leaseMs() / 1000.0,
           (windowMs + w.leaseMs() + w.leaseMs() / 16) / 1000.0);
     }
-    peers.questions().answer(ASK, this::answer);
     peers.questions().answer(TELL, this::hear);
-    ask();
+    logs.start();
     look();
   }
 
@@ -184,7 +168,7 @@
 
   /** For how long a withdrawal counts: after that nothing of it can be left. */
   public long keptMs() {
-    return 2 * settings.workers().cancelMs();
+    return keptMs;
   }
 
   /** Withdrawals told here that are not known to be carried out. */
@@ -194,18 +178,7 @@
 
   /** For how long the oldest of them has been open, milliseconds. */
   public long openMs() {
-    return open.values().stream().mapToLong(o -> clock.now() - o.toldAt).max().orElse(0);
-  }
-
-  private List<Withdrawal> openOnes() {
-    List<Withdrawal> out = new ArrayList<>();
-    open.forEach(
-        (ref, o) -> {
-          if (known.get(ref) != null) {
-            out.add(new Withdrawal(ref, o.toldAt, known.get(ref).places()));
-          }
-        });
-    return out;
+    return open.oldestMs();
   }
 
   /** The records say that a job is over: withdrawn, or done. */
@@ -241,7 +214,7 @@
       known.learn(t.ref(), 0, places);
       known.told(t.ref());
       if (known.log(t.ref()) && !places.isEmpty()) {
-        open.put(t.ref(), new Open(clock.now()));
+        open.told(t.ref());
         newestAt = clock.now();
       }
     }
@@ -272,7 +245,8 @@
             .map(this::entry)
             .toList();
     byte[] body =
-        encoded(new WithdrawalCodec.Answer(0, 0, process, leadership.termSeen(), false, entries));
+        WithdrawalCodec.encode(
+            new WithdrawalCodec.Answer(0, 0, process, leadership.termSeen(), false, entries));
     if (body == null) {
       // Too much for one message: it is asked for, part by part.
       timers.after(0, then);
@@ -295,39 +269,19 @@
             });
   }
 
-  private static byte[] encoded(WithdrawalCodec.Answer answer) {
-    try {
-      return WithdrawalCodec.encode(answer);
-    } catch (KryoException e) {
-      return null;
-    }
-  }
-
   private WithdrawalCodec.Entry entry(Withdrawal w) {
     return new WithdrawalCodec.Entry(
         Math.max(1, known.number(w.ref())), w.ref(), clock.now() - w.at(), w.places());
   }
 
   private void heardOf(String ref, byte how) {
-    Open o = open.get(ref);
-    if (o != null && how == PROVED) {
-      open.remove(ref);
-    } else if (o != null && how == CARRIED_ON) {
-      o.carriedOnAt = clock.now();
+    if (how == PROVED) {
+      open.proved(ref);
+    } else if (how == CARRIED_ON) {
+      open.carriedOnNow(ref);
     }
   }
 
-  /** True while a leader says that it carries this withdrawal out. */
-  boolean carriedOn(String ref) {
-    Open o = open.get(ref);
-    return o == null || clock.now() - o.carriedOnAt < 2 * reportMs;
-  }
-
-  /** It is proved that nothing is left of it. */
-  void proved(String ref) {
-    open.remove(ref);
-  }
-
   private void hear(byte[] body, Consumer<byte[]> reply) {
     WithdrawalCodec.Answer told = WithdrawalCodec.answer(body);
     if (told == null) {
@@ -353,88 +307,19 @@
     listener.withdrawn(e.ref());
   }
 
-  // ---- asking ----
-
-  private void ask() {
-    for (Settings.Peer p : settings.peers()) {
-      ask(p.member());
-    }
-    timer = timers.after(everyMs, this::ask);
-  }
-
-  private void ask(String member) {
-    KnownTo.Peer peer = knownTo.peer(member);
-    long number = ++asked;
-    long askedAt = clock.now();
-    byte[] body =
-        WithdrawalCodec.encode(new WithdrawalCodec.Ask(process, number, peer.log, peer.after));
-    peers
-        .questions()
-        .ask(member, ASK, body, 4 * everyMs, reply -> answered(peer, number, askedAt, reply));
-  }
-
-  private void answered(KnownTo.Peer peer, long number, long askedAt, byte[] reply) {
-    WithdrawalCodec.Answer a = reply == null ? null : WithdrawalCodec.answer(reply);
-    if (reply != null && a == null) {
-      peers.questions().refused();
-    }
-    // An answer to a question of an earlier life of this process says nothing about this one's.
-    if (a == null || a.asker() != process || a.number() != number) {
-      return;
-    }
-    leadership.termShown(a.term());
-    if (a.log() != peer.log) {
-      knownTo.met(peer, a.log());
-    }
-    for (WithdrawalCodec.Entry e : a.entries()) {
-      learn(e);
-      peer.after = Math.max(peer.after, e.number());
-    }
-    if (a.whole()) {
-      knownTo.told(peer, askedAt);
-    }
-  }
-
-  private void answer(byte[] body, Consumer<byte[]> reply) {
-    WithdrawalCodec.Ask ask = WithdrawalCodec.ask(body);
-    if (ask == null) {
-      peers.questions().refused();
-      return;
-    }
-    long after = ask.log() == process ? ask.after() : 0;
-    List<WithdrawalCodec.Entry> entries =
-        known.after(after, WithdrawalCodec.MOST_ENTRIES / 4, WithdrawalCodec.MOST_PLACES);
-    long last = entries.isEmpty() ? after : entries.get(entries.size() - 1).number();
-    boolean whole = last >= known.lastNumber() || known.after(last, 1, Integer.MAX_VALUE).isEmpty();
-    WithdrawalCodec.Answer answer =
-        new WithdrawalCodec.Answer(
-            ask.asker(),
-            ask.number(),
-            process,
-            leadership.termSeen(),
-            whole && !known.forgotTooEarly(),
-            entries);
-    byte[] bytes = encoded(answer);
-    if (bytes != null) {
-      reply.accept(bytes);
-    }
-  }
-
   // ---- carrying out ----
 
   /** Goes on with what was told here until it is proved to be carried out, by whomever. */
   private void look() {
-    known.all();
+    known.forget();
     boolean recordsAreNew = clock.now() - stateAsOf.getAsLong() < reportMs;
-    for (String ref : List.copyOf(open.keySet())) {
-      boolean forgotten = known.get(ref) == null;
-      boolean byRecords = recordsAreNew && listener.places(ref).isEmpty();
-      if (forgotten || byRecords || listener.proved(ref)) {
-        open.remove(ref);
-      }
-    }
+    open.prove(
+        ref ->
+            !known.knows(ref)
+                || recordsAreNew && listener.places(ref).isEmpty()
+                || listener.proved(ref));
     if (!open.isEmpty()) {
-      List<String> refs = List.copyOf(open.keySet());
+      List<String> refs = open.refs();
       for (Settings.Peer p : settings.peers()) {
         if (peers.alive(p.member())) {
           tell(p.member(), refs, () -> {});
@@ -442,7 +327,7 @@
       }
       // Whoever leads by records that are new has read of the withdrawal there.
       if (!leadership.leading() && !(recordsAreNew && leadership.leader() != null)) {
-        enforcer.enforce(openOnes());
+        enforcer.enforce();
       }
     }
     looking = timers.after(reportMs / 2, this::look);
@@ -453,18 +338,9 @@
     enforcer.addressed(host, endpoint);
   }
 
-  Set<String> openRefs() {
-    return open.keySet();
-  }
-
-  List<Withdrawal.Place> placesOf(String ref) {
-    Withdrawal w = known.get(ref);
-    return w == null ? List.of() : w.places();
-  }
-
   @Override
   public void close() {
-    timer.cancel();
+    logs.close();
     looking.cancel();
   }
 }
--- a/src/main/java/dapplestair/work/Order.java
+++ b/src/main/java/dapplestair/work/Order.java
@@ -1,10 +1,12 @@
-package dapplestair.workers;
+package dapplestair.work;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.json.Json;
+import java.util.Collection;
 
 /** One command to a worker. */
-sealed interface Order {
+public sealed interface Order {
   /** The task, as in reports. */
   String key();
 
@@ -43,6 +45,19 @@
     }
   }
 
+  /** Orders under a token, as the answer to a report; a call names the session as well. */
+  static ObjectNode message(long token, Collection<? extends Order> orders) {
+    ObjectNode message = Json.object().put("baton", token);
+    ArrayNode list = message.putArray("orders");
+    orders.forEach(o -> list.add(o.toJson()));
+    return message;
+  }
+
+  /** The same as a call to a worker in a session. */
+  static ObjectNode call(long token, long session, Collection<? extends Order> orders) {
+    return message(token, orders).put("tenure", session);
+  }
+
   private static ObjectNode base(String verb, Order o) {
     return Json.object().put("verb", verb).put("step", o.key()).put("try", o.attempt());
   }
--- a/src/main/java/dapplestair/work/Report.java
+++ b/src/main/java/dapplestair/work/Report.java
@@ -38,6 +38,12 @@
     Task(String key, long attempt, Status status) {
       this(key, attempt, status, null, false);
     }
+
+    /** Its job. */
+    public String ref() {
+      int slash = key.lastIndexOf('/');
+      return slash < 0 ? key : key.substring(0, slash);
+    }
   }
 
   /** Reads a report, or gives null when it makes no sense. */
--- a/src/main/java/dapplestair/workers/Courier.java
+++ b/src/main/java/dapplestair/workers/Courier.java
@@ -1,6 +1,5 @@
 package dapplestair.workers;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.json.Json;
 import dapplestair.leadership.FencingToken;
@@ -12,6 +11,7 @@
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import dapplestair.withdrawals.Withdrawals;
+import dapplestair.work.Order;
 import dapplestair.work.Report;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -129,9 +129,7 @@
       // would start it again. It carries a lower token than this one.
       host.fence++;
     }
-    ObjectNode body = Json.object().put("baton", token(host)).put("tenure", host.session);
-    ArrayNode list = body.putArray("orders");
-    orders.forEach(o -> list.add(o.toJson()));
+    ObjectNode body = Order.call(token(host), host.session, orders);
     launches.forEach(Attempt::launchSent);
     host.calling = true;
     long term = leadership.term();
--- a/src/main/java/dapplestair/workers/Host.java
+++ b/src/main/java/dapplestair/workers/Host.java
@@ -2,6 +2,7 @@
 
 import dapplestair.ledger.Machine;
 import dapplestair.machines.MachineType;
+import dapplestair.work.Order;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
--- a/src/main/java/dapplestair/workers/LeaseRenewal.java
+++ b/src/main/java/dapplestair/workers/LeaseRenewal.java
@@ -1,15 +1,14 @@
 package dapplestair.workers;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import dapplestair.json.Json;
 import dapplestair.leadership.FencingToken;
-import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Ledger;
 import dapplestair.ports.Clock;
 import dapplestair.withdrawals.KnownWithdrawals;
 import dapplestair.withdrawals.Withdrawals;
+import dapplestair.work.Latest;
+import dapplestair.work.Order;
 import dapplestair.work.Report;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -29,22 +28,14 @@
   private record Raised(long token, long at) {}
 
   private final Clock clock;
-  private final Leadership leadership;
+  private final Courier courier;
   private final Ledger ledger;
   private final Withdrawals withdrawals;
-  private final Map<String, Raised> raised =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
+  private final Map<String, Raised> raised = new Latest<>(MOST_KEPT);
 
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Raised> eldest) {
-          return size() > MOST_KEPT;
-        }
-      };
-
-  LeaseRenewal(Clock clock, Leadership leadership, Ledger ledger, Withdrawals withdrawals) {
+  LeaseRenewal(Clock clock, Courier courier, Ledger ledger, Withdrawals withdrawals) {
     this.clock = clock;
-    this.leadership = leadership;
+    this.courier = courier;
     this.ledger = ledger;
     this.withdrawals = withdrawals;
   }
@@ -66,7 +57,7 @@
       }
     }
     for (Report.Task t : r.tasks()) {
-      boolean over = withdrawals.knows(ref(t)) || !ledger.live(ref(t));
+      boolean over = withdrawals.knows(t.ref()) || !ledger.live(t.ref());
       if (t.status() != Report.Status.EXITED && over) {
         add(halts, t.key(), t.attempt());
       }
@@ -75,7 +66,7 @@
       // The launch is under way: after this answer it is executed no more.
       host.fence++;
     }
-    return answer(FencingToken.of(leadership.term(), host.fence), halts);
+    return answer(courier.token(host), halts);
   }
 
   /**
@@ -92,9 +83,9 @@
       if (t.status() == Report.Status.EXITED) {
         continue;
       }
-      if (withdrawals.knows(ref(t))) {
+      if (withdrawals.knows(t.ref())) {
         add(halts, t.key(), t.attempt());
-      } else if (!ledger.live(ref(t))) {
+      } else if (!ledger.live(t.ref())) {
         return null;
       }
     }
@@ -122,23 +113,12 @@
     return token;
   }
 
-  private static String ref(Report.Task t) {
-    int slash = t.key().lastIndexOf('/');
-    return slash < 0 ? t.key() : t.key().substring(0, slash);
-  }
-
   private static void add(Map<String, Order> halts, String key, long number) {
     Order.Halt halt = new Order.Halt(key, number, 0);
     halts.put(halt.id(), halt);
   }
 
   private static ObjectNode answer(long token, Map<String, Order> halts) {
-    if (halts.size() > MOST_HALTS) {
-      return null;
-    }
-    ObjectNode answer = Json.object().put("baton", token);
-    ArrayNode orders = answer.putArray("orders");
-    halts.values().forEach(o -> orders.add(o.toJson()));
-    return answer;
+    return halts.size() > MOST_HALTS ? null : Order.message(token, halts.values());
   }
 }
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -18,6 +18,7 @@
 import dapplestair.silence.Account;
 import dapplestair.state.StateClient;
 import dapplestair.withdrawals.Withdrawals;
+import dapplestair.work.Order;
 import dapplestair.work.Report;
 import java.util.Collection;
 import java.util.List;
@@ -87,9 +88,9 @@
     this.hearing = new Hearing(clock, settings, roster);
     this.sentOn = new SentOn(clock, settings.workers().leaseMs());
     this.withdrawals = withdrawals;
-    this.renewal = new LeaseRenewal(clock, leadership, ledger, withdrawals);
     this.courier =
         new Courier(clock, timers, http, settings, leadership, withdrawals, roster, new Answers());
+    this.renewal = new LeaseRenewal(clock, courier, ledger, withdrawals);
   }
 
   /** Begins to count what comes, and to share what is heard. */
@@ -283,7 +284,7 @@
       if (roster.sentSince(r)) {
         hearing.heard(r.zone());
       }
-      exchange.reply(503, Json.bytes(Json.object()), 1);
+      keep(exchange, null);
       return;
     }
     Host host = host(r.host());
@@ -318,7 +319,7 @@
     if (alone && !again && leadership.succeeded()) {
       // Somebody leads whom we cannot ask, and reaches this worker: it had better report there.
       // One that comes back was not taken; it is kept as below.
-      exchange.reply(503, Json.bytes(Json.object()), 1);
+      keep(exchange, null);
       return;
     }
     if (alone && FencingToken.term(r.token()) >= leadership.termSeen()) {
