Emulated worker divided: condition, session, reports and task execution apart

The counter by which late events of an earlier session were told apart is the session's number itself: both rose together.

--- /dev/null
+++ b/src/main/java/dapplestair/emulator/MachineCondition.java
@@ -0,0 +1,69 @@
+package dapplestair.emulator;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What ails a machine: no power, a stall, an inbound link that drops everything, failing tasks. */
+final class MachineCondition {
+  private final Surroundings world;
+  private final List<Runnable> deferred = new ArrayList<>();
+  private boolean gone;
+  private boolean hanging;
+  private boolean failing;
+  private long deafUntil;
+
+  MachineCondition(Surroundings world) {
+    this.world = world;
+  }
+
+  /** True when it has no power any more. */
+  boolean gone() {
+    return gone;
+  }
+
+  /** True while it executes nothing. */
+  boolean hanging() {
+    return hanging;
+  }
+
+  /** True while neither commands nor answers reach it. */
+  boolean deaf() {
+    return world.now() < deafUntil;
+  }
+
+  /** True when every task fails that starts here. */
+  boolean failing() {
+    return failing;
+  }
+
+  void powerOff() {
+    gone = true;
+  }
+
+  void fail() {
+    failing = true;
+  }
+
+  void deafen(long ms) {
+    deafUntil = Math.max(deafUntil, world.now() + ms);
+  }
+
+  /** Stalls for a while; then {@code resumed} runs, and after it all that was deferred. */
+  void hang(long ms, Runnable resumed) {
+    hanging = true;
+    world.after(
+        ms,
+        () -> {
+          hanging = false;
+          resumed.run();
+          List<Runnable> late = List.copyOf(deferred);
+          deferred.clear();
+          late.forEach(Runnable::run);
+        });
+  }
+
+  /** Keeps an action until the present stall is over. */
+  void defer(Runnable action) {
+    deferred.add(action);
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/emulator/ReportSender.java
@@ -0,0 +1,113 @@
+package dapplestair.emulator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.json.Json;
+import dapplestair.ports.HttpReply;
+
+/** Sends a worker's reports to the controller that keeps its lease, and follows redirects. */
+final class ReportSender {
+  private static final long ANSWER_TIMEOUT_MS = 4000;
+  private static final long NEXT_CONTROLLER_MS = 1000;
+  private static final long LEAST_PAUSE_MS = 500;
+
+  private final Surroundings world;
+  private final EmulatedWorker worker;
+  private final MachineCondition condition;
+  private final WorkerSession session;
+  private final EmulatedSteward steward;
+  private final long reportMs;
+  private boolean reporting;
+
+  ReportSender(
+      Surroundings world,
+      EmulatedWorker worker,
+      MachineCondition condition,
+      WorkerSession session,
+      EmulatedSteward steward,
+      long reportMs) {
+    this.world = world;
+    this.worker = worker;
+    this.condition = condition;
+    this.session = session;
+    this.steward = steward;
+    this.reportMs = reportMs;
+  }
+
+  /** Reports now, and from now on about once an interval. */
+  void heartbeat() {
+    if (condition.gone()) {
+      return;
+    }
+    report();
+    world.after(reportMs * 3 / 4 + world.between(0, reportMs / 2), this::heartbeat);
+  }
+
+  /** Reports at once, unless a report is under way. */
+  void report() {
+    if (condition.gone() || condition.hanging() || reporting) {
+      return;
+    }
+    String controller = steward.endpoint();
+    if (controller == null) {
+      return;
+    }
+    reporting = true;
+    long sentAt = world.now();
+    long sentIn = session.number();
+    session.nextTick();
+    world.call(
+        worker.endpoint(),
+        controller,
+        "POST",
+        "/agent/beat",
+        Json.bytes(worker.state()),
+        ANSWER_TIMEOUT_MS,
+        reply -> arrived(reply, sentAt, sentIn));
+  }
+
+  /** Reports a little later, as a worker does that was shown a higher token. */
+  void reportSoon() {
+    world.after(LEAST_PAUSE_MS, this::report);
+  }
+
+  private void arrived(HttpReply reply, long sentAt, long sentIn) {
+    if (condition.deaf()) {
+      // It waits for as long as for any answer that does not come.
+      long left = Math.max(0, sentAt + ANSWER_TIMEOUT_MS - world.now());
+      world.after(left, () -> ended(HttpReply.of(HttpReply.UNKNOWN), sentAt, sentIn));
+    } else {
+      ended(reply, sentAt, sentIn);
+    }
+  }
+
+  private void ended(HttpReply reply, long sentAt, long sentIn) {
+    reporting = false;
+    if (condition.gone() || condition.hanging()) {
+      return;
+    }
+    if (reply.status() == 200) {
+      accepted(Json.parse(reply.body()), sentAt, sentIn);
+    } else {
+      redirected(reply);
+    }
+  }
+
+  private void accepted(JsonNode body, long sentAt, long sentIn) {
+    long token = body.path("baton").asLong(-1);
+    if (token < session.token() || sentIn != session.number()) {
+      return;
+    }
+    session.renewLease(sentAt);
+    worker.command(token, body);
+  }
+
+  private void redirected(HttpReply reply) {
+    String named = reply.status() == 421 ? Json.text(Json.parse(reply.body()), "steward") : null;
+    if (steward.named(named)) {
+      world.after(world.between(0, LEAST_PAUSE_MS), this::report);
+    } else {
+      steward.next();
+      world.after(NEXT_CONTROLLER_MS, this::report);
+    }
+  }
+}
