--- /dev/null
+++ b/src/main/java/dapplestair/lane/ClaimWriter.java
@@ -0,0 +1,139 @@
+package dapplestair.lane;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+import dapplestair.leadership.Leadership;
+import dapplestair.ports.Timers;
+import dapplestair.settings.Settings;
+import dapplestair.state.Keys;
+import dapplestair.state.Outcome;
+import dapplestair.state.Replica;
+import dapplestair.state.StateClient;
+import dapplestair.state.StateClient.Priority;
+import dapplestair.state.Txn;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Keeps each lane's open claims on record, one write of a lane at a time. */
+final class ClaimWriter {
+  private static final int RETRIES_PER_REPORT = 12;
+
+  /** Whose claims are written. */
+  interface Source {
+    /** True while this lane's claims are to be kept on record. */
+    boolean has(String lane);
+
+    /** The open claims of a lane, as they are now. */
+    List<OpenClaim> open(String lane);
+
+    /** These claims of a lane are on record. */
+    void written(String lane, List<OpenClaim> claims);
+  }
+
+  private final Timers timers;
+  private final Settings settings;
+  private final StateClient state;
+  private final Replica replica;
+  private final Leadership leadership;
+  private final Source source;
+
+  // By lane; true when it has changed since its write that is under way.
+  private final Map<String, Boolean> writing = new HashMap<>();
+
+  // Of the last put that was answered: a copy of an earlier one, come late, is refused.
+  private final Map<String, Long> stamps = new HashMap<>();
+  private int generation;
+
+  ClaimWriter(
+      Timers timers,
+      Settings settings,
+      StateClient state,
+      Replica replica,
+      Leadership leadership,
+      Source source) {
+    this.timers = timers;
+    this.settings = settings;
+    this.state = state;
+    this.replica = replica;
+    this.leadership = leadership;
+    this.source = source;
+  }
+
+  /** Answers to earlier writes count no more. */
+  void lead() {
+    generation++;
+  }
+
+  /** Forgets all that is under way. */
+  void clear() {
+    generation++;
+    writing.clear();
+    stamps.clear();
+  }
+
+  /** Puts a lane's claims on record. */
+  void write(String lane, Priority priority) {
+    if (writing.putIfAbsent(lane, false) != null) {
+      // After the one under way, once for all that changes until then.
+      writing.put(lane, true);
+      return;
+    }
+    int writtenIn = generation;
+    List<OpenClaim> claims = source.open(lane);
+    state.commit(
+        transaction(lane, claims),
+        priority,
+        settings.workers().reportMs(),
+        outcome -> {
+          if (writtenIn == generation) {
+            written(lane, claims, outcome);
+          }
+        });
+  }
+
+  private Txn transaction(String lane, List<OpenClaim> claims) {
+    String key = Keys.LANE + lane;
+    long stamp = stamps.computeIfAbsent(lane, l -> replica.stamp(key));
+    Txn txn = leadership.guard(new Txn()).when(key, stamp);
+    return claims.isEmpty() ? txn.remove(key) : txn.put(key, toJson(claims));
+  }
+
+  private static ObjectNode toJson(List<OpenClaim> open) {
+    ObjectNode record = Json.object();
+    ArrayNode claims = record.putArray("claims");
+    open.forEach(o -> claims.add(o.claim().toJson()));
+    return record;
+  }
+
+  private void written(String lane, List<OpenClaim> claims, Outcome outcome) {
+    if (leadership.deposedBy(outcome)) {
+      return;
+    }
+    boolean changed = Boolean.TRUE.equals(writing.remove(lane));
+    if (outcome instanceof Outcome.Applied applied) {
+      stamps.put(lane, claims.isEmpty() ? 0 : applied.stamp());
+      claims.forEach(OpenClaim::setRecorded);
+      source.written(lane, claims);
+      if (changed) {
+        rewriteAfter(lane, 0);
+      }
+    } else {
+      // Without an answer it may be on record or not: nobody is stopped before it surely is, and
+      // the replica tells on what the next one goes.
+      stamps.remove(lane);
+      rewriteAfter(lane, settings.workers().reportMs() / RETRIES_PER_REPORT);
+    }
+  }
+
+  private void rewriteAfter(String lane, long ms) {
+    timers.after(
+        ms,
+        () -> {
+          if (leadership.leading() && source.has(lane)) {
+            write(lane, Priority.REPLICA);
+          }
+        });
+  }
+}
--- a/src/main/java/dapplestair/lane/Lanes.java
+++ b/src/main/java/dapplestair/lane/Lanes.java
@@ -1,10 +1,7 @@
 package dapplestair.lane;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.disruption.Disruption;
-import dapplestair.json.Json;
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Job;
@@ -15,11 +12,9 @@
 import dapplestair.settings.Lane;
 import dapplestair.settings.Settings;
 import dapplestair.state.Keys;
-import dapplestair.state.Outcome;
 import dapplestair.state.Replica;
 import dapplestair.state.StateClient;
 import dapplestair.state.StateClient.Priority;
-import dapplestair.state.Txn;
 import dapplestair.work.Submission;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
@@ -43,44 +38,25 @@
 public final class Lanes implements AutoCloseable {
   private static final int BYTES_PER_CLAIM = 400;
 
-  private static final class Open {
-    final Claim claim;
-    final long since;
-    boolean recorded;
-
-    Open(Claim claim, long since, boolean recorded) {
-      this.claim = claim;
-      this.since = since;
-      this.recorded = recorded;
-    }
-  }
-
   private final Clock clock;
   private final Timers timers;
   private final Settings settings;
   private final Map<String, Lane> lanes = new LinkedHashMap<>();
-  private final StateClient state;
-  private final Replica replica;
-  private final Leadership leadership;
   private final Ledger ledger;
   private final WorkerDesk desk;
   private final Disruption disruption;
   private final Choice choice;
+  private final ClaimWriter writer;
 
   // What the records say, for whoever leads next.
   private final Map<String, JsonNode> records = new HashMap<>();
 
   // By lane, while leading.
-  private final Map<String, List<Open>> open = new TreeMap<>();
+  private final Map<String, List<OpenClaim>> open = new TreeMap<>();
   private final Set<Host> claimed = new HashSet<>();
-  private final Map<String, Boolean> writing = new HashMap<>();
-
-  // Of the last put that was answered: a copy of an earlier one, come late, is refused.
-  private final Map<String, Long> stamps = new HashMap<>();
   private final ReserveRoom reserve = new ReserveRoom();
   private Runnable changed = () -> {};
   private Cancellable timer = () -> {};
-  private int generation;
   private long stops;
 
   /** The lanes of the operators' file; without any, nothing here costs anything. */
@@ -98,13 +74,11 @@
     this.clock = clock;
     this.timers = timers;
     this.settings = settings;
-    this.state = state;
-    this.replica = replica;
-    this.leadership = leadership;
     this.ledger = ledger;
     this.desk = desk;
     this.disruption = disruption;
     this.choice = new Choice(ledger, desk, disruption);
+    this.writer = new ClaimWriter(timers, settings, state, replica, leadership, new Claims());
     lanes.forEach(l -> this.lanes.put(l.name(), l));
   }
 
@@ -128,27 +102,27 @@
 
   /** Forgets all: the replica tells its records again. */
   public void clear() {
-    generation++;
     timer.cancel();
     records.clear();
     open.clear();
     claimed.clear();
-    writing.clear();
-    stamps.clear();
+    writer.clear();
   }
 
   // ---- leading ----
 
   /** Goes on with the claims on record; to be called before anything is placed. */
   public void lead() {
-    generation++;
+    writer.lead();
     if (lanes.isEmpty() && records.isEmpty()) {
       return;
     }
     records.forEach(
         (name, value) -> {
-          List<Open> list = open.computeIfAbsent(name, n -> new ArrayList<>());
-          value.path("claims").forEach(c -> list.add(new Open(Claim.parse(c), clock.now(), true)));
+          List<OpenClaim> list = open.computeIfAbsent(name, n -> new ArrayList<>());
+          value
+              .path("claims")
+              .forEach(c -> list.add(new OpenClaim(Claim.parse(c), clock.now(), true)));
         });
     recount();
     tick();
@@ -158,14 +132,14 @@
     for (String name : List.copyOf(open.keySet())) {
       if (lanes.containsKey(name)) {
         if (prune(name)) {
-          write(name, Priority.BOOKKEEPING);
+          writer.write(name, Priority.BOOKKEEPING);
         }
         carryOn(name);
       } else {
         // Removed from the settings meanwhile: its claims end with it.
         open.get(name).clear();
         recount();
-        write(name, Priority.BOOKKEEPING);
+        writer.write(name, Priority.BOOKKEEPING);
       }
     }
     timer = timers.after(settings.workers().reportMs() / 12, this::tick);
@@ -179,18 +153,19 @@
     open.get(name)
         .removeIf(
             o -> {
-              Job job = ledger.job(o.claim.ref());
-              Host host = desk.known(o.claim.host());
+              Job job = ledger.job(o.claim().ref());
+              Host host = desk.known(o.claim().host());
               if (job == null
                   || job.over()
                   || host == null
                   || host.closed() && host.acknowledged()) {
                 return true;
               }
-              int left = needed.computeIfAbsent(o.claim.ref(), r -> job.waiting());
-              needed.put(o.claim.ref(), left - o.claim.tasks());
+              int left = needed.computeIfAbsent(o.claim().ref(), r -> job.waiting());
+              needed.put(o.claim().ref(), left - o.claim().tasks());
               boolean tooLong =
-                  clock.now() - o.since > 2 * (lane.beginWithinMs() + settings.workers().leaseMs());
+                  clock.now() - o.since()
+                      > 2 * (lane.beginWithinMs() + settings.workers().leaseMs());
               return left <= 0 || tooLong;
             });
     boolean dropped = open.get(name).size() < before;
@@ -204,12 +179,12 @@
   /** Stops whoever has to go for claims on record, and at once whoever saves for too long. */
   private void carryOn(String name) {
     Lane lane = lanes.get(name);
-    for (Open o : open.getOrDefault(name, List.of())) {
-      Host host = o.recorded ? desk.known(o.claim.host()) : null;
+    for (OpenClaim o : open.getOrDefault(name, List.of())) {
+      Host host = o.recorded() ? desk.known(o.claim().host()) : null;
       if (host == null) {
         continue;
       }
-      for (String victim : o.claim.victims()) {
+      for (String victim : o.claim().victims()) {
         Attempt a = host.attempt(Claim.key(victim));
         if (a != null && a.number() == Claim.number(victim) && !a.exited()) {
           stop(lane, a);
@@ -289,11 +264,11 @@
       if (lane == null || job.suspected()) {
         continue;
       }
-      List<Open> list = open.computeIfAbsent(lane.name(), n -> new ArrayList<>());
+      List<OpenClaim> list = open.computeIfAbsent(lane.name(), n -> new ArrayList<>());
       int claimedFor =
           list.stream()
-              .filter(o -> o.claim.ref().equals(job.spec().ref()))
-              .mapToInt(o -> o.claim.tasks())
+              .filter(o -> o.claim().ref().equals(job.spec().ref()))
+              .mapToInt(o -> o.claim().tasks())
               .sum();
       int wanted = Math.min(job.waiting() - claimedFor, ledger.teamRoom(job.spec(), false));
       if (wanted <= 0 || list.size() >= most) {
@@ -301,90 +276,46 @@
       }
       for (Claim c : choice.claims(lane, job, wanted, h -> !claimed.contains(h))) {
         if (list.size() < most) {
-          list.add(new Open(c, clock.now(), false));
+          list.add(new OpenClaim(c, clock.now(), false));
           claimed.add(desk.host(c.host()));
           more.add(lane.name());
         }
       }
     }
-    more.forEach(name -> write(name, Priority.REPLICA));
+    more.forEach(name -> writer.write(name, Priority.REPLICA));
   }
 
   private void recount() {
     claimed.clear();
-    open.values().forEach(list -> list.forEach(o -> claimed.add(desk.host(o.claim.host()))));
+    open.values().forEach(list -> list.forEach(o -> claimed.add(desk.host(o.claim().host()))));
   }
 
   // ---- the record ----
 
-  private void write(String name, Priority priority) {
-    if (writing.putIfAbsent(name, false) != null) {
-      // After the one under way, once for all that changes until then.
-      writing.put(name, true);
-      return;
-    }
-    int written = generation;
-    List<Open> of = List.copyOf(open.getOrDefault(name, List.of()));
-    String key = Keys.LANE + name;
-    long stamp = stamps.computeIfAbsent(name, n -> replica.stamp(key));
-    Txn txn = leadership.guard(new Txn()).when(key, stamp);
-    if (of.isEmpty()) {
-      txn.remove(key);
-    } else {
-      txn.put(key, toJson(of));
+  private final class Claims implements ClaimWriter.Source {
+    @Override
+    public boolean has(String name) {
+      return open.containsKey(name);
     }
-    state.commit(
-        txn,
-        priority,
-        settings.workers().reportMs(),
-        outcome -> {
-          if (written == generation) {
-            written(name, of, outcome);
-          }
-        });
-  }
 
-  private static ObjectNode toJson(List<Open> list) {
-    ObjectNode o = Json.object();
-    ArrayNode claims = o.putArray("claims");
-    list.forEach(c -> claims.add(c.claim.toJson()));
-    return o;
-  }
-
-  private void written(String name, List<Open> of, Outcome outcome) {
-    if (leadership.deposedBy(outcome)) {
-      return;
+    @Override
+    public List<OpenClaim> open(String name) {
+      return List.copyOf(open.getOrDefault(name, List.of()));
     }
-    boolean again = Boolean.TRUE.equals(writing.remove(name));
-    if (outcome instanceof Outcome.Applied applied) {
-      stamps.put(name, of.isEmpty() ? 0 : applied.stamp());
-      of.forEach(o -> o.recorded = true);
+
+    @Override
+    public void written(String name, List<OpenClaim> claims) {
       if (lanes.containsKey(name)) {
         carryOn(name);
-      } else if (of.isEmpty()) {
+      } else if (claims.isEmpty()) {
         open.remove(name);
       }
-    } else {
-      // Without an answer it may be on record or not: nobody is stopped before it surely is, and
-      // the replica tells on what the next one goes.
-      stamps.remove(name);
-      again = true;
-    }
-    if (again) {
-      boolean wait = !(outcome instanceof Outcome.Applied);
-      timers.after(wait ? settings.workers().reportMs() / 12 : 0, () -> rewrite(name));
-    }
-  }
-
-  private void rewrite(String name) {
-    if (leadership.leading() && open.containsKey(name)) {
-      write(name, Priority.REPLICA);
     }
   }
 
   // ---- views ----
 
-  /** Open claims by lane. */
+  /** OpenClaim claims by lane. */
   public Map<String, Integer> claims() {
     Map<String, Integer> out = new TreeMap<>();
     lanes.keySet().forEach(n -> out.put(n, open.getOrDefault(n, List.of()).size()));
--- /dev/null
+++ b/src/main/java/dapplestair/node/CoreDuties.java
@@ -0,0 +1,112 @@
+package dapplestair.node;
+
+import dapplestair.events.EventLog;
+import dapplestair.events.Events;
+import dapplestair.leadership.Leadership;
+import dapplestair.ledger.Ledger;
+import dapplestair.machines.MachineTypes;
+import dapplestair.metrics.Metrics;
+import dapplestair.peers.PeerStatus;
+import dapplestair.peers.Peers;
+import dapplestair.placement.Estimates;
+import dapplestair.ports.Clock;
+import dapplestair.ports.Timers;
+import dapplestair.settings.Settings;
+import dapplestair.state.Replica;
+import dapplestair.state.StateClient;
+import dapplestair.submissions.SubmissionDesk;
+import dapplestair.withdrawals.Withdrawals;
+import dapplestair.workers.WorkerDesk;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * What every controller runs, whoever leads: the state service, its peers, the ledger, the workers.
+ */
+final class CoreDuties implements AutoCloseable {
+  final StateClient state;
+  final MachineTypes types = new MachineTypes();
+  final Metrics metrics = new Metrics();
+  final Estimates estimates = new Estimates();
+  final Peers peers;
+  final Leadership leadership;
+  final LedgerHooks hooks;
+  final Ledger ledger;
+  final Withdrawals withdrawals;
+  final WorkerDesk workers;
+
+  /** Null where operators are not served. */
+  final EventLog log;
+
+  final Events events;
+  final Replica replica;
+  final SubmissionDesk submissions;
+
+  /**
+   * Who hears of what the core duties find out.
+   *
+   * @param ownStatus what peers are told
+   * @param peerStatus hears what a peer told
+   */
+  record Listeners(
+      Supplier<PeerStatus> ownStatus,
+      Consumer<PeerStatus> peerStatus,
+      Leadership.Listener leadership,
+      Withdrawals.Listener withdrawals,
+      WorkerDesk.Listener workers,
+      Replica.Listener replica) {}
+
+  CoreDuties(Settings settings, Outside outside, boolean logsEvents, Listeners listeners) {
+    Clock clock = outside.clock();
+    Timers timers = outside.timers();
+    state = new StateClient(clock, timers, outside.http(), settings);
+    peers =
+        new Peers(
+            clock, timers, outside.peers(), settings, listeners.ownStatus, listeners.peerStatus);
+    leadership =
+        new Leadership(
+            clock, timers, outside.random(), settings, state, peers, listeners.leadership);
+    hooks = new LedgerHooks(clock, metrics, estimates);
+    ledger = new Ledger(clock, timers, settings, state, leadership, outside.launchSheets(), hooks);
+    withdrawals =
+        new Withdrawals(
+            clock,
+            timers,
+            outside.http(),
+            settings,
+            peers,
+            leadership,
+            this::recordsAsOf,
+            listeners.withdrawals);
+    workers =
+        new WorkerDesk(
+            clock,
+            timers,
+            outside.http(),
+            settings,
+            leadership,
+            peers,
+            state,
+            types,
+            ledger,
+            withdrawals,
+            listeners.workers);
+    log = logsEvents ? new EventLog(clock) : null;
+    events = logsEvents ? log : Events.OFF;
+    replica = new Replica(state, timers, outside.random(), leadership::leading, listeners.replica);
+    submissions =
+        new SubmissionDesk(clock, settings, state, replica, ledger, types, withdrawals, metrics);
+  }
+
+  private long recordsAsOf() {
+    return replica.asOf();
+  }
+
+  @Override
+  public void close() {
+    workers.close();
+    withdrawals.close();
+    leadership.close();
+    peers.close();
+  }
+}
--- a/src/main/java/dapplestair/node/LedgerHooks.java
+++ b/src/main/java/dapplestair/node/LedgerHooks.java
@@ -38,21 +38,14 @@
   }
 
   /** The ledger is made before those that hear of it. */
-  void wire(
-      WorkerDesk newWorkers,
-      DemandView newDemand,
-      Placer newPlacer,
-      SubmissionDesk newSubmissions,
-      Events newEvents,
-      Blame newBlame,
-      Calendars newCalendars) {
-    workers = newWorkers;
-    demand = newDemand;
-    placer = newPlacer;
-    submissions = newSubmissions;
-    events = newEvents;
-    blame = newBlame;
-    calendars = newCalendars;
+  void wire(CoreDuties core, SchedulingDuties scheduling) {
+    workers = core.workers;
+    submissions = core.submissions;
+    events = core.events;
+    demand = scheduling.demand;
+    placer = scheduling.placer;
+    blame = scheduling.blame;
+    calendars = scheduling.calendars;
   }
 
   @Override
--- /dev/null
+++ b/src/main/java/dapplestair/node/OperationDuties.java
@@ -0,0 +1,71 @@
+package dapplestair.node;
+
+import dapplestair.drain.Drains;
+import dapplestair.drain.Emptying;
+import dapplestair.ports.Clock;
+import dapplestair.ports.Timers;
+import dapplestair.replacement.Replacements;
+import dapplestair.replacement.Room;
+import dapplestair.settings.Settings;
+import dapplestair.state.Wishes;
+import dapplestair.zones.Zones;
+
+/** What operators ask of machines and zones, carried out by the leader. */
+final class OperationDuties implements AutoCloseable {
+  final Wishes wishes;
+  final Drains drains;
+  final Replacements replacements;
+  final Zones zones;
+
+  OperationDuties(
+      Settings settings, Outside outside, CoreDuties core, SchedulingDuties scheduling) {
+    Clock clock = outside.clock();
+    Timers timers = outside.timers();
+    wishes = new Wishes(clock, core.state, core.replica);
+    drains =
+        new Drains(
+            clock,
+            timers,
+            settings,
+            core.state,
+            core.replica,
+            wishes,
+            core.leadership,
+            core.workers,
+            new Emptying(clock, core.workers, scheduling.fleet, scheduling.disruption),
+            core.events);
+    scheduling.demand.drainsLackRoom(drains::lackRoom);
+    replacements =
+        new Replacements(
+            clock,
+            timers,
+            settings,
+            core.state,
+            core.leadership,
+            core.types,
+            core.workers,
+            drains,
+            scheduling.disruption,
+            new Room(core.workers, scheduling.fleet, core.types, scheduling.planning),
+            core.events);
+    scheduling.planning.beyond(replacements::extra);
+    zones =
+        new Zones(
+            clock,
+            timers,
+            settings,
+            core.state,
+            core.replica,
+            core.leadership,
+            core.workers,
+            core.events);
+    scheduling.fleet.closeZones(z -> drains.zones().containsKey(z) || zones.heldDown(z));
+  }
+
+  @Override
+  public void close() {
+    drains.close();
+    replacements.close();
+    zones.close();
+  }
+}
--- a/src/main/java/dapplestair/node/Records.java
+++ b/src/main/java/dapplestair/node/Records.java
@@ -35,31 +35,19 @@
 
   /** {@code admin} is null where operators are not served. */
   Records(
-      Leadership leadership,
-      Ledger ledger,
-      Fleet fleet,
-      Drains drains,
-      Replacements replacements,
-      LostWork lostWork,
-      Zones zones,
-      Lanes lanes,
-      Calendars calendars,
-      Weights weights,
-      Withdrawals withdrawals,
-      Placer placer,
-      AdminDesk admin) {
-    this.leadership = leadership;
-    this.ledger = ledger;
-    this.fleet = fleet;
-    this.drains = drains;
-    this.replacements = replacements;
-    this.lostWork = lostWork;
-    this.zones = zones;
-    this.lanes = lanes;
-    this.calendars = calendars;
-    this.weights = weights;
-    this.withdrawals = withdrawals;
-    this.placer = placer;
+      CoreDuties core, SchedulingDuties scheduling, OperationDuties operations, AdminDesk admin) {
+    this.leadership = core.leadership;
+    this.ledger = core.ledger;
+    this.withdrawals = core.withdrawals;
+    this.fleet = scheduling.fleet;
+    this.lostWork = scheduling.lostWork;
+    this.lanes = scheduling.lanes;
+    this.calendars = scheduling.calendars;
+    this.weights = scheduling.weights;
+    this.placer = scheduling.placer;
+    this.drains = operations.drains;
+    this.replacements = operations.replacements;
+    this.zones = operations.zones;
     this.admin = admin;
   }
 
--- /dev/null
+++ b/src/main/java/dapplestair/node/RoleChanges.java
@@ -0,0 +1,74 @@
+package dapplestair.node;
+
+import dapplestair.admin.AdminDesk;
+import dapplestair.events.Events;
+import dapplestair.leadership.Leadership;
+
+/** Tells all duties, in order, that this controller begins or ceases to lead. */
+final class RoleChanges implements Leadership.Listener {
+  private final String member;
+  private final CoreDuties core;
+  private final SchedulingDuties scheduling;
+  private final OperationDuties operations;
+  private final AdminDesk admin;
+
+  /** {@code admin} is null where operators are not served. */
+  RoleChanges(
+      String member,
+      CoreDuties core,
+      SchedulingDuties scheduling,
+      OperationDuties operations,
+      AdminDesk admin) {
+    this.member = member;
+    this.core = core;
+    this.scheduling = scheduling;
+    this.operations = operations;
+    this.admin = admin;
+  }
+
+  @Override
+  public void lead(long term) {
+    core.state.leading(true);
+    scheduling.fleet.lead();
+    core.ledger.lead(term);
+    scheduling.disruption.lead();
+    core.workers.lead();
+    // Before anything is placed: room that was freed for a rider is its own.
+    scheduling.lanes.lead();
+    scheduling.calendars.lead();
+    scheduling.weights.lead();
+    operations.drains.lead();
+    operations.replacements.lead();
+    operations.zones.lead();
+    scheduling.blame.lead();
+    scheduling.planning.lead();
+    if (core.log != null) {
+      core.log.begin(term);
+      core.log.note(Events.Kind.LEADING, o -> o.put("term", term).put("by", member));
+    }
+    core.peers.tell();
+  }
+
+  @Override
+  public void follow() {
+    core.state.leading(false);
+    scheduling.planning.clear();
+    operations.drains.clear();
+    operations.replacements.clear();
+    operations.zones.clear();
+    scheduling.lanes.clear();
+    scheduling.calendars.clear();
+    scheduling.weights.clear();
+    scheduling.blame.clear();
+    if (admin != null) {
+      admin.clear();
+    }
+    scheduling.fleet.clear();
+    core.ledger.clear();
+    scheduling.disruption.clear();
+    core.workers.clear();
+    // What was in memory may not be what was recorded: read all of it again.
+    core.replica.restart();
+    core.peers.tell();
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/node/SchedulingDuties.java
@@ -0,0 +1,133 @@
+package dapplestair.node;
+
+import dapplestair.blame.Blame;
+import dapplestair.calendar.Calendars;
+import dapplestair.disruption.Disruption;
+import dapplestair.disruption.LostWork;
+import dapplestair.fleet.Fleet;
+import dapplestair.lane.Lanes;
+import dapplestair.placement.Departures;
+import dapplestair.placement.Placer;
+import dapplestair.planning.DemandView;
+import dapplestair.planning.Planning;
+import dapplestair.ports.Clock;
+import dapplestair.ports.Timers;
+import dapplestair.settings.Operator;
+import dapplestair.settings.Settings;
+import dapplestair.weights.Weights;
+
+/** Which machines are rented and what runs on them: only a leader's work. */
+final class SchedulingDuties implements AutoCloseable {
+  final LostWork lostWork;
+  final Disruption disruption;
+  final Fleet fleet;
+  final DemandView demand;
+  final Lanes lanes;
+  final Calendars calendars;
+  final Weights weights;
+  final Placer placer;
+  final Departures departures;
+  final Planning planning;
+  final Blame blame;
+
+  SchedulingDuties(Settings settings, Operator operator, Outside outside, CoreDuties core) {
+    Clock clock = outside.clock();
+    Timers timers = outside.timers();
+    lostWork =
+        new LostWork(
+            clock, settings, operator.budgets(), core.state, core.replica, core.leadership);
+    disruption = new Disruption(clock, operator.budgets(), core.ledger, core.workers, lostWork);
+    fleet =
+        new Fleet(
+            clock,
+            timers,
+            outside.http(),
+            settings,
+            core.state,
+            core.leadership,
+            core.types,
+            core.workers,
+            disruption,
+            core.events);
+    demand =
+        new DemandView(
+            clock, settings, core.ledger, core.workers, fleet, core.types, core.estimates);
+    lanes =
+        new Lanes(
+            clock,
+            timers,
+            settings,
+            operator.lanes(),
+            core.state,
+            core.replica,
+            core.leadership,
+            core.ledger,
+            core.workers,
+            disruption);
+    calendars =
+        new Calendars(
+            clock,
+            timers,
+            settings,
+            operator.calendars(),
+            core.state,
+            core.replica,
+            core.leadership,
+            core.ledger,
+            core.events);
+    weights = new Weights(clock, timers, settings, core.state, core.leadership, core.workers);
+    placer =
+        new Placer(
+            clock,
+            timers,
+            settings,
+            core.ledger,
+            core.workers,
+            core.estimates,
+            disruption,
+            lanes,
+            calendars,
+            demand::roomForServices,
+            operator.beginWithinMs());
+    lanes.wire(placer::nudge, placer::shelters);
+    departures = new Departures(clock, disruption, core.estimates);
+    planning =
+        new Planning(
+            clock,
+            timers,
+            outside.background(),
+            outside.random(),
+            operator,
+            core.leadership,
+            core.state,
+            core.replica,
+            fleet,
+            core.types,
+            demand);
+    fleet.weigh(demand::waitingCpus, planning::soon);
+    calendars.wire(
+        () -> {
+          placer.nudge();
+          planning.soon();
+        },
+        () -> core.types.bootS(null));
+    blame =
+        new Blame(
+            clock,
+            timers,
+            settings.workers().reportMs(),
+            core.ledger,
+            core.workers,
+            new Verdicts(core.events, planning::soon));
+  }
+
+  @Override
+  public void close() {
+    lanes.close();
+    calendars.close();
+    weights.close();
+    blame.close();
+    planning.close();
+    fleet.close();
+  }
+}
--- a/src/main/java/dapplestair/node/SelfReport.java
+++ b/src/main/java/dapplestair/node/SelfReport.java
@@ -21,23 +21,15 @@
   private final Replica replica;
   private final MachineTypes types;
 
-  SelfReport(
-      Leadership leadership,
-      Ledger ledger,
-      WorkerDesk workers,
-      SubmissionDesk submissions,
-      Withdrawals withdrawals,
-      StateClient state,
-      Replica replica,
-      MachineTypes types) {
-    this.leadership = leadership;
-    this.ledger = ledger;
-    this.workers = workers;
-    this.submissions = submissions;
-    this.withdrawals = withdrawals;
-    this.state = state;
-    this.replica = replica;
-    this.types = types;
+  SelfReport(CoreDuties core) {
+    this.leadership = core.leadership;
+    this.ledger = core.ledger;
+    this.workers = core.workers;
+    this.submissions = core.submissions;
+    this.withdrawals = core.withdrawals;
+    this.state = core.state;
+    this.replica = core.replica;
+    this.types = core.types;
   }
 
   /** True when it can take requests now. */
--- /dev/null
+++ b/src/main/java/dapplestair/workers/ReportApplier.java
@@ -0,0 +1,119 @@
+package dapplestair.workers;
+
+import dapplestair.leadership.FencingToken;
+import dapplestair.leadership.Leadership;
+import dapplestair.ledger.Ledger;
+import dapplestair.machines.MachineTypes;
+import dapplestair.ports.Clock;
+import dapplestair.work.Order;
+import dapplestair.work.Report;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Applies a report to what the leader knows of its machine, wherever the report came from. */
+final class ReportApplier {
+  private static final Logger LOG = LoggerFactory.getLogger(ReportApplier.class);
+  private static final double LONGEST_RECALL_S = 1e6;
+
+  private final Clock clock;
+  private final Leadership leadership;
+  private final MachineTypes types;
+  private final Ledger ledger;
+  private final Hearing hearing;
+  private final Courier courier;
+  private final WorkerDesk.Listener listener;
+  private final BooleanSupplier leading;
+
+  /** {@code leading} is true while this controller commands the workers. */
+  ReportApplier(
+      Clock clock,
+      Leadership leadership,
+      MachineTypes types,
+      Ledger ledger,
+      Hearing hearing,
+      Courier courier,
+      WorkerDesk.Listener listener,
+      BooleanSupplier leading) {
+    this.clock = clock;
+    this.leadership = leadership;
+    this.types = types;
+    this.ledger = ledger;
+    this.hearing = hearing;
+    this.courier = courier;
+    this.listener = listener;
+    this.leading = leading;
+  }
+
+  /**
+   * Applies a report. Heard is not reached: whether its machine gets our answers is known when it
+   * answers a call, or shows a token that only an answer since can have shown it. Until then it is
+   * no sign of life, neither of the machine nor of its zone: it may be deaf, or the report a copy
+   * that comes late. Facts in it are facts all the same, and proofs have their own conditions.
+   */
+  void apply(Host host, Report r, boolean answer) {
+    leadership.termShown(FencingToken.term(r.token()));
+    if (!leading.getAsBoolean() || !leadership.leading()) {
+      return;
+    }
+    if (FencingToken.term(r.token()) == leadership.term()) {
+      // Another controller may have raised it: what lies below is not executed any more.
+      host.fence = Math.max(host.fence, FencingToken.fence(r.token()));
+    }
+    if (!r.after(host.session, host.tick) || host.gone()) {
+      return;
+    }
+    boolean first = !host.up() || !host.acknowledged;
+    host.session = r.session();
+    host.tick = r.tick();
+    host.tokenSeen = r.token();
+    long challenge = Math.max(host.challenge, FencingToken.of(leadership.term(), 0));
+    boolean reached = answer || r.token() >= challenge;
+    if (reached) {
+      host.heardAt = clock.now();
+      hearing.heard(r.zone());
+    }
+    host.describe(r.endpoint(), types.get(r.type()), r.zone(), r.spot());
+    if (!host.acknowledged && r.token() >= FencingToken.of(leadership.term(), 0)) {
+      host.acknowledged = true;
+    }
+    boolean recalledBefore = host.recalled();
+    if (reached || !host.recalled()) {
+      host.recallAt = recallAt(r);
+    }
+    List<Report.Task> strays = ledger.report(host, r);
+    host.strays = 0;
+    if (host.acknowledged) {
+      strays.forEach(t -> stray(host, t));
+    }
+    if (host.failedCalls > 0 && !host.calling) {
+      // Heard again: it is used as soon as it answers, not when its turn to be asked comes.
+      host.callAgainAt = clock.now();
+      courier.probe(host);
+    }
+    if (first || recalledBefore != host.recalled()) {
+      listener.hostChanged(host);
+    }
+    if (!host.acknowledged) {
+      courier.probe(host);
+    }
+  }
+
+  private long recallAt(Report r) {
+    return Double.isNaN(r.recallS())
+        ? Long.MAX_VALUE
+        : clock.now() + Math.round(Math.min(LONGEST_RECALL_S, Math.max(0, r.recallS())) * 1000);
+  }
+
+  /** A task that no attempt accounts for: it is stopped and taken out of the reports. */
+  private void stray(Host host, Report.Task t) {
+    if (t.status() == Report.Status.EXITED) {
+      courier.queue(host.id(), new Order.Clear(t.key(), t.attempt()));
+    } else {
+      host.strays++;
+      LOG.warn("{} try {} on {} is unaccounted for", t.key(), t.attempt(), host.id());
+      courier.queue(host.id(), new Order.Halt(t.key(), t.attempt(), 0));
+    }
+  }
+}
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -1,9 +1,5 @@
 package dapplestair.workers;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import dapplestair.json.Json;
-import dapplestair.leadership.FencingToken;
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Ledger;
@@ -22,13 +18,12 @@
 import dapplestair.work.Report;
 import java.util.Collection;
 import java.util.List;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
-/** Hears the workers and commands them. Only a leader does; the others show the way to it. */
+/**
+ * All machines with their workers: which there are, how long each has been silent, and, at the
+ * leader, the orders to them. Reports are answered by {@link ReportHandler}.
+ */
 public final class WorkerDesk implements AutoCloseable {
-  private static final Logger LOG = LoggerFactory.getLogger(WorkerDesk.class);
-
   /** Told of what happens to machines. */
   public interface Listener {
     /** A machine's room, notice or reachability changed. */
@@ -40,26 +35,19 @@
 
   private final Clock clock;
   private final Timers timers;
-  private final Settings settings;
   private final Leadership leadership;
-  private final MachineTypes types;
   private final Ledger ledger;
   private final Listener listener;
   private final long reportMs;
   private final Roster roster;
   private final Hearing hearing;
   private final Courier courier;
-  private final SentOn sentOn;
-  private final Withdrawals withdrawals;
-  private final LeaseRenewal renewal;
+  private final ReportApplier applier;
+  private final ReportHandler reports;
+  private final Peers peers;
   private Cancellable timer = () -> {};
-  private Cancellable counting = () -> {};
   private Cancellable sharing = () -> {};
-  private final Peers peers;
-  private final StateClient state;
   private boolean leading;
-  private int beats;
-  private int beatsBefore;
 
   /** A desk without machines. */
   public WorkerDesk(
@@ -76,27 +64,38 @@
       Listener listener) {
     this.clock = clock;
     this.timers = timers;
-    this.settings = settings;
     this.leadership = leadership;
     this.peers = peers;
-    this.state = state;
-    this.types = types;
     this.ledger = ledger;
     this.listener = listener;
     this.reportMs = settings.workers().reportMs();
     this.roster = new Roster(clock);
     this.hearing = new Hearing(clock, settings, roster);
-    this.sentOn = new SentOn(clock, settings.workers().leaseMs());
-    this.withdrawals = withdrawals;
     this.courier =
         new Courier(clock, timers, http, settings, leadership, withdrawals, roster, new Answers());
-    this.renewal = new LeaseRenewal(clock, courier, ledger, withdrawals);
+    this.applier =
+        new ReportApplier(
+            clock, leadership, types, ledger, hearing, courier, listener, this::isLeading);
+    this.reports =
+        new ReportHandler(
+            clock,
+            timers,
+            settings,
+            leadership,
+            peers,
+            state,
+            withdrawals,
+            roster,
+            hearing,
+            new LeaseRenewal(clock, courier, ledger, withdrawals),
+            applier,
+            this::isLeading);
   }
 
   /** Begins to count what comes, and to share what is heard. */
   public void start() {
     peers.questions().answer(HEARD, (body, reply) -> heardByOthers(body));
-    countBeats();
+    reports.start();
     share();
   }
 
@@ -265,161 +264,23 @@
 
   /** Answers a worker's report. */
   public void beat(Exchange exchange) {
-    JsonNode body = Json.parse(exchange.body());
-    Report r = Report.parse(body);
-    if (r == null) {
-      exchange.reply(400, Json.bytes(Json.object().put("error", "not a report")), 0);
-      return;
-    }
-    // A higher token means that somebody else leads by now. To be looked at before any 200: a
-    // worker that has to drop a 200 stays here while its lease runs out.
-    leadership.termShown(FencingToken.term(r.token()));
-    withdrawals.addressed(r.host(), r.endpoint());
-    beats++;
-    if (!leading || !leadership.leading()) {
-      redirect(exchange, r);
-      return;
-    }
-    if (roster.isGone(r.host())) {
-      if (roster.sentSince(r)) {
-        hearing.heard(r.zone());
-      }
-      keep(exchange, null);
-      return;
-    }
-    Host host = host(r.host());
-    apply(host, r, false);
-    keep(exchange, leading ? renewal.byLeader(host, r) : null);
-  }
-
-  /** Keeps the worker's lease, or sends it on to somebody who may. */
-  private static void keep(Exchange exchange, ObjectNode answer) {
-    if (answer == null) {
-      exchange.reply(503, Json.bytes(Json.object()), 1);
-    } else {
-      exchange.reply(200, Json.bytes(answer), 0);
-    }
-  }
-
-  /**
-   * Shows the way to the leader. In a zone that is cut off, or while nobody can lead, there is none
-   * to be reached, and the worker's tasks would end with its lease for nothing: then its own token
-   * is good, which any controller may show as long as it knows of no higher term. Nobody takes the
-   * end of a lease for a proof of absence, so this starts no task twice. A withdrawn task must not
-   * live by it: {@link LeaseRenewal} sees to that.
-   */
-  private void redirect(Exchange exchange, Report r) {
-    boolean again = sentOn.again(r);
-    String steward = leadership.leader();
-    boolean known = steward != null && !steward.equals(settings.member());
-    // One that comes back from a living leader was not taken there. In an outage of all the reason
-    // may be that this leader may not keep leases any more, since it does not hear all others.
-    boolean notTaken = again && !peers.anyServed();
-    boolean alone = !state.reachable() && (notTaken || !(known && peers.alive(steward)));
-    if (alone && !again && leadership.succeeded()) {
-      // Somebody leads whom we cannot ask, and reaches this worker: it had better report there.
-      // One that comes back was not taken; it is kept as below.
-      keep(exchange, null);
-      return;
-    }
-    if (alone && FencingToken.term(r.token()) >= leadership.termSeen()) {
-      keep(exchange, renewal.byOther(r));
-      return;
-    }
-    ObjectNode answer = Json.object();
-    if (known) {
-      answer.put("steward", steward);
-    }
-    exchange.reply(421, Json.bytes(answer), 0);
+    reports.beat(exchange);
   }
 
   /** Reports that came to this controller lately, whoever leads. */
   public int beatsLately() {
-    return beats + beatsBefore;
-  }
-
-  private void countBeats() {
-    beatsBefore = beats;
-    beats = 0;
-    counting = timers.after(reportMs / 2, this::countBeats);
+    return reports.lately();
   }
 
-  /**
-   * Applies a report. Heard is not reached: whether its machine gets our answers is known when it
-   * answers a call, or shows a token that only an answer since can have shown it. Until then it is
-   * no sign of life, neither of the machine nor of its zone: it may be deaf, or the report a copy
-   * that comes late. Facts in it are facts all the same, and proofs have their own conditions.
-   */
-  private void apply(Host host, Report r, boolean answer) {
-    leadership.termShown(FencingToken.term(r.token()));
-    if (!leading || !leadership.leading()) {
-      return;
-    }
-    if (FencingToken.term(r.token()) == leadership.term()) {
-      // Another controller may have raised it: what lies below is not executed any more.
-      host.fence = Math.max(host.fence, FencingToken.fence(r.token()));
-    }
-    if (!r.after(host.session, host.tick) || host.gone()) {
-      return;
-    }
-    boolean first = !host.up() || !host.acknowledged;
-    host.session = r.session();
-    host.tick = r.tick();
-    host.tokenSeen = r.token();
-    long challenge = Math.max(host.challenge, FencingToken.of(leadership.term(), 0));
-    boolean reached = answer || r.token() >= challenge;
-    if (reached) {
-      host.heardAt = clock.now();
-      hearing.heard(r.zone());
-    }
-    host.describe(r.endpoint(), types.get(r.type()), r.zone(), r.spot());
-    if (!host.acknowledged && r.token() >= FencingToken.of(leadership.term(), 0)) {
-      host.acknowledged = true;
-    }
-    boolean recalledBefore = host.recalled();
-    if (reached || !host.recalled()) {
-      host.recallAt = recallAt(r);
-    }
-    List<Report.Task> strays = ledger.report(host, r);
-    host.strays = 0;
-    if (host.acknowledged) {
-      strays.forEach(t -> stray(host, t));
-    }
-    if (host.failedCalls > 0 && !host.calling) {
-      // Heard again: it is used as soon as it answers, not when its turn to be asked comes.
-      host.callAgainAt = clock.now();
-      courier.probe(host);
-    }
-    if (first || recalledBefore != host.recalled()) {
-      listener.hostChanged(host);
-    }
-    if (!host.acknowledged) {
-      courier.probe(host);
-    }
-  }
-
-  private long recallAt(Report r) {
-    return Double.isNaN(r.recallS())
-        ? Long.MAX_VALUE
-        : clock.now() + Math.round(Math.min(1e6, Math.max(0, r.recallS())) * 1000);
-  }
-
-  /** A task that no attempt accounts for: it is stopped and taken out of the reports. */
-  private void stray(Host host, Report.Task t) {
-    if (t.status() == Report.Status.EXITED) {
-      courier.queue(host.id(), new Order.Clear(t.key(), t.attempt()));
-    } else {
-      host.strays++;
-      LOG.warn("{} try {} on {} is unaccounted for", t.key(), t.attempt(), host.id());
-      courier.queue(host.id(), new Order.Halt(t.key(), t.attempt(), 0));
-    }
+  private boolean isLeading() {
+    return leading;
   }
 
   /** What machines answer to orders is worth as much as what they report by themselves. */
   private final class Answers implements Courier.Listener {
     @Override
     public void report(Host host, Report report) {
-      apply(host, report, true);
+      applier.apply(host, report, true);
     }
 
     @Override
@@ -430,7 +291,7 @@
 
   @Override
   public void close() {
-    counting.cancel();
+    reports.close();
     sharing.cancel();
     timer.cancel();
   }
