The emulated state service can keep its limit on writes

Cause: the seeded world named a limit of puts to the controllers and took any number of them, so that no test met a 429.

--- a/src/main/java/dapplestair/emulator/EmulatedState.java
+++ b/src/main/java/dapplestair/emulator/EmulatedState.java
@@ -34,6 +34,8 @@
   private final Map<Long, Long> holdTtl = new HashMap<>();
   private final List<Watch> watches = new ArrayList<>();
   private final Set<String> refused = new HashSet<>();
+  private final WriteLimit writeLimit;
+  private int tooMany;
   private boolean down;
   private long epoch;
   private long lastHold;
@@ -46,6 +48,7 @@
   public EmulatedState(Surroundings world, Shape shape) {
     this.world = world;
     this.shape = shape;
+    this.writeLimit = new WriteLimit(shape.writeRps(), world.now());
     tick();
   }
 
@@ -80,6 +83,11 @@
         .sum();
   }
 
+  /** Transactions that were answered 429 so far. */
+  public int tooMany() {
+    return tooMany;
+  }
+
   /** What somebody did that the protocol forbids, or null. */
   public String violation() {
     return violation;
@@ -223,6 +231,11 @@
       violation = "transaction too large: " + in;
       return json(400, Json.object().put("error", "too large"));
     }
+    // Transactions whose conditions fail are counted as well.
+    if (!writeLimit.allows(in.path("writes").size(), world.now())) {
+      tooMany++;
+      return json(429, Json.object());
+    }
     ArrayNode failed = Json.array();
     for (JsonNode c : in.path("when")) {
       Row r = rows.get(c.path("k").asText());
--- a/src/main/java/dapplestair/emulator/Shape.java
+++ b/src/main/java/dapplestair/emulator/Shape.java
@@ -12,6 +12,7 @@
  * @param valueBytes largest value
  * @param pageRows most rows of a listing
  * @param changesKept changes that may be asked for; older ones are 410
+ * @param writeRps puts and deletes a second above which the state service answers 429, or infinity
  */
 public record Shape(
     List<Machine> types,
@@ -24,7 +25,36 @@
     int txnOps,
     int valueBytes,
     int pageRows,
-    int changesKept) {
+    int changesKept,
+    double writeRps) {
+
+  /** A world whose state service takes any number of writes. */
+  public Shape(
+      List<Machine> types,
+      List<String> zones,
+      int perPlace,
+      double neverBoots,
+      long reportMs,
+      long leaseMs,
+      long listLagMs,
+      int txnOps,
+      int valueBytes,
+      int pageRows,
+      int changesKept) {
+    this(
+        types,
+        zones,
+        perPlace,
+        neverBoots,
+        reportMs,
+        leaseMs,
+        listLagMs,
+        txnOps,
+        valueBytes,
+        pageRows,
+        changesKept,
+        Double.POSITIVE_INFINITY);
+  }
 
   /** A machine type; prices are per hour. */
   public record Machine(
--- a/src/test/java/dapplestair/world/World.java
+++ b/src/test/java/dapplestair/world/World.java
@@ -41,6 +41,9 @@
 
   static final double CPUS = 8;
 
+  /** The one machine type. */
+  static final String TYPE = "t8";
+
   /**
    * How large the world is.
    *
@@ -48,8 +51,30 @@
    * @param teamCpus what each of the two teams is guaranteed; twice that is its limit
    * @param arrivalsEveryMs mean time between submissions
    * @param steps most tasks of an array
+   * @param writeRps puts a second that the state service takes, refusing more; 0 when only the
+   *     settings name a limit
    */
-  record Size(int perPlace, double teamCpus, long arrivalsEveryMs, int steps) {
+  record Size(int perPlace, double teamCpus, long arrivalsEveryMs, int steps, double writeRps) {
+    private static final double USUAL_WRITE_RPS = 50;
+
+    Size(int perPlace, double teamCpus, long arrivalsEveryMs, int steps) {
+      this(perPlace, teamCpus, arrivalsEveryMs, steps, 0);
+    }
+
+    Size withWriteRps(double perSecond) {
+      return new Size(perPlace, teamCpus, arrivalsEveryMs, steps, perSecond);
+    }
+
+    /** The limit that the controllers are told. */
+    double settingsWriteRps() {
+      return writeRps > 0 ? writeRps : USUAL_WRITE_RPS;
+    }
+
+    /** The limit that the state service keeps. */
+    double keptWriteRps() {
+      return writeRps > 0 ? writeRps : Double.POSITIVE_INFINITY;
+    }
+
     static final Size SMALL = new Size(4, 20, 2150, 12);
 
     /** The shape of a grown deployment: hundreds of machines, thousands of tasks. */
@@ -87,6 +112,7 @@
   final EmulatedCloud cloud;
   final Users users;
   final Checker checker;
+  final AnswerOrder answers;
   final List<Node> nodes = new ArrayList<>();
 
   World(long seed) {
@@ -106,7 +132,7 @@
     net = new Network(sim);
     Shape shape =
         new Shape(
-            List.of(new Shape.Machine("t8", CPUS, 0, 64, 50, 1, 1, 0.4, 4)),
+            List.of(new Shape.Machine(TYPE, CPUS, 0, 64, 50, 1, 1, 0.4, 4)),
             ZONES,
             size.perPlace(),
             0.05,
@@ -117,13 +143,16 @@
             8192,
             // Small pages and a short memory, so that listings take several and streams are lost.
             40,
-            400);
+            400,
+            size.keptWriteRps());
     state = new EmulatedState(new Surrounding(), shape);
     net.place("state:1", state);
     for (int i = 0; i < 3; i++) {
       nodes.add(new Node(i));
     }
     checker = new Checker(this);
+    answers = new AnswerOrder(this);
+    net.tap = answers;
     cloud =
         new EmulatedCloud(
             new Surrounding(),
@@ -177,7 +206,7 @@
             "guest", new Settings.Team("guest", 0, 0, 0, 0)),
         List.of(),
         new Settings.Workers(REPORT_MS, LEASE_MS, CANCEL_MS),
-        new Settings.State(200, 50, 8192, 24),
+        new Settings.State(200, size.settingsWriteRps(), 8192, 24),
         new Settings.Cloud(5, LAG_MS),
         new Settings.Resources(0.425, 263, 1800));
   }
