Answers held against each other: nobody is told anything older, odd jobs get their answers

Cause: the checker held an answer against a final state told before, by the same question alone, and knew neither 404 after 201 nor jobs that must not be accepted. Change: AnswerOrder sees each user's request and answer on the wire, of all tests, and holds it against all that had been answered when it was asked; OddJob knows by the protocol's page which jobs get 400 and 422; Commits lets a test watch transactions and lose the answer alone of chosen ones. CloseAnswersTest: all controllers are asked within milliseconds of an acceptance, an end and a cancellation while the others have just started, lost their stream, are held up or the leader is deposed. OddRequestsTest: jobs that lack a field or can't run, repetitions, done jobs cancelled.

--- a/src/test/java/dapplestair/world/Checker.java
+++ b/src/test/java/dapplestair/world/Checker.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 
 /** The rules of the protocol, checked on the world itself, knowing nothing of the product. */
@@ -41,6 +42,9 @@
 
   String broken;
 
+  /** Told of each task that completes, on its machine and at that moment. */
+  Consumer<String> alsoCompleted = key -> {};
+
   Checker(World world) {
     this.world = world;
   }
@@ -54,6 +58,7 @@
   @Override
   public void completed(String key) {
     completed.add(key);
+    alsoCompleted.accept(key);
   }
 
   private static String ref(String key) {
--- a/src/test/java/dapplestair/world/Network.java
+++ b/src/test/java/dapplestair/world/Network.java
@@ -41,8 +41,20 @@
    */
   double lateWrites;
 
+  /** What is done to the answers to transactions. */
+  final Commits commits;
+
+  /** Sees each request on its way and may look at its answer. */
+  interface Tap {
+    Consumer<HttpReply> asked(
+        String from, String method, String path, byte[] body, Consumer<HttpReply> done);
+  }
+
+  Tap tap = (from, method, path, body, done) -> done;
+
   Network(Sim sim) {
     this.sim = sim;
+    commits = new Commits(sim);
   }
 
   void place(String name, Place place) {
@@ -118,11 +130,12 @@
       long timeoutMs,
       Consumer<HttpReply> done) {
     boolean[] ended = {false};
+    Consumer<HttpReply> tapped = tap.asked(from, method, path, body, done);
     Consumer<HttpReply> once =
         r -> {
           if (!ended[0]) {
             ended[0] = true;
-            done.accept(r);
+            tapped.accept(r);
           }
         };
     boolean cannotConnect = off.contains(to) && !noticed.add(new Pair(from, to));
@@ -147,7 +160,16 @@
           if (p == null) {
             carry(to, from, () -> once.accept(HttpReply.of(HttpReply.NOT_SENT)));
           } else {
-            p.request(from, method, path, body, r -> carry(to, from, () -> once.accept(r)));
+            p.request(
+                from,
+                method,
+                path,
+                body,
+                r -> {
+                  if (!commits.answerLost(from, path, body, r)) {
+                    carry(to, from, () -> once.accept(r));
+                  }
+                });
           }
         });
   }
--- /dev/null
+++ b/src/test/java/dapplestair/world/OddJob.java
@@ -0,0 +1,98 @@
+package dapplestair.world;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Jobs that must not be accepted, by the protocol's page and the world's machines and teams. */
+final class OddJob {
+  /** What is wrong with a job, and the answer that it must get. */
+  enum Fault {
+    MALFORMED(400),
+    CANNOT_RUN(422);
+
+    final int status;
+
+    Fault(int status) {
+      this.status = status;
+    }
+  }
+
+  private static final double MEMORY_GB = 64;
+
+  /** All that may neither be null nor be left out. */
+  private static final List<String> TEXTS =
+      List.of("ref", "jobclass", "owner", "shape", "rank", "bundle");
+
+  private static final List<String> AMOUNTS =
+      List.of(
+          "vcpus", "accelerators", "memoryGb", "imageGb", "guessS", "snapshotEveryS", "snapshotS");
+
+  private static final List<String> FLAGS = List.of("together", "apart", "loaners");
+
+  private static final int IMPOSSIBLE_KINDS = 7;
+
+  private OddJob() {}
+
+  /** The same job without one field, or changed so that it can never run. */
+  static ObjectNode make(ObjectNode job, Sim sim) {
+    if (sim.chance(0.5)) {
+      List<List<String>> kinds = List.of(TEXTS, AMOUNTS, FLAGS, List.of("steps"));
+      List<String> kind = kinds.get((int) sim.between(0, kinds.size() - 1));
+      // Without its id it would be no job at all.
+      int from = kind == TEXTS ? 1 : 0;
+      job.remove(kind.get((int) sim.between(from, kind.size() - 1)));
+      return job;
+    }
+    switch ((int) sim.between(1, IMPOSSIBLE_KINDS)) {
+      case 1 -> job.put("vcpus", World.CPUS + 0.5);
+      case 2 -> job.put("memoryGb", MEMORY_GB + 1);
+      case 3 -> job.put("accelerators", 1.0);
+      case 4 -> job.put("owner", "nobody");
+      case 5 -> job.put("basin", "no-such-zone");
+      case 6 -> job.putArray("hulls").add("no-such-type");
+      default -> job.put("shape", "daemon").put("steps", 1000).put("owner", "one");
+    }
+    return job;
+  }
+
+  /** What is wrong with it, or null. */
+  static Fault faultOf(JsonNode job, World.Size size) {
+    boolean whole =
+        TEXTS.stream().allMatch(f -> job.path(f).isTextual())
+            && AMOUNTS.stream().allMatch(f -> job.path(f).isNumber())
+            && FLAGS.stream().allMatch(f -> job.path(f).isBoolean())
+            && job.path("steps").asInt() >= 1
+            && job.path("vcpus").asDouble() > 0;
+    if (!whole) {
+      return Fault.MALFORMED;
+    }
+    return fitsMachine(job) && fitsTeam(job, size) ? null : Fault.CANNOT_RUN;
+  }
+
+  private static boolean fitsMachine(JsonNode job) {
+    return job.path("vcpus").asDouble() <= World.CPUS
+        && job.path("memoryGb").asDouble() <= MEMORY_GB
+        && job.path("accelerators").asDouble() == 0
+        && (!job.path("basin").isTextual() || World.ZONES.contains(job.path("basin").asText()))
+        && (!job.path("hulls").isArray() || names(job).contains(World.TYPE));
+  }
+
+  private static Set<String> names(JsonNode job) {
+    Set<String> names = new HashSet<>();
+    job.path("hulls").forEach(h -> names.add(h.asText()));
+    return names;
+  }
+
+  private static boolean fitsTeam(JsonNode job, World.Size size) {
+    String team = job.path("owner").asText();
+    if (team.equals("guest")) {
+      return true;
+    }
+    boolean array = job.path("shape").asText().equals("sweep");
+    double needed = job.path("vcpus").asDouble() * (array ? 1 : job.path("steps").asInt());
+    return Set.of("one", "two").contains(team) && needed <= size.teamLimit();
+  }
+}
