Test world: held commands, kept reports, mute workers, quick boots; old reports and late commands meet the next leader

Commands of a leader that has ended or was deposed, and copies of reports kept for the next one, are brought about at a scripted moment.

--- a/src/main/java/dapplestair/emulator/EmulatedCloud.java
+++ b/src/main/java/dapplestair/emulator/EmulatedCloud.java
@@ -20,6 +20,7 @@
 
   private static final int MOST_LISTED = 500;
   private static final long SNAPSHOT_MS = 500;
+  private static final long QUICK_BOOT_MS = 2000;
 
   private final Surroundings world;
   private final Shape shape;
@@ -35,6 +36,7 @@
   private boolean down;
   private double capacity = 1;
   private double neverBoots;
+  private double quickBoots;
   private boolean sick;
   private String violation;
   private int killedByRelease;
@@ -70,6 +72,11 @@
     neverBoots = share;
   }
 
+  /** Share of the machines rented from now on that are up within two seconds. */
+  public void setQuickBoots(double share) {
+    quickBoots = share;
+  }
+
   /** Machines rented from now on fail every task. */
   public void setSick(boolean value) {
     sick = value;
@@ -246,9 +253,8 @@
         w.sicken();
       }
       if (!world.chance(neverBoots)) {
-        long bootMs = Math.round(1000 * type.bootS());
         world.after(
-            world.between(bootMs / 8, bootMs * 3 / 2),
+            bootMs(type),
             () -> {
               if (!w.gone()) {
                 w.boot();
@@ -259,6 +265,14 @@
     return hosts;
   }
 
+  private long bootMs(Shape.Machine type) {
+    if (quickBoots > 0 && world.chance(quickBoots)) {
+      return world.between(QUICK_BOOT_MS / 8, QUICK_BOOT_MS);
+    }
+    long usualMs = Math.round(1000 * type.bootS());
+    return world.between(usualMs / 8, usualMs * 3 / 2);
+  }
+
   private boolean room(Shape.Machine type, String zone, boolean spot) {
     long n =
         machines.values().stream()
--- a/src/main/java/dapplestair/emulator/EmulatedWorker.java
+++ b/src/main/java/dapplestair/emulator/EmulatedWorker.java
@@ -133,6 +133,11 @@
     condition.deafen(ms);
   }
 
+  /** For a while it opens no connection to any controller; commands and questions reach it. */
+  public void mute(long ms) {
+    condition.mute(ms);
+  }
+
   /** From now on every task fails that starts here. */
   public void sicken() {
     condition.fail();
--- a/src/main/java/dapplestair/emulator/MachineCondition.java
+++ b/src/main/java/dapplestair/emulator/MachineCondition.java
@@ -11,6 +11,7 @@
   private boolean hanging;
   private boolean failing;
   private long deafUntil;
+  private long muteUntil;
 
   MachineCondition(Surroundings world) {
     this.world = world;
@@ -31,6 +32,11 @@
     return world.now() < deafUntil;
   }
 
+  /** True while it opens no connection to any controller. */
+  boolean mute() {
+    return world.now() < muteUntil;
+  }
+
   /** True when every task fails that starts here. */
   boolean failing() {
     return failing;
@@ -48,6 +54,10 @@
     deafUntil = Math.max(deafUntil, world.now() + ms);
   }
 
+  void mute(long ms) {
+    muteUntil = Math.max(muteUntil, world.now() + ms);
+  }
+
   /** Stalls for a while; then {@code resumed} runs, and after it all that was deferred. */
   void hang(long ms, Runnable resumed) {
     hanging = true;
--- a/src/main/java/dapplestair/emulator/ReportSender.java
+++ b/src/main/java/dapplestair/emulator/ReportSender.java
@@ -55,6 +55,13 @@
     long sentAt = world.now();
     long sentIn = session.number();
     session.nextTick();
+    if (condition.mute()) {
+      // Refused at once, or given up like a report that gets no answer.
+      long failsAfterMs = world.chance(0.5) ? 0 : ANSWER_TIMEOUT_MS;
+      HttpReply notSent = HttpReply.of(HttpReply.NOT_SENT);
+      world.after(failsAfterMs, () -> ended(notSent, sentAt, sentIn));
+      return;
+    }
     world.call(
         worker.endpoint(),
         controller,
--- a/src/test/java/dapplestair/world/Network.java
+++ b/src/test/java/dapplestair/world/Network.java
@@ -1,6 +1,8 @@
 package dapplestair.world;
 
+import com.google.common.collect.Streams;
 import dapplestair.emulator.Place;
+import dapplestair.json.Json;
 import dapplestair.ports.HttpReply;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,7 +11,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 
 /**
  * Carries requests between named places, with delay, and through cuts that drop or hold back. What
@@ -18,6 +23,28 @@
 final class Network {
   private record Pair(String a, String b) {}
 
+  /** A request as it leaves its sender. */
+  record Request(String from, String to, String method, String path, byte[] body) {
+    /** True for a command with an order of this kind. */
+    boolean orders(String verb) {
+      return path.equals("/orders")
+          && Streams.stream(Json.parse(body).path("orders"))
+              .anyMatch(o -> o.path("verb").asText().equals(verb));
+    }
+
+    /** True for a transaction that writes a key with this prefix. */
+    boolean puts(String prefix) {
+      return path.equals("/commit")
+          && Streams.stream(Json.parse(body).path("writes"))
+              .anyMatch(o -> o.path("put").asText().startsWith(prefix));
+    }
+  }
+
+  /** Commands are held up for between these times. */
+  static final long LEAST_HELD_MS = 2000;
+
+  static final long MOST_HELD_MS = 16_000;
+
   private final Sim sim;
   private final Map<String, Place> places = new HashMap<>();
   private final Map<Pair, List<Runnable>> held = new HashMap<>();
@@ -52,6 +79,19 @@
 
   Tap tap = (from, method, path, body, done) -> done;
 
+  /** Share of direct commands that get no answer and are carried out once, late. */
+  double lateCommands;
+
+  /** By how much a direct command is held up in the same way, or 0 if it is not. */
+  ToLongFunction<Request> commandHeldMs = r -> 0;
+
+  /** What was handed over late and taken or refused. */
+  final AtomicInteger lateTaken = new AtomicInteger();
+
+  final AtomicInteger lateRefused = new AtomicInteger();
+
+  private final List<Consumer<Request>> observers = new ArrayList<>();
+
   Network(Sim sim) {
     this.sim = sim;
     commits = new Commits(sim);
@@ -66,6 +106,23 @@
     off.add(name);
   }
 
+  /** Shows each request to {@code observer} as it leaves. */
+  void observe(Consumer<Request> observer) {
+    observers.add(observer);
+  }
+
+  /** Does something once, so many milliseconds after the first such request from now on. */
+  void when(Predicate<Request> first, long afterMs, Runnable task) {
+    boolean[] seen = {false};
+    observe(
+        r -> {
+          if (!seen[0] && first.test(r)) {
+            seen[0] = true;
+            sim.after(afterMs, task);
+          }
+        });
+  }
+
   private static Pair pair(String a, String b) {
     return a.compareTo(b) < 0 ? new Pair(a, b) : new Pair(b, a);
   }
@@ -129,6 +186,8 @@
       byte[] body,
       long timeoutMs,
       Consumer<HttpReply> done) {
+    Request request = new Request(from, to, method, path, body);
+    List.copyOf(observers).forEach(o -> o.accept(request));
     boolean[] ended = {false};
     Consumer<HttpReply> tapped = tap.asked(from, method, path, body, done);
     Consumer<HttpReply> once =
@@ -152,6 +211,11 @@
       sim.after(sim.between(2000, 12_000), () -> store.request(from, method, path, body, r -> {}));
       return;
     }
+    long heldMs = path.equals("/orders") ? heldMs(request) : 0;
+    if (heldMs > 0) {
+      sim.after(heldMs, () -> carry(from, to, () -> late(request, to)));
+      return;
+    }
     carry(
         from,
         to,
@@ -174,6 +238,24 @@
         });
   }
 
+  private long heldMs(Request command) {
+    boolean byChance = lateCommands > 0 && sim.chance(lateCommands);
+    return byChance ? sim.between(LEAST_HELD_MS, MOST_HELD_MS) : commandHeldMs.applyAsLong(command);
+  }
+
+  /** Hands a request to a place now; its sender does not hear the answer. */
+  void late(Request request, String where) {
+    Place p = places.get(where);
+    if (p != null && !off.contains(where)) {
+      p.request(
+          request.from,
+          request.method,
+          request.path,
+          request.body,
+          r -> (r.ok() ? lateTaken : lateRefused).incrementAndGet());
+    }
+  }
+
   /** The same once more, much later and perhaps to another controller; nobody hears the answer. */
   private void copy(String from, String to, String method, String path, byte[] body) {
     boolean report = path.equals("/agent/beat") && sim.chance(0.5);
--- /dev/null
+++ b/src/test/java/dapplestair/world/OldReportsTest.java
@@ -0,0 +1,82 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Old reports reach every controller just as a new leader begins, or arrive at it once it has acted
+ * (docs/meetings.md). They lack tasks that were launched since, and show others that have ended.
+ */
+class OldReportsTest {
+  private static final int CHANGES = 5;
+
+  /** Tasks end and begin all the time, so that each report is soon out of date. */
+  private static World begun(long seed) {
+    World w = new World(seed, new World.Size(6, 30, 900, 8));
+    w.net.loss = 0;
+    w.run(20_000);
+    return w;
+  }
+
+  /**
+   * The leader ends so many milliseconds after it has sent a launch: within a message, a put, a
+   * hold, a lease. What it sent is on machines, and the reports kept lack it.
+   */
+  @ParameterizedTest(name = "seed {0}, {1} ms after a launch, the next has {2}, everywhere {3}")
+  @CsvSource({
+    "5001,1,BEGUN,true",
+    "5002,30,BEGUN,true",
+    "5003,400,BEGUN,true",
+    "5004,1700,BEGUN,true",
+    "5005,8000,BEGUN,true",
+    "5006,1,ACTED,false",
+    "5007,30,ACTED,false",
+    "5008,400,ACTED,true",
+    "5009,1700,ACTED,false",
+    "5010,8000,ACTED,true"
+  })
+  void theyMeetTheNextLeader(
+      long seed, long afterMs, KeptReports.Arrival arrival, boolean everywhere) {
+    World w = begun(seed);
+    KeptReports reports = new KeptReports(w, 1, 2 * World.LEASE_MS);
+    for (int i = 0; i < CHANGES; i++) {
+      w.net.when(
+          r -> r.orders("launch"),
+          afterMs,
+          () -> {
+            reports.arrive(arrival, everywhere, World.REPORT_MS);
+            if (w.leader() != null) {
+              w.leader().crash(w.sim.between(500, 5000));
+            }
+          });
+      w.run(World.LEASE_MS + w.sim.between(0, 3000));
+    }
+    assertTrue(w.net.lateTaken.get() > 100, "hardly any copy was taken: " + w.net.lateTaken);
+    SeededDaysTest.settle(w);
+  }
+
+  /** Nobody answers for longer than a lease, so the copies are of an earlier session. */
+  @ParameterizedTest(name = "seed {0}, {1} ms after a launch, the next has {2}")
+  @CsvSource({"5021,1,BEGUN", "5022,400,BEGUN", "5023,1700,BEGUN", "5024,1,ACTED"})
+  void theyAreOfAnEarlierSession(long seed, long afterMs, KeptReports.Arrival arrival) {
+    World w = begun(seed);
+    KeptReports reports = new KeptReports(w, 1, 4 * World.LEASE_MS);
+    w.run(World.REPORT_MS);
+    reports.arrive(arrival, true, World.REPORT_MS);
+    w.nodes.forEach(n -> n.crash(World.LEASE_MS * 5 / 4));
+    w.run(World.LEASE_MS * 5 / 4 + 4000);
+    assertTrue(w.cloud.killedByLease() > 0, "no session has ended");
+    w.net.when(
+        r -> r.orders("launch"),
+        afterMs,
+        () -> {
+          reports.arrive(arrival, true, World.REPORT_MS);
+          w.leader().crash(2000);
+        });
+    w.run(World.LEASE_MS);
+    assertTrue(w.net.lateTaken.get() > 50, "hardly any copy was taken: " + w.net.lateTaken);
+    SeededDaysTest.settle(w);
+  }
+}
