Machines are rented where a job bound to one zone waits

Cause: a plan counts machines by type and pricing over all zones, so an idle machine anywhere was room to it. A job that one zone alone may run waited for ever beside machines that stood idle in the others, or was given them only by the spread over zones. Surplus steady machines were cordoned in its zone, too.

Change: ZoneDemand counts, each round, what waiting jobs lack in their one zone. What the plan rents anyway goes there first; what a job has lacked for longer than a machine boots is rented there beyond the plan. Steady machines of a zone that such a job waits for are not cordoned.

--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -262,14 +262,30 @@
 
   /** Rents one more in this zone; false when nothing is to be had there now. */
   public boolean rentIn(Slot slot, String zone) {
-    Place place = new Place(slot, zone);
-    if (!leading || !supply.mayRent(place)) {
+    if (!leading || !mayRentIn(slot, zone)) {
       return false;
     }
-    rentals.begin(place, 1);
+    rentals.begin(new Place(slot, zone), 1);
     return true;
   }
 
+  /** Rents up to {@code count} more in this zone, at most one lot. */
+  public void rentIn(Slot slot, String zone, int count) {
+    if (leading && count > 0 && mayRentIn(slot, zone)) {
+      rentals.begin(new Place(slot, zone), Math.min(count, MOST_PER_RENTAL));
+    }
+  }
+
+  /** True when the cloud may have more there, and something may be rented there. */
+  public boolean mayRentIn(Slot slot, String zone) {
+    return supply.mayRent(new Place(slot, zone));
+  }
+
+  /** Machines asked for in this zone of which the cloud has not told yet. */
+  public int pendingIn(Slot slot, String zone) {
+    return rentals.pending(new Place(slot, zone));
+  }
+
   /** A machine that no list has shown for so long is not there; milliseconds. */
   public long longestListLag() {
     return list.longestLag();
@@ -292,9 +308,12 @@
     return supply.capacity(slot, otherwise);
   }
 
-  /** Keeps new work from so many steady machines of a slot, those that empty soonest. */
-  public void cordon(Slot slot, int count) {
-    stock.cordon(slot, count);
+  /**
+   * Keeps new work from so many steady machines of a slot, those that empty soonest, none of them
+   * in the zones that are spared.
+   */
+  public void cordon(Slot slot, int count, Predicate<String> spared) {
+    stock.cordon(slot, count, spared);
   }
 
   /** Idle machines of a slot that may be returned now, those idle longest first. */
--- a/src/main/java/dapplestair/fleet/Stock.java
+++ b/src/main/java/dapplestair/fleet/Stock.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Predicate;
 
 /** The machines that are held or on their way, by slot and zone. */
 final class Stock {
@@ -82,8 +83,11 @@
     return n + rentals.pending(place);
   }
 
-  /** Keeps new work from so many steady machines of a slot, those that empty soonest. */
-  void cordon(Slot slot, int count) {
+  /**
+   * Keeps new work from so many steady machines of a slot, those that empty soonest, none of them
+   * in the zones that are spared.
+   */
+  void cordon(Slot slot, int count, Predicate<String> spared) {
     if (slot.spot()) {
       return;
     }
@@ -94,13 +98,14 @@
       }
     }
     up.sort(
-        Comparator.comparingDouble(Host::serviceCpus)
+        Comparator.comparing((Host h) -> spared.test(h.zone()))
+            .thenComparingDouble(Host::serviceCpus)
             .thenComparing(h -> !h.cordoned())
             .thenComparingDouble(Host::cpusUsed)
             .thenComparing(Host::id));
     for (int i = 0; i < up.size(); i++) {
       Host h = up.get(i);
-      h.setCordoned(i < count && h.serviceCpus() == 0);
+      h.setCordoned(i < count && h.serviceCpus() == 0 && !spared.test(h.zone()));
     }
   }
 
--- a/src/main/java/dapplestair/planning/DemandView.java
+++ b/src/main/java/dapplestair/planning/DemandView.java
@@ -56,6 +56,11 @@
     this.floors = new Floors(clock, ledger);
   }
 
+  /** What waits for room in one zone alone. */
+  ZoneDemand inOneZone() {
+    return new ZoneDemand(clock, ledger, desk, fleet, types);
+  }
+
   /** A job was accepted just now. */
   public void arrived(Submission s) {
     arrivals.arrived(s, clock.now());
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -57,6 +57,7 @@
   private final Fleet fleet;
   private final MachineTypes types;
   private final DemandView demand;
+  private final ZoneDemand zoneDemand;
   private final Map<Slot, Integer> fewer = new HashMap<>();
   private Map<Slot, Integer> plan = Map.of();
   private Applied applied;
@@ -92,6 +93,7 @@
     this.fleet = fleet;
     this.types = types;
     this.demand = demand;
+    this.zoneDemand = demand.inOneZone();
   }
 
   /**
@@ -159,6 +161,7 @@
     timer.cancel();
     extra = false;
     fewer.clear();
+    zoneDemand.clear();
     plan = Map.of();
     applied = null;
     lastWritten = null;
@@ -268,16 +271,28 @@
         new Applied(
             next, costs[0], costs[1], costs[2], problem.budget(), chosen.front(), clock.now());
     record();
+    zoneDemand.shortages().forEach(this::rentInZone);
     next.forEach((slot, want) -> steer(slot, want, extraRound));
   }
 
+  /**
+   * What the plan rents anyway is rented first where alone a job may run. A job that lacks its room
+   * for longer than a machine boots gets it beyond the plan: without this an array of one zone
+   * waited for ever beside machines that stood idle in the others (ZoneBoundTest).
+   */
+  private void rentInZone(ZoneDemand.Shortage lack) {
+    int wanted = plan.getOrDefault(lack.slot(), 0) - fleet.holding(lack.slot());
+    int most = lack.overdue() ? lack.machines() : Math.min(lack.machines(), wanted);
+    fleet.rentIn(lack.slot(), lack.zone(), most);
+  }
+
   private void steer(Slot slot, int planned, boolean extraRound) {
     // Machines that are being replaced: the plan's counts stay as they are.
     int want = Math.max(0, planned + beyond.applyAsInt(slot));
     int have = fleet.holding(slot);
     if (want >= have) {
       fewer.remove(slot);
-      fleet.cordon(slot, 0);
+      fleet.cordon(slot, 0, zoneDemand::waitsFor);
       if (want > have) {
         fleet.rent(slot, want - have);
       }
@@ -289,7 +304,7 @@
     }
     int rounds = fewer.merge(slot, 1, Integer::sum);
     if (rounds >= operator.returnAfterRounds() / 2) {
-      fleet.cordon(slot, have - want);
+      fleet.cordon(slot, have - want, zoneDemand::waitsFor);
     }
     if (rounds >= patience(slot)) {
       List<Host> idle = fleet.returnable(slot);
--- /dev/null
+++ b/src/main/java/dapplestair/planning/ZoneDemand.java
@@ -0,0 +1,185 @@
+package dapplestair.planning;
+
+import dapplestair.fleet.Fleet;
+import dapplestair.fleet.Slot;
+import dapplestair.ledger.Job;
+import dapplestair.ledger.Ledger;
+import dapplestair.machines.MachineType;
+import dapplestair.machines.MachineTypes;
+import dapplestair.ports.Clock;
+import dapplestair.work.Submission;
+import dapplestair.workers.Host;
+import dapplestair.workers.WorkerDesk;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Machines that waiting jobs lack in the one zone that their users allow. A plan counts machines by
+ * type and pricing over all zones, so to it an idle machine anywhere is room for such a job.
+ */
+final class ZoneDemand {
+  private static final double EPSILON = 1e-9;
+
+  /**
+   * Machines that a job lacks in its zone.
+   *
+   * @param overdue the job has lacked them for longer than one boots
+   */
+  record Shortage(Slot slot, String zone, int machines, boolean overdue) {}
+
+  /** What a machine that is up, booting or being rented still has for the jobs looked at. */
+  private static final class Room {
+    final String zone;
+    final MachineType type;
+    final boolean spot;
+    double cpus;
+    double memoryGb;
+    double gpus;
+
+    Room(String zone, MachineType type, boolean spot, double cpus, double memoryGb, double gpus) {
+      this.zone = zone;
+      this.type = type;
+      this.spot = spot;
+      this.cpus = cpus;
+      this.memoryGb = memoryGb;
+      this.gpus = gpus;
+    }
+
+    static Room of(Host h) {
+      return new Room(h.zone(), h.type(), h.spot(), h.cpusFree(), h.memoryFree(), h.gpusFree());
+    }
+
+    static Room empty(String zone, MachineType type, boolean spot) {
+      return new Room(zone, type, spot, type.cpus(), type.memoryGb(), type.gpus());
+    }
+
+    /** Takes up to {@code most} tasks of the job; returns how many. */
+    int take(Submission s, int most) {
+      if (!zone.equals(s.zone()) || !type.suits(s) || spot && !s.spot()) {
+        return 0;
+      }
+      int tasks = Math.min(most, s.fitting(cpus + EPSILON, memoryGb + EPSILON, gpus + EPSILON));
+      cpus -= tasks * s.cpus();
+      memoryGb -= tasks * s.memoryGb();
+      gpus -= tasks * s.gpus();
+      return tasks;
+    }
+  }
+
+  private final Clock clock;
+  private final Ledger ledger;
+  private final WorkerDesk desk;
+  private final Fleet fleet;
+  private final MachineTypes types;
+  private final Map<String, Long> lackingSince = new HashMap<>();
+  private final Set<String> waitedFor = new HashSet<>();
+
+  ZoneDemand(Clock clock, Ledger ledger, WorkerDesk desk, Fleet fleet, MachineTypes types) {
+    this.clock = clock;
+    this.ledger = ledger;
+    this.desk = desk;
+    this.fleet = fleet;
+    this.types = types;
+  }
+
+  /** Looks anew: what waiting jobs lack, oldest first. */
+  List<Shortage> shortages() {
+    waitedFor.clear();
+    List<Shortage> out = new ArrayList<>();
+    Set<String> lacking = new HashSet<>();
+    List<Room> rooms = null;
+    for (Job job : ledger.jobs()) {
+      int tasks = waitingInOneZone(job);
+      if (tasks == 0) {
+        continue;
+      }
+      waitedFor.add(job.spec().zone());
+      rooms = rooms == null ? rooms() : rooms;
+      for (Room room : rooms) {
+        tasks -= room.take(job.spec(), tasks);
+      }
+      Slot slot = tasks > 0 ? cheapest(job.spec()) : null;
+      if (slot != null) {
+        lacking.add(job.spec().ref());
+        out.add(shortage(job.spec(), slot, tasks, rooms));
+      }
+    }
+    lackingSince.keySet().retainAll(lacking);
+    return out;
+  }
+
+  /** True when some job waited for room in this zone alone, at the last look. */
+  boolean waitsFor(String zone) {
+    return waitedFor.contains(zone);
+  }
+
+  void clear() {
+    lackingSince.clear();
+    waitedFor.clear();
+  }
+
+  /** Tasks that may start nowhere but in one zone and that the team's limit allows now. */
+  private int waitingInOneZone(Job job) {
+    if (job.over() || job.spec().zone() == null) {
+      return 0;
+    }
+    return Math.min(job.wanted(clock.now()), ledger.teamRoom(job.spec(), false));
+  }
+
+  private List<Room> rooms() {
+    List<Room> out = new ArrayList<>();
+    for (Host h : desk.hosts()) {
+      boolean ofUse = h.type() != null && fleet.counts(h, new Slot(h.type().name(), h.spot()));
+      if (ofUse && (!h.up() || !h.closed())) {
+        out.add(Room.of(h));
+      }
+    }
+    for (MachineType type : types.all()) {
+      for (String zone : type.zones()) {
+        for (boolean spot : new boolean[] {true, false}) {
+          int coming = fleet.pendingIn(new Slot(type.name(), spot), zone);
+          for (int i = 0; i < coming; i++) {
+            out.add(Room.empty(zone, type, spot));
+          }
+        }
+      }
+    }
+    return out;
+  }
+
+  /** The slot that costs least a CPU, of those in which the zone may have more; null if none. */
+  private Slot cheapest(Submission s) {
+    Slot best = null;
+    double least = Double.POSITIVE_INFINITY;
+    for (MachineType type : types.all()) {
+      for (boolean spot : new boolean[] {true, false}) {
+        Slot slot = new Slot(type.name(), spot);
+        double perCpu = fleet.market().price(type, spot) / type.cpus();
+        boolean allowed = type.suits(s) && (s.spot() || !spot);
+        if (allowed && perCpu < least && fleet.mayRentIn(slot, s.zone())) {
+          best = slot;
+          least = perCpu;
+        }
+      }
+    }
+    return best;
+  }
+
+  /** What machines would do for so many tasks; they are room for the jobs looked at next. */
+  private Shortage shortage(Submission s, Slot slot, int tasks, List<Room> rooms) {
+    MachineType type = types.get(slot.type());
+    int machines = 0;
+    for (int left = tasks; left > 0; machines++) {
+      Room room = Room.empty(s.zone(), type, slot.spot());
+      left -= Math.max(1, room.take(s, left));
+      rooms.add(room);
+    }
+    long since = lackingSince.computeIfAbsent(s.ref(), r -> clock.now());
+    boolean overdue = clock.now() - since > 1000 * type.bootS();
+    return new Shortage(slot, s.zone(), machines, overdue);
+  }
+}
--- /dev/null
+++ b/src/test/java/dapplestair/world/ZoneBoundTest.java
@@ -0,0 +1,160 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dapplestair.emulator.EmulatedWorker;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Jobs that may run in one zone alone, arrays and services, while that zone loses machines, is cut
+ * off, or has none to begin with.
+ */
+class ZoneBoundTest {
+  private static World quiet(long seed) {
+    World w = new World(seed, World.Size.MIDDLE);
+    w.net.loss = 0;
+    w.users.quiet = true;
+    return w;
+  }
+
+  /** Jobs of each shape that run in this zone alone; they last for half a minute. */
+  private static List<Users.Told> bound(World w, String zone) {
+    List<Users.Told> out = new ArrayList<>();
+    double runS = 30;
+    out.add(w.users.changed("one", 12, runS, b -> b.put("basin", zone)));
+    out.add(w.users.changed("two", 1, runS, b -> b.put("basin", zone).put("loaners", false)));
+    out.add(
+        w.users.changed(
+            "two",
+            6,
+            runS,
+            b ->
+                b.put("basin", zone)
+                    .put("together", true)
+                    .put("snapshotEveryS", 5.0)
+                    .put("snapshotS", 2.0)));
+    out.add(w.users.changed("one", 4, runS, b -> b.put("basin", zone).put("shape", "gang")));
+    out.add(
+        w.users.changed(
+            "one",
+            2,
+            0,
+            b ->
+                b.put("basin", zone)
+                    .put("shape", "daemon")
+                    .put("jobclass", "serve")
+                    .put("rank", "critical")
+                    .put("loaners", false)));
+    return out;
+  }
+
+  private static void eachMachine(World w, String zone, Consumer<EmulatedWorker> act) {
+    for (EmulatedWorker m : List.copyOf(w.cloud.machines())) {
+      if (m.zone().equals(zone) && m.booted() && !m.gone()) {
+        act.accept(m);
+      }
+    }
+  }
+
+  /** Each zone alone, while there is no machine, or machines of the others stand idle. */
+  @ParameterizedTest(name = "zone {0}, seed {1}, others at work: {2}")
+  @CsvSource({"a,9201,false", "b,9202,false", "c,9203,false", "b,9204,true", "c,9205,true"})
+  void machinesComeWhereTheJobIsBound(String zone, long seed, boolean others) {
+    World w = quiet(seed);
+    w.run(5000);
+    if (others) {
+      w.users.array("one", "high", 12, 200);
+      w.run(20_000);
+    }
+    List<Users.Told> jobs = bound(w, zone);
+    w.run(90_000);
+    jobs.forEach(
+        job -> assertTrue(job.service ? job.started : job.done, () -> job.body + " waits"));
+  }
+
+  /**
+   * Machines of the zone end, hang or are recalled while the jobs run, and the leader ends within a
+   * message, a put, a hold, a report or a lease of it; a job is cancelled in between.
+   */
+  @ParameterizedTest(name = "seed {0}, zone {1}, {2}, leader ends {3} ms later")
+  @CsvSource({
+    "9211,a,end,-1",
+    "9212,b,end,30",
+    "9213,c,end,400",
+    "9214,c,end,1700",
+    "9215,b,end,17000",
+    "9216,a,hang,400",
+    "9217,c,hang,3000",
+    "9218,b,hang,17000",
+    "9219,a,recall,30",
+    "9220,c,recall,3000"
+  })
+  void theZoneLosesMachines(long seed, String zone, String how, long leaderEndsMs) {
+    World w = quiet(seed);
+    w.run(5000);
+    w.users.array("two", "standard", 40, 15);
+    List<Users.Told> jobs = bound(w, zone);
+    w.run(30_000);
+    for (int round = 0; round < 2; round++) {
+      eachMachine(
+          w,
+          zone,
+          m -> {
+            if (w.sim.chance(0.6)) {
+              lose(w, m, how);
+            }
+          });
+      if (leaderEndsMs >= 0) {
+        w.run(leaderEndsMs);
+        w.users.withdraw(jobs.get(round));
+        if (w.leader() != null) {
+          w.leader().crash(w.sim.between(100, 4000));
+        }
+      }
+      w.run(World.LEASE_MS);
+    }
+    SeededDaysTest.settle(w);
+  }
+
+  private static void lose(World w, EmulatedWorker m, String how) {
+    switch (how) {
+      case "end" -> m.end();
+      case "hang" -> m.hang(World.LEASE_MS * w.sim.between(8, 12) / 10);
+      default -> m.recall(w.sim.between(0, 15_000));
+    }
+  }
+
+  /**
+   * A zone with workers and a controller is cut off for longer than a lease, with the leader or
+   * without it. Jobs bound to it are cancelled at some moment of the cut, through both sides.
+   */
+  @ParameterizedTest(name = "seed {0}, zone {1}, {2} tenths of a lease, cancelled at {3} ms")
+  @CsvSource({
+    "9231,b,13,0",
+    "9232,b,13,3000",
+    "9233,b,20,17000",
+    "9234,b,28,30",
+    "9235,a,13,400",
+    "9236,a,20,9000",
+    "9237,a,28,25000",
+    "9238,b,35,1700"
+  })
+  void theZoneIsCutOff(long seed, String zone, int tenths, long cancelMs) {
+    World w = quiet(seed);
+    w.run(5000);
+    w.users.array("two", "standard", 40, 15);
+    List<Users.Told> jobs = bound(w, zone);
+    w.run(30_000);
+    long cutMs = World.LEASE_MS * tenths / 10;
+    w.cutZone(zone, seed % 2 == 0, cutMs);
+    w.run(cancelMs);
+    jobs.subList(0, 3).forEach(w.users::withdraw);
+    w.run(cutMs);
+    bound(w, zone);
+    SeededDaysTest.settle(w);
+  }
+}
