One client of the cloud, for the fleet and for withdrawals

Enforcer had a way of its own to the cloud beside the fleet's client, outside its call rate. The client is a package of its own now (cloud), below both.

--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -1,6 +1,7 @@
 package dapplestair.fleet;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.cloud.CloudClient;
 import dapplestair.disruption.Disruption;
 import dapplestair.events.Events;
 import dapplestair.json.Json;
@@ -9,7 +10,6 @@
 import dapplestair.machines.MachineTypes;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
-import dapplestair.ports.HttpCaller;
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import dapplestair.silence.Patience;
@@ -54,7 +54,7 @@
   public Fleet(
       Clock clock,
       Timers timers,
-      HttpCaller http,
+      CloudClient cloud,
       Settings settings,
       StateClient state,
       Leadership leadership,
@@ -63,6 +63,7 @@
       Disruption disruption,
       Events events) {
     this.clock = clock;
+    this.cloud = cloud;
     this.timers = timers;
     this.settings = settings;
     this.state = state;
@@ -71,7 +72,6 @@
     this.desk = desk;
     market = new Market(clock);
     Patience patience = new Patience(settings);
-    cloud = new CloudClient(clock, timers, http, settings);
     rentals =
         new Rentals(
             clock,
--- a/src/main/java/dapplestair/fleet/MachineList.java
+++ b/src/main/java/dapplestair/fleet/MachineList.java
@@ -1,6 +1,7 @@
 package dapplestair.fleet;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.cloud.CloudClient;
 import dapplestair.json.Json;
 import dapplestair.machines.MachineTypes;
 import dapplestair.ports.Clock;
--- a/src/main/java/dapplestair/fleet/Releases.java
+++ b/src/main/java/dapplestair/fleet/Releases.java
@@ -1,5 +1,6 @@
 package dapplestair.fleet;
 
+import dapplestair.cloud.CloudClient;
 import dapplestair.events.Events;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
--- a/src/main/java/dapplestair/fleet/Rentals.java
+++ b/src/main/java/dapplestair/fleet/Rentals.java
@@ -1,6 +1,7 @@
 package dapplestair.fleet;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.cloud.CloudClient;
 import dapplestair.events.Events;
 import dapplestair.json.Json;
 import dapplestair.leadership.Leadership;
@@ -215,7 +216,8 @@
     r.asking = true;
     cloud.rent(
         r.name,
-        r.place.slot(),
+        r.place.slot().type(),
+        r.place.slot().spot(),
         r.place.zone(),
         r.count,
         () -> wanted(r),
--- a/src/main/java/dapplestair/node/CoreDuties.java
+++ b/src/main/java/dapplestair/node/CoreDuties.java
@@ -1,5 +1,6 @@
 package dapplestair.node;
 
+import dapplestair.cloud.CloudClient;
 import dapplestair.events.EventLog;
 import dapplestair.events.Events;
 import dapplestair.leadership.Leadership;
@@ -30,6 +31,7 @@
   final Estimates estimates = new Estimates();
   final Peers peers;
   final Leadership leadership;
+  final CloudClient cloud;
   final LedgerHooks hooks;
   final Ledger ledger;
   final Withdrawals withdrawals;
@@ -68,11 +70,13 @@
             clock, timers, outside.random(), settings, state, peers, listeners.leadership);
     hooks = new LedgerHooks(clock, metrics, estimates);
     ledger = new Ledger(clock, timers, settings, state, leadership, outside.launchSheets(), hooks);
+    cloud = new CloudClient(clock, timers, outside.http(), settings);
     withdrawals =
         new Withdrawals(
             clock,
             timers,
             outside.http(),
+            cloud,
             settings,
             peers,
             leadership,
--- a/src/main/java/dapplestair/node/SchedulingDuties.java
+++ b/src/main/java/dapplestair/node/SchedulingDuties.java
@@ -41,7 +41,7 @@
         new Fleet(
             clock,
             timers,
-            outside.http(),
+            core.cloud,
             settings,
             core.state,
             core.leadership,
--- a/src/main/java/dapplestair/withdrawals/Enforcer.java
+++ b/src/main/java/dapplestair/withdrawals/Enforcer.java
@@ -1,8 +1,8 @@
 package dapplestair.withdrawals;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.cloud.CloudClient;
 import dapplestair.json.Json;
 import dapplestair.leadership.FencingToken;
 import dapplestair.ports.Clock;
@@ -33,6 +33,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Enforcer.class);
   private static final int MOST_CALLS = 24;
   private static final int MOST_ADDRESSES = 4000;
+  private static final int MOST_LISTED = 50;
   private static final int MOST_RETURNED_AT_ONCE = 20;
 
   /** A place at which a withdrawal's task is not proved to be absent. */
@@ -45,6 +46,7 @@
   private final Clock clock;
   private final Timers timers;
   private final HttpCaller http;
+  private final CloudClient cloud;
   private final Settings settings;
   private final OpenWithdrawals open;
   private final long launchMs;
@@ -64,12 +66,14 @@
       Clock clock,
       Timers timers,
       HttpCaller http,
+      CloudClient cloud,
       Settings settings,
       OpenWithdrawals open,
       long launchMs) {
     this.clock = clock;
     this.timers = timers;
     this.http = http;
+    this.cloud = cloud;
     this.settings = settings;
     this.open = open;
     this.launchMs = launchMs;
@@ -195,12 +199,9 @@
     }
     asking = true;
     String from = host.substring(0, host.length() - 1);
-    http.call(
-        settings.cloudEndpoint(),
-        "GET",
-        "/rentals?from=" + from + "&limit=50",
-        null,
-        2 * callMs,
+    cloud.lookUp(
+        from,
+        MOST_LISTED,
         reply -> {
           // The leader needs nearly all calls that the cloud allows.
           timers.after(Math.round(4000 / settings.cloud().rps()), () -> asking = false);
@@ -220,15 +221,8 @@
     }
     returning = true;
     LOG.warn("{} still hold withdrawn work, and nobody else ends it: returning them", hosts);
-    ObjectNode body = Json.object();
-    ArrayNode names = body.putArray("hosts");
-    hosts.forEach(names::add);
-    http.call(
-        settings.cloudEndpoint(),
-        "POST",
-        "/rentals/release",
-        Json.bytes(body),
-        2 * callMs,
+    cloud.enforceRelease(
+        hosts,
         reply -> {
           timers.after(Math.round(2000 / settings.cloud().rps()), () -> returning = false);
           returned(hosts, reply);
--- a/src/main/java/dapplestair/withdrawals/Withdrawals.java
+++ b/src/main/java/dapplestair/withdrawals/Withdrawals.java
@@ -1,5 +1,6 @@
 package dapplestair.withdrawals;
 
+import dapplestair.cloud.CloudClient;
 import dapplestair.leadership.Leadership;
 import dapplestair.peers.Peers;
 import dapplestair.ports.Cancellable;
@@ -69,6 +70,7 @@
       Clock clock,
       Timers timers,
       HttpCaller http,
+      CloudClient cloud,
       Settings settings,
       Peers peers,
       Leadership leadership,
@@ -93,7 +95,7 @@
     this.logs =
         new LogExchange(
             clock, timers, settings, peers, leadership, process, known, knownTo, this::learn);
-    this.enforcer = new Enforcer(clock, timers, http, settings, open, launchMs());
+    this.enforcer = new Enforcer(clock, timers, http, cloud, settings, open, launchMs());
   }
 
   /**
