--- a/src/test/java/dapplestair/session/PressureTest.java
+++ b/src/test/java/dapplestair/session/PressureTest.java
@@ -22,10 +22,12 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** What the operators' interface does with those who ask too much, too long or half. */
+@Tag("session")
 class PressureTest {
   private static final int MOST_CONNECTIONS = 32;
 
--- a/src/test/java/dapplestair/session/ReplaceSessionTest.java
+++ b/src/test/java/dapplestair/session/ReplaceSessionTest.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -28,6 +29,7 @@
  * leads is killed again and again. Short here; {@code -Ddapplestair.long=true} replaces 40
  * machines.
  */
+@Tag("session")
 class ReplaceSessionTest {
   private static final boolean LONG = Boolean.getBoolean("dapplestair.long");
   private static final int SERVICES = LONG ? 50 : 8;
--- a/src/test/java/dapplestair/session/RestartTest.java
+++ b/src/test/java/dapplestair/session/RestartTest.java
@@ -20,10 +20,12 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** The client in each phase of a restart, against a service that is in just that phase. */
+@Tag("session")
 class RestartTest {
   private static final byte[] GOOD = Json.bytes(Json.object().put("leader", "now").put("term", 2));
 
--- a/src/test/java/dapplestair/session/SessionTest.java
+++ b/src/test/java/dapplestair/session/SessionTest.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -29,6 +30,7 @@
  * A session as somebody on duty has it: real processes on loopback, every command, its output held
  * against what the state service holds, and the daemon killed in the middle.
  */
+@Tag("session")
 class SessionTest {
   private static final HttpClient HTTP = HttpClient.newHttpClient();
 
--- a/src/test/java/dapplestair/session/TradeSessionTest.java
+++ b/src/test/java/dapplestair/session/TradeSessionTest.java
@@ -15,6 +15,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -23,6 +24,7 @@
  * between a rider's acceptance and its start, stopped and continued, and killed again while a cycle
  * gathers its deliveries.
  */
+@Tag("session")
 class TradeSessionTest {
   private static final Duration SOON = Duration.ofSeconds(40);
 
