Transactions of which only the answer is lost, kind by kind

Cause: the world lost transactions or carried them out late; none was carried out at once while its sender alone did not know.

--- a/src/test/java/dapplestair/world/LaneTest.java
+++ b/src/test/java/dapplestair/world/LaneTest.java
@@ -32,11 +32,11 @@
   // Until somebody else leads, and its workers have shown the new token.
   private static final long TAKEOVER_MS = World.REPORT_MS + World.REPORT_MS;
 
-  private static final Lane GATE =
+  static final Lane GATE =
       new Lane(
           "gate", Set.of("gate"), Set.of(), Set.of("settle"), Rank.HIGH, Rank.STANDARD, 0, LANE_MS);
 
-  private static World begun(long seed, Lane lane, double saveS) {
+  static World begun(long seed, Lane lane, double saveS) {
     World w = new World(seed, World.Size.MIDDLE);
     w.net.loss = 0;
     w.users.quiet = true;
@@ -71,13 +71,13 @@
     return free;
   }
 
-  private static Users.Told rider(World w, int tasks) {
+  static Users.Told rider(World w, int tasks) {
     return w.users.changed(
         "two", tasks, 6, b -> b.put("jobclass", "gate").put("rank", "high").put("loaners", true));
   }
 
   /** How many of a job's tasks have started so far, each counted once. */
-  private static void untilBegun(World w, List<Users.Told> riders, long mostMs) {
+  static void untilBegun(World w, List<Users.Told> riders, long mostMs) {
     for (Users.Told r : riders) {
       long until = r.submittedAt + mostMs;
       while (r.starts < r.steps && w.sim.now() < until) {
--- /dev/null
+++ b/src/test/java/dapplestair/world/LostAnswersTest.java
@@ -0,0 +1,164 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.emulator.EmulatedWorker;
+import dapplestair.json.Json;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * A transaction is carried out at once and only its answer is lost, while users ask at all
+ * controllers about what it wrote; the one that sent it goes on, or ends before or just after it
+ * would have missed the answer.
+ */
+class LostAnswersTest {
+  private static final double SHARE = 0.6;
+  private static final long FOR_MS = 45_000;
+  private static final long DEPOSE_EVERY_MS = 6000;
+
+  // The sender starts again at most this often, or nothing would ever be done.
+  private static final long CRASH_EVERY_MS = 9000;
+
+  // Some answers that are waited for in vain, a change of leader, and the lane's own time.
+  private static final long CLAIM_MS = 20_000;
+
+  /** The kinds of transactions of docs/meetings.md. */
+  enum Put {
+    ACCEPTANCE(Commits.puts(Commits.JOB)),
+    CANCELLATION(Commits.ends("aborted")),
+    DONE(Commits.ends("done")),
+    ATTEMPTS(Commits.puts("live/run/")),
+    SHEET(Commits.puts("live/sheet/")),
+    CLEARING(Commits.removes("live/run/").or(Commits.removes("live/sheet/"))),
+    RENTAL(Commits.puts("live/rental/")),
+    RENTAL_ENDED(Commits.removes("live/rental/")),
+    LEADER(Commits.puts("live/leader")),
+    PLAN_OR_TYPES(Commits.puts("live/plan").or(Commits.puts("live/types"))),
+    ALL(write -> true);
+
+    final Predicate<JsonNode> writes;
+
+    Put(Predicate<JsonNode> writes) {
+      this.writes = writes;
+    }
+  }
+
+  private static void loseAnswers(World w, Predicate<JsonNode> writes, long crashAfterMs) {
+    CloseLooks looks = new CloseLooks(w);
+    long[] crashAgainAt = {0};
+    w.net.commits.lostAnswersOf = writes;
+    w.net.commits.lostAnswers = SHARE;
+    w.net.commits.answerLost =
+        (from, body) -> {
+          Users.Told job = w.users.told.get(String.valueOf(Commits.job(body)));
+          if (job != null) {
+            lookAt(w, looks, job);
+          }
+          if (crashAfterMs >= 0 && w.sim.now() >= crashAgainAt[0]) {
+            crashAgainAt[0] = w.sim.now() + CRASH_EVERY_MS;
+            World.Node sender = w.nodes.get(w.index(from));
+            w.sim.after(crashAfterMs, () -> sender.crash(w.sim.between(60, 2000)));
+          }
+        };
+  }
+
+  /** A job that nobody was told of yet may be asked for by whoever submitted it. */
+  private static void lookAt(World w, CloseLooks looks, Users.Told job) {
+    looks.around(job);
+    if (w.sim.chance(0.3)) {
+      w.nodes.forEach(n -> w.sim.after(w.sim.between(0, 30), () -> w.users.withdrawAt(job, n)));
+    }
+  }
+
+  private static void depose(World w, long everyMs, long until) {
+    if (w.sim.now() < until) {
+      ObjectNode body = Json.object();
+      body.putArray("writes").addObject().put("remove", "live/leader");
+      w.state.request("noise", "POST", "/commit", Json.bytes(body), r -> {});
+      w.sim.after(everyMs, () -> depose(w, everyMs, until));
+    }
+  }
+
+  /** Single tasks that share puts, besides the random jobs. */
+  private static void singles(World w, long until) {
+    if (w.sim.now() < until) {
+      for (int i = 0; i < 3; i++) {
+        w.users.changed("guest", 1, 3, b -> b.put("rank", "low").put("vcpus", 0.25));
+      }
+      w.sim.after(2000, () -> singles(w, until));
+    }
+  }
+
+  @ParameterizedTest(name = "seed {0}, {1}, its sender ends after {2} ms")
+  @CsvSource({
+    "9201,ACCEPTANCE,-1",
+    "9202,ACCEPTANCE,0",
+    "9203,ACCEPTANCE,1510",
+    "9204,CANCELLATION,-1",
+    "9205,CANCELLATION,0",
+    "9206,CANCELLATION,1510",
+    "9207,DONE,-1",
+    "9208,DONE,0",
+    "9209,DONE,1510",
+    "9210,ATTEMPTS,-1",
+    "9211,ATTEMPTS,0",
+    "9212,ATTEMPTS,1510",
+    "9214,SHEET,-1",
+    "9215,SHEET,0",
+    "9217,SHEET,1510",
+    "9218,CLEARING,0",
+    "9219,RENTAL,-1",
+    "9220,RENTAL,0",
+    "9222,RENTAL_ENDED,-1",
+    "9223,LEADER,-1",
+    "9224,LEADER,0",
+    "9225,LEADER,600",
+    "9226,PLAN_OR_TYPES,0",
+    "9229,ALL,-1",
+    "9230,ALL,0",
+    "9231,ALL,1510"
+  })
+  void onlyTheAnswerIsLost(long seed, Put put, long crashAfterMs) {
+    World w = new World(seed);
+    w.users.withdrawnArrays = 0.4;
+    // Types are recorded and machines rented at the beginning.
+    w.run(put == Put.RENTAL || put == Put.PLAN_OR_TYPES ? 0 : 15_000);
+    long until = w.sim.now() + FOR_MS;
+    loseAnswers(w, put.writes, crashAfterMs);
+    singles(w, until);
+    if (put == Put.LEADER || put == Put.ALL) {
+      depose(w, DEPOSE_EVERY_MS, until);
+    }
+    if (put == Put.RENTAL_ENDED) {
+      // Their records go with the last of their machines.
+      w.sim.after(FOR_MS / 4, () -> w.cloud.machines().forEach(EmulatedWorker::end));
+    }
+    w.run(FOR_MS);
+    w.net.commits.lostAnswers = 0;
+    SeededDaysTest.settle(w);
+    assertTrue(w.net.commits.lost > 0, "no answer was lost");
+    assertEquals(List.of(), w.state.keys("live/sheet/"), "sheets once all is over");
+  }
+
+  /** Nobody is stopped for a claim that may not be on record, and no rider waits for ever. */
+  @ParameterizedTest(name = "seed {0}, the leader ends after {1} ms")
+  @CsvSource({"9241,-1", "9242,0", "9243,1510"})
+  void claimsOfALane(long seed, long crashAfterMs) {
+    World w = LaneTest.begun(seed, LaneTest.GATE, 0);
+    loseAnswers(w, Commits.puts("live/lane/"), crashAfterMs);
+    List<Users.Told> riders = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      riders.add(LaneTest.rider(w, 6));
+      w.run(3000);
+    }
+    LaneTest.untilBegun(w, riders, CLAIM_MS);
+    assertTrue(w.net.commits.lost > 0, "no answer was lost");
+  }
+}
