Rentals: a record that was made late is taken away by the leader that had given it up

Cause: a rental's put without an answer is given up and forgotten; carried out seconds later, it stayed on record for as long as the leader led, and the next leader asked the cloud for all such machines at once. Change: a leader that meets a rental it does not know, without machines, takes it off the record.

--- a/src/main/java/dapplestair/fleet/Rentals.java
+++ b/src/main/java/dapplestair/fleet/Rentals.java
@@ -77,11 +77,29 @@
   }
 
   void recorded(String name, JsonNode value, long stamp) {
+    if (leading) {
+      recordedLate(name, value, stamp);
+      return;
+    }
     Rental r = rentals.computeIfAbsent(name, n -> Rental.read(n, value, clock.wall()));
     r.stamp = stamp;
     r.readHosts(value);
   }
 
+  /**
+   * A leader asks the cloud only once it knows that the record was made. One that it does not know
+   * of any more got no answer, was given up, and was carried out late. It is taken away: the next
+   * leader would ask the cloud for all such machines at once.
+   */
+  private void recordedLate(String name, JsonNode value, long stamp) {
+    if (!rentals.containsKey(name) && !value.path("hosts").isArray()) {
+      Rental r = Rental.read(name, value, clock.wall());
+      r.refused = true;
+      r.stamp = stamp;
+      rentals.put(name, r);
+    }
+  }
+
   void removed(String name) {
     if (!leading) {
       rentals.remove(name);
--- a/src/main/java/dapplestair/node/Records.java
+++ b/src/main/java/dapplestair/node/Records.java
@@ -71,9 +71,7 @@
         admin.jobPut(key.substring(Keys.JOB.length()));
       }
     } else if (key.startsWith(Keys.RENTAL)) {
-      if (!leadership.leading()) {
-        fleet.rentalPut(key.substring(Keys.RENTAL.length()), value, stamp);
-      }
+      fleet.rentalPut(key.substring(Keys.RENTAL.length()), value, stamp);
     } else if (key.equals(Keys.LEADER)) {
       leadership.leaderKey(value, stamp);
     } else if (key.equals(Keys.TERM)) {
--- a/src/test/java/dapplestair/world/Network.java
+++ b/src/test/java/dapplestair/world/Network.java
@@ -85,6 +85,9 @@
   /** By how much a direct command is held up in the same way, or 0 if it is not. */
   ToLongFunction<Request> commandHeldMs = r -> 0;
 
+  /** Transactions that are late in that way for certain. */
+  Predicate<Request> lateWrite = r -> false;
+
   /** What was handed over late and taken or refused. */
   final AtomicInteger lateTaken = new AtomicInteger();
 
@@ -206,7 +209,8 @@
     if (copied > 0 && body != null && sim.chance(copied)) {
       copy(from, to, method, path, body);
     }
-    if (lateWrites > 0 && path.equals("/commit") && sim.chance(lateWrites)) {
+    boolean lateByChance = lateWrites > 0 && path.equals("/commit") && sim.chance(lateWrites);
+    if (lateByChance || lateWrite.test(request)) {
       Place store = places.get(to);
       sim.after(sim.between(2000, 12_000), () -> store.request(from, method, path, body, r -> {}));
       return;
