--- a/src/main/java/dapplestair/emulator/EmulatedTask.java
+++ b/src/main/java/dapplestair/emulator/EmulatedTask.java
@@ -20,6 +20,19 @@
     this.job = job;
   }
 
+  private int step() {
+    return Integer.parseInt(key.substring(key.indexOf('/') + 1));
+  }
+
+  /**
+   * Seconds that it lasts by its user's estimate. A description may give a factor for each task in
+   * {@code runFactors}, so that tasks of one job last differently long by design.
+   */
+  double guessS() {
+    JsonNode factor = job == null ? null : job.path("runFactors").get(step());
+    return amount("guessS") * (factor == null ? 1 : factor.asDouble());
+  }
+
   /** Job and index, as on the wire. */
   public String key() {
     return key;
@@ -74,8 +87,7 @@
 
   /** True when its user's description has a mistake that makes this task fail on every machine. */
   boolean mistaken() {
-    int step = Integer.parseInt(key.substring(key.indexOf('/') + 1));
-    return step < amount("mistakenSteps");
+    return step() < amount("mistakenSteps");
   }
 
   String image() {
--- a/src/main/java/dapplestair/emulator/EmulatedWorker.java
+++ b/src/main/java/dapplestair/emulator/EmulatedWorker.java
@@ -89,6 +89,19 @@
     return booted;
   }
 
+  /**
+   * True when tasks that start here can be expected to complete: it is up, executes and hears what
+   * it is told, does not fail its tasks and has no notice.
+   */
+  public boolean fit() {
+    return booted && condition.sound() && recallAt < 0;
+  }
+
+  /** Its machine's room that no task holds, of the amount in this field of a submission. */
+  public double free(String field) {
+    return type.free(tasks.tasks(), field);
+  }
+
   /** All attempts that its worker knows. */
   public Collection<EmulatedTask> tasks() {
     return tasks.tasks();
--- a/src/main/java/dapplestair/emulator/MachineCondition.java
+++ b/src/main/java/dapplestair/emulator/MachineCondition.java
@@ -17,6 +17,11 @@
     this.world = world;
   }
 
+  /** True while it has power, executes, hears what it is told and fails no tasks. */
+  boolean sound() {
+    return !gone && !hanging && !deaf() && !failing;
+  }
+
   /** True when it has no power any more. */
   boolean gone() {
     return gone;
--- a/src/main/java/dapplestair/emulator/Shape.java
+++ b/src/main/java/dapplestair/emulator/Shape.java
@@ -67,19 +67,23 @@
       double price,
       double spotPrice,
       double bootS) {
+    /** The amounts that a task takes of its machine, as a submission names them. */
+    public static final List<String> FIELDS = List.of("vcpus", "memoryGb", "accelerators");
 
     /** True when one more task has room beside these; what has exited holds none. */
     boolean fits(EmulatedTask t, Collection<EmulatedTask> others) {
-      return fits(t, others, "vcpus", cpus)
-          && fits(t, others, "memoryGb", memoryGb)
-          && fits(t, others, "accelerators", gpus);
+      return FIELDS.stream().allMatch(f -> t.amount(f) <= free(others, f) + 1e-9);
     }
 
-    private static boolean fits(
-        EmulatedTask t, Collection<EmulatedTask> others, String field, double most) {
-      double used =
-          others.stream().filter(o -> !o.exited()).mapToDouble(o -> o.amount(field)).sum();
-      return used + t.amount(field) <= most + 1e-9;
+    /** What tasks leave of the amount in this field of a submission; what has exited holds none. */
+    double free(Collection<EmulatedTask> tasks, String field) {
+      double used = tasks.stream().filter(o -> !o.exited()).mapToDouble(o -> o.amount(field)).sum();
+      return switch (field) {
+        case "vcpus" -> cpus - used;
+        case "memoryGb" -> memoryGb - used;
+        case "accelerators" -> gpus - used;
+        default -> throw new IllegalArgumentException("no amount: " + field);
+      };
     }
   }
 
--- a/src/main/java/dapplestair/emulator/TaskRunner.java
+++ b/src/main/java/dapplestair/emulator/TaskRunner.java
@@ -160,7 +160,7 @@
 
   private long runMs(EmulatedTask task) {
     double ratio = LEAST_RUN_RATIO + RUN_RATIO_RANGE * world.fraction();
-    double runS = task.amount("guessS") * ratio - cloud.kept(task.key());
+    double runS = task.guessS() * ratio - cloud.kept(task.key());
     return Math.max(LEAST_RUN_MS, Math.round(1000 * runS));
   }
 
--- /dev/null
+++ b/src/test/java/dapplestair/world/CheckerTest.java
@@ -0,0 +1,38 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dapplestair.emulator.Shape;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Days on which each of the checker's rules of place has work to look at. */
+class CheckerTest {
+  /** Two types of machines, one of them for nobody but the jobs that name it. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {9101, 9102})
+  void jobsRunOnTheirTypesAndInTheirZones(long seed) {
+    List<Shape.Machine> types = List.of(World.machineType("t8"), World.machineType("u8"));
+    World w = new World(seed, World.Size.MIDDLE, false, types);
+    w.users.quiet = true;
+    w.run(5000);
+    for (String type : List.of("t8", "u8")) {
+      for (String zone : World.ZONES) {
+        Users.Told job =
+            w.users.changed(
+                "one",
+                3,
+                4,
+                b -> {
+                  b.put("basin", zone);
+                  b.putArray("hulls").add(type);
+                });
+        w.run(5000);
+        assertTrue(job.accepted, job.ref + " is not accepted");
+      }
+    }
+    w.users.array("two", "high", 60, 4);
+    SeededDaysTest.settle(w);
+  }
+}
