--- a/src/main/java/dapplestair/admin/JobViews.java
+++ b/src/main/java/dapplestair/admin/JobViews.java
@@ -127,26 +127,26 @@
 
   /** One row of a listing. */
   private record JobRow(
-      Submission s, String status, int done, int running, int waiting, double ageS)
+      Submission job, String status, int done, int running, int waiting, double ageS)
       implements Pages.Written {
     @Override
     public Object value(String field) {
       return switch (field) {
-        case "ref" -> s.ref();
-        case "class" -> s.jobClass();
-        case "team" -> s.team();
-        case "shape" -> s.shape().wire();
-        case "rank" -> s.rank().wire();
+        case "ref" -> job.ref();
+        case "class" -> job.jobClass();
+        case "team" -> job.team();
+        case "shape" -> job.shape().wire();
+        case "rank" -> job.rank().wire();
         case "status" -> status;
-        case "tasks" -> (double) s.steps();
+        case "tasks" -> (double) job.steps();
         case "done" -> (double) done;
         case "running" -> (double) running;
         case "waiting_tasks" -> (double) waiting;
         case "waiting" -> waiting > 0 ? ageS : 0.0;
         case "age" -> ageS;
-        case "cpus" -> s.cpus();
-        case "spot" -> s.spot();
-        case "zone" -> s.zone();
+        case "cpus" -> job.cpus();
+        case "spot" -> job.spot();
+        case "zone" -> job.zone();
         default -> null;
       };
     }
@@ -154,21 +154,21 @@
     @Override
     public void write(JsonGenerator out) throws IOException {
       out.writeStartObject();
-      out.writeStringField("ref", s.ref());
+      out.writeStringField("ref", job.ref());
       out.writeStringField("status", status);
-      out.writeStringField("class", s.jobClass());
-      out.writeStringField("team", s.team());
-      out.writeStringField("shape", s.shape().wire());
-      out.writeStringField("rank", s.rank().wire());
-      out.writeNumberField("tasks", s.steps());
+      out.writeStringField("class", job.jobClass());
+      out.writeStringField("team", job.team());
+      out.writeStringField("shape", job.shape().wire());
+      out.writeStringField("rank", job.rank().wire());
+      out.writeNumberField("tasks", job.steps());
       out.writeNumberField("done", done);
       out.writeNumberField("running", running);
       out.writeNumberField("waiting_tasks", waiting);
       out.writeNumberField("waiting", waiting > 0 ? ageS : 0);
       out.writeNumberField("age", ageS);
-      out.writeNumberField("cpus", s.cpus());
-      out.writeBooleanField("spot", s.spot());
-      out.writeStringField("zone", s.zone());
+      out.writeNumberField("cpus", job.cpus());
+      out.writeBooleanField("spot", job.spot());
+      out.writeStringField("zone", job.zone());
       out.writeEndObject();
     }
   }
--- a/src/main/java/dapplestair/admin/MachineViews.java
+++ b/src/main/java/dapplestair/admin/MachineViews.java
@@ -74,56 +74,56 @@
   }
 
   /** One row of a listing. */
-  private record MachineRow(Host h, String state, long now) implements Pages.Written {
+  private record MachineRow(Host host, String state, long now) implements Pages.Written {
     @Override
     public Object value(String field) {
       return switch (field) {
-        case "id" -> h.id();
-        case "type" -> h.type() == null ? null : h.type().name();
-        case "zone" -> h.zone();
-        case "spot" -> h.spot();
+        case "id" -> host.id();
+        case "type" -> host.type() == null ? null : host.type().name();
+        case "zone" -> host.zone();
+        case "spot" -> host.spot();
         case "state" -> state;
-        case "cpus" -> h.type() == null ? 0.0 : h.type().cpus();
-        case "used" -> h.cpusUsed();
+        case "cpus" -> host.type() == null ? 0.0 : host.type().cpus();
+        case "used" -> host.cpusUsed();
         case "tasks" -> (double) tasks();
         case "age" -> age();
         case "idle" -> idle();
-        case "drained" -> h.drained();
+        case "drained" -> host.drained();
         case "silent" -> silent();
         default -> null;
       };
     }
 
     private int tasks() {
-      return (int) h.attempts().stream().filter(a -> !a.exited()).count();
+      return (int) host.attempts().stream().filter(a -> !a.exited()).count();
     }
 
     private double age() {
-      return h.rentedAt() == Long.MAX_VALUE ? 0 : (now - h.rentedAt()) / 1000.0;
+      return host.rentedAt() == Long.MAX_VALUE ? 0 : (now - host.rentedAt()) / 1000.0;
     }
 
     private double idle() {
-      return h.idle() ? (now - h.idleSince()) / 1000.0 : 0;
+      return host.idle() ? (now - host.idleSince()) / 1000.0 : 0;
     }
 
     private double silent() {
-      return h.up() ? (now - h.heardAt()) / 1000.0 : 0;
+      return host.up() ? (now - host.heardAt()) / 1000.0 : 0;
     }
 
     @Override
     public void write(JsonGenerator out) throws IOException {
       out.writeStartObject();
-      out.writeStringField("id", h.id());
-      out.writeStringField("type", h.type() == null ? null : h.type().name());
-      out.writeStringField("zone", h.zone());
-      out.writeBooleanField("spot", h.spot());
+      out.writeStringField("id", host.id());
+      out.writeStringField("type", host.type() == null ? null : host.type().name());
+      out.writeStringField("zone", host.zone());
+      out.writeBooleanField("spot", host.spot());
       out.writeStringField("state", state);
-      out.writeNumberField("cpus", h.type() == null ? 0.0 : h.type().cpus());
-      out.writeNumberField("used", h.cpusUsed());
+      out.writeNumberField("cpus", host.type() == null ? 0.0 : host.type().cpus());
+      out.writeNumberField("used", host.cpusUsed());
       out.writeNumberField("tasks", tasks());
       out.writeNumberField("age", age());
       out.writeNumberField("idle", idle());
-      out.writeBooleanField("drained", h.drained());
+      out.writeBooleanField("drained", host.drained());
       out.writeNumberField("silent", silent());
       out.writeEndObject();
     }
--- a/src/main/java/dapplestair/daemon/DaemonSettings.java
+++ b/src/main/java/dapplestair/daemon/DaemonSettings.java
@@ -105,8 +105,6 @@
         "txn_ops",
         "cloud_rps",
         "list_lag_s");
-    Fields cluster = top.table("cluster");
-    cluster.only("zones", "per_zone", "never_boots");
     Settings.Workers workers =
         new Settings.Workers(
             limits.millis("report_s", 1),
@@ -120,25 +118,12 @@
             (int) limits.number("txn_ops", 24, 4, 1000));
     Settings.Cloud cloud =
         new Settings.Cloud(limits.number("cloud_rps", 20, 1, MOST), limits.millis("list_lag_s", 1));
-    Shape shape =
-        new Shape(
-            machines(top),
-            cluster.names("zones", List.of("a", "b", "c")),
-            (int) cluster.number("per_zone", 20, 1, 10_000),
-            cluster.number("never_boots", 0, 0, 1),
-            workers.reportMs(),
-            workers.leaseMs(),
-            cloud.listLagMs(),
-            state.txnOps(),
-            state.valueBytes(),
-            1000,
-            10_000);
     return new DaemonSettings(
         top.address("listen", "127.0.0.1:8080"),
         top.address("admin", "127.0.0.1:8081"),
         top.address("outside", "127.0.0.1:8082"),
         (long) top.number("seed", 0, 0, Long.MAX_VALUE),
-        shape,
+        shape(top, workers, cloud, state),
         teams(top),
         objectives(top),
         workers,
@@ -146,6 +131,25 @@
         cloud);
   }
 
+  private static Shape shape(
+      Fields top, Settings.Workers workers, Settings.Cloud cloud, Settings.State state)
+      throws SettingsException {
+    Fields cluster = top.table("cluster");
+    cluster.only("zones", "per_zone", "never_boots");
+    return new Shape(
+        machines(top),
+        cluster.names("zones", List.of("a", "b", "c")),
+        (int) cluster.number("per_zone", 20, 1, 10_000),
+        cluster.number("never_boots", 0, 0, 1),
+        workers.reportMs(),
+        workers.leaseMs(),
+        cloud.listLagMs(),
+        state.txnOps(),
+        state.valueBytes(),
+        1000,
+        10_000);
+  }
+
   private static List<Shape.Machine> machines(Fields top) throws SettingsException {
     List<Shape.Machine> out = new ArrayList<>();
     for (Fields m : top.tables("machines")) {
--- a/src/main/java/dapplestair/node/Figures.java
+++ b/src/main/java/dapplestair/node/Figures.java
@@ -21,7 +21,19 @@
   private Figures() {}
 
   static Exposition of(Duties d) {
-    return new Exposition(VERSION)
+    Exposition exposition = new Exposition(VERSION);
+    addCluster(exposition, d);
+    addState(exposition, d);
+    addTeams(exposition, d);
+    addClasses(exposition, d);
+    addStops(exposition, d);
+    addPlan(exposition, d);
+    return exposition;
+  }
+
+  /** Who leads, and what there is in the cluster. */
+  private static void addCluster(Exposition exposition, Duties d) {
+    exposition
         .gauge("leading", "1 while this controller leads.", () -> d.leadership().leading() ? 1 : 0)
         .gauge("term", "The highest term known.", () -> d.leadership().termSeen())
         .gauge("epoch", "Up to which change the replica is complete.", () -> d.replica().position())
@@ -48,11 +60,21 @@
             "peer_messages_refused",
             "Messages of peers that were garbled, too large or of an unknown form.",
             () -> d.peers().questions().refusedSoFar())
-        .gauge("machines_drained", "Machines drained by operators.", () -> drained(d))
+        .gauge("machines_drained", "Machines drained by operators.", () -> drained(d));
+  }
+
+  /** The state service, and what waits for it. */
+  private static void addState(Exposition exposition, Duties d) {
+    exposition
         .gauge("state_reachable", "1 while the state service answers.", () -> reachable(d))
         .gauge("puts_allowed", "Puts a second that may be made.", () -> d.state().putsAllowed())
         .gauge("puts_wanted", "Puts a second made or waiting.", () -> d.state().wanted())
-        .gauges("transactions_queued", "Transactions that wait.", "priority", () -> queued(d))
+        .gauges("transactions_queued", "Transactions that wait.", "priority", () -> queued(d));
+  }
+
+  /** What teams use, and what they were promised. */
+  private static void addTeams(Exposition exposition, Duties d) {
+    exposition
         .gauges("team_cpus_used", "CPUs that a team's attempts use.", "team", () -> used(d))
         .gauges(
             "team_cpus_guaranteed",
@@ -73,7 +95,12 @@
             "team_jobs_done_share",
             "Share of a team's arrays, less those withdrawn, that are done since then.",
             "team",
-            () -> Maps.transformValues(d.ledger().served().byTeam(), Served.Count::doneShare))
+            () -> Maps.transformValues(d.ledger().served().byTeam(), Served.Count::doneShare));
+  }
+
+  /** How classes of jobs are served. */
+  private static void addClasses(Exposition exposition, Duties d) {
+    exposition
         .gauges(
             "class_jobs_started_share",
             "Share of a class's accepted jobs that started, since this controller leads.",
@@ -93,7 +120,12 @@
             "class_largest_wait_seconds",
             "The longest wait of one of a class's largest jobs for its first task.",
             "class",
-            () -> Maps.transformValues(d.ledger().served().largest(), Served.Largest::longestS))
+            () -> Maps.transformValues(d.ledger().served().largest(), Served.Largest::longestS));
+  }
+
+  /** What is stopped by choice. */
+  private static void addStops(Exposition exposition, Duties d) {
+    exposition
         .gauges(
             "team_replicas_out",
             "Replicas of a team that are out, for whatever reason.",
@@ -113,7 +145,12 @@
         .gauge(
             "stops_forced",
             "Stops that could not wait for a budget.",
-            () -> d.disruption().forced())
+            () -> d.disruption().forced());
+  }
+
+  /** The plan applied. */
+  private static void addPlan(Exposition exposition, Duties d) {
+    exposition
         .gauge(
             "plan_makespan_seconds",
             "Mean makespan of the plan applied.",
--- a/src/main/java/dapplestair/planning/Nsga2.java
+++ b/src/main/java/dapplestair/planning/Nsga2.java
@@ -19,24 +19,24 @@
     double[] upper();
 
     /** The costs of a candidate, or null when it breaks a constraint. */
-    double[] evaluate(double[] x);
+    double[] evaluate(double[] variables);
   }
 
   /** A candidate with its costs. */
   public static final class Individual {
-    private final double[] x;
+    private final double[] variables;
     private final double[] costs;
     private int rank;
     private double crowding;
 
-    Individual(double[] x, double[] costs) {
-      this.x = x;
+    Individual(double[] variables, double[] costs) {
+      this.variables = variables;
       this.costs = costs;
     }
 
     /** Its variables. */
-    public double[] x() {
-      return x;
+    public double[] variables() {
+      return variables;
     }
 
     /** Its costs. */
@@ -76,7 +76,8 @@
     while (spent < evaluations && parents.size() > 1) {
       List<Individual> all = new ArrayList<>(parents);
       for (int i = 0; i < population && spent < evaluations; i += 2) {
-        double[][] children = crossover(tournament(parents).x, tournament(parents).x, problem);
+        double[][] children =
+            crossover(tournament(parents).variables, tournament(parents).variables, problem);
         for (double[] child : children) {
           if (spent < evaluations) {
             mutate(child, problem);
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -238,7 +238,7 @@
       return new Chosen(FleetProblem.counts(problem.lower()), unknown, 0);
     }
     Nsga2.Individual nearest = chosen(front, standing(problem, last), pressure);
-    return new Chosen(FleetProblem.counts(nearest.x()), nearest.costs(), front.size());
+    return new Chosen(FleetProblem.counts(nearest.variables()), nearest.costs(), front.size());
   }
 
   /**
--- a/src/test/java/dapplestair/planning/Nsga2Test.java
+++ b/src/test/java/dapplestair/planning/Nsga2Test.java
@@ -48,10 +48,11 @@
         search(
             new Box(1, -100, 100, x -> new double[] {x[0] * x[0], (x[0] - 2) * (x[0] - 2)}), 4000);
     for (Nsga2.Individual i : front) {
-      assertTrue(i.x()[0] > -0.1 && i.x()[0] < 2.1, "off the front: " + i.x()[0]);
+      assertTrue(
+          i.variables()[0] > -0.1 && i.variables()[0] < 2.1, "off the front: " + i.variables()[0]);
     }
-    double least = front.stream().mapToDouble(i -> i.x()[0]).min().orElseThrow();
-    double most = front.stream().mapToDouble(i -> i.x()[0]).max().orElseThrow();
+    double least = front.stream().mapToDouble(i -> i.variables()[0]).min().orElseThrow();
+    double most = front.stream().mapToDouble(i -> i.variables()[0]).max().orElseThrow();
     assertTrue(least < 0.2 && most > 1.8, "only from " + least + " to " + most);
   }
 
@@ -81,8 +82,8 @@
   @Test
   void dropsWhatBreaksAConstraint() {
     var front = search(new Box(1, 0, 10, x -> x[0] < 4 ? null : new double[] {x[0], 1}), 1000);
-    front.forEach(i -> assertTrue(i.x()[0] >= 4));
-    assertTrue(front.get(0).x()[0] < 4.2);
+    front.forEach(i -> assertTrue(i.variables()[0] >= 4));
+    assertTrue(front.get(0).variables()[0] < 4.2);
   }
 
   @Test
@@ -93,8 +94,8 @@
             new Nsga2.Individual(new double[] {0}, new double[] {20, 1, 0}),
             new Nsga2.Individual(new double[] {1}, new double[] {50, 0.4, 0}),
             new Nsga2.Individual(new double[] {2}, new double[] {100, 0.1, 0}));
-    assertEquals(1, Nsga2.nearestOrigin(front, 1, 1, 1).x()[0]);
-    assertEquals(0, Nsga2.nearestOrigin(front, 5, 1, 1).x()[0]);
+    assertEquals(1, Nsga2.nearestOrigin(front, 1, 1, 1).variables()[0]);
+    assertEquals(0, Nsga2.nearestOrigin(front, 5, 1, 1).variables()[0]);
   }
 
   @Test
--- a/src/test/java/dapplestair/planning/PlansHoldTest.java
+++ b/src/test/java/dapplestair/planning/PlansHoldTest.java
@@ -60,7 +60,7 @@
               ? Nsga2.nearestOrigin(front, WEIGHTS)
               : Nsga2.nearestOrigin(
                   front, new Nsga2.Individual(last, problem.evaluate(last)), INERTIA, WEIGHTS);
-      last = chosen.x();
+      last = chosen.variables();
       out.add(Arrays.stream(FleetProblem.counts(last)).boxed().toList());
     }
     return out.size();
@@ -94,10 +94,10 @@
     var random = RandomSource.XO_RO_SHI_RO_128_PP.create(5);
     List<Nsga2.Individual> front = new Nsga2(random, 20, 300).search(problem, seeds);
     return last == null
-        ? Nsga2.nearestOrigin(front, WEIGHTS).x()
+        ? Nsga2.nearestOrigin(front, WEIGHTS).variables()
         : Nsga2.nearestOrigin(
                 front, new Nsga2.Individual(last, problem.evaluate(last)), INERTIA, WEIGHTS)
-            .x();
+            .variables();
   }
 
   private static double cpus(FleetProblem problem, double[] x) {
--- a/src/test/java/dapplestair/session/Processes.java
+++ b/src/test/java/dapplestair/session/Processes.java
@@ -13,6 +13,7 @@
 public final class Processes implements AutoCloseable {
   /** How a command ended. */
   public record Ended(int code, String out, String err) {
+    /** The lines of its output. */
     public List<String> lines() {
       return out.lines().toList();
     }
@@ -22,6 +23,7 @@
   private final List<Process> running = new ArrayList<>();
   private int made;
 
+  /** Without processes; their outputs go to files in this folder. */
   public Processes(Path folder) {
     this.folder = folder;
   }
@@ -68,6 +70,7 @@
     return begin(env, args).end();
   }
 
+  /** Begins a command, without waiting for its end. */
   public Begun begin(Map<String, String> env, String... args) throws IOException {
     File out = folder.resolve("out" + made).toFile();
     File err = folder.resolve("err" + made++).toFile();
@@ -78,6 +81,7 @@
 
   /** A command under way. */
   public record Begun(Process process, Path out, Path err) {
+    /** Waits for its end. */
     public Ended end() throws Exception {
       if (!process.waitFor(120, TimeUnit.SECONDS)) {
         process.destroyForcibly();
