--- a/src/test/java/dapplestair/world/Commits.java
+++ b/src/test/java/dapplestair/world/Commits.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import dapplestair.json.Json;
 import dapplestair.ports.HttpReply;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 
@@ -31,6 +33,9 @@
   /** Told of the sender and the body of each one whose answer is lost. */
   BiConsumer<String, JsonNode> answerLost = (from, body) -> {};
 
+  // Until when these callers get no answer to their questions for changes.
+  private final Map<String, Long> withoutNews = new HashMap<>();
+
   Commits(Sim sim) {
     this.sim = sim;
   }
@@ -76,8 +81,16 @@
     return false;
   }
 
-  /** Called once for each answer of the state service. True if its sender must not get it. */
+  /** For a while a caller gets no answer to its questions for changes. */
+  void withoutNews(String caller, long ms) {
+    withoutNews.put(caller, sim.now() + ms);
+  }
+
+  /** Called once for each answer to a request. True if its sender must not get it. */
   boolean answerLost(String from, String path, byte[] sent, HttpReply reply) {
+    if (path.startsWith("/changes") && sim.now() < withoutNews.getOrDefault(from, 0L)) {
+      return true;
+    }
     boolean wanted = carriedOut != null || lostAnswers > 0;
     if (!wanted || !path.equals("/commit") || !reply.ok()) {
       return false;
--- /dev/null
+++ b/src/test/java/dapplestair/world/LastEndTest.java
@@ -0,0 +1,128 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * A cancellation, a question or a repeated submission meets the end of a job's last task, with no
+ * other trouble: at the moment at which the task ends on its machine, or at which its end reaches
+ * the state service, moved by a message, a put or a report, at the leader or at others.
+ */
+class LastEndTest {
+  private static final int JOBS = 12;
+  private static final long RUN_S = 4;
+
+  /** The step of an end at which the request is sent. */
+  enum Step {
+    /** The last task exits on its machine. */
+    TASK_EXITS,
+    /** The job's end is carried out; nobody has heard of it. */
+    DONE_IS_PUT
+  }
+
+  /** Who sends what where. */
+  private static final class Day {
+    final World w;
+    final CloseLooks looks;
+    final Step step;
+    final long moveMs;
+    final Map<String, Users.Told> jobs = new LinkedHashMap<>();
+    final Map<String, Integer> completed = new LinkedHashMap<>();
+    int met;
+
+    Day(long seed, Step step, long moveMs) {
+      w = new World(seed);
+      w.net.loss = 0;
+      w.users.withdrawnArrays = 0;
+      looks = new CloseLooks(w);
+      this.step = step;
+      this.moveMs = moveMs;
+      w.checker.alsoCompleted = this::completed;
+      w.net.commits.carriedOut = this::carriedOut;
+    }
+
+    void submit(int i) {
+      Users.Told job = w.users.array(i % 2 == 0 ? "one" : "two", "high", 1 + i % 3, RUN_S);
+      jobs.put(job.ref, job);
+    }
+
+    private void completed(String task) {
+      Users.Told job = jobs.get(task.substring(0, task.indexOf('/')));
+      boolean last = job != null && completed.merge(job.ref, 1, Integer::sum) == job.steps;
+      if (last && step == Step.TASK_EXITS) {
+        w.sim.after(moveMs, () -> meet(job));
+      }
+    }
+
+    private void carriedOut(String from, JsonNode body) {
+      Users.Told job = jobs.get(String.valueOf(Commits.job(body)));
+      if (job != null && step == Step.DONE_IS_PUT && Commits.any(body, Commits.ends("done"))) {
+        w.sim.after(moveMs, () -> meet(job));
+      }
+    }
+
+    /** In turn: cancelled at the leader, at another, at all at once, asked for and repeated. */
+    private void meet(Users.Told job) {
+      int leader = w.leader().index;
+      int kind = met++ % 4;
+      if (kind == 3) {
+        looks.around(job);
+        return;
+      }
+      for (World.Node n : w.nodes) {
+        if (kind == 2 || (n.index == leader) == (kind == 0)) {
+          w.users.withdrawAt(job, n);
+          looks.ask(job, n);
+          looks.repeat(job, n);
+        }
+      }
+      looks.around(job);
+    }
+
+    String recorded(Users.Told job) {
+      JsonNode over = w.state.value(Commits.OVER + job.ref);
+      assertNotNull(over, job.ref + " is not over");
+      return over.path("status").asText();
+    }
+  }
+
+  @ParameterizedTest(name = "seed {0}, {1} and {2} ms")
+  @CsvSource({
+    "9301,TASK_EXITS,0",
+    "9302,TASK_EXITS,2",
+    "9303,TASK_EXITS,5",
+    "9304,TASK_EXITS,8",
+    "9305,TASK_EXITS,12",
+    "9306,TASK_EXITS,20",
+    "9307,TASK_EXITS,60",
+    "9308,TASK_EXITS,500",
+    "9309,TASK_EXITS,1500",
+    "9310,DONE_IS_PUT,0",
+    "9311,DONE_IS_PUT,2",
+    "9312,DONE_IS_PUT,30"
+  })
+  void aRequestMeetsTheEnd(long seed, Step step, long moveMs) {
+    Day d = new Day(seed, step, moveMs);
+    d.w.run(25_000);
+    for (int i = 0; i < JOBS; i++) {
+      d.submit(i);
+      d.w.run(2500);
+    }
+    d.w.run(20_000);
+    SeededDaysTest.settle(d.w);
+    assertTrue(d.met >= JOBS, d.met + " of " + JOBS + " ends were met");
+    for (Users.Told job : d.jobs.values()) {
+      assertEquals(d.recorded(job), job.finalState(), job.ref);
+      if (step == Step.DONE_IS_PUT) {
+        assertEquals("done", job.finalState(), job.ref);
+      }
+    }
+  }
+}
--- a/src/test/java/dapplestair/world/LostAnswersTest.java
+++ b/src/test/java/dapplestair/world/LostAnswersTest.java
@@ -50,7 +50,25 @@
     }
   }
 
-  private static void loseAnswers(World w, Predicate<JsonNode> writes, long crashAfterMs) {
+  /** What becomes of the sender. */
+  enum Sender {
+    GOES_ON(-1),
+    /** It does not hear from its stream of changes either what it has written. */
+    HEARS_NO_NEWS(-1),
+    ENDS_AT_ONCE(0),
+    /** Just after it has given the answer up. */
+    ENDS_LATER(1510);
+
+    final long crashAfterMs;
+
+    Sender(long crashAfterMs) {
+      this.crashAfterMs = crashAfterMs;
+    }
+  }
+
+  private static final long NO_NEWS_MS = 5000;
+
+  private static void loseAnswers(World w, Predicate<JsonNode> writes, Sender sender) {
     CloseLooks looks = new CloseLooks(w);
     long[] crashAgainAt = {0};
     w.net.commits.lostAnswersOf = writes;
@@ -61,10 +79,13 @@
           if (job != null) {
             lookAt(w, looks, job);
           }
-          if (crashAfterMs >= 0 && w.sim.now() >= crashAgainAt[0]) {
+          if (sender == Sender.HEARS_NO_NEWS) {
+            w.net.commits.withoutNews(from, NO_NEWS_MS);
+          }
+          if (sender.crashAfterMs >= 0 && w.sim.now() >= crashAgainAt[0]) {
             crashAgainAt[0] = w.sim.now() + CRASH_EVERY_MS;
-            World.Node sender = w.nodes.get(w.index(from));
-            w.sim.after(crashAfterMs, () -> sender.crash(w.sim.between(60, 2000)));
+            World.Node node = w.nodes.get(w.index(from));
+            w.sim.after(sender.crashAfterMs, () -> node.crash(w.sim.between(60, 2000)));
           }
         };
   }
@@ -96,42 +117,42 @@
     }
   }
 
-  @ParameterizedTest(name = "seed {0}, {1}, its sender ends after {2} ms")
+  @ParameterizedTest(name = "seed {0}, {1}, its sender: {2}")
   @CsvSource({
-    "9201,ACCEPTANCE,-1",
-    "9202,ACCEPTANCE,0",
-    "9203,ACCEPTANCE,1510",
-    "9204,CANCELLATION,-1",
-    "9205,CANCELLATION,0",
-    "9206,CANCELLATION,1510",
-    "9207,DONE,-1",
-    "9208,DONE,0",
-    "9209,DONE,1510",
-    "9210,ATTEMPTS,-1",
-    "9211,ATTEMPTS,0",
-    "9212,ATTEMPTS,1510",
-    "9214,SHEET,-1",
-    "9215,SHEET,0",
-    "9217,SHEET,1510",
-    "9218,CLEARING,0",
-    "9219,RENTAL,-1",
-    "9220,RENTAL,0",
-    "9222,RENTAL_ENDED,-1",
-    "9223,LEADER,-1",
-    "9224,LEADER,0",
-    "9225,LEADER,600",
-    "9226,PLAN_OR_TYPES,0",
-    "9229,ALL,-1",
-    "9230,ALL,0",
-    "9231,ALL,1510"
+    "9201,ACCEPTANCE,HEARS_NO_NEWS",
+    "9202,ACCEPTANCE,ENDS_AT_ONCE",
+    "9203,ACCEPTANCE,ENDS_LATER",
+    "9204,CANCELLATION,HEARS_NO_NEWS",
+    "9205,CANCELLATION,ENDS_AT_ONCE",
+    "9206,CANCELLATION,ENDS_LATER",
+    "9207,DONE,HEARS_NO_NEWS",
+    "9208,DONE,ENDS_AT_ONCE",
+    "9209,DONE,ENDS_LATER",
+    "9210,ATTEMPTS,HEARS_NO_NEWS",
+    "9211,ATTEMPTS,ENDS_AT_ONCE",
+    "9212,ATTEMPTS,ENDS_LATER",
+    "9214,SHEET,HEARS_NO_NEWS",
+    "9215,SHEET,ENDS_AT_ONCE",
+    "9217,SHEET,ENDS_LATER",
+    "9218,CLEARING,ENDS_AT_ONCE",
+    "9219,RENTAL,GOES_ON",
+    "9220,RENTAL,ENDS_AT_ONCE",
+    "9222,RENTAL_ENDED,GOES_ON",
+    "9223,LEADER,GOES_ON",
+    "9224,LEADER,ENDS_AT_ONCE",
+    "9225,LEADER,ENDS_LATER",
+    "9226,PLAN_OR_TYPES,ENDS_AT_ONCE",
+    "9229,ALL,GOES_ON",
+    "9230,ALL,ENDS_AT_ONCE",
+    "9231,ALL,ENDS_LATER"
   })
-  void onlyTheAnswerIsLost(long seed, Put put, long crashAfterMs) {
+  void onlyTheAnswerIsLost(long seed, Put put, Sender sender) {
     World w = new World(seed);
     w.users.withdrawnArrays = 0.4;
     // Types are recorded and machines rented at the beginning.
     w.run(put == Put.RENTAL || put == Put.PLAN_OR_TYPES ? 0 : 15_000);
     long until = w.sim.now() + FOR_MS;
-    loseAnswers(w, put.writes, crashAfterMs);
+    loseAnswers(w, put.writes, sender);
     singles(w, until);
     if (put == Put.LEADER || put == Put.ALL) {
       depose(w, DEPOSE_EVERY_MS, until);
@@ -148,11 +169,11 @@
   }
 
   /** Nobody is stopped for a claim that may not be on record, and no rider waits for ever. */
-  @ParameterizedTest(name = "seed {0}, the leader ends after {1} ms")
-  @CsvSource({"9241,-1", "9242,0", "9243,1510"})
-  void claimsOfALane(long seed, long crashAfterMs) {
+  @ParameterizedTest(name = "seed {0}, the leader: {1}")
+  @CsvSource({"9241,HEARS_NO_NEWS", "9242,ENDS_AT_ONCE", "9243,ENDS_LATER"})
+  void claimsOfALane(long seed, Sender sender) {
     World w = LaneTest.begun(seed, LaneTest.GATE, 0);
-    loseAnswers(w, Commits.puts("live/lane/"), crashAfterMs);
+    loseAnswers(w, Commits.puts("live/lane/"), sender);
     List<Users.Told> riders = new ArrayList<>();
     for (int i = 0; i < 4; i++) {
       riders.add(LaneTest.rider(w, 6));
