A barrier does not pass for those after one that empties the replica

Cause (found by reading): all that wait for one barrier were told the same, also after one of them had made the replica begin again; the next one would have found no jobs and answered 404. No such waiter exists today. Change: the replica's generation is looked at for each. Test: ReplicaTest, seen to fail without it.

--- a/src/main/java/dapplestair/state/Replica.java
+++ b/src/main/java/dapplestair/state/Replica.java
@@ -295,7 +295,9 @@
         reply -> {
           boolean passed = gen == generation && apply(reply);
           asOf = passed ? Math.max(asOf, askedAt) : asOf;
-          waiting.forEach(w -> w.accept(passed));
+          // One that waits may make the replica begin again, as by a change of role: those after it
+          // must not find it emptied and take that for what the state service holds.
+          waiting.forEach(w -> w.accept(passed && gen == generation));
           if (nextBarrier.isEmpty()) {
             barrierRunning = false;
           } else {
--- a/src/test/java/dapplestair/state/ReplicaTest.java
+++ b/src/test/java/dapplestair/state/ReplicaTest.java
@@ -138,4 +138,13 @@
     assertEquals(List.of(false), passed);
     assertEquals(0, replica.stamp("live/job/a-2"));
   }
+
+  @Test
+  void aBarrierDoesNotPassAfterAnotherOneHasEmptiedTheReplica() {
+    start();
+    replica.barrier(p -> replica.restart());
+    barrierWith("{'epoch':5,'news':[]}");
+    assertEquals(List.of(false), passed);
+    assertEquals(0, replica.stamp("live/job/a-1"));
+  }
 }
