The time allowed for cancelled work does not begin anew with each leader

A leader returns a machine that does not stop a cancelled task after a quarter of cancel_s, or a half when the machine is out of reach, counted from its own first stop.

The record of a job that is over says since when, and a leader counts from there. What an earlier one could not stop within half of cancel_s it returns once its own stop has had no answer for a sixteenth. Jobs of one task whose attempts are only on a sheet have their record read when they have not stopped by then.

--- a/src/main/java/dapplestair/fleet/Lookout.java
+++ b/src/main/java/dapplestair/fleet/Lookout.java
@@ -261,10 +261,17 @@
   private boolean unstoppable(Host h, long now) {
     // Behind a cut it may yet be proved otherwise, and a release would end all else there: half of
     // the time is left for the cloud's own troubles.
-    long patience = settings.workers().cancelMs() / (h.outOfReach() ? 2 : 4);
+    long cancelMs = settings.workers().cancelMs();
+    long patience = cancelMs / (h.outOfReach() ? 2 : 4);
     for (Attempt a : h.attempts()) {
-      if (a.job().over() && a.halting() && !a.exited() && now - a.haltAt() > patience) {
-        return true;
+      if (a.job().over() && a.halting() && !a.exited()) {
+        long haltedMs = now - a.haltAt();
+        // The time allowed does not begin anew with each leader: of what an earlier one could not
+        // stop either, this one only waits for an answer.
+        boolean late = now - a.job().overAt() > cancelMs / 2 && haltedMs > cancelMs / 16;
+        if (haltedMs > patience || late) {
+          return true;
+        }
       }
     }
     return false;
--- a/src/main/java/dapplestair/ledger/Endings.java
+++ b/src/main/java/dapplestair/ledger/Endings.java
@@ -108,7 +108,7 @@
             .leadership
             .guard(new Txn())
             .when(Keys.job(ref), job.stamp)
-            .put(Keys.over(ref), JobRecord.over(job, "done"))
+            .put(Keys.over(ref), JobRecord.over(job, "done", office.clock.wall()))
             .remove(Keys.job(ref));
     office.hooks.finishing(job, txn);
     for (Chunk c : job.chunks.values()) {
--- a/src/main/java/dapplestair/ledger/Job.java
+++ b/src/main/java/dapplestair/ledger/Job.java
@@ -28,7 +28,10 @@
 
   boolean finishing;
   int worked;
+
+  /** Since when it is over, steady time; before this leader's term if the records say so. */
   long overAt;
+
   int held;
   long gangNumber;
   final IntOpenHashSet gangSteps = new IntOpenHashSet();
@@ -79,6 +82,11 @@
     return over || finishing;
   }
 
+  /** Since when it is over, steady time. */
+  public long overAt() {
+    return overAt;
+  }
+
   /** Until when it waits after failing on good machines. */
   public long heldBackUntil() {
     return heldBackUntil;
--- a/src/main/java/dapplestair/ledger/JobRecord.java
+++ b/src/main/java/dapplestair/ledger/JobRecord.java
@@ -20,10 +20,15 @@
     return o;
   }
 
-  /** A job that is over. */
-  static ObjectNode over(Job job, String status) {
+  /** A job that is over since a time of day. */
+  static ObjectNode over(Job job, String status, long wall) {
     ObjectNode o = accepted(job.spec(), job.acceptedWall(), job.chunkSize());
-    return o.put("status", status);
+    return o.put("status", status).put("end", wall);
+  }
+
+  /** For how long a job has been over, milliseconds; 0 if its record does not say since when. */
+  static long overForMs(JsonNode value, long wall) {
+    return Math.max(0, wall - Json.number(value, "end", wall));
   }
 
   /** Reads either, or gives null. */
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -89,7 +89,7 @@
 
   /** The form in which a job that is over is recorded. */
   public ObjectNode overRecord(Job job, String status) {
-    return JobRecord.over(job, status);
+    return JobRecord.over(job, status, office.clock.wall());
   }
 
   /** A job's key is gone: it was withdrawn or is done. */
--- a/src/main/java/dapplestair/ledger/Takeover.java
+++ b/src/main/java/dapplestair/ledger/Takeover.java
@@ -4,6 +4,8 @@
 import dapplestair.state.Keys;
 import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -27,6 +29,8 @@
 
   // The chunks that each earlier sheet still counts for.
   private final Map<String, Set<Chunk>> claims = new HashMap<>();
+  // Jobs that are over since a moment that is not known here.
+  private final Deque<Job> endUnread = new ArrayDeque<>();
   private int orphans;
 
   Takeover(
@@ -50,6 +54,7 @@
 
   void clear() {
     claims.clear();
+    endUnread.clear();
   }
 
   /** Builds attempts from the records; launches begin once nothing is unaccounted for. */
@@ -63,13 +68,45 @@
         build(job);
       } else if (brief != null) {
         // The replica is complete, and the job is not there: it is over.
-        over(new Job(brief.spec(), 0, chunkSize, 0));
+        Job ended = new Job(brief.spec(), 0, chunkSize, 0);
+        over(ended, 0);
+        endUnread.add(ended);
       } else {
         orphans++;
         fetchOrphan(newTerm, ref);
       }
     }
     orphanFound();
+    office.timers.after(office.settings.workers().cancelMs() / 16, () -> readEnds(newTerm));
+  }
+
+  /**
+   * Since when jobs are over of which only sheets told. Most are gone by now; of what does not stop
+   * it has to be known, since the time allowed for it does not begin anew with each leader.
+   */
+  private void readEnds(long forTerm) {
+    Job job = endUnread.poll();
+    while (job != null && job.held() == 0) {
+      job = endUnread.poll();
+    }
+    if (job == null || !office.still(forTerm)) {
+      return;
+    }
+    Job held = job;
+    office.state.get(
+        Keys.over(held.spec().ref()),
+        read -> {
+          if (read.exists()) {
+            overFor(held, JobRecord.overForMs(read.value(), office.clock.wall()));
+          } else {
+            endUnread.add(held);
+          }
+          office.timers.after(office.retryMs, () -> readEnds(forTerm));
+        });
+  }
+
+  private void overFor(Job job, long ms) {
+    job.overAt = Math.min(job.overAt, office.clock.now() - ms);
   }
 
   /** Attempts of a job that is over still use its team's share: its description is needed. */
@@ -88,16 +125,17 @@
             office.timers.after(office.retryMs, () -> fetchOrphan(forTerm, ref));
             return;
           }
-          over(job);
+          over(job, JobRecord.overForMs(read.value(), office.clock.wall()));
           orphanFound();
         });
   }
 
   /** Enters the attempts of a job that is over: they are stopped where they still run. */
-  private void over(Job job) {
+  private void over(Job job, long ms) {
     jobs.put(job.spec().ref(), job);
     build(job);
     endings.end(job);
+    overFor(job, ms);
   }
 
   private void orphanFound() {
--- a/src/test/java/dapplestair/world/ManyLeadersTest.java
+++ b/src/test/java/dapplestair/world/ManyLeadersTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dapplestair.emulator.EmulatedWorker;
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -67,6 +68,46 @@
     return w;
   }
 
+  /**
+   * All machines of a zone hang past their lease. Behind a cut it would look the same, so leaders
+   * wait, each for less than the time allowed for cancelled work: together they may not. Jobs of
+   * one task are on a sheet, which does not say since when they are over.
+   */
+  @ParameterizedTest(name = "seed {0}, zone {1}, the leader changes every {2} ms, of one task {3}")
+  @CsvSource({
+    "12001,a,9000,false",
+    "12005,a,7000,false",
+    "12008,a,11000,false",
+    "12010,a,4000,false",
+    "12012,a,9000,true",
+    "12013,a,9000,true"
+  })
+  void aZoneHangsAndNoLeaderStays(long seed, String zone, long everyMs, boolean ofOneTask) {
+    GapTest.Day d = ofOneTask ? new GapTest.Day(seed) : new LimitsTest.FullDay(seed).day;
+    World w = d.w;
+    if (ofOneTask) {
+      d.withdrawn.clear();
+      for (int i = 0; i < 24; i++) {
+        d.withdrawn.add(w.users.array("one", "high", 1, 150));
+      }
+      w.run(6000);
+      assertTrue(d.running(d.withdrawn) > 12, "hardly a job of one task runs");
+    }
+    for (EmulatedWorker m : List.copyOf(w.cloud.machines())) {
+      if (!m.gone() && m.zone().equals(zone)) {
+        m.stall(World.CANCEL_MS * 3 / 2);
+      }
+    }
+    d.withdrawn.forEach(w.users::withdraw);
+    long end = w.sim.now() + World.CANCEL_MS * 3 / 2;
+    for (int i = 0; w.sim.now() < end; i++) {
+      (i % 2 == 0 ? LeaderChange.PLANNED : LeaderChange.CRASH).happen(w);
+      w.run(everyMs);
+    }
+    w.run(90_000);
+    SeededDaysTest.settle(w);
+  }
+
   /** Something small that is just being launched. */
   private static void cancelOne(LimitsTest.FullDay f) {
     Users.Told job = f.w.users.array("two", "high", 2, 20);
