Mute machines: answers to commands are no sign that a lease is kept

Cause: a machine that answers calls counted as heard, though commands renew no lease. One whose worker reaches no controller got work again and again, lost it with each lease and was kept for ever; a leader that no worker reaches went on leading while all leases ran out, since its calls were answered. Change: a machine that has not reported for half a lease gets no work and is not counted on; when its lease is over it is returned. A zone without reports is a silent one. A leader gives way when nobody reports to it but others are reported to. If nobody reports to anybody, nothing is rented for it.

--- a/src/main/java/dapplestair/fleet/Stock.java
+++ b/src/main/java/dapplestair/fleet/Stock.java
@@ -44,6 +44,11 @@
    * place; but the replicas on them will be lost first, and room for those must boot in time.
    */
   private boolean awaited(Host h) {
+    // What runs on a mute machine will be lost with its lease, so others are rented in time. If
+    // nobody reports at all, new ones could not either.
+    if (h.mute() && desk.anyReports()) {
+      return false;
+    }
     if (h.zoneSilentMs() == 0 && !h.hanging()) {
       return !h.outOfReach();
     }
--- a/src/main/java/dapplestair/workers/Hearing.java
+++ b/src/main/java/dapplestair/workers/Hearing.java
@@ -16,6 +16,12 @@
   private static final double OVERDUE = 1.35;
   private static final double SILENT = 1.9;
 
+  // After this share of a lease without a report, what starts on a machine has too little left.
+  private static final double MUTE = 0.5;
+
+  // Clocks drift by less than this.
+  private static final double DRIFT = 1.01;
+
   private final Clock clock;
   private final Roster roster;
   private final long reportMs;
@@ -24,6 +30,9 @@
   private final Multiset<String> perZone = HashMultiset.create();
   private final Accounts accounts = new Accounts();
 
+  // When a worker of each zone last reported by itself.
+  private final Map<String, Long> zoneReportedAt = new HashMap<>();
+
   // Zones of which no machine is heard, and when one last was.
   private final Map<String, Long> silentZones = new HashMap<>();
   private long accountNumber;
@@ -49,6 +58,7 @@
     zones.clear();
     perZone.clear();
     silentZones.clear();
+    zoneReportedAt.clear();
   }
 
   /** A turn begins; the next one is due {@code everyMs} later. */
@@ -184,7 +194,7 @@
    */
   private long lastHeard(Host host) {
     if (host.reached()) {
-      return host.heardAt;
+      return mute(host) ? host.reportedAt : host.heardAt;
     }
     return succeeded()
         ? Math.min(host.knownSince(), accounts.machineHeardAt(host.id()))
@@ -196,14 +206,60 @@
     return accounts.at() > leadingSince - 2 * reportMs;
   }
 
+  /** A machine was reached: it reported by itself, or it answered a call. */
+  void reached(Host host, String zone, boolean reported) {
+    long now = clock.now();
+    if (reported) {
+      host.reportedAt = now;
+    } else if (!host.reached()) {
+      host.reportedAt = firstReportedAt(host);
+    }
+    host.heardAt = now;
+    heard(zone, reported);
+  }
+
   /** A machine in this zone was heard just now. */
-  void heard(String zone) {
-    zones.heard(zone, clock.now(), perZone.count(zone));
+  void heard(String zone, boolean reported) {
+    long now = clock.now();
+    if (reported) {
+      zoneReportedAt.put(zone, now);
+    } else if (now - Math.max(leadingSince, zoneReportedAt.getOrDefault(zone, 0L)) > muteMs()) {
+      // Nobody there reports: that its machines answer keeps none of their leases.
+      return;
+    }
+    zones.heard(zone, now, perZone.count(zone));
+  }
+
+  private long muteMs() {
+    return Math.round(MUTE * leaseMs);
+  }
+
+  /** What the leader before had noticed of a mute machine need not be noticed again. */
+  private long firstReportedAt(Host host) {
+    long said = accounts.machineHeardAt(host.id());
+    return succeeded() && accounts.at() - said > muteMs() ? said : clock.now();
+  }
+
+  /**
+   * True when it answers calls, but its worker has not reported for long. Commands renew no lease,
+   * so all that runs there ends with it: such a machine is no better than a silent one, though it
+   * can be told to stop something, and its answers prove what they always did.
+   */
+  boolean mute(Host host) {
+    return host.failedCalls == 0
+        && host.heardAt > host.reportedAt
+        && clock.now() - host.reportedAt > muteMs();
+  }
+
+  /** True when some worker has reported by itself lately. */
+  boolean anyReports() {
+    long now = clock.now();
+    return zoneReportedAt.values().stream().anyMatch(at -> now - at <= muteMs());
   }
 
   /** True when it has reported lately enough to be worth giving work to. */
   boolean fresh(Host host) {
-    return clock.now() - host.heardAt < 2 * reportMs && host.failedCalls == 0;
+    return clock.now() - host.heardAt < 2 * reportMs && host.failedCalls == 0 && !mute(host);
   }
 
   /** True when its report is late, so that it should be asked. */
@@ -225,16 +281,23 @@
     return clock.now() - lastHeard(host);
   }
 
-  /** True when it was asked several times and has been silent for a while. */
+  /**
+   * True when it was asked several times and has been silent for a while, or is mute and its lease
+   * has run out.
+   */
   boolean silent(Host host) {
     // What the leader before had missed already needs one call more, not a whole new judgement.
     boolean missedBefore = missedBefore(host);
     return host.expectedUp()
         && silentMs(host) > SILENT * reportMs
-        && host.failedCalls >= (missedBefore ? 1 : 2)
+        && (host.failedCalls >= (missedBefore ? 1 : 2) || leaseRanOut(host))
         && (missedBefore || clock.now() > judgeAgainAt);
   }
 
+  private boolean leaseRanOut(Host host) {
+    return mute(host) && silentMs(host) > DRIFT * leaseMs;
+  }
+
   private boolean missedBefore(Host host) {
     return !host.reached()
         && succeeded()
@@ -242,13 +305,14 @@
   }
 
   /**
-   * True when machines are there, and not one of them was heard for longer than any report takes.
+   * True when machines are there, and not one of them reported for longer than any report takes.
+   * That they answer calls keeps no lease.
    */
   boolean nobody() {
     long now = clock.now();
     boolean any = false;
     for (Host h : roster.all()) {
-      if (now - h.heardAt < SILENT * reportMs) {
+      if (now - h.reportedAt < SILENT * reportMs) {
         return false;
       }
       any |= h.up();
--- a/src/main/java/dapplestair/workers/Host.java
+++ b/src/main/java/dapplestair/workers/Host.java
@@ -15,6 +15,13 @@
   long tick = -1;
   long tokenSeen;
   long heardAt = Long.MIN_VALUE / 2;
+
+  /**
+   * When its worker last reported by itself, as one that hears us; until it does, when it was first
+   * reached. Answers to calls don't count: they renew no lease.
+   */
+  long reportedAt = Long.MIN_VALUE / 2;
+
   long recallAt = Long.MAX_VALUE;
   int strays;
 
@@ -48,6 +55,7 @@
   private boolean saidUp;
   private long leavesAt = Long.MAX_VALUE;
   private boolean outOfReach;
+  private boolean mute;
   private long zoneSilentMs;
 
   private int completed;
@@ -227,6 +235,15 @@
     outOfReach = value;
   }
 
+  /** True when it answers calls but does not report, so that its lease runs out. */
+  public boolean mute() {
+    return mute;
+  }
+
+  void setMute(boolean value) {
+    mute = value;
+  }
+
   /**
    * True when it still takes connections, but answers nothing: it hangs, and may go on at any time
    * within its lease. A machine without power, or behind a cut, takes none.
--- a/src/main/java/dapplestair/workers/ReportApplier.java
+++ b/src/main/java/dapplestair/workers/ReportApplier.java
@@ -71,8 +71,7 @@
     long challenge = Math.max(host.challenge, FencingToken.of(leadership.term(), 0));
     boolean reached = answer || r.token() >= challenge;
     if (reached) {
-      host.heardAt = clock.now();
-      hearing.heard(r.zone());
+      hearing.reached(host, r.zone(), !answer);
     }
     host.describe(r.endpoint(), types.get(r.type()), r.zone(), r.spot());
     if (!host.acknowledged && r.token() >= FencingToken.of(leadership.term(), 0)) {
--- a/src/main/java/dapplestair/workers/ReportHandler.java
+++ b/src/main/java/dapplestair/workers/ReportHandler.java
@@ -92,7 +92,7 @@
     }
     if (roster.isGone(r.host())) {
       if (roster.sentSince(r)) {
-        hearing.heard(r.zone());
+        hearing.heard(r.zone(), true);
       }
       keep(exchange, null);
       return;
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -178,6 +178,11 @@
     return hearing.zoneHeardNow(zone);
   }
 
+  /** True when some worker has reported by itself lately. */
+  public boolean anyReports() {
+    return hearing.anyReports();
+  }
+
   /** How long nothing was heard of it. */
   public long silentMs(Host host) {
     return hearing.silentMs(host);
@@ -217,6 +222,7 @@
     hearing.turn(reportMs / 8);
     for (Host h : List.copyOf(roster.all())) {
       h.setOutOfReach(hearing.silent(h));
+      h.setMute(hearing.mute(h));
       repeatHalts(h, now);
       // A machine that misses its report is asked at once.
       boolean unknown = !h.acknowledged && h.endpoint != null;
