--- a/src/main/java/dapplestair/workers/Courier.java
+++ b/src/main/java/dapplestair/workers/Courier.java
@@ -31,6 +31,7 @@
   }
 
   private static final int MOST_ORDERS = 200;
+  private static final int MOST_DOUBLINGS = 4;
 
   private final Clock clock;
   private final Timers timers;
@@ -138,7 +139,7 @@
         "POST",
         "/orders",
         Json.bytes(body),
-        callMs,
+        patienceMs(host),
         reply -> {
           if (leading && leadership.term() == term) {
             host.calling = false;
@@ -147,6 +148,17 @@
         });
   }
 
+  /**
+   * How long an answer is waited for. A machine that reports, and shows what earlier calls told it,
+   * though their answers came too late, is behind a slow link: with one patience for all it took no
+   * work for as long as its link was slow (OverloadTest). One that is not reached hangs or is deaf.
+   */
+  private long patienceMs(Host host) {
+    boolean reached = clock.now() - host.heardAt < 2 * reportMs;
+    int doublings = reached ? Math.min(MOST_DOUBLINGS, host.failedCalls) : 0;
+    return Math.min(reportMs, callMs << doublings);
+  }
+
   private void take(Host host, List<Order> orders, List<Attempt> launches) {
     Iterator<Order> it = host.outbox.values().iterator();
     while (it.hasNext() && orders.size() < MOST_ORDERS) {
--- a/src/test/java/dapplestair/world/Network.java
+++ b/src/test/java/dapplestair/world/Network.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
@@ -57,9 +58,11 @@
   private final Set<Pair> noticed = new HashSet<>();
   double loss = 0.001;
 
-  /** Slow links: up to so many milliseconds more for each message. */
+  /** Slow links: up to so many milliseconds more for each message between these two. */
   long slowMs;
 
+  BiPredicate<String, String> slow = (a, b) -> true;
+
   /** Share of requests of which a copy arrives late, and after how long at the most. */
   double copied;
 
@@ -175,7 +178,7 @@
     sim.after(
         1
             + (luck.nextDouble() < 0.02 ? luck.nextLong(20, 401) : luck.nextLong(0, 5))
-            + (slowMs > 0 ? luck.nextLong(slowMs / 2, slowMs + 1) : 0),
+            + (slowMs > 0 && slow.test(a, b) ? luck.nextLong(slowMs / 2, slowMs + 1) : 0),
         () -> {
           List<Runnable> w = held.get(p);
           if (w != null) {
--- /dev/null
+++ b/src/test/java/dapplestair/world/OverloadTest.java
@@ -0,0 +1,93 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * More work than room, urgent and not, over slow links, while leaders end: the urgent begins soon,
+ * the rest within its bound, nothing runs twice or beyond a limit.
+ */
+class OverloadTest {
+  private static final long OVERLOAD_MS = 90_000;
+
+  /** Within what urgent work begins: a boot, a stop with its saving, and slow messages. */
+  private static final long URGENT_MS = 40_000;
+
+  private final List<Users.Told> urgent = new ArrayList<>();
+
+  private void submit(World w, int number) {
+    String team = number % 2 == 0 ? "one" : "two";
+    switch (number % 4) {
+      case 0 -> w.users.array(team, "low", 16, 6);
+      case 1 ->
+          w.users.changed(
+              team,
+              8,
+              9,
+              b -> b.put("rank", "standard").put("snapshotEveryS", 3.0).put("snapshotS", 1.0));
+      case 2 -> urgent.add(w.users.array(team, "critical", 2, 5));
+      default ->
+          w.users.changed("guest", 12, 6, b -> b.put("rank", "low").put("jobclass", "guest"));
+    }
+  }
+
+  /** Twice as much as there is room for; links are slow, the leader ends {@code endsMs} later. */
+  @ParameterizedTest(name = "seed {0}, links up to {1} ms slower, leader ends after {2} ms")
+  @CsvSource({
+    "9501,0,-1",
+    "9503,300,30",
+    "9504,700,400",
+    "9506,300,3000",
+    "9507,700,17000",
+    "9508,1200,9000"
+  })
+  void urgentAndNotBeyondTheRoom(long seed, long slowMs, long endsMs) {
+    World w = new World(seed, World.Size.MIDDLE);
+    w.net.loss = 0;
+    w.users.quiet = true;
+    w.cloud.setCapacity(0.25);
+    w.users.service("one", 3);
+    w.users.service("two", 3);
+    w.run(20_000);
+    w.net.slowMs = slowMs;
+    w.net.slow = (a, b) -> !a.startsWith("state") && !b.startsWith("state");
+    int number = 0;
+    for (long at = 0; at < OVERLOAD_MS; at += 600) {
+      submit(w, number++);
+      w.run(600);
+      if (endsMs >= 0 && number % 50 == 25) {
+        w.sim.after(endsMs, () -> endLeader(w));
+        cancelSome(w);
+      }
+    }
+    w.net.slowMs = 0;
+    SeededDaysTest.settle(w);
+    for (Users.Told job : urgent) {
+      assertTrue(
+          !job.accepted || job.withdrawAsked || waitedMs(job) <= URGENT_MS,
+          () -> job.ref + " waited for " + waitedMs(job) + " ms");
+    }
+  }
+
+  private static long waitedMs(Users.Told job) {
+    return job.begunAt() - job.submittedAt;
+  }
+
+  private static void endLeader(World w) {
+    if (w.leader() != null) {
+      w.leader().crash(w.sim.between(300, 4000));
+    }
+  }
+
+  private static void cancelSome(World w) {
+    for (Users.Told job : List.copyOf(w.users.told.values())) {
+      if (job.accepted && !job.done && !job.withdrawAsked && w.sim.chance(0.2)) {
+        w.users.withdraw(job);
+      }
+    }
+  }
+}
