--- a/src/test/java/dapplestair/world/AnswerOrder.java
+++ b/src/test/java/dapplestair/world/AnswerOrder.java
@@ -68,7 +68,7 @@
             : path.substring(
                 SUBMISSIONS.length() + 1, path.length() - (withdrawal ? WITHDRAW.length() : 0));
     Question q = new Question(ref, method, withdrawal, job, known.getOrDefault(ref, Known.NOTHING));
-    if (q.submission() && OddJob.faultOf(job, world.size) == null) {
+    if (q.submission() && OddJob.faultOf(job, world) == null) {
       acceptable.add(ref);
     }
     return reply -> {
@@ -92,7 +92,7 @@
     if (q.then.accepted) {
       world.checker.broken("forgotten: " + q + " again gets " + status);
     }
-    OddJob.Fault fault = OddJob.faultOf(q.job, world.size);
+    OddJob.Fault fault = OddJob.faultOf(q.job, world);
     if (fault == null || fault.status != status) {
       world.checker.broken(q + " gets " + status + ", expected was " + fault);
     }
@@ -100,7 +100,7 @@
 
   private void told(Question q, int status, String state) {
     if (!acceptable.contains(q.ref)) {
-      OddJob.Fault fault = q.submission() ? OddJob.faultOf(q.job, world.size) : null;
+      OddJob.Fault fault = q.submission() ? OddJob.faultOf(q.job, world) : null;
       world.checker.broken("invented: " + q + " gets " + status + ", fault: " + fault);
     }
     if (q.then.accepted && status == 201) {
--- a/src/test/java/dapplestair/world/OddJob.java
+++ b/src/test/java/dapplestair/world/OddJob.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -59,7 +60,7 @@
   }
 
   /** What is wrong with it, or null. */
-  static Fault faultOf(JsonNode job, World.Size size) {
+  static Fault faultOf(JsonNode job, World world) {
     boolean whole =
         TEXTS.stream().allMatch(f -> job.path(f).isTextual())
             && AMOUNTS.stream().allMatch(f -> job.path(f).isNumber())
@@ -69,15 +70,15 @@
     if (!whole) {
       return Fault.MALFORMED;
     }
-    return fitsMachine(job) && fitsTeam(job, size) ? null : Fault.CANNOT_RUN;
+    return fitsMachine(job, world) && fitsTeam(job, world.size) ? null : Fault.CANNOT_RUN;
   }
 
-  private static boolean fitsMachine(JsonNode job) {
+  private static boolean fitsMachine(JsonNode job, World world) {
     return job.path("vcpus").asDouble() <= World.CPUS
         && job.path("memoryGb").asDouble() <= MEMORY_GB
         && job.path("accelerators").asDouble() == 0
         && (!job.path("basin").isTextual() || World.ZONES.contains(job.path("basin").asText()))
-        && (!job.path("hulls").isArray() || names(job).contains(World.TYPE));
+        && (!job.path("hulls").isArray() || !Collections.disjoint(names(job), world.types));
   }
 
   private static Set<String> names(JsonNode job) {
--- a/src/test/java/dapplestair/world/World.java
+++ b/src/test/java/dapplestair/world/World.java
@@ -89,6 +89,10 @@
   }
 
   final Size size;
+
+  /** Names of the machine types that the cloud has. */
+  final List<String> types;
+
   private final long seed;
   private final boolean operators;
 
@@ -125,7 +129,7 @@
   }
 
   World(long seed, Size size, boolean operators) {
-    this(seed, size, operators, List.of(machineType("t8")));
+    this(seed, size, operators, List.of(machineType(TYPE)));
   }
 
   /** A type of machine like the usual one. */
@@ -133,15 +137,16 @@
     return new Shape.Machine(name, CPUS, 0, 64, 50, 1, 1, 0.4, 4);
   }
 
-  World(long seed, Size size, boolean operators, List<Shape.Machine> types) {
+  World(long seed, Size size, boolean operators, List<Shape.Machine> machineTypes) {
     this.seed = seed;
+    this.types = machineTypes.stream().map(Shape.Machine::name).toList();
     this.operators = operators;
     this.size = size;
     sim = new Sim(seed);
     net = new Network(sim);
     Shape shape =
         new Shape(
-            types,
+            machineTypes,
             ZONES,
             size.perPlace(),
             0.05,
