A leader vouches for a cancellation only once it has all attempts at hand

A new leader that still read the records of jobs that are over answered that it carries their cancellation out. It now answers only that it knows, so the teller goes on.

HandoverTest.outAsTheNextOneBegins fails without it (4 of 4).

--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -192,6 +192,11 @@
       return core.ledger.places(ref);
     }
 
+    @Override
+    public boolean begun() {
+      return core.ledger.armed();
+    }
+
     @Override
     public boolean proved(String ref) {
       return core.leadership.leading() && core.ledger.nothingLeft(ref);
--- a/src/main/java/dapplestair/withdrawals/Withdrawals.java
+++ b/src/main/java/dapplestair/withdrawals/Withdrawals.java
@@ -39,6 +39,9 @@
     /** Where its tasks may be, by the records as this controller has them. */
     List<Withdrawal.Place> places(String ref);
 
+    /** True when this controller leads and has all attempts at hand. */
+    boolean begun();
+
     /** True when this controller leads and nothing of the job is left anywhere. */
     boolean proved(String ref);
   }
@@ -295,11 +298,20 @@
     int i = 0;
     for (WithdrawalCodec.Entry e : told.entries()) {
       learn(e);
-      how[i++] = !leadership.leading() ? KNOWN : listener.proved(e.ref()) ? PROVED : CARRIED_ON;
+      how[i++] = carriedOut(e.ref());
     }
     reply.accept(how);
   }
 
+  private byte carriedOut(String ref) {
+    // A leader that still reads what jobs that are over have on machines may not know of this one's
+    // tasks, and in an outage it reads no more: who waits for it then waits in vain.
+    if (!listener.begun()) {
+      return KNOWN;
+    }
+    return listener.proved(ref) ? PROVED : CARRIED_ON;
+  }
+
   private void learn(WithdrawalCodec.Entry e) {
     known.learn(e.ref(), e.ageMs(), e.places());
     if (known.told(e.ref())) {
--- a/src/test/java/dapplestair/world/HandoverTest.java
+++ b/src/test/java/dapplestair/world/HandoverTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Jobs are cancelled in the seconds in which the leader's work changes hands: some run, some are
@@ -74,6 +75,30 @@
     return w;
   }
 
+  /**
+   * Nobody leads when users are told, and the state service is out some milliseconds after the next
+   * leader has won: it may not have read yet what jobs that are over have on machines.
+   */
+  @ParameterizedTest(name = "out {0} ms after the next leader has won")
+  @ValueSource(ints = {3, 5, 9, 11})
+  void outAsTheNextOneBegins(int ms) {
+    GapTest.Day d = new GapTest.Day(12200 + ms);
+    World w = d.w;
+    d.stallEveryThird();
+    d.old.crash(9000);
+    d.withdrawn.forEach(t -> w.users.withdrawAt(t, d.second));
+    w.run(150);
+    while (w.leader() == null || w.leader() == d.old) {
+      w.run(1);
+    }
+    w.run(ms);
+    w.state.fail();
+    w.run(World.CANCEL_MS * 3 / 2);
+    w.state.recover();
+    w.run(90_000);
+    SeededDaysTest.settle(w);
+  }
+
   /** Arrays, a gang, a service and jobs of one task, whose launches are on their way. */
   private static void launch(World w, List<Users.Told> to) {
     to.add(w.users.array("one", "high", 4, 150));
