A gang does not run on without one of its members

Cause: a member that was stopped for more pressing work, or lost, can't join the others again, since workers let only members of one start meet. The others ran on to their end, of no use to anybody, in room that others waited for, and the gang began anew only after that.

Change: when a member is stopped, lost or fails, the others are stopped with it, saved where they save (reason gang), so that the gang begins anew as a whole as soon as it has room. What is stopped to make room counts the loss of all of a gang, not of one member.

GangTest: a member lost or stopped, with and without saving, the leader ends in between; without the change 3 of 6 fail (it has not begun anew within 50 s).

--- a/src/main/java/dapplestair/ledger/Attempts.java
+++ b/src/main/java/dapplestair/ledger/Attempts.java
@@ -44,6 +44,29 @@
     }
     a.halting = true;
     office.hooks.halt(a, windDownS);
+    stopRestOfGang(a);
+  }
+
+  /**
+   * Workers let only members of one start meet. Without this one the run of the others is of no
+   * use, and the gang can begin anew only once all of them are gone: so they are stopped with it,
+   * whether it was stopped, lost or failed (GangTest).
+   */
+  private void stopRestOfGang(Attempt missing) {
+    Job job = missing.job;
+    if (!job.spec().gang() || job.over() || missing.done || job.gangStopping) {
+      return;
+    }
+    job.gangStopping = true;
+    double windDownS = job.spec().saves() ? 2 * job.spec().saveS() : 0;
+    for (Chunk c : List.copyOf(job.chunks.values())) {
+      for (Attempt a : List.copyOf(c.live.values())) {
+        if (!a.exited && !a.halting) {
+          halt(a, windDownS, StopReason.GANG);
+        }
+      }
+    }
+    job.gangStopping = false;
   }
 
   /** A start that is soon stopped by command is none (PROTOCOL, "How aims are counted"). */
@@ -98,6 +121,7 @@
       emptied.accept(a.job);
     } else {
       writer.dirty(a.job, c, false);
+      stopRestOfGang(a);
     }
     office.hooks.changed();
   }
--- a/src/main/java/dapplestair/ledger/Job.java
+++ b/src/main/java/dapplestair/ledger/Job.java
@@ -35,6 +35,10 @@
   int held;
   long gangNumber;
   final IntOpenHashSet gangSteps = new IntOpenHashSet();
+
+  /** Its members are being stopped, since one of them is missing. */
+  boolean gangStopping;
+
   private int firstOpen;
 
   // Progress that checkpoints keep, as far as this leader has seen it: for estimates only.
--- a/src/main/java/dapplestair/ledger/StopReason.java
+++ b/src/main/java/dapplestair/ledger/StopReason.java
@@ -11,7 +11,9 @@
   /** The cloud is about to take its machine. */
   NOTICE,
   /** Its machine or zone is being emptied. */
-  DRAIN;
+  DRAIN,
+  /** Another member of its gang is missing. */
+  GANG;
 
   /** The form shown to people. */
   public String shown() {
--- a/src/main/java/dapplestair/placement/Evictions.java
+++ b/src/main/java/dapplestair/placement/Evictions.java
@@ -231,6 +231,8 @@
     double ran = a.ranS(clock.now());
     double lost = a.spec().saves() ? Math.min(ran - a.keptS(ran), a.spec().saveS()) : ran;
     double rank = (Rank.values().length - a.spec().rank().ordinal()) * 1e6;
-    return rank + lost * a.spec().cpus();
+    // With one member a gang loses all of them.
+    int tasks = a.spec().gang() ? a.job().held() : 1;
+    return rank + lost * a.spec().cpus() * tasks;
   }
 }
