Launch, halt and clear explored exhaustively, with the product's own rules for tokens and proofs

The proof of absence was tested by chance alone. Package dapplestair.model (tests) is an explicit-state model, breadth-first: one task, one or two machines, two leaders (the first is deposed without knowing it), up to two attempts and two sessions, tokens raised by leaders, by clears and by another controller, a network that loses, delays, reorders and repeats messages and reports, transactions carried out late, leases that expire at any moment, a cancellation at any moment. Workers follow PROTOCOL. Leaders decide by the product's code: Attempt, Evidence.provedAbsent, Report.after, FencingToken, and Fencing, which holds what was spread over Courier and ReportApplier (no change of behaviour). Time has no part in it; batches that share one record, and who may keep a lease, are not in it.

Invariant: one attempt of the task runs at the most; no attempt runs after its proof; nothing runs after a leader said that nothing of a cancelled job is left. No rule is broken. ExploreTaskProtocol goes further by hand.

--- a/src/main/java/dapplestair/ledger/Attempt.java
+++ b/src/main/java/dapplestair/ledger/Attempt.java
@@ -1,5 +1,6 @@
 package dapplestair.ledger;
 
+import dapplestair.leadership.FencingToken;
 import dapplestair.work.Report;
 import dapplestair.work.Submission;
 
@@ -187,6 +188,22 @@
     neededToken = fence;
   }
 
+  /**
+   * Read from the records of an earlier leader. Its launch may still be on its way: only a report
+   * under a token of this term proves anything about it.
+   */
+  void adoptedBy(long term) {
+    phase = Phase.SENT;
+    adopted = true;
+    neededToken = FencingToken.of(term, 0);
+  }
+
+  /** A report of its session shows it. Recorded but not sent, it is of an earlier leader's time. */
+  void seenOnMachine() {
+    phase = Phase.SENT;
+    neededToken = 0;
+  }
+
   /** A stop was sent. */
   public void haltSent(long now, double newWindDownS) {
     lastHaltAt = now;
--- a/src/main/java/dapplestair/ledger/Evidence.java
+++ b/src/main/java/dapplestair/ledger/Evidence.java
@@ -51,7 +51,8 @@
     return office.armed() ? strays : List.of();
   }
 
-  private static boolean provedAbsent(Attempt a, Report r) {
+  /** True when this report, newer than any before, proves that the attempt is not there. */
+  static boolean provedAbsent(Attempt a, Report r) {
     // A later session has killed all that the earlier one ran, and refuses launches meant for it.
     if (r.session() > a.session) {
       return true;
@@ -61,11 +62,7 @@
   }
 
   private void seen(Machine host, Attempt a, Report.Task t) {
-    if (!a.sent()) {
-      // Recorded but not sent cannot be there; an earlier life of this record can.
-      a.phase = Attempt.Phase.SENT;
-    }
-    a.neededToken = 0;
+    a.seenOnMachine();
     if (a.status != t.status()) {
       long now = office.clock.now();
       if (a.status == Report.Status.RUNNING) {
--- a/src/main/java/dapplestair/ledger/Takeover.java
+++ b/src/main/java/dapplestair/ledger/Takeover.java
@@ -1,6 +1,5 @@
 package dapplestair.ledger;
 
-import dapplestair.leadership.FencingToken;
 import dapplestair.state.Keys;
 import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
@@ -191,11 +190,7 @@
   private void enter(
       Job job, Chunk c, int step, long number, String host, String zone, long session) {
     Attempt a = new Attempt(job, step, number, host, zone, session, office.clock.now());
-    // Its launch may still be on its way from an earlier leader: only a report under a token of
-    // this term proves anything about it.
-    a.phase = Attempt.Phase.SENT;
-    a.adopted = true;
-    a.neededToken = FencingToken.of(office.term(), 0);
+    a.adoptedBy(office.term());
     attempts.enter(c, a);
   }
 
--- a/src/main/java/dapplestair/workers/Courier.java
+++ b/src/main/java/dapplestair/workers/Courier.java
@@ -125,13 +125,8 @@
     if (orders.isEmpty() && !evenEmpty) {
       return;
     }
-    if (orders.stream().anyMatch(o -> o instanceof Order.Clear)) {
-      // Once cleared, an attempt is forgotten: a copy of the message that launched it, come late,
-      // would start it again. It carries a lower token than this one.
-      host.fence++;
-    }
+    Fencing.sending(host, orders, launches);
     ObjectNode body = Order.call(token(host), host.session, orders);
-    launches.forEach(Attempt::launchSent);
     host.calling = true;
     long term = leadership.term();
     http.call(
@@ -168,13 +163,8 @@
       }
       it.remove();
       if (o instanceof Order.Launch) {
-        Attempt a = host.attempt(o.key());
-        // Dropped meanwhile, or planned for a session that has ended.
-        if (a == null
-            || a.number() != o.attempt()
-            || a.sent()
-            || a.job().over()
-            || a.session() != host.session) {
+        Attempt a = Fencing.due(host, o);
+        if (a == null) {
           continue;
         }
         launches.add(a);
@@ -200,7 +190,7 @@
     boolean executed = reply.status() == 200;
     if (executed || reply.status() == 409) {
       host.failedCalls = 0;
-      launches.forEach(Attempt::launchAnswered);
+      Fencing.answered(launches);
       Report r = Report.parse(Json.parse(reply.body()));
       if (r != null && r.host().equals(host.id())) {
         listener.report(host, r);
@@ -212,23 +202,19 @@
       return;
     }
     host.failedCalls++;
-    // Raised for launches that may still be executed, and so that a report tells whether it was
-    // sent since: see Host.challenge.
-    host.fence++;
+    boolean sent = reply.status() != HttpReply.NOT_SENT;
+    Fencing.unanswered(host, leadership.term(), launches, sent);
+    // A report that shows the raised token was sent since.
     if (host.tokenSeen >= host.challenge) {
       host.challenge = token(host);
     }
     // The connection of the first failed call was closed, so a later call has made a new one.
-    host.lastCallConnected = reply.status() != HttpReply.NOT_SENT;
+    host.lastCallConnected = sent;
     host.callAgainAt = clock.now() + Math.min(reportMs / 3, 100L << Math.min(4, host.failedCalls));
-    if (reply.status() == HttpReply.NOT_SENT) {
-      launches.forEach(Attempt::launchNotSent);
-      orders.forEach(o -> host.outbox.putIfAbsent(o.id(), o));
-    } else {
-      // The launches may still be executed, at any later time, until the worker has seen a
-      // raised token: nothing is concluded before it is shown.
-      launches.forEach(a -> a.launchUnknown(token(host)));
+    if (sent) {
       requeue(host, orders);
+    } else {
+      orders.forEach(o -> host.outbox.putIfAbsent(o.id(), o));
     }
     if (host.failedCalls == 2) {
       listener.unanswered(host);
--- /dev/null
+++ b/src/main/java/dapplestair/workers/Fencing.java
@@ -0,0 +1,70 @@
+package dapplestair.workers;
+
+import dapplestair.leadership.FencingToken;
+import dapplestair.ledger.Attempt;
+import dapplestair.work.Order;
+import java.util.List;
+
+/**
+ * How a machine's token rises with the messages sent to it, and what each outcome says about the
+ * launches in a message. The rules are explored exhaustively by the tests' package {@code model}.
+ */
+final class Fencing {
+  private Fencing() {}
+
+  /** The attempt that this launch is still due for, or null. */
+  static Attempt due(Host host, Order launch) {
+    Attempt a = host.attempt(launch.key());
+    // Dropped meanwhile, or planned for a session that has ended.
+    boolean due =
+        a != null
+            && a.number() == launch.attempt()
+            && !a.sent()
+            && !a.job().over()
+            && a.session() == host.session;
+    return due ? a : null;
+  }
+
+  /** A message with these orders is about to leave; its token is read after this. */
+  static void sending(Host host, List<Order> orders, List<Attempt> launches) {
+    if (orders.stream().anyMatch(o -> o instanceof Order.Clear)) {
+      // Once cleared, an attempt is forgotten: a copy of the message that launched it, come late,
+      // would start it again. It carries a lower token than this one.
+      host.fence++;
+    }
+    launches.forEach(Attempt::launchSent);
+  }
+
+  /** The worker answered: the whole message was executed or refused. */
+  static void answered(List<Attempt> launches) {
+    launches.forEach(Attempt::launchAnswered);
+  }
+
+  /**
+   * No answer. If the message was {@code sent}, its launches may be executed at any later time
+   * until the worker has seen the token that is raised here: nothing is concluded before it is
+   * shown.
+   */
+  static void unanswered(Host host, long term, List<Attempt> launches, boolean sent) {
+    host.fence++;
+    long token = FencingToken.of(term, host.fence);
+    launches.forEach(
+        a -> {
+          if (sent) {
+            a.launchUnknown(token);
+          } else {
+            a.launchNotSent();
+          }
+        });
+  }
+
+  /**
+   * The worker shows this token. Another controller may have raised it within the term: what lies
+   * below is not executed any more.
+   */
+  static void shown(Host host, long term, long token) {
+    if (FencingToken.term(token) == term) {
+      host.fence = Math.max(host.fence, FencingToken.fence(token));
+    }
+  }
+}
--- a/src/main/java/dapplestair/workers/ReportApplier.java
+++ b/src/main/java/dapplestair/workers/ReportApplier.java
@@ -57,10 +57,7 @@
     if (!leading.getAsBoolean() || !leadership.leading()) {
       return;
     }
-    if (FencingToken.term(r.token()) == leadership.term()) {
-      // Another controller may have raised it: what lies below is not executed any more.
-      host.fence = Math.max(host.fence, FencingToken.fence(r.token()));
-    }
+    Fencing.shown(host, leadership.term(), r.token());
     if (!r.after(host.session, host.tick) || host.gone()) {
       return;
     }
--- /dev/null
+++ b/src/test/java/dapplestair/model/TaskProtocolTest.java
@@ -0,0 +1,60 @@
+package dapplestair.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Launch, halt and clear before and after one another, over leaders, sessions and tokens: all
+ * states within each bound. The counts are asserted, so that a change of the model, or of the
+ * product's rules in it, does not make the enumeration smaller unseen; {@link ExploreTaskProtocol}
+ * goes further than a build has time for.
+ */
+class TaskProtocolTest {
+  private static final int MOST_STATES = 200_000;
+
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    // successor, machines, attempts, sessions, raises, messages, reports, raised by others, late
+    // answers, cancellation; states, transitions
+    "one leader two sessions,false,1,2,2,2,2,1,false,false,false,53047,282102",
+    "late answers,false,1,2,1,1,2,1,false,true,false,3442,17091",
+    "a leader and its successor,true,1,1,1,1,1,1,false,false,false,92098,628426",
+    "a cancellation meets the successor,true,1,1,1,0,1,1,false,false,true,18657,121857",
+    "another controller raises the token,false,1,1,1,1,2,1,true,true,false,3835,18732",
+    "two machines,false,2,2,1,0,1,1,false,false,false,16109,109982"
+  })
+  void noRuleIsBroken(
+      String name,
+      boolean successor,
+      int machines,
+      int attempts,
+      int sessions,
+      int raises,
+      int messages,
+      int reports,
+      boolean raisedByOthers,
+      boolean lateAnswers,
+      boolean cancellation,
+      int states,
+      long transitions) {
+    Bounds bounds =
+        new Bounds(
+            successor,
+            machines,
+            attempts,
+            sessions,
+            raises,
+            messages,
+            reports,
+            raisedByOthers,
+            lateAnswers,
+            cancellation);
+    Explorer.Result result = new Explorer(new TaskProtocol(bounds), MOST_STATES).explore();
+    assertNull(result.broken(), () -> result.broken() + ":\n" + String.join("\n", result.trace()));
+    assertEquals(states, result.states(), "states");
+    assertEquals(transitions, result.transitions(), "transitions");
+  }
+}
--- /dev/null
+++ b/src/test/java/dapplestair/model/Worker.java
@@ -0,0 +1,100 @@
+package dapplestair.model;
+
+import dapplestair.ledger.AttemptRules;
+import dapplestair.work.Order;
+import dapplestair.work.Report;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** A machine's worker by PROTOCOL, with the attempts of one task. */
+final class Worker {
+  /** What the worker knows of an attempt. */
+  enum Task {
+    UNKNOWN,
+    RUNNING,
+    EXITED
+  }
+
+  final String host;
+  long session = 1;
+  long token;
+  long tick;
+  final Task[] tasks;
+
+  Worker(String host, int attempts) {
+    this.host = host;
+    tasks = new Task[attempts];
+    Arrays.fill(tasks, Task.UNKNOWN);
+  }
+
+  Worker(Worker other) {
+    host = other.host;
+    session = other.session;
+    token = other.token;
+    tick = other.tick;
+    tasks = other.tasks.clone();
+  }
+
+  boolean running(int attempt) {
+    return tasks[attempt - 1] == Task.RUNNING;
+  }
+
+  boolean busy() {
+    return Arrays.asList(tasks).contains(Task.RUNNING);
+  }
+
+  /** A report as sent now. */
+  Report report() {
+    tick++;
+    List<Report.Task> listed = new ArrayList<>();
+    for (int i = 0; i < tasks.length; i++) {
+      if (tasks[i] == Task.RUNNING) {
+        listed.add(task(i + 1, Report.Status.RUNNING, null));
+      } else if (tasks[i] == Task.EXITED) {
+        listed.add(task(i + 1, Report.Status.EXITED, "stopped"));
+      }
+    }
+    return new Report(host, host, "t", "a", false, session, tick, token, Double.NaN, listed);
+  }
+
+  private static Report.Task task(long number, Report.Status status, String cause) {
+    return new Report.Task(AttemptRules.TASK, number, status, cause, false);
+  }
+
+  /** True when a message would be refused now, and so at any later time. */
+  boolean refuses(Message m) {
+    return m.token() < token || m.session() != session;
+  }
+
+  /** Executes a message unless it is refused; true when it was executed. */
+  boolean execute(Message m) {
+    if (refuses(m)) {
+      return false;
+    }
+    token = m.token();
+    m.orders().forEach(this::execute);
+    return true;
+  }
+
+  private void execute(Order order) {
+    int i = (int) order.attempt() - 1;
+    if (order instanceof Order.Launch && tasks[i] == Task.UNKNOWN) {
+      // One that is refused as busy is known as exited.
+      tasks[i] = busy() ? Task.EXITED : Task.RUNNING;
+    } else if (order instanceof Order.Halt && tasks[i] == Task.RUNNING) {
+      tasks[i] = Task.EXITED;
+    } else if (order instanceof Order.Clear && tasks[i] == Task.EXITED) {
+      tasks[i] = Task.UNKNOWN;
+    }
+  }
+
+  void exit(int attempt) {
+    tasks[attempt - 1] = Task.EXITED;
+  }
+
+  void leaseExpires() {
+    session++;
+    Arrays.fill(tasks, Task.UNKNOWN);
+  }
+}
--- /dev/null
+++ b/src/test/java/dapplestair/workers/FencingRules.java
@@ -0,0 +1,52 @@
+package dapplestair.workers;
+
+import dapplestair.ledger.Attempt;
+import dapplestair.work.Order;
+import java.util.List;
+
+/** Opens the rules for tokens and launches to the model in package {@code model}. */
+public final class FencingRules {
+  private FencingRules() {}
+
+  /** A machine of a leader that has raised its token so often, in this session of its worker. */
+  private static Host host(long fence, long session) {
+    Host host = new Host("n-1", 0);
+    host.fence = fence;
+    host.session = session;
+    return host;
+  }
+
+  /** True when the launch is still due for the attempt, which may be null. */
+  public static boolean due(long session, Attempt attempt, Order launch) {
+    Host host = host(0, session);
+    if (attempt != null) {
+      host.hold(attempt);
+    }
+    return Fencing.due(host, launch) != null;
+  }
+
+  /** The fence after a message with these orders was made up. */
+  public static long sending(long fence, List<Order> orders, List<Attempt> launches) {
+    Host host = host(fence, 0);
+    Fencing.sending(host, orders, launches);
+    return host.fence;
+  }
+
+  public static void answered(List<Attempt> launches) {
+    Fencing.answered(launches);
+  }
+
+  /** The fence after a message got no answer. */
+  public static long unanswered(long fence, long term, List<Attempt> launches, boolean sent) {
+    Host host = host(fence, 0);
+    Fencing.unanswered(host, term, launches, sent);
+    return host.fence;
+  }
+
+  /** The fence after a worker has shown this token. */
+  public static long shown(long fence, long term, long token) {
+    Host host = host(fence, 0);
+    Fencing.shown(host, term, token);
+    return host.fence;
+  }
+}
