Duplicated logic: guarded writes and recent entries in one place each

Zones, Calendars, Weights, LostWork, Steps and ClaimWriter each put their records on condition that this controller leads, and each dropped the outcomes of an earlier term's writes by a counter of its own: GuardedWriter does both for all. Unanswered and SentOn each kept entries in order of use and dropped old ones and those too many: RecentMap.

--- a/src/main/java/dapplestair/calendar/Calendars.java
+++ b/src/main/java/dapplestair/calendar/Calendars.java
@@ -4,6 +4,7 @@
 import dapplestair.calendar.Cycle.By;
 import dapplestair.events.Events;
 import dapplestair.json.Json;
+import dapplestair.leadership.GuardedWriter;
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
@@ -46,6 +47,7 @@
   private final Settings settings;
   private final Map<String, RunCalendar> calendars = new LinkedHashMap<>();
   private final StateClient state;
+  private final GuardedWriter writer;
   private final Replica replica;
   private final Leadership leadership;
   private final Ledger ledger;
@@ -59,7 +61,6 @@
   private Runnable changed = () -> {};
   private DoubleSupplier bootS = () -> 0;
   private Cancellable timer = () -> {};
-  private int generation;
 
   /** The calendars of the operators' file; without any, nothing here costs anything. */
   public Calendars(
@@ -76,6 +77,7 @@
     this.timers = timers;
     this.settings = settings;
     this.state = state;
+    this.writer = new GuardedWriter(state, leadership, settings.workers().reportMs());
     this.replica = replica;
     this.leadership = leadership;
     this.ledger = ledger;
@@ -111,7 +113,7 @@
 
   /** Forgets all: the replica tells its records again. */
   public void clear() {
-    generation++;
+    writer.reset();
     timer.cancel();
     cycles.clear();
     marks.clear();
@@ -122,7 +124,7 @@
 
   /** Goes on with the cycles on record; to be called before anything is placed. */
   public void lead() {
-    generation++;
+    writer.reset();
     if (!calendars.isEmpty()) {
       tick();
     }
@@ -170,15 +172,14 @@
 
   private void release(RunCalendar c, Cycle next) {
     writing.add(c.name());
-    int written = generation;
     String key = Keys.CALENDAR + c.name();
-    Txn txn = leadership.guard(new Txn()).when(key, replica.stamp(key)).put(key, next.toJson());
-    state.commit(
-        txn,
+    writer.put(
+        key,
+        replica.stamp(key),
+        next.toJson(),
         Priority.REPLICA,
-        settings.workers().reportMs(),
         outcome -> {
-          if (written != generation || leadership.deposedBy(outcome)) {
+          if (leadership.deposedBy(outcome)) {
             return;
           }
           if (outcome instanceof Outcome.Applied) {
@@ -211,7 +212,7 @@
 
   /** Marks of cycles that are over are taken out, a few at a time, one period after their end. */
   private void compact(RunCalendar c, Cycle last) {
-    Txn txn = leadership.guard(new Txn());
+    Txn txn = writer.transaction();
     marks
         .getOrDefault(c.name(), Map.of())
         .forEach(
@@ -224,13 +225,11 @@
             });
     if (txn.size() > 0) {
       writing.add(c.name());
-      int written = generation;
-      state.commit(
+      writer.commit(
           txn,
           Priority.BOOKKEEPING,
-          settings.workers().reportMs(),
           outcome -> {
-            if (written == generation && !leadership.deposedBy(outcome)) {
+            if (!leadership.deposedBy(outcome)) {
               timers.after(settings.workers().reportMs() / 3, () -> writing.remove(c.name()));
             }
           });
--- a/src/main/java/dapplestair/disruption/LostWork.java
+++ b/src/main/java/dapplestair/disruption/LostWork.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.json.Json;
+import dapplestair.leadership.GuardedWriter;
 import dapplestair.leadership.Leadership;
 import dapplestair.ports.Clock;
 import dapplestair.settings.Budgets;
@@ -12,7 +13,6 @@
 import dapplestair.state.Replica;
 import dapplestair.state.StateClient;
 import dapplestair.state.StateClient.Priority;
-import dapplestair.state.Txn;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
@@ -31,14 +31,12 @@
   private static final double SHARE = 1 / 16.0;
 
   private final Clock clock;
-  private final Settings settings;
   private final Budgets budgets;
-  private final StateClient state;
+  private final GuardedWriter writer;
   private final Replica replica;
   private final Leadership leadership;
   private final Map<String, Account> accounts = new HashMap<>();
   private boolean leading;
-  private int generation;
 
   private static final class Account {
     /** What is on record as reserved, by slice. */
@@ -60,9 +58,8 @@
       Replica replica,
       Leadership leadership) {
     this.clock = clock;
-    this.settings = settings;
     this.budgets = budgets;
-    this.state = state;
+    this.writer = new GuardedWriter(state, leadership, settings.workers().reportMs());
     this.replica = replica;
     this.leadership = leadership;
   }
@@ -82,7 +79,7 @@
 
   void lead() {
     leading = true;
-    generation++;
+    writer.reset();
     long slice = slice();
     for (Account a : accounts.values()) {
       // All that is reserved counts as spent: the former leader may have done so.
@@ -94,7 +91,7 @@
 
   void clear() {
     leading = false;
-    generation++;
+    writer.reset();
     accounts.clear();
   }
 
@@ -193,16 +190,12 @@
         .tailMap(slice - HOUR_MS / SLICE_MS)
         .forEach((s, r) -> slices.put(Long.toString(s), (double) r));
     slices.put(Long.toString(slice), Math.max(reserve, a.reserved.getOrDefault(slice, 0.0)));
-    Txn txn = leadership.guard(new Txn()).when(key, replica.stamp(key)).put(key, value);
-    int written = generation;
-    state.commit(
-        txn,
+    writer.put(
+        key,
+        replica.stamp(key),
+        value,
         Priority.BOOKKEEPING,
-        settings.workers().reportMs(),
         outcome -> {
-          if (written != generation) {
-            return;
-          }
           // Without an answer the replica tells what is on record; until then nothing is granted.
           a.writing = false;
           if (outcome instanceof Outcome.Applied) {
--- a/src/main/java/dapplestair/lane/ClaimWriter.java
+++ b/src/main/java/dapplestair/lane/ClaimWriter.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.json.Json;
+import dapplestair.leadership.GuardedWriter;
 import dapplestair.leadership.Leadership;
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
@@ -34,7 +35,7 @@
 
   private final Timers timers;
   private final Settings settings;
-  private final StateClient state;
+  private final GuardedWriter writer;
   private final Replica replica;
   private final Leadership leadership;
   private final Source source;
@@ -44,7 +45,6 @@
 
   // Of the last put that was answered: a copy of an earlier one, come late, is refused.
   private final Map<String, Long> stamps = new HashMap<>();
-  private int generation;
 
   ClaimWriter(
       Timers timers,
@@ -55,7 +55,7 @@
       Source source) {
     this.timers = timers;
     this.settings = settings;
-    this.state = state;
+    this.writer = new GuardedWriter(state, leadership, settings.workers().reportMs());
     this.replica = replica;
     this.leadership = leadership;
     this.source = source;
@@ -63,12 +63,12 @@
 
   /** Answers to earlier writes count no more. */
   void lead() {
-    generation++;
+    writer.reset();
   }
 
   /** Forgets all that is under way. */
   void clear() {
-    generation++;
+    writer.reset();
     writing.clear();
     stamps.clear();
   }
@@ -80,23 +80,14 @@
       writing.put(lane, true);
       return;
     }
-    int writtenIn = generation;
     List<OpenClaim> claims = source.open(lane);
-    state.commit(
-        transaction(lane, claims),
-        priority,
-        settings.workers().reportMs(),
-        outcome -> {
-          if (writtenIn == generation) {
-            written(lane, claims, outcome);
-          }
-        });
+    writer.commit(transaction(lane, claims), priority, outcome -> written(lane, claims, outcome));
   }
 
   private Txn transaction(String lane, List<OpenClaim> claims) {
     String key = Keys.LANE + lane;
     long stamp = stamps.computeIfAbsent(lane, l -> replica.stamp(key));
-    Txn txn = leadership.guard(new Txn()).when(key, stamp);
+    Txn txn = writer.transaction().when(key, stamp);
     return claims.isEmpty() ? txn.remove(key) : txn.put(key, toJson(claims));
   }
 
--- a/src/main/java/dapplestair/replacement/Steps.java
+++ b/src/main/java/dapplestair/replacement/Steps.java
@@ -3,6 +3,7 @@
 import dapplestair.drain.Drains;
 import dapplestair.events.Events;
 import dapplestair.fleet.Slot;
+import dapplestair.leadership.GuardedWriter;
 import dapplestair.leadership.Leadership;
 import dapplestair.machines.MachineTypes;
 import dapplestair.ports.Clock;
@@ -12,7 +13,6 @@
 import dapplestair.state.Outcome;
 import dapplestair.state.StateClient;
 import dapplestair.state.StateClient.Priority;
-import dapplestair.state.Txn;
 import dapplestair.workers.Host;
 import java.util.HashSet;
 import java.util.List;
@@ -35,7 +35,7 @@
 
   private final Clock clock;
   private final Settings settings;
-  private final StateClient state;
+  private final GuardedWriter writer;
   private final Leadership leadership;
   private final MachineTypes types;
   private final Drains drains;
@@ -48,7 +48,6 @@
   private final Runnable changed;
   private long leadingSince;
   private boolean lags;
-  private int generation;
 
   /** Works on {@code orders}; {@code changed} hears of each step that is on record. */
   Steps(
@@ -67,7 +66,7 @@
       Runnable changed) {
     this.clock = clock;
     this.settings = settings;
-    this.state = state;
+    this.writer = new GuardedWriter(state, leadership, settings.workers().reportMs());
     this.leadership = leadership;
     this.types = types;
     this.drains = drains;
@@ -82,7 +81,7 @@
 
   /** A new leader, or none: what an earlier one has under way means nothing here. */
   void begin() {
-    generation++;
+    writer.reset();
     leadingSince = clock.now();
   }
 
@@ -281,16 +280,12 @@
   private void write(Running r, Progress next, Runnable then) {
     r.writing = true;
     String key = Keys.REPLACE + r.name;
-    Txn txn = leadership.guard(new Txn()).when(key, r.stamp).put(key, r.record(next));
-    int written = generation;
-    state.commit(
-        txn,
+    writer.put(
+        key,
+        r.stamp,
+        r.record(next),
         Priority.BOOKKEEPING,
-        settings.workers().reportMs(),
         outcome -> {
-          if (written != generation) {
-            return;
-          }
           Running now = orders.get(r.name);
           if (now != null) {
             now.writing = false;
--- a/src/main/java/dapplestair/submissions/Unanswered.java
+++ b/src/main/java/dapplestair/submissions/Unanswered.java
@@ -1,9 +1,7 @@
 package dapplestair.submissions;
 
 import dapplestair.ports.Clock;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.Map;
+import dapplestair.work.RecentMap;
 
 /**
  * Jobs about which this controller was asked in vain, and for how long. Users ask again every few
@@ -15,42 +13,29 @@
   private record Asked(long since, long last) {}
 
   private final Clock clock;
-  private final long keptMs;
-  private final Map<String, Asked> jobs = new LinkedHashMap<>();
+  private final RecentMap<String, Asked> jobs;
 
   /** One that was not asked again for {@code keptMs} does not count any more. */
   Unanswered(Clock clock, long keptMs) {
     this.clock = clock;
-    this.keptMs = keptMs;
+    this.jobs = new RecentMap<>(clock, keptMs, MOST_KEPT, Asked::last);
   }
 
   /** A question about this job could not be answered. */
   void inVain(String ref) {
     long now = clock.now();
     Asked before = jobs.remove(ref);
-    forget(now);
-    // Those asked last stand at the end.
     jobs.put(ref, new Asked(before == null ? now : before.since(), now));
   }
 
-  private void forget(long now) {
-    Iterator<Asked> oldest = jobs.values().iterator();
-    while (oldest.hasNext() && (now - oldest.next().last() > keptMs || jobs.size() >= MOST_KEPT)) {
-      oldest.remove();
-    }
-  }
-
   /** A question about this job was answered. */
   void answered(String ref) {
-    if (!jobs.isEmpty()) {
-      jobs.remove(ref);
-    }
+    jobs.remove(ref);
   }
 
   /** For how long at the most a job that is still asked about has had no answer here. */
   long longestMs() {
     long now = clock.now();
-    forget(now);
     return jobs.values().stream().mapToLong(a -> now - a.since()).max().orElse(0);
   }
 }
--- a/src/main/java/dapplestair/weights/Weights.java
+++ b/src/main/java/dapplestair/weights/Weights.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.Sets;
 import com.google.common.hash.Hashing;
+import dapplestair.leadership.GuardedWriter;
 import dapplestair.leadership.Leadership;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
@@ -40,6 +41,7 @@
   private final Timers timers;
   private final Settings settings;
   private final StateClient state;
+  private final GuardedWriter writer;
   private final Leadership leadership;
   private final WorkerDesk desk;
 
@@ -49,7 +51,6 @@
   private long ledSince;
   private boolean leading;
   private boolean writing;
-  private int generation;
 
   /** Nothing is known. */
   public Weights(
@@ -63,6 +64,7 @@
     this.timers = timers;
     this.settings = settings;
     this.state = state;
+    this.writer = new GuardedWriter(state, leadership, settings.workers().reportMs());
     this.leadership = leadership;
     this.desk = desk;
   }
@@ -87,7 +89,7 @@
 
   /** Forgets all: the replica tells its records again. */
   public void clear() {
-    generation++;
+    writer.reset();
     timer.cancel();
     records.clear();
     leading = false;
@@ -98,7 +100,7 @@
 
   /** Takes up what is on record; to be called before anything is placed. */
   public void lead() {
-    generation++;
+    writer.reset();
     leading = true;
     ledSince = clock.now();
     hint();
@@ -170,19 +172,17 @@
 
   private void write(String key, Holders holders) {
     writing = true;
-    int written = generation;
-    Txn txn = leadership.guard(new Txn());
+    Txn txn = writer.transaction();
     if (holders == null) {
       txn.remove(key);
     } else {
       txn.put(key, holders.toJson(settings.state().valueBytes()));
     }
-    state.commit(
+    writer.commit(
         txn,
         Priority.BOOKKEEPING,
-        settings.workers().reportMs(),
         outcome -> {
-          if (written != generation || leadership.deposedBy(outcome)) {
+          if (leadership.deposedBy(outcome)) {
             return;
           }
           writing = false;
--- a/src/main/java/dapplestair/workers/SentOn.java
+++ b/src/main/java/dapplestair/workers/SentOn.java
@@ -1,10 +1,8 @@
 package dapplestair.workers;
 
 import dapplestair.ports.Clock;
+import dapplestair.work.RecentMap;
 import dapplestair.work.Report;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.Map;
 
 /**
  * Workers that this controller has lately sent on to another one. One that comes again did not get
@@ -18,21 +16,18 @@
 
   private final Clock clock;
   private final long keptMs;
-  private final Map<String, Last> workers = new LinkedHashMap<>();
+  private final RecentMap<String, Last> workers;
 
   SentOn(Clock clock, long keptMs) {
     this.clock = clock;
     this.keptMs = keptMs;
+    this.workers = new RecentMap<>(clock, keptMs, MOST_KEPT, Last::at);
   }
 
   /** Notes a report that is not taken here; true when its worker was sent on within a lease. */
   boolean again(Report r) {
     long now = clock.now();
     Last last = workers.remove(r.host());
-    Iterator<Last> oldest = workers.values().iterator();
-    while (oldest.hasNext() && (now - oldest.next().at() > keptMs || workers.size() >= MOST_KEPT)) {
-      oldest.remove();
-    }
     boolean newer = last == null || r.after(last.session(), last.tick());
     workers.put(r.host(), newer ? new Last(r.session(), r.tick(), now) : last);
     return last != null && (!newer || now - last.at() <= keptMs);
--- a/src/main/java/dapplestair/zones/Zones.java
+++ b/src/main/java/dapplestair/zones/Zones.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dapplestair.events.Events;
+import dapplestair.leadership.GuardedWriter;
 import dapplestair.leadership.Leadership;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
@@ -13,7 +14,6 @@
 import dapplestair.state.Replica;
 import dapplestair.state.StateClient;
 import dapplestair.state.StateClient.Priority;
-import dapplestair.state.Txn;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import dapplestair.zones.ZoneLife.State;
@@ -47,6 +47,7 @@
   private final Timers timers;
   private final Settings settings;
   private final StateClient state;
+  private final GuardedWriter writer;
   private final Replica replica;
   private final Leadership leadership;
   private final WorkerDesk desk;
@@ -56,7 +57,6 @@
   private final Set<String> writing = new HashSet<>();
   private final Map<String, Long> triedAt = new HashMap<>();
   private boolean leading;
-  private int generation;
   private Cancellable timer = () -> {};
 
   /** All zones are steady until something else is on record. */
@@ -73,6 +73,7 @@
     this.timers = timers;
     this.settings = settings;
     this.state = state;
+    this.writer = new GuardedWriter(state, leadership, settings.workers().reportMs());
     this.replica = replica;
     this.leadership = leadership;
     this.desk = desk;
@@ -95,7 +96,7 @@
   /** Forgets all records: the replica tells them again. */
   public void clear() {
     leading = false;
-    generation++;
+    writer.reset();
     timer.cancel();
     lives.clear();
     writing.clear();
@@ -107,7 +108,7 @@
   /** Goes on where the former leader stood. */
   public void lead() {
     leading = true;
-    generation++;
+    writer.reset();
     writing.clear();
     tick();
   }
@@ -187,16 +188,12 @@
   private void write(String zone, ZoneLife next) {
     writing.add(zone);
     String key = Keys.ZONE + zone;
-    Txn txn = leadership.guard(new Txn()).when(key, replica.stamp(key)).put(key, next.toJson());
-    int written = generation;
-    state.commit(
-        txn,
+    writer.put(
+        key,
+        replica.stamp(key),
+        next.toJson(),
         Priority.BOOKKEEPING,
-        settings.workers().reportMs(),
         outcome -> {
-          if (written != generation) {
-            return;
-          }
           // Without an answer the replica tells; the next look goes on from there.
           timers.after(settings.workers().reportMs() / 4, () -> writing.remove(zone));
           if (outcome instanceof Outcome.Applied) {
