A transaction whose answer is lost is repeated after an estimated time-out, and is no outage

Cause: a fifth of the transactions without an answer, and each of them held one of six places in flight for half a report interval (2 to 3 s): its user was answered late, and so were those who waited behind. One lost answer also counted as an outage, so users were turned away.

Change: the time-out of a transaction is estimated as TCP's (RFC 6298) between a fifteenth and the whole of the former one. Callers treat it as of unknown outcome, as they did before. Elections keep the longest time. Silence to one request is no outage while others are answered.

--- a/src/main/java/dapplestair/leadership/Leadership.java
+++ b/src/main/java/dapplestair/leadership/Leadership.java
@@ -329,7 +329,7 @@
             .put(Keys.TERM, Json.object().put("term", next));
     state.commit(
         txn,
-        StateClient.Priority.USER,
+        StateClient.Priority.ELECTION,
         ttlMs / 3,
         outcome -> {
           if (outcome instanceof Outcome.Applied a) {
--- a/src/main/java/dapplestair/state/StateClient.java
+++ b/src/main/java/dapplestair/state/StateClient.java
@@ -27,6 +27,8 @@
 
   /** Which transactions go first. */
   public enum Priority {
+    /** Somebody wants to lead, and everything else waits for a leader. */
+    ELECTION,
     /** Few, and everything else waits for the machines they bring. */
     FLEET,
     /** A user waits for it. */
@@ -53,6 +55,8 @@
 
   private static final int MOST_QUEUED = 2000;
   private static final int MOST_IN_FLIGHT = 6;
+  // No answer is taken for lost within this part of the longest time that one may take.
+  private static final int LEAST_TIMEOUT_PART = 15;
   // The leader writes attempts, the others only what users ask of them: shares of the limits.
   private static final double LEADER_SHARE = 0.6;
   // What the others leave unused is the leader's too, less what they may need before it hears.
@@ -69,6 +73,7 @@
   private final Settings.State limits;
   private final int controllers;
   private final long timeoutMs;
+  private final AnswerTimeout answerTimeout;
   private final TokenBucket requests;
   private final TokenBucket writes;
   private final List<ArrayDeque<Queued>> queues =
@@ -81,6 +86,7 @@
   private boolean pumping;
   private boolean reachable;
   private long unreachableSince;
+  private long answeredAt = Long.MIN_VALUE / 2;
 
   /** Talks to the state service named in the settings. */
   public StateClient(Clock clock, Timers timers, HttpCaller http, Settings settings) {
@@ -91,6 +97,7 @@
     this.limits = settings.state();
     this.controllers = settings.controllers();
     this.timeoutMs = settings.workers().reportMs() / 2;
+    this.answerTimeout = new AnswerTimeout(timeoutMs / LEAST_TIMEOUT_PART, timeoutMs);
     this.requests = new TokenBucket(clock, limits.rps() * SAFETY / controllers, 0.5);
     this.writes = new TokenBucket(clock, limits.writeRps() * SAFETY / controllers, 0.5);
     this.unreachableSince = clock.now();
@@ -231,22 +238,38 @@
           used += txn.size();
           puts[queues.indexOf(queue)] += txn.size();
           requests.take(1);
-          send(new Queued(txn.size(), () -> txn, q.deadline, q.done), queue);
+          send(new Queued(txn.size(), () -> txn, q.deadline, q.done), queue, timeoutMs(queue));
         }
       }
     }
   }
 
-  private void send(Queued q, ArrayDeque<Queued> queue) {
+  /**
+   * A lost answer must hold neither one of the few places in flight nor whoever waits for it for
+   * long: callers look again or repeat the transaction, whose conditions let one alone succeed. A
+   * candidate that does not know of its win would have nobody lead for as long as its hold lasts.
+   */
+  private long timeoutMs(ArrayDeque<Queued> queue) {
+    boolean election = queue == queues.get(Priority.ELECTION.ordinal());
+    return election ? timeoutMs : answerTimeout.ms();
+  }
+
+  private void send(Queued q, ArrayDeque<Queued> queue, long answerWithinMs) {
     inFlight++;
+    long sentAt = clock.now();
     http.call(
         endpoint,
         "POST",
         "/commit",
         q.txn.get().bytes(),
-        timeoutMs,
+        answerWithinMs,
         reply -> {
           inFlight--;
+          if (reply.status() == HttpReply.UNKNOWN) {
+            answerTimeout.unanswered();
+          } else if (reply.status() != HttpReply.NOT_SENT) {
+            answerTimeout.answered(clock.now() - sentAt);
+          }
           if (reply.status() == 429) {
             // Others used more than their share: not executed, so it may go again.
             writes.drain();
@@ -363,6 +386,12 @@
 
   private HttpReply note(HttpReply reply) {
     boolean answered = reply.status() >= 200 && reply.status() != 503;
+    if (answered) {
+      answeredAt = clock.now();
+    } else if (reply.status() == HttpReply.UNKNOWN && clock.now() - answeredAt < timeoutMs) {
+      // One answer was lost while others came: that is no outage.
+      return reply;
+    }
     if (reachable && !answered) {
       unreachableSince = clock.now();
       LOG.info("the state service does not serve us (status {})", reply.status());
