A late transaction is sent again instead of being given up

Cause: with the estimated time-out alone, an answer that was merely slow made its outcome unknown at once, and a rental whose put is of unknown outcome is thrown away.

Change: the transaction is sent again under the same conditions while the first copy is still listened for; how it ended follows from all answers (PendingCommit). Commit queues are a class of their own (CommitQueue).

--- a/src/main/java/dapplestair/state/StateClient.java
+++ b/src/main/java/dapplestair/state/StateClient.java
@@ -7,12 +7,6 @@
 import dapplestair.ports.HttpReply;
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
-import java.util.ArrayDeque;
-import java.util.Arrays;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Locale;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -53,37 +47,21 @@
     }
   }
 
-  private static final int MOST_QUEUED = 2000;
-  private static final int MOST_IN_FLIGHT = 6;
-  // No answer is taken for lost within this part of the longest time that one may take.
-  private static final int LEAST_TIMEOUT_PART = 15;
   // The leader writes attempts, the others only what users ask of them: shares of the limits.
   private static final double LEADER_SHARE = 0.6;
   // What the others leave unused is the leader's too, less what they may need before it hears.
   private static final double HELD_BACK = 0.1;
-  private static final long USE_WINDOW_MS = 1000;
   private static final double SAFETY = 0.92;
 
-  private record Queued(int size, Supplier<Txn> txn, long deadline, Consumer<Outcome> done) {}
-
   private final Clock clock;
-  private final Timers timers;
   private final HttpCaller http;
   private final String endpoint;
   private final Settings.State limits;
   private final int controllers;
   private final long timeoutMs;
-  private final AnswerTimeout answerTimeout;
   private final TokenBucket requests;
   private final TokenBucket writes;
-  private final List<ArrayDeque<Queued>> queues =
-      Arrays.stream(Priority.values()).map(p -> new ArrayDeque<Queued>()).toList();
-  private final int[] puts = new int[Priority.values().length];
-  private int inFlight;
-  private int used;
-  private long usedSince;
-  private double usedBefore;
-  private boolean pumping;
+  private final CommitQueue commits;
   private boolean reachable;
   private long unreachableSince;
   private long answeredAt = Long.MIN_VALUE / 2;
@@ -91,15 +69,14 @@
   /** Talks to the state service named in the settings. */
   public StateClient(Clock clock, Timers timers, HttpCaller http, Settings settings) {
     this.clock = clock;
-    this.timers = timers;
     this.http = http;
     this.endpoint = settings.stateEndpoint();
     this.limits = settings.state();
     this.controllers = settings.controllers();
     this.timeoutMs = settings.workers().reportMs() / 2;
-    this.answerTimeout = new AnswerTimeout(timeoutMs / LEAST_TIMEOUT_PART, timeoutMs);
     this.requests = new TokenBucket(clock, limits.rps() * SAFETY / controllers, 0.5);
     this.writes = new TokenBucket(clock, limits.writeRps() * SAFETY / controllers, 0.5);
+    this.commits = new CommitQueue(clock, timers, this::post, requests, writes, timeoutMs);
     this.unreachableSince = clock.now();
   }
 
@@ -117,17 +94,6 @@
     writes.rate(limits.writeRps() * SAFETY * Math.max(controllers == 1 ? 1 : LEADER_SHARE, left));
   }
 
-  /** Puts a second that this controller makes or would make if it could. */
-  public double wanted() {
-    long now = clock.now();
-    if (now - usedSince > USE_WINDOW_MS) {
-      usedBefore = 1000.0 * used / (now - usedSince);
-      used = 0;
-      usedSince = now;
-    }
-    return usedBefore + queued();
-  }
-
   /** False from a refusal or silence until the next answer. */
   public boolean reachable() {
     return reachable;
@@ -156,22 +122,19 @@
     return Math.round(1000 / Math.max(1, part * limits.rps() / controllers));
   }
 
+  /** Puts a second that this controller makes or would make if it could. */
+  public double wanted() {
+    return commits.wanted();
+  }
+
   /** Puts sent since last asked, by priority. */
   public String putsSent() {
-    StringBuilder out = new StringBuilder();
-    for (Priority p : Priority.values()) {
-      out.append(out.length() == 0 ? "" : ", ")
-          .append(puts[p.ordinal()])
-          .append(' ')
-          .append(p.name().toLowerCase(Locale.ROOT));
-    }
-    Arrays.fill(puts, 0);
-    return out.toString();
+    return commits.putsSent();
   }
 
   /** How many transactions of a priority wait. */
   public int queued(Priority priority) {
-    return queues.get(priority.ordinal()).size();
+    return commits.queued(priority);
   }
 
   /** Puts a second that this controller may make now. */
@@ -181,7 +144,7 @@
 
   /** How many transactions wait. */
   public int queued() {
-    return queues.stream().mapToInt(ArrayDeque::size).sum();
+    return commits.queued();
   }
 
   /** Queues a transaction; it ends as refused when it could not be sent within {@code waitMs}. */
@@ -196,113 +159,12 @@
    */
   public void commit(
       int size, Supplier<Txn> txn, Priority priority, long waitMs, Consumer<Outcome> done) {
-    ArrayDeque<Queued> queue = queues.get(priority.ordinal());
-    if (queue.size() >= MOST_QUEUED) {
-      timers.after(0, () -> done.accept(new Outcome.Refused()));
-      return;
-    }
-    queue.add(new Queued(size, txn, clock.now() + waitMs, done));
-    pump();
-  }
-
-  private void pump() {
-    if (pumping) {
-      return;
-    }
-    for (ArrayDeque<Queued> queue : queues) {
-      while (!queue.isEmpty()) {
-        Queued q = queue.peek();
-        if (clock.now() > q.deadline) {
-          queue.poll();
-          q.done.accept(new Outcome.Refused());
-          continue;
-        }
-        if (inFlight >= MOST_IN_FLIGHT) {
-          return;
-        }
-        long wait = Math.max(writes.waitMs(q.size), requests.waitMs(1));
-        if (wait > 0) {
-          pumping = true;
-          timers.after(
-              wait,
-              () -> {
-                pumping = false;
-                pump();
-              });
-          return;
-        }
-        queue.poll();
-        Txn txn = q.txn.get();
-        if (txn != null) {
-          writes.take(txn.size());
-          used += txn.size();
-          puts[queues.indexOf(queue)] += txn.size();
-          requests.take(1);
-          send(new Queued(txn.size(), () -> txn, q.deadline, q.done), queue, timeoutMs(queue));
-        }
-      }
-    }
-  }
-
-  /**
-   * A lost answer must hold neither one of the few places in flight nor whoever waits for it for
-   * long: callers look again or repeat the transaction, whose conditions let one alone succeed. A
-   * candidate that does not know of its win would have nobody lead for as long as its hold lasts.
-   */
-  private long timeoutMs(ArrayDeque<Queued> queue) {
-    boolean election = queue == queues.get(Priority.ELECTION.ordinal());
-    return election ? timeoutMs : answerTimeout.ms();
+    commits.add(size, txn, priority, waitMs, done);
   }
 
-  private void send(Queued q, ArrayDeque<Queued> queue, long answerWithinMs) {
-    inFlight++;
-    long sentAt = clock.now();
+  private void post(byte[] transaction, long withinMs, Consumer<HttpReply> done) {
     http.call(
-        endpoint,
-        "POST",
-        "/commit",
-        q.txn.get().bytes(),
-        answerWithinMs,
-        reply -> {
-          inFlight--;
-          if (reply.status() == HttpReply.UNKNOWN) {
-            answerTimeout.unanswered();
-          } else if (reply.status() != HttpReply.NOT_SENT) {
-            answerTimeout.answered(clock.now() - sentAt);
-          }
-          if (reply.status() == 429) {
-            // Others used more than their share: not executed, so it may go again.
-            writes.drain();
-            queue.addFirst(q);
-          } else {
-            q.done.accept(outcome(note(reply)));
-          }
-          pump();
-        });
-  }
-
-  private static Outcome outcome(HttpReply reply) {
-    JsonNode body = Json.parse(reply.body());
-    switch (reply.status()) {
-      case 200:
-        long epoch = Json.number(body, "epoch", -1);
-        return epoch < 0 ? new Outcome.Unknown() : new Outcome.Applied(epoch);
-      case 409:
-        Set<String> failed = new HashSet<>();
-        body.path("failed").forEach(k -> failed.add(k.asText()));
-        return new Outcome.Conflict(failed);
-      case 400:
-        String error = Json.text(body, "error");
-        if (error != null && error.contains("lease")) {
-          return new Outcome.NoHold();
-        }
-        LOG.error("the state service calls a transaction malformed: {}", error);
-        return new Outcome.Refused();
-      case HttpReply.NOT_SENT, 503, 429:
-        return new Outcome.Refused();
-      default:
-        return new Outcome.Unknown();
-    }
+        endpoint, "POST", "/commit", transaction, withinMs, reply -> done.accept(note(reply)));
   }
 
   /** Reads one key. */
