A controller that the state service refuses alone has a served peer answer its users

Change: such a request is passed on, once, to a peer that is served (RequestRelay), which answers as it would its own user. No rule is touched: answers follow the peer's own transaction or barrier, cancellations are in its log before they are told.

--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -136,6 +136,7 @@
     core.workers.start();
     core.peers.start();
     core.withdrawals.start();
+    core.requestRelay.start(router::handleUser);
     core.leadership.start(core.replica);
     pulse.start();
   }
--- a/src/main/java/dapplestair/node/CoreDuties.java
+++ b/src/main/java/dapplestair/node/CoreDuties.java
@@ -15,6 +15,7 @@
 import dapplestair.settings.Settings;
 import dapplestair.state.Replica;
 import dapplestair.state.StateClient;
+import dapplestair.submissions.RequestRelay;
 import dapplestair.submissions.SubmissionDesk;
 import dapplestair.withdrawals.Withdrawals;
 import dapplestair.workers.WorkerDesk;
@@ -42,6 +43,7 @@
 
   final Events events;
   final Replica replica;
+  final RequestRelay requestRelay;
   final SubmissionDesk submissions;
 
   /**
@@ -98,8 +100,10 @@
     log = logsEvents ? new EventLog(clock) : null;
     events = logsEvents ? log : Events.OFF;
     replica = new Replica(state, timers, outside.random(), leadership::leading, listeners.replica);
+    requestRelay = new RequestRelay(peers, settings.workers().reportMs() / 4);
     submissions =
-        new SubmissionDesk(clock, settings, state, replica, ledger, types, withdrawals, metrics);
+        new SubmissionDesk(
+            clock, settings, state, replica, ledger, types, withdrawals, requestRelay, metrics);
   }
 
   private long recordsAsOf() {
--- a/src/main/java/dapplestair/node/HttpRouter.java
+++ b/src/main/java/dapplestair/node/HttpRouter.java
@@ -49,7 +49,15 @@
       if (method(x, "GET")) {
         up(x);
       }
-    } else if (path.equals(SUBMISSIONS)) {
+    } else {
+      handleUser(x);
+    }
+  }
+
+  /** Answers a request of a user, also one that a peer passed on. */
+  void handleUser(Exchange x) {
+    String path = x.path();
+    if (path.equals(SUBMISSIONS)) {
       if (method(x, "POST")) {
         submissions.submit(x);
       }
--- a/src/main/java/dapplestair/peers/Peers.java
+++ b/src/main/java/dapplestair/peers/Peers.java
@@ -140,13 +140,21 @@
 
   /** True when a living peer is served by the state service. */
   public boolean anyServed() {
+    return !served().isEmpty();
+  }
+
+  /** Living peers that are served by the state service and take requests, by name. */
+  public List<String> served() {
     return peers.entrySet().stream()
-        .anyMatch(
+        .filter(
             e ->
                 alive(e.getKey())
                     && e.getValue().status != null
                     && e.getValue().status.stateReachable()
-                    && e.getValue().status.ready());
+                    && e.getValue().status.ready())
+        .map(Map.Entry::getKey)
+        .sorted()
+        .toList();
   }
 
   /** True when a living peer that could lead hears workers. */
--- /dev/null
+++ b/src/main/java/dapplestair/submissions/RelayCodec.java
@@ -0,0 +1,109 @@
+package dapplestair.submissions;
+
+import com.esotericsoftware.kryo.KryoException;
+import com.esotericsoftware.kryo.io.Input;
+import com.esotericsoftware.kryo.io.Output;
+import java.util.Set;
+
+/** The form of users' requests and their answers between controllers: bounded and versioned. */
+final class RelayCodec {
+  /** Raised whenever the form changes; other forms are not understood. */
+  static final byte FORM = 1;
+
+  private static final int LARGEST_PATH = 512;
+  private static final int LARGEST_BODY = 64 * 1024;
+  private static final int LARGEST = LARGEST_BODY + 4 * LARGEST_PATH;
+  private static final int LONGEST_RETRY_AFTER_S = 30;
+  private static final Set<String> METHODS = Set.of("GET", "POST");
+
+  private RelayCodec() {}
+
+  /** A user's request as it came. */
+  record Request(String method, String path, byte[] body) {}
+
+  /** What to tell the user. */
+  record Answer(int status, int retryAfterS, byte[] body) {}
+
+  /** Writes a request, or gives null when it is too large. */
+  static byte[] encode(Request request) {
+    if (request.path().length() > LARGEST_PATH || request.body().length > LARGEST_BODY) {
+      return null;
+    }
+    Output out = new Output(256, LARGEST);
+    out.writeByte(FORM);
+    out.writeString(request.method());
+    out.writeString(request.path());
+    writeBody(out, request.body());
+    return out.toBytes();
+  }
+
+  /** Writes an answer, or gives null when it is too large. */
+  static byte[] encode(Answer answer) {
+    if (answer.body().length > LARGEST_BODY) {
+      return null;
+    }
+    Output out = new Output(256, LARGEST);
+    out.writeByte(FORM);
+    out.writeVarInt(answer.status(), true);
+    out.writeVarInt(answer.retryAfterS(), true);
+    writeBody(out, answer.body());
+    return out.toBytes();
+  }
+
+  private static void writeBody(Output out, byte[] body) {
+    out.writeVarInt(body.length, true);
+    out.writeBytes(body);
+  }
+
+  /** Reads a request, or gives null when it is garbled, too large or of another form. */
+  static Request request(byte[] bytes) {
+    if (!ours(bytes)) {
+      return null;
+    }
+    try {
+      Input in = new Input(bytes, 1, bytes.length - 1);
+      Request request = new Request(in.readString(), in.readString(), readBody(in));
+      boolean valid =
+          in.end()
+              && request.method() != null
+              && METHODS.contains(request.method())
+              && request.path() != null
+              && request.path().length() <= LARGEST_PATH;
+      return valid ? request : null;
+    } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException e) {
+      return null;
+    }
+  }
+
+  /** Reads an answer, or gives null when it is garbled, too large or of another form. */
+  static Answer answer(byte[] bytes) {
+    if (!ours(bytes)) {
+      return null;
+    }
+    try {
+      Input in = new Input(bytes, 1, bytes.length - 1);
+      Answer answer = new Answer(in.readVarInt(true), in.readVarInt(true), readBody(in));
+      boolean valid =
+          in.end()
+              && answer.status() >= 200
+              && answer.status() < 600
+              && answer.retryAfterS() >= 0
+              && answer.retryAfterS() <= LONGEST_RETRY_AFTER_S;
+      return valid ? answer : null;
+    } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException e) {
+      return null;
+    }
+  }
+
+  private static boolean ours(byte[] bytes) {
+    return bytes.length > 0 && bytes.length <= LARGEST && bytes[0] == FORM;
+  }
+
+  private static byte[] readBody(Input in) {
+    int length = in.readVarInt(true);
+    if (length < 0 || length > LARGEST_BODY) {
+      throw new IllegalArgumentException("no body of a request or an answer");
+    }
+    return in.readBytes(length);
+  }
+}
--- a/src/main/java/dapplestair/submissions/SubmissionDesk.java
+++ b/src/main/java/dapplestair/submissions/SubmissionDesk.java
@@ -43,6 +43,7 @@
   private final Ledger ledger;
   private final MachineTypes types;
   private final Withdrawals withdrawals;
+  private final RequestRelay relay;
   private final Metrics metrics;
   private final long patienceMs;
   private final PutOff putOff;
@@ -59,6 +60,7 @@
       Ledger ledger,
       MachineTypes types,
       Withdrawals withdrawals,
+      RequestRelay relay,
       Metrics metrics) {
     this.clock = clock;
     this.settings = settings;
@@ -67,6 +69,7 @@
     this.ledger = ledger;
     this.types = types;
     this.withdrawals = withdrawals;
+    this.relay = relay;
     this.metrics = metrics;
     this.patienceMs = settings.workers().reportMs();
     this.putOff = new PutOff(clock);
@@ -83,6 +86,27 @@
     return unanswered.longestMs();
   }
 
+  /**
+   * Has a served peer answer while this controller cannot, unless the job is known to be over,
+   * which any controller may say at any time.
+   */
+  private boolean passedOn(Exchange x, String ref) {
+    boolean served = replica.ready() && types.known() && state.reachable();
+    return !served && !over.containsKey(ref) && relay.pass(x, answer -> relayed(x, ref, answer));
+  }
+
+  private void relayed(Exchange x, String ref, RelayCodec.Answer answer) {
+    if (answer == null) {
+      unanswered.inVain(ref);
+      busy(x);
+      return;
+    }
+    if (answer.status() != 503) {
+      unanswered.answered(ref);
+    }
+    x.reply(answer.status(), answer.body(), answer.retryAfterS());
+  }
+
   // ---- POST /submissions ----
 
   /** A user submits. */
@@ -101,6 +125,9 @@
           over(x, 200, ref, over.get(ref));
           return;
         }
+        if (passedOn(x, ref)) {
+          return;
+        }
         if (ledger.live(ref)) {
           look(x, ref);
           return;
@@ -212,7 +239,9 @@
 
   /** A user polls. */
   public void poll(Exchange x, String ref) {
-    look(x, ref);
+    if (!passedOn(x, ref)) {
+      look(x, ref);
+    }
   }
 
   private void look(Exchange x, String ref) {
@@ -277,7 +306,9 @@
 
   /** A user withdraws. */
   public void withdraw(Exchange x, String ref) {
-    withdraw(x, ref, clock.now() + patienceMs);
+    if (!passedOn(x, ref)) {
+      withdraw(x, ref, clock.now() + patienceMs);
+    }
   }
 
   private void withdraw(Exchange x, String ref, long deadline) {
--- a/src/test/java/dapplestair/world/AcceptanceTest.java
+++ b/src/test/java/dapplestair/world/AcceptanceTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** How soon submissions are accepted while the state service serves only in part. */
@@ -43,4 +44,27 @@
     assertTrue(soon >= 0.9, "accepted within a second: " + soon);
     SeededDaysTest.settle(w);
   }
+
+  /**
+   * While the state service refuses one controller alone, a peer answers the users whose
+   * connections are still there, and what it confirms as cancelled stops in time.
+   */
+  @ParameterizedTest(name = "seed {0}, the leader: {1}")
+  @CsvSource({"7111,true", "7112,true", "7113,false", "7114,false"})
+  void oneThatIsRefusedAloneHasAPeerAnswer(long seed, boolean leads) {
+    World w = begun(seed);
+    World.Node leader = w.leader();
+    World.Node refused = leads ? leader : w.nodes.get((leader.index + 1) % 3);
+    Users.Told cancelled = w.users.array("two", "high", 10, 60);
+    w.run(8000);
+    w.state.refuse("node-" + refused.index, true);
+    // The time in which nobody leads is not what is looked at here.
+    w.run(2 * World.REPORT_MS);
+    w.users.withdrawAt(cancelled, refused);
+    double soon = soonAccepted(w);
+    assertTrue(soon >= 0.95, "accepted within a second: " + soon);
+    assertTrue(cancelled.aborted, "the cancellation was not confirmed");
+    w.state.refuse("node-" + refused.index, false);
+    SeededDaysTest.settle(w);
+  }
 }
