A wait is counted from the first attempt to submit that was turned away

Cause: the bound and the order counted from the acceptance. A job first submitted as an outage of a minute began was taken for a minute younger than its user takes it for, and began after 200 s and more.

Change: a controller remembers when it first turned a submission away, and records that moment with the job. Calendars and arrivals go on counting from the acceptance.

--- a/src/main/java/dapplestair/ledger/Evidence.java
+++ b/src/main/java/dapplestair/ledger/Evidence.java
@@ -72,7 +72,7 @@
       a.statusAt = now;
       if (t.status() == Report.Status.RUNNING) {
         if (!a.job.begun && !a.adopted) {
-          a.job.begunAfterMs = office.clock.wall() - a.job.acceptedWall();
+          a.job.begunAfterMs = office.clock.wall() - a.job.askedWall();
         }
         a.job.begun = true;
         a.began = true;
--- a/src/main/java/dapplestair/ledger/Job.java
+++ b/src/main/java/dapplestair/ledger/Job.java
@@ -11,6 +11,7 @@
 public final class Job {
   private final Submission spec;
   private final long acceptedWall;
+  private final long askedWall;
   private final int chunkSize;
   final Int2ObjectAVLTreeMap<Chunk> chunks = new Int2ObjectAVLTreeMap<>();
   final Object2IntOpenHashMap<String> perZone = new Object2IntOpenHashMap<>();
@@ -23,7 +24,7 @@
   /** One of its tasks was seen to run. */
   boolean begun;
 
-  /** How long after its acceptance; 0 when an earlier leader saw it. */
+  /** How long after its user first asked; 0 when an earlier leader saw it. */
   long begunAfterMs;
 
   boolean finishing;
@@ -60,8 +61,13 @@
   final IntOpenHashSet heldSteps = new IntOpenHashSet();
 
   Job(Submission spec, long acceptedWall, int chunkSize, long stamp) {
+    this(spec, acceptedWall, acceptedWall, chunkSize, stamp);
+  }
+
+  Job(Submission spec, long acceptedWall, long askedWall, int chunkSize, long stamp) {
     this.spec = spec;
     this.acceptedWall = acceptedWall;
+    this.askedWall = askedWall;
     this.chunkSize = chunkSize;
     this.stamp = stamp;
   }
@@ -81,6 +87,14 @@
     return acceptedWall;
   }
 
+  /**
+   * Time of day of the first attempt to submit it that is known. Waits are measured from then: it
+   * is earlier than the acceptance when its user was turned away for a while.
+   */
+  public long askedWall() {
+    return askedWall;
+  }
+
   /** True when it was withdrawn or all is done. */
   public boolean over() {
     return over || finishing;
--- a/src/main/java/dapplestair/ledger/JobRecord.java
+++ b/src/main/java/dapplestair/ledger/JobRecord.java
@@ -14,15 +14,18 @@
   private JobRecord() {}
 
   /** A job as accepted at a time of day, its tasks recorded by so many. */
-  static ObjectNode accepted(Submission s, long wall, int chunkSize) {
+  static ObjectNode accepted(Submission s, long wall, long askedWall, int chunkSize) {
     ObjectNode o = Json.object().put("at", wall).put("chunk", chunkSize);
+    if (askedWall < wall) {
+      o.put("asked", askedWall);
+    }
     o.set("job", s.toJson());
     return o;
   }
 
   /** A job that is over since a time of day. */
   static ObjectNode over(Job job, String status, long wall) {
-    ObjectNode o = accepted(job.spec(), job.acceptedWall(), job.chunkSize());
+    ObjectNode o = accepted(job.spec(), job.acceptedWall(), job.askedWall(), job.chunkSize());
     return o.put("status", status).put("end", wall);
   }
 
@@ -34,9 +37,11 @@
   /** Reads either, or gives null. */
   static Job read(JsonNode value, long stamp, int otherwiseChunkSize) {
     try {
+      long at = Json.number(value, "at", 0);
       return new Job(
           Submission.parse(value.path("job")),
-          Json.number(value, "at", 0),
+          at,
+          Json.number(value, "asked", at),
           (int) Json.number(value, "chunk", otherwiseChunkSize),
           stamp);
     } catch (Submission.Malformed e) {
--- a/src/main/java/dapplestair/ledger/LargestJobs.java
+++ b/src/main/java/dapplestair/ledger/LargestJobs.java
@@ -45,7 +45,7 @@
 
   private static Size size(Job job, long nowWall) {
     boolean begun = job.begun || job.doneCount() > 0;
-    long waited = begun ? job.begunAfterMs : nowWall - job.acceptedWall();
+    long waited = begun ? job.begunAfterMs : nowWall - job.askedWall();
     return new Size(cpus(job), begun, waited);
   }
 
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -82,9 +82,9 @@
     }
   }
 
-  /** The form in which an accepted job is recorded. */
-  public ObjectNode record(Submission s) {
-    return JobRecord.accepted(s, office.clock.wall(), chunkSize);
+  /** The form in which an accepted job is recorded, whose user first asked at a time of day. */
+  public ObjectNode record(Submission s, long askedWall) {
+    return JobRecord.accepted(s, office.clock.wall(), askedWall, chunkSize);
   }
 
   /** The form in which a job that is over is recorded. */
--- a/src/main/java/dapplestair/node/LedgerHooks.java
+++ b/src/main/java/dapplestair/node/LedgerHooks.java
@@ -109,7 +109,7 @@
 
   @Override
   public void started(Attempt attempt) {
-    metrics.started(clock.wall() - attempt.job().acceptedWall());
+    metrics.started(clock.wall() - attempt.job().askedWall());
     events.note(Events.Kind.STARTED, o -> Happenings.of(o, attempt));
   }
 
--- a/src/main/java/dapplestair/placement/Bound.java
+++ b/src/main/java/dapplestair/placement/Bound.java
@@ -17,7 +17,7 @@
 
 /**
  * The bound in the order: whoever has waited for long begins, whatever its size and rank
- * (docs/known.md). All of it follows from what is on record, when a job was accepted and which of
+ * (docs/known.md). All of it follows from what is on record, when a job was asked for and which of
  * its tasks are held, so a new leader decides as the one before did.
  *
  * <p>A job near the bound goes before all but critical services with its first tasks, its window.
@@ -55,7 +55,7 @@
   }
 
   private long ageMs(Job job) {
-    return clock.wall() - job.acceptedWall();
+    return clock.wall() - job.askedWall();
   }
 
   /** True when a job has waited for so long that its first tasks go before others. */
@@ -116,7 +116,7 @@
         .filter(j -> quota(j) > 0 && ledger.teamAllows(j.spec()))
         .sorted(
             Comparator.comparing((Job j) -> !idle(j))
-                .thenComparingLong(Job::acceptedWall)
+                .thenComparingLong(Job::askedWall)
                 .thenComparing(j -> j.spec().ref()))
         .forEach(j -> groups.computeIfAbsent(group(j), g -> new ArrayDeque<>()).add(j));
     return groups.isEmpty() ? Map.of() : take(groups, cpus * SHARE);
--- a/src/main/java/dapplestair/placement/Ranking.java
+++ b/src/main/java/dapplestair/placement/Ranking.java
@@ -63,7 +63,7 @@
 
   private Ranked ranked(Job job) {
     Submission s = job.spec();
-    double age = (clock.wall() - job.acceptedWall()) / 1000.0;
+    double age = (clock.wall() - job.askedWall()) / 1000.0;
     double run = estimates.runS(s);
     int broken = promises.broken(s, age, run);
     double order;
--- a/src/main/java/dapplestair/submissions/SubmissionDesk.java
+++ b/src/main/java/dapplestair/submissions/SubmissionDesk.java
@@ -48,6 +48,7 @@
   private final long patienceMs;
   private final PutOff putOff;
   private final Unanswered unanswered;
+  private final FirstAttempts firstAttempts;
   private final Map<String, Boolean> over = new Latest<>(MOST_OVER_KEPT);
   private int pending;
 
@@ -73,6 +74,7 @@
     this.metrics = metrics;
     this.patienceMs = settings.workers().reportMs();
     this.putOff = new PutOff(clock);
+    this.firstAttempts = new FirstAttempts(clock);
     this.unanswered = new Unanswered(clock, settings.workers().leaseMs());
   }
 
@@ -139,7 +141,7 @@
       return;
     }
     if (!replica.ready() || !types.known() || !state.reachable() || pending > MOST_PENDING) {
-      busy(x);
+      turnAway(x, s, 1);
       return;
     }
     String impossible = impossible(s);
@@ -149,12 +151,17 @@
     }
     if (s.rank() == Rank.LOW && pending >= mostPendingLow()) {
       // A swarm of the lowest rank is put off before anybody else waits behind it.
-      busy(x, putOff.retryAfterS(state.putsAllowed()));
+      turnAway(x, s, putOff.retryAfterS(state.putsAllowed()));
       return;
     }
     accept(x, s, clock.now() + patienceMs, clock.now());
   }
 
+  private void turnAway(Exchange x, Submission s, int afterS) {
+    firstAttempts.turnedAway(s.ref());
+    busy(x, afterS);
+  }
+
   /** As many as this controller's puts take within a small part of what a user waits. */
   private int mostPendingLow() {
     return (int) Math.max(LEAST_PENDING_LOW, state.putsAllowed() * patienceMs / 1000 / 16);
@@ -213,7 +220,7 @@
         new Txn()
             .when(Keys.job(s.ref()), 0)
             .when(Keys.over(s.ref()), 0)
-            .put(Keys.job(s.ref()), ledger.record(s));
+            .put(Keys.job(s.ref()), ledger.record(s, firstAttempts.at(s.ref())));
     state.commit(
         txn,
         Priority.USER,
@@ -221,6 +228,7 @@
         outcome -> {
           pending--;
           if (outcome instanceof Outcome.Applied) {
+            firstAttempts.accepted(s.ref());
             metrics.accepted(clock.now() - began);
             status(x, 201, s.ref(), "queued", null);
           } else if (outcome instanceof Outcome.Conflict) {
@@ -230,7 +238,7 @@
             // refused and the job is found; both can never be.
             accept(x, s, deadline, began);
           } else {
-            busy(x);
+            turnAway(x, s, 1);
           }
         });
   }
@@ -360,8 +368,6 @@
     }
   }
 
-  // ---- answers ----
-
   /** A final state. That a job is withdrawn is told to the other controllers before its user. */
   private void over(Exchange x, int status, String ref, boolean done) {
     if (done) {
--- a/src/test/java/dapplestair/world/LargestTest.java
+++ b/src/test/java/dapplestair/world/LargestTest.java
@@ -114,6 +114,25 @@
         .forEach(j -> assertTrue(j.begunAt() >= 0, j.ref + " does not run"));
   }
 
+  /** Its wait begins with the first attempt to submit, though it is accepted after an outage. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {6021, 6022, 6023})
+  void aJobThatWasTurnedAwayIsAsOldAsItsFirstAttempt(long seed) {
+    World w = begun(seed);
+    overload(w, 3, 2, 300_000);
+    w.run(20_000);
+    long outageMs = 55_000;
+    w.state.fail();
+    Users.Told large = large(w).get(0);
+    w.run(outageMs);
+    w.state.recover();
+    w.run(Checker.BEGIN_MS - outageMs);
+    begunInTime(w, List.of(large));
+    // Three fifths of the bound and what it takes to begin, but no outage on top.
+    long most = Checker.BEGIN_MS * 3 / 5 + outageMs * 2 / 3;
+    assertTrue(waitMs(w, large) <= most, "it waited for " + waitMs(w, large) + " ms");
+  }
+
   /** The guard taken out: with no bound that is near, the same work does not begin. */
   @Test
   void withoutTheBoundTheyDoNotBegin() {
