Idle connections are closed sooner while many are open

Outgoing connections were kept for 20 s whatever their number. With more of them than half of the sockets allowed, idle ones are closed after 2.5 s, so that a controller that holds the connections of more workers than usual keeps sockets free.

--- a/src/main/java/dapplestair/cli/Running.java
+++ b/src/main/java/dapplestair/cli/Running.java
@@ -52,7 +52,12 @@
   static Running start(Settings settings, Operator operator)
       throws InterruptedException, SettingsException {
     Loop loop = new Loop();
-    HttpPool http = new HttpPool(loop, MOST_CALLS_PER_ENDPOINT, settings.workers().reportMs() / 4);
+    HttpPool http =
+        new HttpPool(
+            loop,
+            MOST_CALLS_PER_ENDPOINT,
+            settings.workers().reportMs() / 4,
+            settings.resources().maxConnections() / 2);
     Outside outside =
         new Outside(
             loop,
--- a/src/main/java/dapplestair/netty/HttpPool.java
+++ b/src/main/java/dapplestair/netty/HttpPool.java
@@ -34,14 +34,31 @@
   private static final int MOST_WAITING = 512;
   private static final long KEEP_IDLE_MS = 20_000;
 
+  /** While more connections are open than is comfortable. */
+  private static final long KEEP_IDLE_CROWDED_MS = 2_500;
+
+  private static final long SWEEP_MS = 5_000;
+
   private final Loop loop;
   private final int mostPerEndpoint;
   private final long connectMs;
+  private final int comfortable;
+  private int connections;
   private final Map<String, Endpoint> endpoints = new HashMap<>();
 
   /** At most {@code mostPerEndpoint} connections to one place. */
   public HttpPool(Loop loop, int mostPerEndpoint, long connectMs) {
+    this(loop, mostPerEndpoint, connectMs, Integer.MAX_VALUE);
+  }
+
+  /**
+   * The same for a process whose sockets are limited.
+   *
+   * @param comfortable with more connections than these, idle ones are closed sooner
+   */
+  public HttpPool(Loop loop, int mostPerEndpoint, long connectMs, int comfortable) {
     this.loop = loop;
+    this.comfortable = comfortable;
     this.mostPerEndpoint = mostPerEndpoint;
     this.connectMs = connectMs;
     sweep();
@@ -61,7 +78,8 @@
 
   /** Closes connections that nobody used for a while and forgets endpoints without any. */
   private void sweep() {
-    long before = loop.now() - KEEP_IDLE_MS;
+    boolean crowded = connections > comfortable;
+    long before = loop.now() - (crowded ? KEEP_IDLE_CROWDED_MS : KEEP_IDLE_MS);
     Iterator<Endpoint> it = endpoints.values().iterator();
     while (it.hasNext()) {
       Endpoint e = it.next();
@@ -72,7 +90,7 @@
         it.remove();
       }
     }
-    loop.after(KEEP_IDLE_MS / 4, this::sweep);
+    loop.after(crowded ? KEEP_IDLE_CROWDED_MS / 2 : SWEEP_MS, this::sweep);
   }
 
   private final class Endpoint {
@@ -113,6 +131,7 @@
 
     void connect() {
       open++;
+      connections++;
       Connection c = new Connection(this);
       int colon = name.lastIndexOf(':');
       ChannelFuture f =
@@ -207,6 +226,7 @@
         return;
       }
       endpoint.open--;
+      connections--;
       Call next = endpoint.waiting.poll();
       if (next != null) {
         next.end(HttpReply.of(HttpReply.NOT_SENT));
@@ -266,6 +286,7 @@
 
     void closed() {
       endpoint.open--;
+      connections--;
       endpoint.idle.remove(this);
       Call call = current;
       current = null;
