Workers' connections are spread over all controllers where one has too few sockets

Cause: the leader alone heard and commanded all machines, two sockets each. At 3,598 machines two controllers of three were at their limit of 3,145 sockets; workers that could not connect lost their tasks, and machines were rented again.

Change: once machines would take more than 0.9 of the leader's sockets (relay_above in the operators' file), workers report to the controller that rendezvous hashing gives them, their own zone first. It passes reports on to the leader and answers back in gathered frames, and delivers the leader's commands. Reports wait for the next leader for as long as their workers do.

Below the threshold no message is sent and nothing changes.

--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -47,6 +47,7 @@
     core =
         new CoreDuties(
             settings,
+            operator,
             outside,
             access != null,
             new CoreDuties.Listeners(
--- a/src/main/java/dapplestair/node/CoreDuties.java
+++ b/src/main/java/dapplestair/node/CoreDuties.java
@@ -12,6 +12,8 @@
 import dapplestair.placement.Estimates;
 import dapplestair.ports.Clock;
 import dapplestair.ports.Timers;
+import dapplestair.relay.Relay;
+import dapplestair.settings.Operator;
 import dapplestair.settings.Settings;
 import dapplestair.state.Replica;
 import dapplestair.state.StateClient;
@@ -36,6 +38,7 @@
   final LedgerHooks hooks;
   final Ledger ledger;
   final Withdrawals withdrawals;
+  final Relay relay;
   final WorkerDesk workers;
 
   /** Null where operators are not served. */
@@ -60,7 +63,12 @@
       WorkerDesk.Listener workers,
       Replica.Listener replica) {}
 
-  CoreDuties(Settings settings, Outside outside, boolean logsEvents, Listeners listeners) {
+  CoreDuties(
+      Settings settings,
+      Operator operator,
+      Outside outside,
+      boolean logsEvents,
+      Listeners listeners) {
     Clock clock = outside.clock();
     Timers timers = outside.timers();
     state = new StateClient(clock, timers, outside.http(), settings);
@@ -84,11 +92,14 @@
             leadership,
             this::recordsAsOf,
             listeners.withdrawals);
+    relay =
+        new Relay(
+            clock, timers, outside.http(), settings, operator.relayAbove(), leadership, peers);
     workers =
         new WorkerDesk(
             clock,
             timers,
-            outside.http(),
+            relay,
             settings,
             leadership,
             peers,
@@ -113,6 +124,7 @@
   @Override
   public void close() {
     workers.close();
+    relay.close();
     withdrawals.close();
     leadership.close();
     peers.close();
--- a/src/main/java/dapplestair/peers/Peers.java
+++ b/src/main/java/dapplestair/peers/Peers.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -78,6 +79,16 @@
     peers.keySet().forEach(m -> questions.tell(m, topic, body));
   }
 
+  /** Tells one peer something that needs no answer. */
+  public void tell(String member, String topic, byte[] body) {
+    questions.tell(member, topic, body);
+  }
+
+  /** Hears what peers tell on a topic. */
+  public void onTell(String topic, BiConsumer<String, byte[]> listener) {
+    questions.listen(topic, listener);
+  }
+
   @Override
   public void message(String member, Object message) {
     Peer peer = peers.get(member);
--- a/src/main/java/dapplestair/peers/Questions.java
+++ b/src/main/java/dapplestair/peers/Questions.java
@@ -22,6 +22,7 @@
   private final Map<Long, Open> open = new HashMap<>();
   private final Map<String, BiConsumer<byte[], Consumer<byte[]>>> topics =
       new Object2ObjectOpenHashMap<>();
+  private final Map<String, BiConsumer<String, byte[]>> listeners = new HashMap<>();
   private long lastNumber;
   private long refused;
 
@@ -35,6 +36,11 @@
     topics.put(topic, by);
   }
 
+  /** Hears what peers tell on a topic, with the peer's name; nothing is answered. */
+  void listen(String topic, BiConsumer<String, byte[]> listener) {
+    listeners.put(topic, listener);
+  }
+
   /** A message was garbled, too large or of an unknown form: it is dropped. */
   public void refused() {
     refused++;
@@ -78,6 +84,11 @@
       refused();
       return;
     }
+    BiConsumer<String, byte[]> listener = listeners.get(ask.topic());
+    if (listener != null) {
+      listener.accept(member, ask.body());
+      return;
+    }
     if (by == null) {
       // A topic of another version.
       return;
--- /dev/null
+++ b/src/main/java/dapplestair/relay/RelayCodec.java
@@ -0,0 +1,138 @@
+package dapplestair.relay;
+
+import com.esotericsoftware.kryo.KryoException;
+import com.esotericsoftware.kryo.io.Input;
+import com.esotericsoftware.kryo.io.Output;
+import dapplestair.ports.HttpReply;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Frames of relayed requests and replies between controllers: bounded, and of one form. */
+final class RelayCodec {
+  /** Raised whenever the form changes; frames of other forms are refused. */
+  static final byte FORM = 1;
+
+  /** Most requests and replies of one frame. */
+  static final int MOST_ITEMS = 256;
+
+  /** Largest frame, bytes; a single report may have 64 KiB. */
+  static final int LARGEST = 448 * 1024;
+
+  private RelayCodec() {}
+
+  /** What is relayed. */
+  enum Kind {
+    /** A worker's report, to the leader. */
+    REPORT,
+    /** Commands to a worker, from the leader. */
+    COMMAND,
+    /** Whether the leader wants its reports relayed; has no reply. */
+    MODE
+  }
+
+  /**
+   * One request.
+   *
+   * @param id chosen by the sender, repeated in the reply
+   * @param endpoint the worker's address, empty unless it is a command
+   * @param timeoutMs how long the reply is waited for
+   */
+  record Request(long id, Kind kind, String endpoint, long timeoutMs, byte[] body) {}
+
+  /** The reply to a request, with the status codes of {@link HttpReply}. */
+  record Reply(long id, int status, byte[] body) {}
+
+  /**
+   * What one controller sends another at a time.
+   *
+   * @param sender the sending process, told apart from its earlier lives
+   * @param receiver the process that the replies are for, 0 when there are none
+   */
+  record Frame(long sender, long receiver, List<Request> requests, List<Reply> replies) {}
+
+  /** Encodes a frame, or gives null when it is too large. */
+  static byte[] encode(Frame frame) {
+    try {
+      return write(frame);
+    } catch (KryoException e) {
+      return null;
+    }
+  }
+
+  private static byte[] write(Frame frame) {
+    Output out = new Output(4096, LARGEST);
+    out.writeByte(FORM);
+    out.writeLong(frame.sender());
+    out.writeLong(frame.receiver());
+    out.writeVarInt(frame.requests().size(), true);
+    for (Request request : frame.requests()) {
+      out.writeLong(request.id());
+      out.writeByte(request.kind().ordinal());
+      out.writeString(request.endpoint());
+      out.writeVarLong(request.timeoutMs(), true);
+      bytes(out, request.body());
+    }
+    out.writeVarInt(frame.replies().size(), true);
+    for (Reply reply : frame.replies()) {
+      out.writeLong(reply.id());
+      out.writeVarInt(reply.status(), false);
+      bytes(out, reply.body());
+    }
+    return out.toBytes();
+  }
+
+  private static void bytes(Output out, byte[] body) {
+    out.writeVarInt(body.length, true);
+    out.writeBytes(body);
+  }
+
+  /** Decodes a frame, or gives null when it is garbled, too large or of another form. */
+  static Frame decode(byte[] bytes) {
+    if (bytes.length == 0 || bytes.length > LARGEST || bytes[0] != FORM) {
+      return null;
+    }
+    try {
+      Input in = new Input(bytes, 1, bytes.length - 1);
+      long sender = in.readLong();
+      long receiver = in.readLong();
+      List<Request> requests = new ArrayList<>();
+      for (int left = count(in); left > 0; left--) {
+        requests.add(request(in));
+      }
+      List<Reply> replies = new ArrayList<>();
+      for (int left = count(in); left > 0; left--) {
+        replies.add(new Reply(in.readLong(), in.readVarInt(false), bytes(in)));
+      }
+      return in.end() ? new Frame(sender, receiver, requests, replies) : null;
+    } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException e) {
+      return null;
+    }
+  }
+
+  private static Request request(Input in) {
+    long id = in.readLong();
+    Kind kind = Kind.values()[in.readByte()];
+    String endpoint = in.readString();
+    long timeoutMs = in.readVarLong(true);
+    if (endpoint == null || timeoutMs < 0) {
+      throw new IllegalArgumentException("not a request");
+    }
+    return new Request(id, kind, endpoint, timeoutMs, bytes(in));
+  }
+
+  private static int count(Input in) {
+    int count = in.readVarInt(true);
+    if (count < 0 || count > MOST_ITEMS) {
+      throw new IllegalArgumentException("too many items: " + count);
+    }
+    return count;
+  }
+
+  private static byte[] bytes(Input in) {
+    int length = in.readVarInt(true);
+    if (length < 0 || length > LARGEST) {
+      throw new IllegalArgumentException("too long: " + length);
+    }
+    return in.readBytes(length);
+  }
+}
--- /dev/null
+++ b/src/main/java/dapplestair/relay/RelayLinks.java
@@ -0,0 +1,195 @@
+package dapplestair.relay;
+
+import dapplestair.peers.Peers;
+import dapplestair.ports.Cancellable;
+import dapplestair.ports.HttpReply;
+import dapplestair.ports.Timers;
+import dapplestair.relay.RelayCodec.Frame;
+import dapplestair.relay.RelayCodec.Kind;
+import dapplestair.relay.RelayCodec.Reply;
+import dapplestair.relay.RelayCodec.Request;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Requests between controllers, gathered into frames for a moment. A request is sent once and never
+ * repeated; without a reply in time its outcome is unknown.
+ */
+final class RelayLinks implements AutoCloseable {
+  /** Topic between controllers; older ones do not know it and do not answer. */
+  private static final String TOPIC = "relay";
+
+  /** Requests without a reply that one controller may have with another. */
+  private static final int MOST_OPEN = 4096;
+
+  private static final int LARGEST_BATCH = RelayCodec.LARGEST / 2;
+
+  /** Serves the requests of other controllers. */
+  interface Handler {
+    /** Serves one request; {@code done} may be called later, and never for {@link Kind#MODE}. */
+    void handle(String member, Request request, Consumer<HttpReply> done);
+  }
+
+  private record Open(String member, Consumer<HttpReply> done, Cancellable timer) {}
+
+  /** What waits to be sent to one controller. */
+  private static final class Outbox {
+    final ArrayDeque<Request> requests = new ArrayDeque<>();
+    final ArrayDeque<Reply> replies = new ArrayDeque<>();
+    long process;
+    int open;
+    boolean flushing;
+  }
+
+  private final Timers timers;
+  private final Peers peers;
+  private final long process;
+  private final long gatherMs;
+  private final Handler handler;
+  private final Map<String, Outbox> outboxes = new HashMap<>();
+  private final Map<Long, Open> open = new HashMap<>();
+  private long lastId;
+
+  /**
+   * Links to all controllers.
+   *
+   * @param process tells this process from its earlier lives
+   * @param gatherMs how long requests are gathered for one frame
+   */
+  RelayLinks(Timers timers, Peers peers, long process, long gatherMs, Handler handler) {
+    this.timers = timers;
+    this.peers = peers;
+    this.process = process;
+    this.gatherMs = gatherMs;
+    this.handler = handler;
+  }
+
+  void start() {
+    peers.onTell(TOPIC, this::received);
+  }
+
+  /** Sends a request; exactly one reply. */
+  void call(
+      String member,
+      Kind kind,
+      String endpoint,
+      byte[] body,
+      long timeoutMs,
+      Consumer<HttpReply> done) {
+    Outbox outbox = outbox(member);
+    if (outbox.open >= MOST_OPEN) {
+      timers.after(0, () -> done.accept(HttpReply.of(HttpReply.NOT_SENT)));
+      return;
+    }
+    outbox.open++;
+    long id = ++lastId;
+    Cancellable timer = timers.after(timeoutMs, () -> end(id, HttpReply.of(HttpReply.UNKNOWN)));
+    open.put(id, new Open(member, done, timer));
+    outbox.requests.add(new Request(id, kind, endpoint, timeoutMs, body));
+    flushSoon(member, outbox);
+  }
+
+  /** Tells another controller something that has no reply. */
+  void tell(String member, Kind kind, byte[] body) {
+    Outbox outbox = outbox(member);
+    if (outbox.requests.size() < MOST_OPEN) {
+      outbox.requests.add(new Request(0, kind, "", 0, body));
+      flushSoon(member, outbox);
+    }
+  }
+
+  private Outbox outbox(String member) {
+    return outboxes.computeIfAbsent(member, m -> new Outbox());
+  }
+
+  private void flushSoon(String member, Outbox outbox) {
+    if (!outbox.flushing) {
+      outbox.flushing = true;
+      timers.after(gatherMs, () -> flush(member, outbox));
+    }
+  }
+
+  private void flush(String member, Outbox outbox) {
+    outbox.flushing = false;
+    while (!outbox.requests.isEmpty() || !outbox.replies.isEmpty()) {
+      int bytes = 0;
+      List<Request> requests = new ArrayList<>();
+      while (!outbox.requests.isEmpty() && room(requests.size(), bytes)) {
+        Request request = outbox.requests.poll();
+        // One that has timed out while it waited here need not be sent any more.
+        if (request.id() == 0 || open.containsKey(request.id())) {
+          requests.add(request);
+          bytes += request.body().length;
+        }
+      }
+      List<Reply> replies = new ArrayList<>();
+      while (!outbox.replies.isEmpty() && room(replies.size(), bytes)) {
+        replies.add(outbox.replies.peek());
+        bytes += outbox.replies.poll().body().length;
+      }
+      byte[] frame = RelayCodec.encode(new Frame(process, outbox.process, requests, replies));
+      if (frame != null) {
+        peers.tell(member, TOPIC, frame);
+      }
+    }
+  }
+
+  private static boolean room(int items, int bytes) {
+    return items < RelayCodec.MOST_ITEMS && bytes < LARGEST_BATCH;
+  }
+
+  private void received(String member, byte[] bytes) {
+    Frame frame = RelayCodec.decode(bytes);
+    if (frame == null) {
+      peers.questions().refused();
+      return;
+    }
+    Outbox outbox = outbox(member);
+    if (outbox.process != frame.sender()) {
+      // Its former life waits for nothing any more.
+      outbox.replies.clear();
+      outbox.process = frame.sender();
+    }
+    if (frame.receiver() == process) {
+      frame.replies().forEach(r -> answered(member, r));
+    }
+    for (Request request : frame.requests()) {
+      long sender = frame.sender();
+      handler.handle(member, request, reply -> reply(member, sender, request.id(), reply));
+    }
+  }
+
+  private void reply(String member, long sender, long id, HttpReply reply) {
+    Outbox outbox = outbox(member);
+    if (id != 0 && outbox.process == sender) {
+      outbox.replies.add(new Reply(id, reply.status(), reply.body()));
+      flushSoon(member, outbox);
+    }
+  }
+
+  private void answered(String member, Reply reply) {
+    Open waiting = open.get(reply.id());
+    if (waiting != null && waiting.member().equals(member)) {
+      end(reply.id(), new HttpReply(reply.status(), reply.body()));
+    }
+  }
+
+  private void end(long id, HttpReply reply) {
+    Open waiting = open.remove(id);
+    if (waiting != null) {
+      waiting.timer().cancel();
+      outbox(waiting.member()).open--;
+      waiting.done().accept(reply);
+    }
+  }
+
+  @Override
+  public void close() {
+    open.values().forEach(o -> o.timer().cancel());
+    open.clear();
+  }
+}
--- a/src/main/java/dapplestair/settings/Operator.java
+++ b/src/main/java/dapplestair/settings/Operator.java
@@ -7,6 +7,8 @@
  * Operators' own choices, with the values that hold when nothing is said.
  *
  * @param beginWithinMs within what every job is to begin, the largest ones too
+ * @param relayAbove share of the leader's connections that machines may take before their
+ *     connections are spread over all controllers; 0 spreads them always
  */
 public record Operator(
     long planIntervalMs,
@@ -19,6 +21,7 @@
     double spendWeight,
     double riskWeight,
     long beginWithinMs,
+    double relayAbove,
     List<Lane> lanes,
     List<RunCalendar> calendars,
     Budgets budgets,
@@ -43,39 +46,62 @@
 
   static final int MOST_CONNECTIONS = 32;
 
+  /** The rest is for users, peers, the state service and the cloud. */
+  private static final double RELAY_ABOVE = 0.9;
+
   /** What holds without an operator file. */
   public static Operator defaults() {
     return new Operator(
-        3_000, 20, 300, 0, 2.5, 4, 2.1, 1, 0.5, 240_000, List.of(), List.of(), Budgets.USUAL, null);
+        3_000,
+        20,
+        300,
+        0,
+        2.5,
+        4,
+        2.1,
+        1,
+        0.5,
+        240_000,
+        RELAY_ABOVE,
+        List.of(),
+        List.of(),
+        Budgets.USUAL,
+        null);
   }
 
   /** The same with this operators' interface. */
   public Operator withAdmin(Admin other) {
-    return with(beginWithinMs, lanes, calendars, budgets, other);
+    return with(beginWithinMs, relayAbove, lanes, calendars, budgets, other);
   }
 
   /** The same with another bound within what every job is to begin. */
   public Operator withBeginWithin(long ms) {
-    return with(ms, lanes, calendars, budgets, admin);
+    return with(ms, relayAbove, lanes, calendars, budgets, admin);
+  }
+
+  /** The same with connections spread beyond this share. */
+  public Operator withRelayAbove(double share) {
+    return with(beginWithinMs, share, lanes, calendars, budgets, admin);
   }
 
   /** The same with these lanes. */
   public Operator withLanes(List<Lane> others) {
-    return with(beginWithinMs, others, calendars, budgets, admin);
+    return with(beginWithinMs, relayAbove, others, calendars, budgets, admin);
   }
 
   /** The same with these calendars. */
   public Operator withCalendars(List<RunCalendar> others) {
-    return with(beginWithinMs, lanes, others, budgets, admin);
+    return with(beginWithinMs, relayAbove, lanes, others, budgets, admin);
   }
 
   /** The same with these budgets of disruption. */
   public Operator withBudgets(Budgets other) {
-    return with(beginWithinMs, lanes, calendars, other, admin);
+    return with(beginWithinMs, relayAbove, lanes, calendars, other, admin);
   }
 
   private Operator with(
       long newBeginWithinMs,
+      double newRelayAbove,
       List<Lane> newLanes,
       List<RunCalendar> newCalendars,
       Budgets newBudgets,
@@ -91,6 +117,7 @@
         spendWeight,
         riskWeight,
         newBeginWithinMs,
+        newRelayAbove,
         newLanes,
         newCalendars,
         newBudgets,
--- a/src/main/java/dapplestair/settings/OperatorLoader.java
+++ b/src/main/java/dapplestair/settings/OperatorLoader.java
@@ -53,6 +53,9 @@
         in.hasBeginWithinS()
             ? Math.round(1000 * within(path, "begin_within_s", in.getBeginWithinS(), 10, 86_400))
             : d.beginWithinMs(),
+        in.hasRelayAbove()
+            ? within(path, "relay_above", in.getRelayAbove(), 0, 100)
+            : d.relayAbove(),
         LanesLoader.read(path, in.getLaneList()),
         CalendarsLoader.read(path, in.getCalendarList()),
         BudgetsLoader.read(path, in.getDisruptionList()),
--- a/src/main/java/dapplestair/workers/Courier.java
+++ b/src/main/java/dapplestair/workers/Courier.java
@@ -6,9 +6,9 @@
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Attempt;
 import dapplestair.ports.Clock;
-import dapplestair.ports.HttpCaller;
 import dapplestair.ports.HttpReply;
 import dapplestair.ports.Timers;
+import dapplestair.relay.Relay;
 import dapplestair.settings.Settings;
 import dapplestair.withdrawals.Withdrawals;
 import dapplestair.work.Order;
@@ -35,7 +35,7 @@
 
   private final Clock clock;
   private final Timers timers;
-  private final HttpCaller http;
+  private final Relay relay;
   private final Leadership leadership;
   private final Withdrawals withdrawals;
   private final Roster roster;
@@ -48,7 +48,7 @@
   Courier(
       Clock clock,
       Timers timers,
-      HttpCaller http,
+      Relay relay,
       Settings settings,
       Leadership leadership,
       Withdrawals withdrawals,
@@ -56,7 +56,7 @@
       Listener listener) {
     this.clock = clock;
     this.timers = timers;
-    this.http = http;
+    this.relay = relay;
     this.leadership = leadership;
     this.withdrawals = withdrawals;
     this.roster = roster;
@@ -129,10 +129,10 @@
     ObjectNode body = Order.call(token(host), host.session, orders);
     host.calling = true;
     long term = leadership.term();
-    http.call(
+    relay.command(
+        // After a call that failed on its way through another controller, the next one is direct.
+        host.failedCalls > 0 ? null : host.relay,
         host.endpoint,
-        "POST",
-        "/orders",
         Json.bytes(body),
         patienceMs(host),
         reply -> {
--- a/src/main/java/dapplestair/workers/Host.java
+++ b/src/main/java/dapplestair/workers/Host.java
@@ -40,6 +40,10 @@
   final Map<String, Order> outbox = new LinkedHashMap<>();
   boolean calling;
   int failedCalls;
+
+  /** The controller that holds its connection and passes its reports on, or null for this one. */
+  String relay;
+
   boolean lastCallConnected;
   long callAgainAt;
 
--- a/src/main/java/dapplestair/workers/ReportHandler.java
+++ b/src/main/java/dapplestair/workers/ReportHandler.java
@@ -10,6 +10,8 @@
 import dapplestair.ports.Clock;
 import dapplestair.ports.Exchange;
 import dapplestair.ports.Timers;
+import dapplestair.relay.Relay;
+import dapplestair.relay.RelayedReport;
 import dapplestair.settings.Settings;
 import dapplestair.state.StateClient;
 import dapplestair.withdrawals.Withdrawals;
@@ -35,6 +37,7 @@
   private final SentOn sentOn;
   private final LeaseRenewal renewal;
   private final ReportApplier applier;
+  private final Relay relay;
   private final BooleanSupplier leading;
   private Cancellable counting = () -> {};
   private int beats;
@@ -53,6 +56,7 @@
       Hearing hearing,
       LeaseRenewal renewal,
       ReportApplier applier,
+      Relay relay,
       BooleanSupplier leading) {
     this.timers = timers;
     this.settings = settings;
@@ -65,11 +69,13 @@
     this.sentOn = new SentOn(clock, settings.workers().leaseMs());
     this.renewal = renewal;
     this.applier = applier;
+    this.relay = relay;
     this.leading = leading;
   }
 
   /** Begins to count what comes. */
   void start() {
+    relay.start(this::beat, () -> roster.all().size());
     countBeats();
   }
 
@@ -87,7 +93,14 @@
     withdrawals.addressed(r.host(), r.endpoint());
     beats++;
     if (!leading.getAsBoolean() || !leadership.leading()) {
-      redirect(exchange, r);
+      if (!relay.take(exchange, r, () -> redirect(exchange, r))) {
+        redirect(exchange, r);
+      }
+      return;
+    }
+    String elsewhere = relay.elsewhere(exchange, r);
+    if (elsewhere != null) {
+      sendTo(exchange, elsewhere);
       return;
     }
     if (roster.isGone(r.host())) {
@@ -98,6 +111,7 @@
       return;
     }
     Host host = roster.host(r.host());
+    host.relay = RelayedReport.relayOf(exchange);
     applier.apply(host, r, false);
     keep(exchange, leading.getAsBoolean() ? renewal.byLeader(host, r) : null);
   }
@@ -126,8 +140,9 @@
     // may be that this leader may not keep leases any more, since it does not hear all others.
     boolean notTaken = again && !peers.anyServed();
     boolean alone = !state.reachable() && (notTaken || !(known && peers.alive(steward)));
-    if (alone && !again && leadership.succeeded()) {
+    if (alone && !again && (leadership.succeeded() || relay.on())) {
       // Somebody leads whom we cannot ask, and reaches this worker: it had better report there.
+      // Where reports are relayed, a relay that is cut off cannot tell whether somebody does.
       // One that comes back was not taken; it is kept as below.
       keep(exchange, null);
       return;
@@ -136,9 +151,14 @@
       keep(exchange, renewal.byOther(r));
       return;
     }
+    sendTo(exchange, known ? steward : null);
+  }
+
+  /** Sends a worker on to another controller, or to any if {@code member} is null. */
+  private static void sendTo(Exchange exchange, String member) {
     ObjectNode answer = Json.object();
-    if (known) {
-      answer.put("steward", steward);
+    if (member != null) {
+      answer.put("steward", member);
     }
     exchange.reply(REDIRECTED, Json.bytes(answer), 0);
   }
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -8,8 +8,8 @@
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
 import dapplestair.ports.Exchange;
-import dapplestair.ports.HttpCaller;
 import dapplestair.ports.Timers;
+import dapplestair.relay.Relay;
 import dapplestair.settings.Settings;
 import dapplestair.silence.Account;
 import dapplestair.state.StateClient;
@@ -53,7 +53,7 @@
   public WorkerDesk(
       Clock clock,
       Timers timers,
-      HttpCaller http,
+      Relay relay,
       Settings settings,
       Leadership leadership,
       Peers peers,
@@ -72,7 +72,7 @@
     this.roster = new Roster(clock);
     this.hearing = new Hearing(clock, settings, roster);
     this.courier =
-        new Courier(clock, timers, http, settings, leadership, withdrawals, roster, new Answers());
+        new Courier(clock, timers, relay, settings, leadership, withdrawals, roster, new Answers());
     this.applier =
         new ReportApplier(
             clock, leadership, types, ledger, hearing, courier, listener, this::isLeading);
@@ -89,6 +89,7 @@
             hearing,
             new LeaseRenewal(clock, courier, ledger, withdrawals),
             applier,
+            relay,
             this::isLeading);
   }
 
--- /dev/null
+++ b/src/test/java/dapplestair/relay/RelayAssignmentTest.java
@@ -0,0 +1,78 @@
+package dapplestair.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
+import dapplestair.relay.RelayAssignment.Candidate;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Which controller holds the connections of which machine. */
+class RelayAssignmentTest {
+  private static final int MACHINES = 3600;
+  private static final List<String> ZONES = List.of("a", "b", "c");
+
+  /** Controllers are in the first two of three zones. */
+  private static List<Candidate> controllers(int count) {
+    List<Candidate> all = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      all.add(new Candidate("node-" + i, ZONES.get(i % 2)));
+    }
+    return all;
+  }
+
+  private static String machine(int i) {
+    return String.format("n-%06d", i);
+  }
+
+  private static String of(int i, List<Candidate> candidates) {
+    return RelayAssignment.of(machine(i), ZONES.get(i % 3), candidates);
+  }
+
+  @ParameterizedTest(name = "{0} controllers")
+  @ValueSource(ints = {1, 2, 3, 5, 7})
+  void theLoadIsEven(int count) {
+    List<Candidate> candidates = controllers(count);
+    Multiset<String> load = HashMultiset.create();
+    for (int i = 0; i < MACHINES; i++) {
+      load.add(of(i, candidates));
+    }
+    double mean = (double) MACHINES / count;
+    candidates.forEach(
+        c -> assertTrue(load.count(c.member()) < 1.3 * mean, c + ": " + load.count(c.member())));
+  }
+
+  @Test
+  void onlyMachinesOfAnEndedControllerMove() {
+    List<Candidate> all = controllers(5);
+    List<Candidate> without = new ArrayList<>(all);
+    Candidate ended = without.remove(2);
+    for (int i = 0; i < MACHINES; i++) {
+      String before = of(i, all);
+      if (!before.equals(ended.member())) {
+        assertEquals(before, of(i, without));
+      }
+    }
+  }
+
+  @Test
+  void theMachinesOwnZoneGoesFirst() {
+    List<Candidate> candidates = controllers(2);
+    long inZone = 0;
+    for (int i = 0; i < MACHINES; i++) {
+      inZone += RelayAssignment.of(machine(i), "a", candidates).equals("node-0") ? 1 : 0;
+    }
+    assertEquals(2.0 / 3, (double) inZone / MACHINES, 0.03);
+  }
+
+  @Test
+  void nobodyIsThere() {
+    assertNull(RelayAssignment.of("n-000001", "a", List.of()));
+  }
+}
--- a/src/test/java/dapplestair/world/MeetingsTest.java
+++ b/src/test/java/dapplestair/world/MeetingsTest.java
@@ -17,7 +17,7 @@
   private static final int ROUNDS = 5;
 
   /** Jobs of at most three tasks. */
-  private static final World.Size SHORT = new World.Size(4, 20, 1100, 3);
+  static final World.Size SHORT = new World.Size(4, 20, 1100, 3);
 
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {9001, 9002, 9003, 9004, 9005, 9006, 9007, 9008, 9009, 9010, 9011, 9012})
@@ -26,7 +26,10 @@
   }
 
   static void play(long seed) {
-    World w = new World(seed, SHORT);
+    play(new World(seed, SHORT), seed);
+  }
+
+  static void play(World w, long seed) {
     try {
       w.users.withdrawnArrays = 0.5;
       Troubles troubles = new Troubles(w);
--- /dev/null
+++ b/src/test/java/dapplestair/world/RelayTest.java
@@ -0,0 +1,185 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dapplestair.emulator.EmulatedWorker;
+import dapplestair.settings.Operator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Connections of workers spread over all controllers, which relay reports and commands
+ * (docs/sharing.md). That the rules hold is checked by the world's checker after each step. All
+ * other tests are played so with {@code -Dworld.relayAbove=0}.
+ */
+class RelayTest {
+  /** Controllers are candidates after a quarter of a lease; then each worker reports once. */
+  private static final long SETTLED_MS = World.LEASE_MS / 4 + 3 * World.REPORT_MS;
+
+  /** To which controller each worker sent its last report. */
+  private static final class Day {
+    final World w;
+    final Map<String, String> reportsTo = new HashMap<>();
+
+    Day(long seed) {
+      w = DisruptionTest.begun(seed, 5, 5);
+      w.checker.budget = null;
+      w.operator = w.operator.withRelayAbove(0);
+      w.nodes.forEach(n -> n.crash(1000));
+      w.net.observe(
+          r -> {
+            if (r.path().equals("/agent/beat")) {
+              reportsTo.put(r.from(), r.to());
+            }
+          });
+      w.run(8000 + SETTLED_MS);
+    }
+
+    Map<String, String> living() {
+      Map<String, String> out = new HashMap<>();
+      for (EmulatedWorker m : w.cloud.machines()) {
+        if (!m.gone() && reportsTo.containsKey(m.endpoint())) {
+          out.put(m.endpoint(), reportsTo.get(m.endpoint()));
+        }
+      }
+      return out;
+    }
+
+    /** Machines whose worker reports to a node. */
+    long at(World.Node node) {
+      return living().values().stream().filter(World.client(node.index)::equals).count();
+    }
+
+    World.Node follower() {
+      return w.nodes.get((w.leader().index + 1) % 3);
+    }
+  }
+
+  /** Each controller takes its part, and the leader none of the others'. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {9701, 9702, 9703})
+  void connectionsAreSpread(long seed) {
+    Day d = new Day(seed);
+    for (World.Node n : d.w.nodes) {
+      assertTrue(d.at(n) > 0, "nobody reports to " + n.index);
+    }
+    assertTrue(3 * d.at(d.w.leader()) < 2 * d.living().size(), "the leader takes most");
+    Users.Told array = d.w.users.array("one", "high", 30, 5);
+    d.w.run(30_000);
+    assertTrue(array.done, "an array is not done");
+    assertEquals(0, d.w.cloud.killedByLease(), "tasks killed by the end of a lease");
+    SeededDaysTest.settle(d.w);
+  }
+
+  /** Its end sends no worker away whose own controller lives, and costs no task. */
+  @ParameterizedTest(name = "seed {0}, back after {1} ms")
+  @CsvSource({"9711,60", "9712,600", "9713,3000", "9714,20000"})
+  void theLeadersEndMovesOnlyItsOwn(long seed, long backAfterMs) {
+    Day d = new Day(seed);
+    World.Node leader = d.w.leader();
+    Map<String, String> before = d.living();
+    int lost = d.w.cloud.killedByLease() + d.w.cloud.killedByRelease();
+    leader.crash(backAfterMs);
+    d.w.run(2 * World.REPORT_MS);
+    Map<String, String> after = d.living();
+    before.forEach(
+        (machine, node) -> {
+          if (!node.equals(World.client(leader.index))) {
+            assertEquals(node, after.get(machine), machine + " was sent away");
+          }
+        });
+    d.w.run(World.LEASE_MS);
+    assertEquals(lost, d.w.cloud.killedByLease() + d.w.cloud.killedByRelease(), "tasks killed");
+    SeededDaysTest.settle(d.w);
+  }
+
+  /** Whatever a relay suffers, its workers find another way before their leases end. */
+  @ParameterizedTest(name = "seed {0}, a relay {1}")
+  @CsvSource({
+    "9721,ends",
+    "9722,ends and returns at once",
+    "9723,stands still",
+    "9724,loses its peers and the state service",
+    "9725,loses its workers",
+    "9726,loses the leader alone",
+    "9727,ends with the leader"
+  })
+  void aRelayInTroubleCostsNoTask(long seed, String trouble) {
+    Day d = new Day(seed);
+    World.Node relay = d.follower();
+    int lost = d.w.cloud.killedByLease() + d.w.cloud.killedByRelease();
+    long ms = 2 * World.LEASE_MS;
+    switch (trouble) {
+      case "ends" -> relay.crash(ms);
+      case "ends and returns at once" -> relay.crash(80);
+      case "stands still" -> relay.freeze(ms);
+      case "loses its peers and the state service" -> new Troubles(d.w).alone(relay, true, ms);
+      case "loses its workers" -> {
+        List<String> machines =
+            d.w.cloud.machines().stream().map(EmulatedWorker::endpoint).toList();
+        for (String m : machines) {
+          for (String own : List.of("node-" + relay.index, World.client(relay.index))) {
+            d.w.net.cut(own, m, true);
+            d.w.sim.after(ms, () -> d.w.net.heal(own, m));
+          }
+        }
+      }
+      case "loses the leader alone" -> {
+        String leader = "node-" + d.w.leader().index;
+        d.w.net.cut("node-" + relay.index, leader, true);
+        d.w.sim.after(ms, () -> d.w.net.heal("node-" + relay.index, leader));
+      }
+      default -> {
+        d.w.leader().crash(2000);
+        relay.crash(2000);
+      }
+    }
+    Users.Told array = d.w.users.array("one", "high", 20, 5);
+    d.w.run(ms);
+    assertEquals(lost, d.w.cloud.killedByLease() + d.w.cloud.killedByRelease(), "tasks killed");
+    assertTrue(array.done, "an array is not done meanwhile");
+    d.w.run(SETTLED_MS);
+    assertTrue(trouble.contains("leader") || d.at(relay) > 0, "nobody reports to it again");
+    SeededDaysTest.settle(d.w);
+  }
+
+  /**
+   * Commands lie in the buffers of a relay that stands still, the leader changes meanwhile and jobs
+   * are cancelled; then all of them are delivered late.
+   */
+  @ParameterizedTest(name = "seed {0}, the relay stands still for {1} ms")
+  @CsvSource({"9731,1500", "9732,4000", "9733,9000", "9734,16000", "9735,40000"})
+  void commandsAreDeliveredLate(long seed, long ms) {
+    Day d = new Day(seed);
+    World.Node leader = d.w.leader();
+    World.Node relay = d.follower();
+    List<Users.Told> jobs =
+        List.of(
+            d.w.users.array("one", "high", 30, 60),
+            d.w.users.array("two", "high", 30, 60),
+            d.w.users.service("one", 3));
+    d.w.run(World.REPORT_MS / 2);
+    relay.freeze(ms);
+    d.w.run(World.REPORT_MS / 2);
+    jobs.forEach(d.w.users::withdraw);
+    d.w.run(200);
+    leader.crash(3000);
+    d.w.run(ms + World.CANCEL_MS);
+    assertNotEquals(null, d.w.leader(), "nobody leads");
+    SeededDaysTest.settle(d.w);
+  }
+
+  /** As {@link MeetingsTest}, with connections spread. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {9741, 9742, 9743, 9744, 9745, 9746})
+  void troublesMeet(long seed) {
+    Operator spread = Operator.defaults().withRelayAbove(0);
+    MeetingsTest.play(new World(seed, MeetingsTest.SHORT, true, spread), seed);
+  }
+}
--- a/src/test/java/dapplestair/world/ReplacementTest.java
+++ b/src/test/java/dapplestair/world/ReplacementTest.java
@@ -391,6 +391,7 @@
             o.spendWeight(),
             o.riskWeight(),
             o.beginWithinMs(),
+            o.relayAbove(),
             o.lanes(),
             o.calendars(),
             o.budgets(),
--- a/src/test/java/dapplestair/world/World.java
+++ b/src/test/java/dapplestair/world/World.java
@@ -100,7 +100,11 @@
   Runnable also = () -> {};
 
   /** What controllers are told by their operators from their next start on. */
-  Operator operator = Operator.defaults();
+  Operator operator;
+
+  /** Every world spreads its connections from this share on; less than 0: as the operators say. */
+  private static final double RELAY_ABOVE =
+      Double.parseDouble(System.getProperty("world.relayAbove", "-1"));
 
   /** Controllers refuse each other's connections, though all of them live. */
   boolean peersRefuse;
@@ -129,7 +133,16 @@
   }
 
   World(long seed, Size size, boolean operators) {
-    this(seed, size, operators, List.of(machineType(TYPE)));
+    this(seed, size, operators, List.of(machineType(TYPE)), Operator.defaults());
+  }
+
+  World(long seed, Size size, boolean operators, List<Shape.Machine> types) {
+    this(seed, size, operators, types, Operator.defaults());
+  }
+
+  /** Controllers are told {@code operator} from their first start on. */
+  World(long seed, Size size, boolean operators, Operator operator) {
+    this(seed, size, operators, List.of(machineType(TYPE)), operator);
   }
 
   /** A type of machine like the usual one. */
@@ -137,7 +150,13 @@
     return new Shape.Machine(name, CPUS, 0, 64, 50, 1, 1, 0.4, 4);
   }
 
-  World(long seed, Size size, boolean operators, List<Shape.Machine> machineTypes) {
+  private World(
+      long seed,
+      Size size,
+      boolean operators,
+      List<Shape.Machine> machineTypes,
+      Operator operator) {
+    this.operator = operator;
     this.seed = seed;
     this.types = machineTypes.stream().map(Shape.Machine::name).toList();
     this.operators = operators;
@@ -484,8 +503,11 @@
               this,
               RandomSource.XO_RO_SHI_RO_128_PP.create(sim.random.nextLong()),
               seed % 3 != 0);
-      controller =
-          new Controller(node.settings, operator, outside, operators ? Access.open() : null);
+      controller = new Controller(node.settings, told(), outside, operators ? Access.open() : null);
+    }
+
+    private Operator told() {
+      return RELAY_ABOVE < 0 ? operator : operator.withRelayAbove(RELAY_ABOVE);
     }
 
     void begin() {
