Meetings of troubles with machines: mute workers, late commands, quick boots with late writes, old reports

Placed at the steps of a change of leader as the others are, by seeds of their own: what the former ones draw stays the same.

--- a/src/test/java/dapplestair/world/MeetingsTest.java
+++ b/src/test/java/dapplestair/world/MeetingsTest.java
@@ -5,6 +5,7 @@
 import dapplestair.emulator.EmulatedWorker;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -25,11 +26,18 @@
     play(seed);
   }
 
+  /** Among them mute machines, late commands, quick boots with late writes, and old reports. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {9101, 9102, 9103, 9104})
+  void troublesOfMachinesMeet(long seed) {
+    play(new World(seed, SHORT), seed, Troubles::ofMachines);
+  }
+
   static void play(long seed) {
-    play(new World(seed, SHORT), seed);
+    play(new World(seed, SHORT), seed, Troubles::any);
   }
 
-  static void play(World w, long seed) {
+  static void play(World w, long seed, Consumer<Troubles> trouble) {
     try {
       w.users.withdrawnArrays = 0.5;
       Troubles troubles = new Troubles(w);
@@ -39,7 +47,7 @@
         int more = (int) w.sim.between(1, 2);
         for (int k = 0; k < more; k++) {
           w.run(step(w));
-          troubles.any();
+          trouble.accept(troubles);
         }
         withdrawSome(w);
         w.run(w.sim.between(8000, 40_000));
--- a/src/test/java/dapplestair/world/RelayTest.java
+++ b/src/test/java/dapplestair/world/RelayTest.java
@@ -180,6 +180,9 @@
   @ValueSource(longs = {9741, 9742, 9743, 9744, 9745, 9746})
   void troublesMeet(long seed) {
     Operator spread = Operator.defaults().withRelayAbove(0);
-    MeetingsTest.play(new World(seed, MeetingsTest.SHORT, true, spread), seed);
+    MeetingsTest.play(
+        new World(seed, MeetingsTest.SHORT, true, spread),
+        seed,
+        seed % 2 == 0 ? Troubles::any : Troubles::ofMachines);
   }
 }
--- a/src/test/java/dapplestair/world/Troubles.java
+++ b/src/test/java/dapplestair/world/Troubles.java
@@ -38,6 +38,40 @@
     one((int) w.sim.between(0, 20));
   }
 
+  /**
+   * One with machines, their reports or their commands; by itself, so that what {@link #any} draws
+   * stays the same.
+   */
+  void ofMachines() {
+    long ms = w.sim.between(2000, LONGEST_MS);
+    switch ((int) w.sim.between(0, 3)) {
+      case 0 -> {
+        double share = w.sim.chance(0.2) ? 1 : 0.3;
+        for (EmulatedWorker each : w.cloud.machines()) {
+          if (w.sim.chance(share)) {
+            each.mute(ms);
+          }
+        }
+      }
+      case 1 -> {
+        w.net.lateCommands = 0.4;
+        w.sim.after(ms, () -> w.net.lateCommands = 0);
+      }
+      case 2 -> {
+        w.cloud.setQuickBoots(1);
+        w.net.lateWrites = 0.25;
+        w.sim.after(ms, () -> w.cloud.setQuickBoots(0));
+        w.sim.after(ms, () -> w.net.lateWrites = 0);
+      }
+      default -> {
+        KeptReports.Arrival[] all = KeptReports.Arrival.values();
+        KeptReports reports = new KeptReports(w, 0.3, ms);
+        KeptReports.Arrival arrival = all[(int) w.sim.between(0, all.length - 1)];
+        w.sim.after(ms, () -> reports.arrive(arrival, w.sim.chance(0.5), World.REPORT_MS));
+      }
+    }
+  }
+
   private void one(int kind) {
     World.Node node = w.nodes.get((int) w.sim.between(0, 2));
     String name = "node-" + node.index;
