--- a/src/main/java/dapplestair/admin/ClusterViews.java
+++ b/src/main/java/dapplestair/admin/ClusterViews.java
@@ -18,6 +18,7 @@
 import dapplestair.planning.Planning;
 import dapplestair.ports.Clock;
 import dapplestair.settings.Settings;
+import dapplestair.relay.Relay;
 import dapplestair.state.StateClient;
 import dapplestair.withdrawals.Withdrawals;
 import dapplestair.workers.Host;
@@ -46,6 +47,7 @@
   private final MachineViews machines;
   private final Moment moment;
   private final Withdrawals withdrawals;
+  private final Relay relay;
 
   ClusterViews(Duties d, MachineViews machines, Moment moment) {
     this.clock = d.clock();
@@ -64,6 +66,7 @@
     this.machines = machines;
     this.moment = moment;
     this.withdrawals = d.withdrawals();
+    this.relay = d.relay();
   }
 
   /** Who leads, who lives, what waits where. */
@@ -108,6 +111,7 @@
       w.put("known_to_age_s", withdrawals.ageMs() / 1000.0);
     }
     w.put("keeps_leases", withdrawals.mayRenew());
+    o.putObject("relay").put("on", relay.on()).put("reports", relay.relayed());
     ObjectNode s =
         o.putObject("state")
             .put("reachable", state.reachable())
--- a/src/main/java/dapplestair/admin/Duties.java
+++ b/src/main/java/dapplestair/admin/Duties.java
@@ -15,6 +15,7 @@
 import dapplestair.planning.Planning;
 import dapplestair.ports.Clock;
 import dapplestair.ports.Timers;
+import dapplestair.relay.Relay;
 import dapplestair.replacement.Replacements;
 import dapplestair.settings.Operator;
 import dapplestair.settings.Settings;
@@ -50,4 +51,5 @@
     Blame blame,
     Wishes wishes,
     Withdrawals withdrawals,
+    Relay relay,
     EventLog events) {}
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -108,6 +108,7 @@
             scheduling.blame,
             operations.wishes,
             core.withdrawals,
+            core.relay,
             core.log);
     Exposition exposition = Figures.of(duties);
     core.metrics.tell(exposition);
--- a/src/main/java/dapplestair/node/Figures.java
+++ b/src/main/java/dapplestair/node/Figures.java
@@ -60,6 +60,14 @@
             "peer_messages_refused",
             "Messages of peers that were garbled, too large or of an unknown form.",
             () -> d.peers().questions().refusedSoFar())
+        .gauge(
+            "relay_on",
+            "1 while the connections of workers are spread over all controllers.",
+            () -> d.relay().on() ? 1 : 0)
+        .gauge(
+            "relayed_reports",
+            "Reports of workers that this controller has passed on to a leader.",
+            () -> d.relay().relayed())
         .gauge("machines_drained", "Machines drained by operators.", () -> drained(d));
   }
 
--- a/src/main/java/dapplestair/node/SelfReport.java
+++ b/src/main/java/dapplestair/node/SelfReport.java
@@ -4,6 +4,7 @@
 import dapplestair.ledger.Ledger;
 import dapplestair.machines.MachineTypes;
 import dapplestair.peers.PeerStatus;
+import dapplestair.relay.Relay;
 import dapplestair.state.Replica;
 import dapplestair.state.StateClient;
 import dapplestair.submissions.SubmissionDesk;
@@ -17,6 +18,7 @@
   private final WorkerDesk workers;
   private final SubmissionDesk submissions;
   private final Withdrawals withdrawals;
+  private final Relay relay;
   private final StateClient state;
   private final Replica replica;
   private final MachineTypes types;
@@ -27,6 +29,7 @@
     this.workers = core.workers;
     this.submissions = core.submissions;
     this.withdrawals = core.withdrawals;
+    this.relay = core.relay;
     this.state = core.state;
     this.replica = core.replica;
     this.types = core.types;
@@ -72,6 +75,9 @@
                 knownTo(),
                 withdrawals.open(),
                 withdrawals.openMs() / 1000.0);
+    if (relay.on()) {
+      line += "; connections spread, %d reports relayed".formatted(relay.relayed());
+    }
     return leadership.leading()
         ? "%s; served least: %s; largest: %s"
             .formatted(line, ledger.served().least(), ledger.served().latest())
