Whoever heard of a cancellation looks after it once its teller has ended

A controller that tells a user ends the tasks itself while no leader does.

Those who heard of a cancellation keep it, and take it over when the process that told its user is no living peer's any more: they ask the peers, then halt, then return the machine, by the same steps and times as before.

--- a/src/main/java/dapplestair/withdrawals/KnownTo.java
+++ b/src/main/java/dapplestair/withdrawals/KnownTo.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 /**
  * Up to which moment this controller knows every withdrawal that any controller has confirmed: its
@@ -42,6 +43,12 @@
     return peers.get(member);
   }
 
+  /** True when this process is a peer's present one and {@code alive} says so of that peer. */
+  boolean lives(long process, Predicate<String> alive) {
+    return peers.entrySet().stream()
+        .anyMatch(e -> e.getValue().log == process && alive.test(e.getKey()));
+  }
+
   /** The peer's process is another one than before. */
   void met(Peer peer, long log) {
     peer.log = log;
--- a/src/main/java/dapplestair/withdrawals/LogExchange.java
+++ b/src/main/java/dapplestair/withdrawals/LogExchange.java
@@ -8,6 +8,7 @@
 import dapplestair.settings.Settings;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 
 /** Each controller asks every other for what it has confirmed since it was last asked. */
 final class LogExchange implements AutoCloseable {
@@ -22,12 +23,15 @@
   private final long process;
   private final KnownWithdrawals known;
   private final KnownTo knownTo;
-  private final Consumer<WithdrawalCodec.Entry> learn;
+  private final ObjLongConsumer<WithdrawalCodec.Entry> learn;
   private final long everyMs;
   private long asked;
   private Cancellable timer = () -> {};
 
-  /** {@code process} tells this process from its earlier lives; {@code learn} hears what is new. */
+  /**
+   * {@code process} tells this process from its earlier lives; {@code learn} hears what is new and
+   * whose.
+   */
   LogExchange(
       Clock clock,
       Timers timers,
@@ -37,7 +41,7 @@
       long process,
       KnownWithdrawals known,
       KnownTo knownTo,
-      Consumer<WithdrawalCodec.Entry> learn) {
+      ObjLongConsumer<WithdrawalCodec.Entry> learn) {
     this.clock = clock;
     this.timers = timers;
     this.settings = settings;
@@ -88,7 +92,7 @@
       knownTo.met(peer, a.log());
     }
     for (WithdrawalCodec.Entry e : a.entries()) {
-      learn.accept(e);
+      learn.accept(e, a.log());
       peer.after = Math.max(peer.after, e.number());
     }
     if (a.whole()) {
--- a/src/main/java/dapplestair/withdrawals/OpenWithdrawals.java
+++ b/src/main/java/dapplestair/withdrawals/OpenWithdrawals.java
@@ -5,16 +5,28 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongPredicate;
 import java.util.function.Predicate;
 
-/** Withdrawals that users were told of here and that are not known to be carried out. */
+/**
+ * Withdrawals that users were told of here and that are not known to be carried out; with them
+ * those of other controllers' users, which are looked after here once that controller has ended.
+ */
 final class OpenWithdrawals {
+  private static final long OURS = 0;
+
   private static final class Open {
     final long toldAt;
+    long teller;
     long carriedOnAt = KnownTo.NEVER;
 
-    Open(long toldAt) {
+    Open(long toldAt, long teller) {
       this.toldAt = toldAt;
+      this.teller = teller;
+    }
+
+    boolean ours() {
+      return teller == OURS;
     }
   }
 
@@ -32,7 +44,26 @@
 
   /** Its user is told now. */
   void told(String ref) {
-    open.put(ref, new Open(clock.now()));
+    open.put(ref, new Open(clock.now(), OURS));
+  }
+
+  /** Its user was told some time ago by another controller's process, which looks after it. */
+  void heard(String ref, long teller, long ageMs) {
+    open.putIfAbsent(ref, new Open(clock.now() - ageMs, teller));
+  }
+
+  /**
+   * Takes over from those that have ended. In an outage nobody leads who would read of it: without
+   * this, what a machine that hangs runs of a withdrawn job would stay for as long as it hangs.
+   */
+  void adopt(LongPredicate lives) {
+    for (Open o : open.values()) {
+      if (!o.ours() && !lives.test(o.teller)) {
+        o.teller = OURS;
+        // A leader may carry it on: it is asked before anything is done here.
+        o.carriedOnAt = clock.now();
+      }
+    }
   }
 
   /** It is proved that nothing is left of it. */
@@ -60,20 +91,23 @@
   }
 
   int size() {
-    return open.size();
-  }
-
-  boolean isEmpty() {
-    return open.isEmpty();
+    return refs().size();
   }
 
   /** For how long the oldest has been open, milliseconds. */
   long oldestMs() {
-    return open.values().stream().mapToLong(o -> clock.now() - o.toldAt).max().orElse(0);
+    return open.values().stream()
+        .filter(Open::ours)
+        .mapToLong(o -> clock.now() - o.toldAt)
+        .max()
+        .orElse(0);
   }
 
   List<String> refs() {
-    return List.copyOf(open.keySet());
+    return open.entrySet().stream()
+        .filter(e -> e.getValue().ours())
+        .map(Map.Entry::getKey)
+        .toList();
   }
 
   /** Each with its places, as of the moment at which its user was told. */
@@ -82,7 +116,7 @@
     open.forEach(
         (ref, o) -> {
           Withdrawal w = known.get(ref);
-          if (w != null) {
+          if (w != null && o.ours()) {
             out.add(new Withdrawal(ref, o.toldAt, w.places()));
           }
         });
--- a/src/main/java/dapplestair/withdrawals/Withdrawals.java
+++ b/src/main/java/dapplestair/withdrawals/Withdrawals.java
@@ -297,7 +297,7 @@
     byte[] how = new byte[told.entries().size()];
     int i = 0;
     for (WithdrawalCodec.Entry e : told.entries()) {
-      learn(e);
+      learn(e, told.log());
       how[i++] = carriedOut(e.ref());
     }
     reply.accept(how);
@@ -312,11 +312,14 @@
     return listener.proved(ref) ? PROVED : CARRIED_ON;
   }
 
-  private void learn(WithdrawalCodec.Entry e) {
+  private void learn(WithdrawalCodec.Entry e, long teller) {
     known.learn(e.ref(), e.ageMs(), e.places());
     if (known.told(e.ref())) {
       // Also when it was known from the records: its user hears of it only now.
       newestAt = clock.now();
+      if (!e.places().isEmpty()) {
+        open.heard(e.ref(), teller, e.ageMs());
+      }
     }
     listener.withdrawn(e.ref());
   }
@@ -332,8 +335,9 @@
             !known.knows(ref)
                 || recordsAreNew && listener.places(ref).isEmpty()
                 || listener.proved(ref));
-    if (!open.isEmpty()) {
-      List<String> refs = open.refs();
+    open.adopt(process -> knownTo.lives(process, peers::alive));
+    List<String> refs = open.refs();
+    if (!refs.isEmpty()) {
       for (Settings.Peer p : settings.peers()) {
         if (peers.alive(p.member())) {
           tell(p.member(), refs, () -> {});
--- a/src/test/java/dapplestair/world/ManyLeadersTest.java
+++ b/src/test/java/dapplestair/world/ManyLeadersTest.java
@@ -108,6 +108,25 @@
     SeededDaysTest.settle(w);
   }
 
+  /** Whoever told the users ends in the outage: the others look after what does not stop. */
+  @ParameterizedTest(name = "seed {0}, ends after {1} ms")
+  @CsvSource({"12101,100", "12102,3000", "12103,15000"})
+  void whoToldEndsInAnOutage(long seed, long endsMs) {
+    GapTest.Day d = new GapTest.Day(seed);
+    World w = d.w;
+    d.withdrawn.forEach(t -> w.users.withdrawAt(t, d.old));
+    d.stallEveryThird();
+    w.run(500);
+    d.withdrawn.forEach(t -> assertTrue(t.aborted, t.ref + " is not cancelled"));
+    assertTrue(d.running(d.withdrawn) > 0, "everything stops at once");
+    w.state.fail();
+    w.sim.after(endsMs, () -> d.old.crash(4000));
+    w.run(World.CANCEL_MS * 3 / 2);
+    w.state.recover();
+    w.run(90_000);
+    SeededDaysTest.settle(w);
+  }
+
   /** Something small that is just being launched. */
   private static void cancelOne(LimitsTest.FullDay f) {
     Users.Told job = f.w.users.array("two", "high", 2, 20);
