The model of launch, halt and clear has refused connections as well; its figures counted again

A call whose connection is refused leaves its launches due, queues its orders again and raises the token; the model went past that branch of Fencing.unanswered. No rule is broken.

--- a/src/test/java/dapplestair/model/Leader.java
+++ b/src/test/java/dapplestair/model/Leader.java
@@ -161,6 +161,11 @@
     return leading && machines[machine].call == null && !machines[machine].outbox.isEmpty();
   }
 
+  /** True while it has raised the token less often, whoever else raised it by whole steps. */
+  boolean mayRaise(int machine, int most) {
+    return (machines[machine].fence & (FencingToken.MOST_AHEAD - 1)) < most;
+  }
+
   /** Sends what waits for a machine; null when nothing of it is due any more. */
   Message send(int machine) {
     Machine m = machines[machine];
--- a/src/test/java/dapplestair/model/TaskProtocol.java
+++ b/src/test/java/dapplestair/model/TaskProtocol.java
@@ -214,7 +214,7 @@
     Leader leader = c.leaders[l];
     Leader.Machine m = leader.machines[machine];
     String name = "leader " + leader.term;
-    boolean mayRaise = (m.fence & (FencingToken.MOST_AHEAD - 1)) < bounds.raises();
+    boolean mayRaise = leader.mayRaise(machine, bounds.raises());
     boolean clears = m.outbox.values().stream().anyMatch(o -> o instanceof Order.Clear);
     if (leader.maySend(machine) && (mayRaise || !clears)) {
       Cluster after = new Cluster(c);
@@ -223,6 +223,11 @@
         next.accept(() -> name + " has nothing to send", after);
       } else {
         addMessage(after, machine, sent, () -> name + " sends " + sent, next);
+        if (after.leaders[l].mayRaise(machine, bounds.raises())) {
+          Cluster refused = new Cluster(after);
+          refused.leader(l).unanswered(machine, false);
+          next.accept(() -> name + " is refused a connection", refused);
+        }
       }
     }
     if (m.call == null) {
--- a/src/test/java/dapplestair/model/TaskProtocolTest.java
+++ b/src/test/java/dapplestair/model/TaskProtocolTest.java
@@ -19,11 +19,11 @@
   @CsvSource({
     // successor, machines, attempts, sessions, raises, messages, reports, raised by others, late
     // answers, cancellation; states, transitions
-    "one leader two sessions,false,1,2,2,2,2,1,false,false,false,53047,282102",
-    "late answers,false,1,2,1,1,2,1,false,true,false,3442,17091",
-    "a leader and its successor,true,1,1,1,1,1,1,false,false,false,92098,628426",
+    "one leader two sessions,false,1,2,2,2,2,1,false,false,false,59690,318293",
+    "late answers,false,1,2,1,1,2,1,false,true,false,3943,19488",
+    "a leader and its successor,true,1,1,1,1,1,1,false,false,false,108700,747445",
     "a cancellation meets the successor,true,1,1,1,0,1,1,false,false,true,18657,121857",
-    "another controller raises the token,false,1,1,1,1,2,1,true,true,false,3835,18732",
+    "another controller raises the token,false,1,1,1,1,2,1,true,true,false,4580,22494",
     "two machines,false,2,2,1,0,1,1,false,false,false,16109,109982"
   })
   void noRuleIsBroken(
