A sheet does not outlive its jobs when reports are quicker than descriptions at a change of leader

Cause: a new leader fetches the descriptions of jobs that are over before it takes over the sheets. If reports proved meanwhile that nothing of such a job is left, the job was forgotten before its claim on a sheet was entered, and nobody released it: the sheet stayed on record until the next leader. Change: claims of forgotten jobs are dropped first.

--- a/src/main/java/dapplestair/ledger/Takeover.java
+++ b/src/main/java/dapplestair/ledger/Takeover.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -139,6 +140,7 @@
 
   private void orphanFound() {
     if (--orphans == 0) {
+      dropClaimsOfForgottenJobs();
       recorded
           .sheets()
           .forEach(
@@ -158,6 +160,16 @@
     }
   }
 
+  /**
+   * While descriptions were fetched, reports may have proved that nothing is left of a job that is
+   * over. It is forgotten then: with its claim a sheet would stay on record until the next leader.
+   */
+  private void dropClaimsOfForgottenJobs() {
+    Set<Chunk> present = new HashSet<>();
+    jobs.values().forEach(job -> present.addAll(job.chunks.values()));
+    claims.values().forEach(chunks -> chunks.retainAll(present));
+  }
+
   /**
    * Enters what the sheets add to a job's own records. Of two sheets with the same task the higher
    * number counts: it was given out after the other one was proved absent.
