--- a/src/main/java/dapplestair/submissions/SubmissionDesk.java
+++ b/src/main/java/dapplestair/submissions/SubmissionDesk.java
@@ -17,11 +17,8 @@
 import dapplestair.state.StateClient.Priority;
 import dapplestair.state.Txn;
 import dapplestair.withdrawals.Withdrawals;
-import dapplestair.work.Latest;
 import dapplestair.work.Rank;
 import dapplestair.work.Submission;
-import java.util.Map;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -32,7 +29,6 @@
  */
 public final class SubmissionDesk {
   private static final Logger LOG = LoggerFactory.getLogger(SubmissionDesk.class);
-  private static final int MOST_OVER_KEPT = 20_000;
   private static final int MOST_PENDING = 400;
   private static final int LEAST_PENDING_LOW = 2;
 
@@ -49,7 +45,7 @@
   private final PutOff putOff;
   private final Unanswered unanswered;
   private final FirstAttempts firstAttempts;
-  private final Map<String, Boolean> over = new Latest<>(MOST_OVER_KEPT);
+  private final JobFinder finder;
   private int pending;
 
   /** Serves users of this controller. */
@@ -73,6 +69,7 @@
     this.relay = relay;
     this.metrics = metrics;
     this.patienceMs = settings.workers().reportMs();
+    this.finder = new JobFinder(state, replica, ledger);
     this.putOff = new PutOff(clock);
     this.firstAttempts = new FirstAttempts(clock);
     this.unanswered = new Unanswered(clock, settings.workers().leaseMs());
@@ -80,7 +77,7 @@
 
   /** A job is over for good; {@code done} or withdrawn. */
   public void ended(String ref, boolean done) {
-    over.put(ref, done);
+    finder.ended(ref, done);
   }
 
   /** For how long a job that users still ask about has had no answer here, milliseconds. */
@@ -94,7 +91,7 @@
    */
   private boolean passedOn(Exchange x, String ref) {
     boolean served = replica.ready() && types.known() && state.reachable();
-    return !served && !over.containsKey(ref) && relay.pass(x, answer -> relayed(x, ref, answer));
+    return !served && !finder.over(ref) && relay.pass(x, answer -> relayed(x, ref, answer));
   }
 
   private void relayed(Exchange x, String ref, RelayCodec.Answer answer) {
@@ -123,8 +120,8 @@
       String ref = Json.text(body, "ref");
       if (ref != null && Submission.validRef(ref)) {
         // A known job is answered with its state, whatever else the retry holds.
-        if (over.containsKey(ref)) {
-          over(x, 200, ref, over.get(ref));
+        if (finder.over(ref)) {
+          over(x, 200, ref, finder.done(ref));
           return;
         }
         if (passedOn(x, ref)) {
@@ -179,8 +176,8 @@
   }
 
   /** Finds a job and goes on as it turns out; 503 when that cannot be told now. */
-  private void tell(Exchange x, String ref, Runnable absent, Consumer<Found> present) {
-    find(
+  private void tell(Exchange x, String ref, Runnable absent, Consumer<JobFinder.Found> present) {
+    finder.find(
         ref,
         (known, found) -> {
           if (!known) {
@@ -256,52 +253,7 @@
     tell(x, ref, () -> error(x, 404, "no such job"), found -> answer(x, 200, ref, found));
   }
 
-  /** What is known of a job: live, or how it ended. */
-  private record Found(Job job, boolean done) {}
-
-  /**
-   * Finds a job. Final states are known for ever; everything else is told only after a read
-   * barrier, so that no controller gives an older answer than one already given.
-   */
-  private void find(String ref, BiConsumer<Boolean, Found> done) {
-    if (over.containsKey(ref)) {
-      done.accept(true, new Found(null, over.get(ref)));
-      return;
-    }
-    if (!Submission.validRef(ref)) {
-      done.accept(true, null);
-      return;
-    }
-    replica.barrier(
-        passed -> {
-          if (!passed) {
-            done.accept(false, null);
-          } else if (replica.stamp(Keys.job(ref)) != 0 && ledger.job(ref) != null) {
-            done.accept(true, new Found(ledger.job(ref), false));
-          } else {
-            findOver(ref, done);
-          }
-        });
-  }
-
-  private void findOver(String ref, BiConsumer<Boolean, Found> done) {
-    // Not live as of the barrier: over before now, or never accepted before now.
-    state.get(
-        Keys.over(ref),
-        read -> {
-          if (!read.known()) {
-            done.accept(false, null);
-          } else if (!read.exists()) {
-            done.accept(true, null);
-          } else {
-            boolean finished = "done".equals(Json.text(read.value(), "status"));
-            ended(ref, finished);
-            done.accept(true, new Found(null, finished));
-          }
-        });
-  }
-
-  private void answer(Exchange x, int status, String ref, Found found) {
+  private void answer(Exchange x, int status, String ref, JobFinder.Found found) {
     if (found.job() == null) {
       over(x, status, ref, found.done());
       return;
--- a/src/test/java/dapplestair/ledger/AttemptRules.java
+++ b/src/test/java/dapplestair/ledger/AttemptRules.java
@@ -67,6 +67,7 @@
     return a;
   }
 
+  /** The same attempt, to be changed by itself. */
   public static Attempt copy(Attempt a) {
     Attempt copy = planned(a.number, a.host, a.session);
     copy.phase = a.phase;
@@ -74,18 +75,22 @@
     return copy;
   }
 
+  /** True before its record was written. */
   public static boolean planned(Attempt a) {
     return a.phase == Attempt.Phase.PLANNED;
   }
 
+  /** The least token with which a report proves its absence. */
   public static long neededToken(Attempt a) {
     return a.neededToken;
   }
 
+  /** A report has it. */
   public static void seenOnMachine(Attempt a) {
     a.seenOnMachine();
   }
 
+  /** What the product concludes from this report. */
   public static boolean provedAbsent(Attempt a, Report r) {
     return Evidence.provedAbsent(a, r);
   }
--- a/src/test/java/dapplestair/workers/FencingRules.java
+++ b/src/test/java/dapplestair/workers/FencingRules.java
@@ -32,6 +32,7 @@
     return host.fence;
   }
 
+  /** A message with these launches was answered. */
   public static void answered(List<Attempt> launches) {
     Fencing.answered(launches);
   }
