--- a/src/main/java/dapplestair/relay/Relay.java
+++ b/src/main/java/dapplestair/relay/Relay.java
@@ -273,6 +273,7 @@
           peers.questions().refused();
         }
       }
+      default -> {}
     }
   }
 
