--- a/src/test/java/dapplestair/world/LateCommandsTest.java
+++ b/src/test/java/dapplestair/world/LateCommandsTest.java
@@ -154,6 +154,35 @@
     SeededDaysTest.settle(w);
   }
 
+  /**
+   * A machine's reports arrive and lack a launch that is held up; what it is answered is lost, and
+   * later commands come later. So it knows of no raised token when the launch arrives after all.
+   */
+  @ParameterizedTest(name = "seed {0}, held for {1} ms")
+  @CsvSource({"5141,3500", "5142,4000", "5143,4500", "5144,5000"})
+  void whileAnswersAreLost(long seed, long heldMs) {
+    World w = begun(seed);
+    for (int i = 0; i < 8; i++) {
+      World.Node leader = w.leader();
+      List<String> stuck = new ArrayList<>();
+      w.net.commandHeldMs =
+          r -> {
+            boolean first = stuck.size() < 3 && r.orders("launch") && !stuck.contains(r.to());
+            if (first) {
+              stuck.add(r.to());
+              w.net.cutOneWay(World.client(leader.index), r.to());
+            }
+            return first || stuck.contains(r.to()) ? heldMs : 0;
+          };
+      w.run(heldMs + 2000);
+      w.net.commandHeldMs = r -> 0;
+      stuck.forEach(to -> w.net.healOneWay(World.client(leader.index), to));
+      w.run(6000);
+    }
+    assertTrue(w.net.lateTaken.get() > 0, "none came late");
+    SeededDaysTest.settle(w);
+  }
+
   /** A share of all direct commands, for long, under leaders that live. */
   @ParameterizedTest(name = "seed {0}, share {1}")
   @CsvSource({"5131,0.15", "5132,0.4", "5133,0.4", "5134,0.6"})
