--- a/src/test/java/dapplestair/world/Meetings.java
+++ b/src/test/java/dapplestair/world/Meetings.java
@@ -5,7 +5,7 @@
 
 /**
  * Plays more meetings than a build has time for: {@code Meetings FROM TO} plays these seeds and
- * prints each that broke a rule.
+ * prints each that broke a rule; {@code Meetings FROM TO machines} plays troubles with machines.
  */
 final class Meetings {
   private Meetings() {}
@@ -19,7 +19,11 @@
         System.out.println("at seed " + seed);
       }
       try {
-        MeetingsTest.play(seed);
+        if (args.length > 2 && args[2].equals("machines")) {
+          MeetingsTest.playMachines(seed);
+        } else {
+          MeetingsTest.play(seed);
+        }
       } catch (AssertionError e) {
         broken.add(e.getMessage());
         System.out.println(e.getMessage());
--- a/src/test/java/dapplestair/world/MeetingsTest.java
+++ b/src/test/java/dapplestair/world/MeetingsTest.java
@@ -30,13 +30,17 @@
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {9101, 9102, 9103, 9104})
   void troublesOfMachinesMeet(long seed) {
-    play(new World(seed, SHORT), seed, Troubles::ofMachines);
+    playMachines(seed);
   }
 
   static void play(long seed) {
     play(new World(seed, SHORT), seed, Troubles::any);
   }
 
+  static void playMachines(long seed) {
+    play(new World(seed, SHORT), seed, Troubles::ofMachines);
+  }
+
   static void play(World w, long seed, Consumer<Troubles> trouble) {
     try {
       w.users.withdrawnArrays = 0.5;
