--- a/src/test/java/dapplestair/world/MuteMachinesTest.java
+++ b/src/test/java/dapplestair/world/MuteMachinesTest.java
@@ -70,6 +70,22 @@
     assertEquals(REPLICAS - 3, DisruptionTest.replicas(w), "replicas but the cancelled ones");
   }
 
+  /** Half of all machines: what is rented in their place is up when their leases end. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {5251, 5252, 5253})
+  void roomIsThereInTime(long seed) {
+    World w = begun(seed);
+    int i = 0;
+    for (EmulatedWorker m : w.cloud.machines()) {
+      if (i++ % 2 == 0) {
+        m.mute(4 * World.LEASE_MS);
+      }
+    }
+    w.run(World.LEASE_MS + 2 * World.REPORT_MS);
+    assertEquals(REPLICAS, DisruptionTest.replicas(w), "replicas after a lease");
+    SeededDaysTest.settle(w);
+  }
+
   /** For a third of a lease: nothing is lost, and it is used again. */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {5211, 5212, 5213})
@@ -99,6 +115,9 @@
     }
     w.run(World.LEASE_MS * 9 / 10);
     assertEquals(killed, w.cloud.killedByRelease(), "tasks lost with machines one by one");
+    if (second < 0) {
+      assertEquals("CUT", w.state.value("live/zone/c").path("state").asText());
+    }
     w.run(World.LEASE_MS * 6 / 5);
     assertEquals(REPLICAS, DisruptionTest.replicas(w), "replicas without the zone");
     int starts = inZone(w, "c").stream().mapToInt(m -> starts(w, m)).sum();
