An array begins with one task though the windows of others are full

Cause: in lasting overload the arrays that have begun and are older than three fifths of the bound hold more than a quarter of the cluster, the share of all windows, for good. Whoever has not begun then gets no window and comes behind all older arrays with tasks left.

--- a/src/main/java/dapplestair/placement/Bound.java
+++ b/src/main/java/dapplestair/placement/Bound.java
@@ -22,7 +22,8 @@
  *
  * <p>A job near the bound goes before all but critical services with its first tasks, its window.
  * What runs in the windows of all jobs is a part of the cluster at the most, one job of each team
- * and class apart, and is not stopped to make room.
+ * and class apart, and is not stopped to make room. An array that has not begun begins with one
+ * task even when that part is used up.
  */
 final class Bound {
   // From this part of the bound on a job begins: what is left is for room to become free.
@@ -137,8 +138,11 @@
       Deque<Job> of = groups.get(next);
       Job job = of.remove();
       int fit = (int) Math.floor(Math.max(0, left) / job.spec().cpus());
-      // Whatever the others hold, one job of each team and class begins.
-      int tasks = held.getDouble(next) == 0 ? quota(job) : Math.min(quota(job), fit);
+      // Whatever the others hold, one job of each team and class begins, and every array with one
+      // task: windows may be full for as long as an overload lasts.
+      int least = idle(job) && !job.spec().service() && !job.spec().gang() ? 1 : 0;
+      int allowed = held.getDouble(next) == 0 ? quota(job) : Math.max(least, fit);
+      int tasks = Math.min(quota(job), allowed);
       if (tasks > 0) {
         out.put(job, tasks);
         left -= tasks * job.spec().cpus();
--- a/src/test/java/dapplestair/world/LargestTest.java
+++ b/src/test/java/dapplestair/world/LargestTest.java
@@ -133,6 +133,25 @@
     assertTrue(waitMs(w, large) <= most, "it waited for " + waitMs(w, large) + " ms");
   }
 
+  /**
+   * Long arrays of one class and team, of many sizes, several times more than there is room: what
+   * the windows of those that have begun hold keeps nobody from beginning.
+   */
+  @ParameterizedTest(name = "seed {0}, arrays of {1} tasks and more")
+  @CsvSource({"6021,40", "6022,80", "6023,20"})
+  void everyArrayBeginsThoughWindowsAreFull(long seed, int steps) {
+    World w = begun(seed);
+    List<Users.Told> arrays = new ArrayList<>();
+    for (int i = 0; i < 24; i++) {
+      int size = steps + (int) w.sim.between(0, 4 * steps);
+      w.sim.after(
+          i * 4_000L,
+          () -> arrays.add(w.users.changed("one", size, 60, b -> b.put("jobclass", "long"))));
+    }
+    w.run(24 * 4_000 + Checker.BEGIN_MS);
+    begunInTime(w, arrays);
+  }
+
   /** The guard taken out: with no bound that is near, the same work does not begin. */
   @Test
   void withoutTheBoundTheyDoNotBegin() {
