Replacement: on a full fleet another machine goes first, instead of none for ever

A swap needs an empty machine, and none is.

Change: after the time that a swap is waited for, and if none can be made, the machine goes back into use and another old one goes first; its replicas may take what is free. Each has its turn before one has another. Nothing is beyond, all stops go through the budgets as before.

--- a/src/main/java/dapplestair/replacement/Running.java
+++ b/src/main/java/dapplestair/replacement/Running.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashSet;
+import java.util.Set;
 
 /** An order with where it stands, as this controller last saw it recorded. */
 final class Running {
@@ -21,6 +23,9 @@
   boolean cramped;
   long swappedAt;
 
+  // Stood still for want of room since a machine was emptied last; they wait for their next turn.
+  final Set<String> passed = new HashSet<>();
+
   Running(String name, JsonNode value, long stamp) {
     this.name = name;
     this.order = Order.parse(value);
--- a/src/main/java/dapplestair/replacement/Steps.java
+++ b/src/main/java/dapplestair/replacement/Steps.java
@@ -126,11 +126,8 @@
       write(r, r.progress.done(clock.wall()));
       return;
     }
-    Set<String> taken = new HashSet<>();
-    orders.values().stream()
-        .filter(o -> o != r && o.progress.phase() != Phase.DONE)
-        .forEach(o -> taken.addAll(o.progress.batch()));
     int most = Math.min(MOST_AT_ONCE, r.order.step());
+    Set<String> taken = taken(r);
     Set<String> batch = machines.next(old, taken, r.progress.batch(), most);
     if (batch.isEmpty()) {
       return;
@@ -145,6 +142,15 @@
     write(r, next);
   }
 
+  /** Machines of the steps of other orders. */
+  private Set<String> taken(Running r) {
+    Set<String> taken = new HashSet<>();
+    orders.values().stream()
+        .filter(o -> o != r && o.progress.phase() != Phase.DONE)
+        .forEach(o -> taken.addAll(o.progress.batch()));
+    return taken;
+  }
+
   /** Waits for new machines; without any to have it goes on machine by machine. */
   private void raise(Running r) {
     List<Host> left = machines.left(r.progress.batch());
@@ -187,6 +193,7 @@
       r.emptiedAt = now;
       r.cramped = false;
       r.badSince = 0;
+      r.passed.clear();
     }
     if (now - r.emptiedAt < 1000 * r.order.watchS()) {
       return;
@@ -222,6 +229,9 @@
     }
     r.cramped |= noRoom && now - r.badSince > settings.workers().reportMs();
     swapIfCramped(r, left, now);
+    if (r.writing) {
+      return;
+    }
     if (noRoom && left.size() > 1 && now - r.badSince > 2 * settings.workers().reportMs()) {
       // The others go back into use, and their room with them.
       String only = machines.next(left, Set.of(), Set.of(), 1).stream().findFirst().orElse(null);
@@ -248,11 +258,36 @@
     Host stuck = left.get(0);
     if (r.swappedAt == 0) {
       r.swappedAt = now;
-    } else if (now - r.swappedAt > BOOT_OVERDUE * 1000 * types.bootS(stuck.type())
-        && room.swap(stuck)) {
-      LOG.info("replacement {}: an empty machine is given for one in {}", r.name, stuck.zone());
-      r.swappedAt = now;
+    } else if (now - r.swappedAt > BOOT_OVERDUE * 1000 * types.bootS(stuck.type())) {
+      if (room.swap(stuck)) {
+        LOG.info("replacement {}: an empty machine is given for one in {}", r.name, stuck.zone());
+        r.swappedAt = now;
+      } else if (left.size() == 1) {
+        passOver(r, stuck);
+      }
+    }
+  }
+
+  /**
+   * No machine is empty, and the room that others have is in zones that the rules of what is left
+   * here forbid: another old one goes first, whose replicas may take that room and what is free
+   * here. Without this an order for a full fleet stood still for ever (ReplacementTest).
+   */
+  private void passOver(Running r, Host stuck) {
+    Set<String> taken = taken(r);
+    r.passed.add(stuck.id());
+    taken.addAll(r.passed);
+    Set<String> other = machines.next(machines.old(r.order), taken, Set.of(), 1);
+    if (other.isEmpty()) {
+      // All have had their turn: they have another one.
+      r.passed.clear();
+      return;
     }
+    r.cramped = false;
+    r.swappedAt = 0;
+    r.badSince = 0;
+    String said = "no room for what is left on " + stuck.id() + ": another one first";
+    write(r, r.progress.only(other, clock.wall(), said));
   }
 
   private void pause(Running r, String why, boolean untilTold) {
--- a/src/test/java/dapplestair/world/ReplacementTest.java
+++ b/src/test/java/dapplestair/world/ReplacementTest.java
@@ -370,6 +370,21 @@
         writes[0] + " writes for " + before + " machines in " + steps + " steps");
   }
 
+  /**
+   * Replicas fill all machines that the plan holds, and none may be beyond: the last room is soon
+   * where the rules of those that are left do not allow it. Another machine goes first then.
+   */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {90, 91, 92, 95, 96, 97, 99})
+  void anOrderForAFullFleetDoesNotStandStill(long seed) {
+    World w = DisruptionTest.begun(seed, 3, 3);
+    Set<String> before = machines(w);
+    int replicas = DisruptionTest.replicas(w);
+    OperatorsTest.order(w, NIGHT + "/start", all(1, 0));
+    untilDone(w, 1_500_000);
+    assertReplaced(w, before, replicas);
+  }
+
   /** Machines beyond are had only as far as the plan's own budget leaves money for them. */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {96, 97, 98})
