Rentals: a second copy of a given-up record is taken away, too

Cause: since a late transaction is sent again, two copies of a rental's record may be carried out after it was given up. Change: the stamp of the newest copy counts, and the record is removed again.

--- a/src/main/java/dapplestair/fleet/Rentals.java
+++ b/src/main/java/dapplestair/fleet/Rentals.java
@@ -92,11 +92,18 @@
    * leader would ask the cloud for all such machines at once.
    */
   private void recordedLate(String name, JsonNode value, long stamp) {
-    if (!rentals.containsKey(name) && !value.path("hosts").isArray()) {
+    if (value.path("hosts").isArray()) {
+      return;
+    }
+    Rental known = rentals.get(name);
+    if (known == null) {
       Rental r = Rental.read(name, value, clock.wall());
       r.refused = true;
       r.stamp = stamp;
       rentals.put(name, r);
+    } else if (known.refused) {
+      // Another copy of the transaction, carried out while the record of the first is taken away.
+      known.stamp = Math.max(known.stamp, stamp);
     }
   }
 
@@ -340,7 +347,8 @@
   private void remove(Rental r) {
     r.writing = true;
     String key = Keys.rental(r.name);
-    Txn txn = leadership.guard(new Txn()).when(key, r.stamp).remove(key);
+    long removed = r.stamp;
+    Txn txn = leadership.guard(new Txn()).when(key, removed).remove(key);
     long term = leadership.term();
     state.commit(
         txn,
@@ -353,7 +361,9 @@
           r.writing = false;
           guarded(outcome);
           if (outcome instanceof Outcome.Applied) {
-            rentals.remove(r.name);
+            if (r.stamp == removed) {
+              rentals.remove(r.name);
+            }
           } else if (!(outcome instanceof Outcome.Refused)) {
             readBack(r);
           }
