--- a/src/main/java/dapplestair/admin/Access.java
+++ b/src/main/java/dapplestair/admin/Access.java
@@ -6,7 +6,7 @@
 @FunctionalInterface
 public interface Access {
   /** Whoever asks, by what they show; null when that is nobody. */
-  Known who(Exchange x);
+  Known who(Exchange exchange);
 
   /**
    * Somebody known.
--- a/src/main/java/dapplestair/admin/AdminDesk.java
+++ b/src/main/java/dapplestair/admin/AdminDesk.java
@@ -48,32 +48,34 @@
   private int open;
 
   /** {@code users} answers what users ask; {@code metrics} gives them as text. */
-  public AdminDesk(Duties d, Access access, Consumer<Exchange> users, Supplier<byte[]> metrics) {
-    this.clock = d.clock();
-    this.timers = d.timers();
+  public AdminDesk(
+      Duties duties, Access access, Consumer<Exchange> users, Supplier<byte[]> metrics) {
+    this.clock = duties.clock();
+    this.timers = duties.timers();
     this.access = access;
-    this.leadership = d.leadership();
-    this.ledger = d.ledger();
-    this.peers = d.peers();
-    this.replica = d.replica();
-    this.state = d.state();
+    this.leadership = duties.leadership();
+    this.ledger = duties.ledger();
+    this.peers = duties.peers();
+    this.replica = duties.replica();
+    this.state = duties.state();
     this.users = users;
     this.metrics = metrics;
     this.failures = new TokenBucket(clock, 0.2, 25);
-    Moment moment = new Moment(d.settings(), leadership, replica);
+    Moment moment = new Moment(duties.settings(), leadership, replica);
     Pages pages = new Pages(timers, moment);
     this.jobs = new JobViews(clock, ledger, state, moment, pages);
-    MachineViews machines = new MachineViews(clock, d.workers(), d.drains(), jobs, moment, pages);
-    double planS = d.operator().planIntervalMs() / 1000.0;
+    MachineViews machines =
+        new MachineViews(clock, duties.workers(), duties.drains(), jobs, moment, pages);
+    double planS = duties.operator().planIntervalMs() / 1000.0;
     this.routes =
         new Routes(
             jobs,
             machines,
-            new WhyView(d, jobs, moment, planS),
-            new ClusterViews(d, machines, moment),
-            new EventViews(timers, d.events(), pages),
-            new DrainDesk(clock, d.settings(), d.workers(), d.drains(), moment),
-            new ReplaceDesk(d, moment));
+            new WhyView(duties, jobs, moment, planS),
+            new ClusterViews(duties, machines, moment),
+            new EventViews(timers, duties.events(), pages),
+            new DrainDesk(clock, duties.settings(), duties.workers(), duties.drains(), moment),
+            new ReplaceDesk(duties, moment));
     peers.questions().answer(TOPIC, this::asked);
   }
 
@@ -93,94 +95,100 @@
   }
 
   /** An operator asks. */
-  public void handle(Exchange x) {
-    Access.Known known = access.who(x);
+  public void handle(Exchange exchange) {
+    Access.Known known = access.who(exchange);
     if (known == null) {
       // Bounded, so that guessing does not fill the log.
       if (failures.take(1)) {
-        LOG.warn("{} {} refused: no valid token or certificate", x.method(), x.path());
+        LOG.warn(
+            "{} {} refused: no valid token or certificate", exchange.method(), exchange.path());
       }
-      reply(x, Answer.error(401, "a valid token or client certificate is needed"));
+      reply(exchange, Answer.error(401, "a valid token or client certificate is needed"));
       return;
     }
     Role role = known.operates() ? Role.OPERATE : Role.VIEW;
-    if (x.path().equals("/metrics")) {
-      x.reply(TEXT, metrics.get());
-    } else if (x.path().equals("/submissions") || x.path().startsWith("/submissions/")) {
-      asUser(x, role);
+    if (exchange.path().equals("/metrics")) {
+      exchange.reply(TEXT, metrics.get());
+    } else if (exchange.path().equals("/submissions")
+        || exchange.path().startsWith("/submissions/")) {
+      asUser(exchange, role);
     } else {
       Caller caller = new Caller(known.name(), role);
-      ask(x, Question.read(x.method(), x.path(), x.query(), x.body(), caller));
+      ask(
+          exchange,
+          Question.read(
+              exchange.method(), exchange.path(), exchange.query(), exchange.body(), caller));
     }
   }
 
-  private void asUser(Exchange x, Role role) {
-    if (x.method().equals("GET") || role.covers(Role.OPERATE)) {
-      users.accept(x);
+  private void asUser(Exchange exchange, Role role) {
+    if (exchange.method().equals("GET") || role.covers(Role.OPERATE)) {
+      users.accept(exchange);
     } else {
-      reply(x, Answer.error(403, "this needs the role operate"));
+      reply(exchange, Answer.error(403, "this needs the role operate"));
     }
   }
 
-  private void ask(Exchange x, Question q) {
-    Routes.Route route = routes.find(q);
+  private void ask(Exchange exchange, Question question) {
+    Routes.Route route = routes.find(question);
     if (route == null) {
-      reply(x, Answer.error(404, "no such path"));
-    } else if (!q.method().equals(route.role() == Role.VIEW ? "GET" : "POST")) {
-      reply(x, Answer.error(405, "use " + (route.role() == Role.VIEW ? "GET" : "POST")));
-    } else if (!q.body().isObject()) {
-      reply(x, Answer.error(400, "the body is not a JSON object"));
-    } else if (!q.caller().role().covers(route.role())) {
-      reply(x, Answer.error(403, "this needs the role " + route.role().shown()));
+      reply(exchange, Answer.error(404, "no such path"));
+    } else if (!question.method().equals(route.role() == Role.VIEW ? "GET" : "POST")) {
+      reply(exchange, Answer.error(405, "use " + (route.role() == Role.VIEW ? "GET" : "POST")));
+    } else if (!question.body().isObject()) {
+      reply(exchange, Answer.error(400, "the body is not a JSON object"));
+    } else if (!question.caller().role().covers(route.role())) {
+      reply(exchange, Answer.error(403, "this needs the role " + route.role().shown()));
     } else if (open >= MOST_OPEN) {
-      reply(x, Answer.later("too many questions at once"));
+      reply(exchange, Answer.later("too many questions at once"));
     } else {
       open++;
       Consumer<Answer> done =
           a -> {
             open--;
-            reply(x, a);
+            reply(exchange, a);
           };
       if (route.byLeader()) {
-        lead(q, route, clock.now() + LEADER_WITHIN_MS, done);
+        lead(question, route, clock.now() + LEADER_WITHIN_MS, done);
       } else {
-        serve(q, route, () -> true, done);
+        serve(question, route, () -> true, done);
       }
     }
   }
 
-  private static void reply(Exchange x, Answer a) {
-    x.reply(a.status(), a.body(), a.retryAfterS());
+  private static void reply(Exchange exchange, Answer answer) {
+    exchange.reply(answer.status(), answer.body(), answer.retryAfterS());
   }
 
   // ---- the leader's memory ----
 
-  private void lead(Question q, Routes.Route route, long deadline, Consumer<Answer> done) {
+  private void lead(Question question, Routes.Route route, long deadline, Consumer<Answer> done) {
     if (able()) {
-      serve(q, route, this::able, done);
+      serve(question, route, this::able, done);
       return;
     }
     String leader = leadership.leading() ? null : leadership.leader();
     if (leader == null || !peers.alive(leader)) {
-      again(q, route, deadline, done, leader == null ? "nobody leads" : leader + " is silent");
+      again(
+          question, route, deadline, done, leader == null ? "nobody leads" : leader + " is silent");
       return;
     }
-    long patience = Math.max(LOOK_AGAIN_MS, deadline - clock.now()) + route.waitMs();
+    long timeouts = Math.max(LOOK_AGAIN_MS, deadline - clock.now()) + route.waitMs();
     peers
         .questions()
         .ask(
             leader,
             TOPIC,
-            Json.bytes(q.toJson()),
-            patience,
+            Json.bytes(question.toJson()),
+            timeouts,
             frame -> {
-              Answer a = frame == null ? null : Answer.parse(frame);
-              if (a == null) {
+              Answer answer = frame == null ? null : Answer.parse(frame);
+              if (answer == null) {
                 done.accept(Answer.later("the leader, " + leader + ", did not answer in time"));
-              } else if (a.status() == NOT_LEADING) {
-                again(q, route, deadline, done, leader + " does not lead yet");
+              } else if (answer.status() == NOT_LEADING) {
+                again(question, route, deadline, done, leader + " does not lead yet");
               } else {
-                done.accept(a);
+                done.accept(answer);
               }
             });
   }
@@ -190,24 +198,24 @@
   }
 
   private void again(
-      Question q, Routes.Route route, long deadline, Consumer<Answer> done, String why) {
+      Question question, Routes.Route route, long deadline, Consumer<Answer> done, String why) {
     if (clock.now() >= deadline) {
       done.accept(Answer.later("no leader can be asked: " + why));
     } else {
-      timers.after(LOOK_AGAIN_MS, () -> lead(q, route, deadline, done));
+      timers.after(LOOK_AGAIN_MS, () -> lead(question, route, deadline, done));
     }
   }
 
   /** A peer asks this controller as the leader. */
   private void asked(byte[] body, Consumer<byte[]> answer) {
-    Question q = Question.parse(Json.parse(body));
-    Routes.Route route = q == null ? null : routes.find(q);
+    Question question = Question.parse(Json.parse(body));
+    Routes.Route route = question == null ? null : routes.find(question);
     if (route == null) {
       answer.accept(Answer.error(404, "no such path").frame());
     } else if (!able()) {
       answer.accept(new Answer(NOT_LEADING, new byte[0], 0).frame());
     } else {
-      serve(q, route, this::able, a -> answer.accept(a.frame()));
+      serve(question, route, this::able, a -> answer.accept(a.frame()));
     }
   }
 
@@ -215,7 +223,7 @@
 
   /** Passes a barrier, then answers if {@code still} holds. */
   private void serve(
-      Question q,
+      Question question,
       Routes.Route route,
       java.util.function.BooleanSupplier still,
       Consumer<Answer> done) {
@@ -230,7 +238,7 @@
           } else if (!still.getAsBoolean()) {
             done.accept(Answer.later("the leader has just changed"));
           } else {
-            answer(q, route, done);
+            answer(question, route, done);
           }
         });
   }
@@ -241,13 +249,13 @@
         : "the state service does not answer";
   }
 
-  private static void answer(Question q, Routes.Route route, Consumer<Answer> done) {
+  private static void answer(Question question, Routes.Route route, Consumer<Answer> done) {
     try {
-      route.handler().answer(q, done);
+      route.handler().answer(question, done);
     } catch (Question.BadRequest e) {
       done.accept(Answer.error(400, e.getMessage()));
     } catch (RuntimeException e) {
-      LOG.error("{} {} failed", q.method(), q.path(), e);
+      LOG.error("{} {} failed", question.method(), question.path(), e);
       done.accept(Answer.error(500, "this went wrong; the log says more"));
     }
   }
--- a/src/main/java/dapplestair/admin/ClusterViews.java
+++ b/src/main/java/dapplestair/admin/ClusterViews.java
@@ -4,8 +4,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.blame.Blame;
 import dapplestair.calendar.Calendars;
+import dapplestair.cancellations.Cancellations;
+import dapplestair.disruption.BudgetStatus;
 import dapplestair.disruption.Disruption;
-import dapplestair.disruption.Standing;
 import dapplestair.fleet.Slot;
 import dapplestair.json.Json;
 import dapplestair.lane.Lanes;
@@ -20,7 +21,6 @@
 import dapplestair.relay.Relay;
 import dapplestair.settings.Settings;
 import dapplestair.state.StateClient;
-import dapplestair.withdrawals.Withdrawals;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import dapplestair.zones.Zones;
@@ -46,32 +46,32 @@
   private final StateClient state;
   private final MachineViews machines;
   private final Moment moment;
-  private final Withdrawals withdrawals;
+  private final Cancellations cancellations;
   private final Relay relay;
 
-  ClusterViews(Duties d, MachineViews machines, Moment moment) {
-    this.clock = d.clock();
-    this.settings = d.settings();
-    this.ledger = d.ledger();
-    this.desk = d.workers();
-    this.disruption = d.disruption();
-    this.planning = d.planning();
-    this.zones = d.zones();
-    this.lanes = d.lanes();
-    this.calendars = d.calendars();
-    this.blame = d.blame();
-    this.leadership = d.leadership();
-    this.peers = d.peers();
-    this.state = d.state();
+  ClusterViews(Duties duties, MachineViews machines, Moment moment) {
+    this.clock = duties.clock();
+    this.settings = duties.settings();
+    this.ledger = duties.ledger();
+    this.desk = duties.workers();
+    this.disruption = duties.disruption();
+    this.planning = duties.planning();
+    this.zones = duties.zones();
+    this.lanes = duties.lanes();
+    this.calendars = duties.calendars();
+    this.blame = duties.blame();
+    this.leadership = duties.leadership();
+    this.peers = duties.peers();
+    this.state = duties.state();
     this.machines = machines;
     this.moment = moment;
-    this.withdrawals = d.withdrawals();
-    this.relay = d.relay();
+    this.cancellations = duties.cancellations();
+    this.relay = duties.relay();
   }
 
   /** Who leads, who lives, what waits where. */
   ObjectNode status() {
-    ObjectNode o =
+    ObjectNode object =
         moment
             .object()
             .put("leader", leadership.leader())
@@ -81,17 +81,17 @@
             .put("jobs_suspected", blame.suspects());
     Map<String, Integer> states = new TreeMap<>();
     desk.hosts().forEach(h -> states.merge(machines.state(h), 1, Integer::sum));
-    ObjectNode m = o.putObject("machines");
+    ObjectNode m = object.putObject("machines");
     states.forEach(m::put);
     if (lanes.any()) {
-      ObjectNode claims = o.putObject("lane_claims");
+      ObjectNode claims = object.putObject("lane_claims");
       lanes.claims().forEach(claims::put);
     }
-    if (!calendars.standings().isEmpty()) {
-      ArrayNode list = o.putArray("calendars");
-      calendars.standings().forEach(s -> show(s, list.addObject()));
+    if (!calendars.statuses().isEmpty()) {
+      ArrayNode list = object.putArray("calendars");
+      calendars.statuses().forEach(s -> show(s, list.addObject()));
     }
-    ArrayNode list = o.putArray("peers");
+    ArrayNode list = object.putArray("peers");
     for (Peers.View p : peers.views()) {
       ObjectNode n = list.addObject().put("member", p.member()).put("alive", p.alive());
       n.put("linked", p.linked());
@@ -103,115 +103,117 @@
             .put("puts", p.status().puts());
       }
     }
-    ObjectNode w = o.putObject("withdrawals").put("open", withdrawals.open());
-    if (withdrawals.open() > 0) {
-      w.put("oldest_s", withdrawals.openMs() / 1000.0);
+    ObjectNode w = object.putObject("withdrawals").put("open", cancellations.open());
+    if (cancellations.open() > 0) {
+      w.put("oldest_s", cancellations.openMs() / 1000.0);
     }
-    if (withdrawals.ageMs() < Integer.MAX_VALUE) {
-      w.put("known_to_age_s", withdrawals.ageMs() / 1000.0);
+    if (cancellations.ageMs() < Integer.MAX_VALUE) {
+      w.put("known_to_age_s", cancellations.ageMs() / 1000.0);
     }
-    w.put("keeps_leases", withdrawals.mayRenew());
-    o.putObject("relay").put("on", relay.on()).put("reports", relay.relayed());
+    w.put("keeps_leases", cancellations.mayRenew());
+    object.putObject("relay").put("on", relay.on()).put("reports", relay.relayed());
     ObjectNode s =
-        o.putObject("state")
+        object
+            .putObject("state")
             .put("reachable", state.reachable())
             .put("unreachable_s", state.unreachableMs() / 1000.0)
             .put("puts_allowed", state.putsAllowed())
             .put("puts_wanted", state.wanted())
-            .put("sheets", ledger.sheetCount());
+            .put("sheets", ledger.launchBatchCount());
     ObjectNode q = s.putObject("queued");
     for (StateClient.Priority p : StateClient.Priority.values()) {
       q.put(p.name().toLowerCase(Locale.ROOT), state.queued(p));
     }
-    return o;
+    return object;
   }
 
-  private static void show(Calendars.Standing s, ObjectNode o) {
-    o.put("name", s.name())
-        .put("state", s.state())
-        .put("cycle", Instant.ofEpochMilli(s.cycle()).toString())
-        .put("delivered", s.delivered())
-        .put("complete", s.complete())
-        .put("jobs_held", s.held())
-        .put("next_in_s", s.nextMs() / 1000.0)
-        .put("last_released_by", s.lastBy())
-        .put("last_lag_s", s.lastLagS());
+  private static void show(Calendars.CalendarStatus calendarStatus, ObjectNode object) {
+    object
+        .put("name", calendarStatus.name())
+        .put("state", calendarStatus.state())
+        .put("cycle", Instant.ofEpochMilli(calendarStatus.cycle()).toString())
+        .put("delivered", calendarStatus.delivered())
+        .put("complete", calendarStatus.complete())
+        .put("jobs_held", calendarStatus.held())
+        .put("next_in_s", calendarStatus.nextMs() / 1000.0)
+        .put("last_released_by", calendarStatus.lastBy())
+        .put("last_lag_s", calendarStatus.lastLagS());
   }
 
   /** What each team is guaranteed, uses, borrows and lends. */
   ObjectNode teams() {
     double borrowed = 0;
     double unused = 0;
-    for (Settings.Team t : settings.teams().values()) {
-      double use = ledger.teamCpus(t.name());
-      borrowed += t.bounded() ? Math.max(0, use - t.cpus()) : 0;
-      unused += Math.max(0, t.cpus() - use);
+    for (Settings.Team team : settings.teams().values()) {
+      double use = ledger.teamCpus(team.name());
+      borrowed += team.bounded() ? Math.max(0, use - team.cpus()) : 0;
+      unused += Math.max(0, team.cpus() - use);
     }
     Map<String, Double> waiting = new TreeMap<>();
-    for (Job j : ledger.jobs()) {
-      waiting.merge(j.spec().team(), j.waiting() * j.spec().cpus(), Double::sum);
+    for (Job job : ledger.jobs()) {
+      waiting.merge(job.spec().team(), job.waiting() * job.spec().cpus(), Double::sum);
     }
     // Who borrows does not say from whom: what is lent is parted by what each leaves unused.
     double lentShare = unused <= 0 ? 0 : Math.min(1, borrowed / unused);
     Map<String, Served.Count> served = ledger.served().byTeam();
-    Map<String, Standing> standings = disruption.standings();
-    ObjectNode o = moment.object();
-    ArrayNode rows = o.putArray("rows");
-    for (Settings.Team t : new TreeMap<>(settings.teams()).values()) {
-      double use = ledger.teamCpus(t.name());
+    Map<String, BudgetStatus> statuses = disruption.statuses();
+    ObjectNode object = moment.object();
+    ArrayNode rows = object.putArray("rows");
+    for (Settings.Team team : new TreeMap<>(settings.teams()).values()) {
+      double use = ledger.teamCpus(team.name());
       ObjectNode row = rows.addObject();
-      row.put("team", t.name())
-          .put("guarantee", t.cpus())
-          .put("limit", t.cpusMax())
+      row.put("team", team.name())
+          .put("guarantee", team.cpus())
+          .put("limit", team.cpusMax())
           .put("use", use)
-          .put("borrowed", t.bounded() ? Math.max(0, use - t.cpus()) : 0)
-          .put("lent", Math.max(0, t.cpus() - use) * lentShare)
-          .put("waiting", waiting.getOrDefault(t.name(), 0.0))
-          .put("gpus_guarantee", t.gpus())
-          .put("gpus_limit", t.gpusMax())
-          .put("gpus_use", ledger.teamGpus(t.name()));
-      Served.Count c = served.getOrDefault(t.name(), Served.Count.NONE);
+          .put("borrowed", team.bounded() ? Math.max(0, use - team.cpus()) : 0)
+          .put("lent", Math.max(0, team.cpus() - use) * lentShare)
+          .put("waiting", waiting.getOrDefault(team.name(), 0.0))
+          .put("gpus_guarantee", team.gpus())
+          .put("gpus_limit", team.gpusMax())
+          .put("gpus_use", ledger.teamGpus(team.name()));
+      Served.Count count = served.getOrDefault(team.name(), Served.Count.NONE);
       row.putObject("served")
-          .put("accepted", c.accepted())
-          .put("started", c.started())
-          .put("due", c.due())
-          .put("done", c.done());
-      if (standings.containsKey(t.name())) {
-        Standing s = standings.get(t.name());
-        row.put("out", s.out()).set("disruption", budget(s));
-        if (s.allowed() < Integer.MAX_VALUE) {
-          row.put("out_allowed", s.allowed());
+          .put("accepted", count.accepted())
+          .put("started", count.started())
+          .put("due", count.due())
+          .put("done", count.done());
+      if (statuses.containsKey(team.name())) {
+        BudgetStatus budgetStatus = statuses.get(team.name());
+        row.put("out", budgetStatus.out()).set("disruption", budget(budgetStatus));
+        if (budgetStatus.allowed() < Integer.MAX_VALUE) {
+          row.put("out_allowed", budgetStatus.allowed());
         }
       }
     }
-    return o;
+    return object;
   }
 
   /** What of a team is out, and what its budget allows; what is not bounded is left out. */
-  private static ObjectNode budget(Standing s) {
-    ObjectNode o =
+  private static ObjectNode budget(BudgetStatus budgetStatus) {
+    ObjectNode object =
         Json.object()
-            .put("replicas_wanted", s.wanted())
-            .put("replicas_out", s.out())
-            .put("replicas_stopping", s.stopping())
-            .put("array_tasks_out", s.arraysOut())
-            .put("lost_cpu_s", s.lostCpuS());
-    if (s.allowed() < Integer.MAX_VALUE) {
-      o.put("replicas_allowed", s.allowed());
+            .put("replicas_wanted", budgetStatus.wanted())
+            .put("replicas_out", budgetStatus.out())
+            .put("replicas_stopping", budgetStatus.stopping())
+            .put("array_tasks_out", budgetStatus.arraysOut())
+            .put("lost_cpu_s", budgetStatus.lostCpuS());
+    if (budgetStatus.allowed() < Integer.MAX_VALUE) {
+      object.put("replicas_allowed", budgetStatus.allowed());
     }
-    if (s.arraysAllowed() < Integer.MAX_VALUE) {
-      o.put("array_tasks_allowed", s.arraysAllowed());
+    if (budgetStatus.arraysAllowed() < Integer.MAX_VALUE) {
+      object.put("array_tasks_allowed", budgetStatus.arraysAllowed());
     }
-    if (!Double.isInfinite(s.lostAllowed())) {
-      o.put("lost_cpu_s_allowed", s.lostAllowed());
+    if (!Double.isInfinite(budgetStatus.lostAllowed())) {
+      object.put("lost_cpu_s_allowed", budgetStatus.lostAllowed());
     }
-    return o;
+    return object;
   }
 
   /** Zones: where each stands, and what is there. */
   ObjectNode zones() {
-    ObjectNode o = moment.object();
-    ArrayNode rows = o.putArray("rows");
+    ObjectNode object = moment.object();
+    ArrayNode rows = object.putArray("rows");
     zones
         .lives()
         .forEach(
@@ -221,17 +223,17 @@
               int replicas = 0;
               int tasks = 0;
               int unproved = 0;
-              for (Host h : desk.hosts()) {
-                if (!zone.equals(h.zone())) {
+              for (Host host : desk.hosts()) {
+                if (!zone.equals(host.zone())) {
                   continue;
                 }
-                boolean lost = h.outOfReach() || h.zoneSilentMs() > 0;
+                boolean lost = host.outOfReach() || host.zoneSilentMs() > 0;
                 there++;
                 unheard += lost ? 1 : 0;
-                for (Attempt a : h.attempts()) {
-                  if (!a.exited()) {
-                    replicas += a.spec().service() ? 1 : 0;
-                    tasks += a.spec().service() ? 0 : 1;
+                for (Attempt attempt : host.attempts()) {
+                  if (!attempt.exited()) {
+                    replicas += attempt.spec().service() ? 1 : 0;
+                    tasks += attempt.spec().service() ? 0 : 1;
                     unproved += lost ? 1 : 0;
                   }
                 }
@@ -250,31 +252,35 @@
                   .put("not_proved", unproved)
                   .put("by", life.by());
             });
-    return o;
+    return object;
   }
 
   /** The plan applied last. */
   ObjectNode plan() {
-    ObjectNode o = moment.object();
-    Planning.Applied p = planning.applied();
-    ArrayNode rows = o.putArray("rows");
-    if (p == null) {
-      return o;
+    ObjectNode object = moment.object();
+    Planning.Applied applied = planning.applied();
+    ArrayNode rows = object.putArray("rows");
+    if (applied == null) {
+      return object;
     }
-    if (!Double.isNaN(p.makespanS())) {
-      ObjectNode costs = o.putObject("costs");
-      costs.put("makespan_s", p.makespanS()).put("per_hour", p.perHour()).put("risk", p.risk());
+    if (!Double.isNaN(applied.makespanS())) {
+      ObjectNode costs = object.putObject("costs");
+      costs
+          .put("makespan_s", applied.makespanS())
+          .put("per_hour", applied.perHour())
+          .put("risk", applied.risk());
     }
-    o.put("budget_per_hour", p.budgetPerHour())
-        .put("front", p.front())
-        .put("age", (clock.now() - p.at()) / 1000.0);
-    for (Map.Entry<Slot, Integer> e : p.counts().entrySet()) {
+    object
+        .put("budget_per_hour", applied.budgetPerHour())
+        .put("front", applied.front())
+        .put("age", (clock.now() - applied.at()) / 1000.0);
+    for (Map.Entry<Slot, Integer> entry : applied.counts().entrySet()) {
       rows.addObject()
-          .put("type", e.getKey().type())
-          .put("spot", e.getKey().spot())
-          .put("wanted", e.getValue())
-          .put("held", planning.holding(e.getKey()));
+          .put("type", entry.getKey().type())
+          .put("spot", entry.getKey().spot())
+          .put("wanted", entry.getValue())
+          .put("held", planning.holding(entry.getKey()));
     }
-    return o;
+    return object;
   }
 }
--- a/src/main/java/dapplestair/admin/DrainDesk.java
+++ b/src/main/java/dapplestair/admin/DrainDesk.java
@@ -30,39 +30,51 @@
     this.moment = moment;
   }
 
-  void machine(Question q, String id, boolean on, Consumer<Answer> done)
+  void machine(Question question, String id, boolean on, Consumer<Answer> done)
       throws Question.BadRequest {
     // A drain may outlive its machine for a moment; it can be ended all the same.
     if (desk.known(id) == null && !drains.machines().containsKey(id)) {
       done.accept(Answer.error(404, "no machine " + id));
       return;
     }
-    order("machine", id, Keys.DRAIN + id, drains.machines().get(id), on ? drain(q) : null, done);
+    order(
+        "machine",
+        id,
+        Keys.DRAIN + id,
+        drains.machines().get(id),
+        on ? drain(question) : null,
+        done);
   }
 
-  void zone(Question q, String zone, boolean on, Consumer<Answer> done) throws Question.BadRequest {
+  void zone(Question question, String zone, boolean on, Consumer<Answer> done)
+      throws Question.BadRequest {
     if (!settings.zones().contains(zone)) {
       done.accept(Answer.error(404, "no zone " + zone));
       return;
     }
     order(
-        "zone", zone, Keys.DRAIN_ZONE + zone, drains.zones().get(zone), on ? drain(q) : null, done);
+        "zone",
+        zone,
+        Keys.DRAIN_ZONE + zone,
+        drains.zones().get(zone),
+        on ? drain(question) : null,
+        done);
   }
 
-  private Drain drain(Question q) throws Question.BadRequest {
-    String why = Json.text(q.body(), "why");
+  private Drain drain(Question question) throws Question.BadRequest {
+    String why = Json.text(question.body(), "why");
     if (why != null && why.length() > LONGEST_WHY) {
       throw new Question.BadRequest("why: must have at most " + LONGEST_WHY + " characters");
     }
-    double deadline = Json.decimal(q.body(), "deadline_s", 0);
+    double deadline = Json.decimal(question.body(), "deadline_s", 0);
     if (deadline < 0 || deadline > 1e7) {
       throw new Question.BadRequest("deadline_s: must be a number from 0 to 1e7");
     }
     return new Drain(
-        q.caller().name(),
+        question.caller().name(),
         clock.wall(),
         why == null ? "" : why,
-        Json.flag(q.body(), "return"),
+        Json.flag(question.body(), "return"),
         deadline);
   }
 
@@ -78,9 +90,9 @@
   private Answer answer(String what, String name, Drain before, Drain drain, Wishes.Result result) {
     return switch (result) {
       case DONE -> {
-        ObjectNode o = moment.object().put(what, name).put("drained", drain != null);
-        o.put("changed", (before == null) != (drain == null));
-        yield Answer.of(o);
+        ObjectNode object = moment.object().put(what, name).put("drained", drain != null);
+        object.put("changed", (before == null) != (drain == null));
+        yield Answer.of(object);
       }
       case CHANGED ->
           Answer.error(409, what + " " + name + " was changed by somebody else just now");
--- a/src/main/java/dapplestair/admin/Duties.java
+++ b/src/main/java/dapplestair/admin/Duties.java
@@ -2,6 +2,7 @@
 
 import dapplestair.blame.Blame;
 import dapplestair.calendar.Calendars;
+import dapplestair.cancellations.Cancellations;
 import dapplestair.disruption.Disruption;
 import dapplestair.drain.Drains;
 import dapplestair.events.EventLog;
@@ -22,7 +23,6 @@
 import dapplestair.state.Replica;
 import dapplestair.state.StateClient;
 import dapplestair.state.Wishes;
-import dapplestair.withdrawals.Withdrawals;
 import dapplestair.workers.WorkerDesk;
 import dapplestair.zones.Zones;
 
@@ -50,6 +50,6 @@
     Calendars calendars,
     Blame blame,
     Wishes wishes,
-    Withdrawals withdrawals,
+    Cancellations cancellations,
     Relay relay,
     EventLog events) {}
--- a/src/main/java/dapplestair/admin/EventViews.java
+++ b/src/main/java/dapplestair/admin/EventViews.java
@@ -53,13 +53,13 @@
 
     private void look() {
       List<byte[]> rows = new ArrayList<>();
-      for (EventLog.Event e : log.after(after)) {
+      for (EventLog.Event event : log.after(after)) {
         if (rows.size() == limit) {
           break;
         }
-        after = e.number();
-        if (filter.test(row(e.fields()))) {
-          rows.add(Json.bytes(e.fields()));
+        after = event.number();
+        if (filter.test(row(event.fields()))) {
+          rows.add(Json.bytes(event.fields()));
         }
       }
       if (!rows.isEmpty()) {
@@ -98,13 +98,13 @@
 
   private static Row row(JsonNode fields) {
     return field -> {
-      JsonNode v = fields.get(field);
-      if (v == null || v.isNull()) {
+      JsonNode node = fields.get(field);
+      if (node == null || node.isNull()) {
         return null;
       }
-      return v.isNumber()
-          ? (Object) v.doubleValue()
-          : v.isBoolean() ? v.booleanValue() : v.asText();
+      return node.isNumber()
+          ? (Object) node.doubleValue()
+          : node.isBoolean() ? node.booleanValue() : node.asText();
     };
   }
 }
--- a/src/main/java/dapplestair/admin/JobViews.java
+++ b/src/main/java/dapplestair/admin/JobViews.java
@@ -96,11 +96,11 @@
           }
           List<byte[]> rows = new ArrayList<>();
           String last = null;
-          for (JsonNode n : page.get("rows")) {
-            last = n.path("k").asText().substring(Keys.OVER.length());
-            Pages.Written w = overRow(n.path("value"));
-            if (w != null && filter.test(w)) {
-              rows.add(Json.written(w::write));
+          for (JsonNode node : page.get("rows")) {
+            last = node.path("k").asText().substring(Keys.OVER.length());
+            Pages.Written written = overRow(node.path("value"));
+            if (written != null && filter.test(written)) {
+              rows.add(Json.written(written::write));
             }
           }
           done.accept(pages.page(rows, Json.flag(page, "more") ? last : null));
@@ -108,13 +108,13 @@
   }
 
   private Pages.Written overRow(JsonNode record) {
-    Submission s = submission(record);
-    if (s == null) {
+    Submission submission = submission(record);
+    if (submission == null) {
       return null;
     }
     String status = Json.text(record, "status");
-    int done = "done".equals(status) ? s.steps() : 0;
-    return new JobRow(s, status, done, 0, 0, age(Json.number(record, "at", 0)));
+    int done = "done".equals(status) ? submission.steps() : 0;
+    return new JobRow(submission, status, done, 0, 0, age(Json.number(record, "at", 0)));
   }
 
   private static Submission submission(JsonNode record) {
@@ -186,10 +186,10 @@
         ref,
         done,
         record -> {
-          ObjectNode o = moment.object().put("status", Json.text(record, "status"));
-          o.put("accepted", Json.number(record, "at", 0));
-          o.set("job", record.path("job"));
-          return Answer.of(o);
+          ObjectNode object = moment.object().put("status", Json.text(record, "status"));
+          object.put("accepted", Json.number(record, "at", 0));
+          object.set("job", record.path("job"));
+          return Answer.of(object);
         });
   }
 
@@ -214,40 +214,41 @@
   }
 
   private ObjectNode shown(Job job, int from) {
-    Submission s = job.spec();
+    Submission submission = job.spec();
     int[] counts = ledger.counts(job);
-    ObjectNode o =
+    ObjectNode object =
         moment
             .object()
             .put("status", status(counts))
             .put("accepted", job.acceptedWall())
             .put("age", age(job.acceptedWall()))
-            .put("tasks", s.steps())
+            .put("tasks", submission.steps())
             .put("done", counts[0])
             .put("running", counts[1])
             .put("waiting_tasks", job.waiting());
-    o.set("job", s.toJson());
-    ArrayNode list = o.putArray("attempts");
+    object.set("job", submission.toJson());
+    ArrayNode list = object.putArray("attempts");
     List<Attempt> attempts = ledger.attempts(job, from, MOST_TASKS + 1);
-    for (Attempt a : attempts.subList(0, Math.min(MOST_TASKS, attempts.size()))) {
-      list.add(attempt(a));
+    for (Attempt attempt : attempts.subList(0, Math.min(MOST_TASKS, attempts.size()))) {
+      list.add(attempt(attempt));
     }
     if (attempts.size() > MOST_TASKS) {
-      o.put("next", attempts.get(MOST_TASKS).step());
+      object.put("next", attempts.get(MOST_TASKS).step());
     }
-    return o;
+    return object;
   }
 
   /** One attempt: where it is and how far. */
-  ObjectNode attempt(Attempt a) {
-    String status = a.status() == null ? "launching" : a.status().name().toLowerCase(Locale.ROOT);
+  ObjectNode attempt(Attempt attempt) {
+    String status =
+        attempt.status() == null ? "launching" : attempt.status().name().toLowerCase(Locale.ROOT);
     return Json.object()
-        .put("task", a.key())
-        .put("try", a.number())
-        .put("machine", a.host())
-        .put("zone", a.zone())
-        .put("status", a.halting() && !a.exited() ? "stopping" : status)
-        .put("ran_s", a.ranS(clock.now()))
-        .put("saved_s", a.savedS());
+        .put("task", attempt.key())
+        .put("try", attempt.number())
+        .put("machine", attempt.host())
+        .put("zone", attempt.zone())
+        .put("status", attempt.halting() && !attempt.exited() ? "stopping" : status)
+        .put("ran_s", attempt.ranS(clock.now()))
+        .put("saved_s", attempt.savedS());
   }
 }
--- a/src/main/java/dapplestair/admin/MachineViews.java
+++ b/src/main/java/dapplestair/admin/MachineViews.java
@@ -43,34 +43,34 @@
   }
 
   private Pages.Written row(String id) {
-    Host h = desk.known(id);
-    return h == null ? null : new MachineRow(h, state(h), clock.now());
+    Host host = desk.known(id);
+    return host == null ? null : new MachineRow(host, state(host), clock.now());
   }
 
   /** One word for what matters most about a machine. */
-  String state(Host h) {
-    if (h.releasing()) {
+  String state(Host host) {
+    if (host.releasing()) {
       return "returning";
     }
-    if (h.outOfReach()) {
+    if (host.outOfReach()) {
       return "silent";
     }
-    if (!h.up()) {
+    if (!host.up()) {
       return "booting";
     }
-    if (h.drained()) {
-      return h.idle() ? "drained" : "draining";
+    if (host.drained()) {
+      return host.idle() ? "drained" : "draining";
     }
-    if (h.draining()) {
+    if (host.draining()) {
       return "faulty";
     }
-    if (h.recalled()) {
+    if (host.recalled()) {
       return "notice";
     }
-    if (!h.acknowledged()) {
+    if (!host.acknowledged()) {
       return "unheard";
     }
-    return h.cordoned() ? "cordoned" : "up";
+    return host.cordoned() ? "cordoned" : "up";
   }
 
   /** One row of a listing. */
@@ -130,75 +130,76 @@
   }
 
   void show(String id, Consumer<Answer> done) {
-    Host h = desk.known(id);
-    if (h == null) {
+    Host host = desk.known(id);
+    if (host == null) {
       done.accept(Answer.error(404, "no machine " + id));
       return;
     }
-    ObjectNode o =
+    ObjectNode object =
         moment
             .object()
             .put("id", id)
-            .put("state", state(h))
-            .put("type", h.type() == null ? null : h.type().name())
-            .put("zone", h.zone())
-            .put("spot", h.spot())
-            .put("endpoint", h.endpoint())
-            .put("session", h.session())
-            .put("cpus", h.type() == null ? 0 : h.type().cpus())
-            .put("used", h.cpusUsed())
-            .put("memory_gb", h.type() == null ? 0 : h.type().memoryGb())
-            .put("memory_used_gb", h.memoryUsed())
-            .put("slowness", h.slowness())
-            .put("orders_waiting", h.queued());
-    if (h.recalled()) {
-      o.put("taken_in_s", Math.max(0, h.recallAt() - clock.now()) / 1000.0);
-    }
-    Drain d = drains.of(h);
-    if (d != null) {
-      o.set("drain", drain(d, drains.progress(h)));
-    }
-    ArrayNode tasks = o.putArray("tasks");
-    h.attempts().stream()
+            .put("state", state(host))
+            .put("type", host.type() == null ? null : host.type().name())
+            .put("zone", host.zone())
+            .put("spot", host.spot())
+            .put("endpoint", host.endpoint())
+            .put("session", host.session())
+            .put("cpus", host.type() == null ? 0 : host.type().cpus())
+            .put("used", host.cpusUsed())
+            .put("memory_gb", host.type() == null ? 0 : host.type().memoryGb())
+            .put("memory_used_gb", host.memoryUsed())
+            .put("slowness", host.slowness())
+            .put("orders_waiting", host.queued());
+    if (host.recalled()) {
+      object.put("taken_in_s", Math.max(0, host.recallAt() - clock.now()) / 1000.0);
+    }
+    Drain drain = drains.of(host);
+    if (drain != null) {
+      object.set("drain", drain(drain, drains.progress(host)));
+    }
+    ArrayNode tasks = object.putArray("tasks");
+    host.attempts().stream()
         .sorted(Comparator.comparing(Attempt::key))
         .forEach(a -> tasks.add(jobs.attempt(a)));
-    done.accept(Answer.of(o));
+    done.accept(Answer.of(object));
   }
 
   /** An order to empty something; {@code left} may be null. */
-  static ObjectNode drain(Drain d, Emptying.Progress left) {
-    ObjectNode o =
+  static ObjectNode drain(Drain drain, Emptying.Progress left) {
+    ObjectNode object =
         Json.object()
-            .put("by", d.by())
-            .put("at", d.atWall())
-            .put("why", d.why())
-            .put("return", d.giveBack());
-    if (d.deadlineS() > 0) {
-      o.put("deadline_s", d.deadlineS());
+            .put("by", drain.by())
+            .put("at", drain.atWall())
+            .put("why", drain.why())
+            .put("return", drain.giveBack());
+    if (drain.deadlineS() > 0) {
+      object.put("deadline_s", drain.deadlineS());
     }
     if (left != null) {
-      o.put("tasks_left", left.tasks())
+      object
+          .put("tasks_left", left.tasks())
           .put("replicas_left", left.services())
           .put("replicas_held", left.held());
       if (left.because() != null) {
-        o.put("because", left.because());
+        object.put("because", left.because());
       }
     }
-    return o;
+    return object;
   }
 
   /** All drains, also those whose machines are not known yet. */
   ObjectNode drains() {
-    ObjectNode o = moment.object();
-    ArrayNode list = o.putArray("rows");
+    ObjectNode object = moment.object();
+    ArrayNode list = object.putArray("rows");
     drains.zones().forEach((zone, d) -> list.add(drain(d, null).put("zone", zone)));
     drains
         .machines()
         .forEach(
             (id, d) -> {
-              Host h = desk.known(id);
-              list.add(drain(d, h == null ? null : drains.progress(h)).put("machine", id));
+              Host host = desk.known(id);
+              list.add(drain(d, host == null ? null : drains.progress(host)).put("machine", id));
             });
-    return o;
+    return object;
   }
 }
--- a/src/main/java/dapplestair/admin/Moment.java
+++ b/src/main/java/dapplestair/admin/Moment.java
@@ -35,12 +35,13 @@
 
   /** An object that says it. */
   ObjectNode object() {
-    ObjectNode o = Json.object();
-    o.putObject("asOf")
+    ObjectNode object = Json.object();
+    object
+        .putObject("asOf")
         .put("term", term())
         .put("epoch", replica.position())
         .put("leader", leadership.leader())
         .put("by", settings.member());
-    return o;
+    return object;
   }
 }
--- a/src/main/java/dapplestair/admin/Pages.java
+++ b/src/main/java/dapplestair/admin/Pages.java
@@ -71,9 +71,9 @@
         return;
       }
       last = name;
-      Written w = row.apply(name);
-      if (w != null && filter.test(w)) {
-        rows.add(Json.written(w::write));
+      Written written = row.apply(name);
+      if (written != null && filter.test(written)) {
+        rows.add(Json.written(written::write));
       }
     }
     done.accept(page(rows, null));
--- a/src/main/java/dapplestair/admin/Question.java
+++ b/src/main/java/dapplestair/admin/Question.java
@@ -47,24 +47,26 @@
   }
 
   ObjectNode toJson() {
-    ObjectNode o = Json.object().put("method", method).put("path", path);
-    ObjectNode p = o.putObject("params");
+    ObjectNode object = Json.object().put("method", method).put("path", path);
+    ObjectNode p = object.putObject("params");
     params.forEach(p::put);
-    o.set("body", body);
-    return o.put("who", caller.name()).put("role", caller.role().shown());
+    object.set("body", body);
+    return object.put("who", caller.name()).put("role", caller.role().shown());
   }
 
-  static Question parse(JsonNode n) {
+  static Question parse(JsonNode node) {
     Map<String, String> params = new HashMap<>();
-    n.path("params").fields().forEachRemaining(e -> params.put(e.getKey(), e.getValue().asText()));
-    Role role = Role.of(n.path("role").asText());
+    node.path("params")
+        .fields()
+        .forEachRemaining(e -> params.put(e.getKey(), e.getValue().asText()));
+    Role role = Role.of(node.path("role").asText());
     return role == null
         ? null
         : new Question(
-            n.path("method").asText(),
-            n.path("path").asText(),
+            node.path("method").asText(),
+            node.path("path").asText(),
             params,
-            n.path("body"),
-            new Caller(n.path("who").asText(), role));
+            node.path("body"),
+            new Caller(node.path("who").asText(), role));
   }
 }
--- a/src/main/java/dapplestair/admin/ReplaceDesk.java
+++ b/src/main/java/dapplestair/admin/ReplaceDesk.java
@@ -37,45 +37,45 @@
   private final Wishes wishes;
   private final Moment moment;
 
-  ReplaceDesk(Duties d, Moment moment) {
-    this.clock = d.clock();
-    this.timers = d.timers();
-    this.settings = d.settings();
-    this.types = d.types();
-    this.replacements = d.replacements();
-    this.wishes = d.wishes();
+  ReplaceDesk(Duties duties, Moment moment) {
+    this.clock = duties.clock();
+    this.timers = duties.timers();
+    this.settings = duties.settings();
+    this.types = duties.types();
+    this.replacements = duties.replacements();
+    this.wishes = duties.wishes();
     this.moment = moment;
   }
 
   // ---- looking ----
 
   ObjectNode list() {
-    ObjectNode o = moment.object();
-    ArrayNode rows = o.putArray("rows");
+    ObjectNode object = moment.object();
+    ArrayNode rows = object.putArray("rows");
     replacements.views().forEach(v -> rows.add(row(v)));
-    return o;
+    return object;
   }
 
   void show(String name, Consumer<Answer> done) {
-    View v = replacements.view(name);
-    done.accept(v == null ? missing(name) : Answer.of(moment.object().setAll(row(v))));
+    View view = replacements.view(name);
+    done.accept(view == null ? missing(name) : Answer.of(moment.object().setAll(row(view))));
   }
 
   private static Answer missing(String name) {
     return Answer.error(404, "no replacement " + name);
   }
 
-  private static ObjectNode row(View v) {
-    Order order = v.order();
-    String state = v.paused() != null ? "paused" : v.phase();
-    ObjectNode o =
+  private static ObjectNode row(View view) {
+    Order order = view.order();
+    String state = view.paused() != null ? "paused" : view.phase();
+    ObjectNode object =
         Json.object()
-            .put("name", v.name())
+            .put("name", view.name())
             .put("state", state)
-            .put("phase", v.phase())
-            .put("replaced", Math.max(0, order.total() - v.left()))
+            .put("phase", view.phase())
+            .put("replaced", Math.max(0, order.total() - view.left()))
             .put("total", order.total())
-            .put("steps", v.steps())
+            .put("steps", view.steps())
             .put("step", order.step())
             .put("beyond", order.beyond())
             .put("watch_s", order.watchS())
@@ -84,46 +84,48 @@
             .put("at", order.atWall())
             .put("why", order.why());
     if (order.deadlineS() > 0) {
-      o.put("deadline_s", order.deadlineS());
+      object.put("deadline_s", order.deadlineS());
     }
-    Selection s = order.selection();
-    if (s.zone() != null) {
-      o.put("zone", s.zone());
+    Selection selection = order.selection();
+    if (selection.zone() != null) {
+      object.put("zone", selection.zone());
     }
-    if (s.type() != null) {
-      o.put("type", s.type());
+    if (selection.type() != null) {
+      object.put("type", selection.type());
     }
-    if (s.spot() != null) {
-      o.put("spot", s.spot());
+    if (selection.spot() != null) {
+      object.put("spot", selection.spot());
     }
-    if (v.paused() != null) {
-      o.put("paused", v.paused()).put("goes_on", v.byWord() ? "when told to" : "by itself");
+    if (view.paused() != null) {
+      object
+          .put("paused", view.paused())
+          .put("goes_on", view.byWord() ? "when told to" : "by itself");
     }
-    if (v.remark() != null) {
-      o.put("remark", v.remark());
+    if (view.remark() != null) {
+      object.put("remark", view.remark());
     }
-    if (v.endS() >= 0) {
-      o.put("expected_end_s", Math.rint(v.endS()));
+    if (view.endS() >= 0) {
+      object.put("expected_end_s", Math.rint(view.endS()));
     }
-    o.put("machines", String.join(" ", v.batch()));
-    return o;
+    object.put("machines", String.join(" ", view.batch()));
+    return object;
   }
 
   // ---- orders ----
 
-  void start(Question q, String name, Consumer<Answer> done) throws Question.BadRequest {
+  void start(Question question, String name, Consumer<Answer> done) throws Question.BadRequest {
     if (!NAME.matcher(name).matches()) {
       throw new Question.BadRequest(
           "name = \"" + name + "\": must be up to 40 small letters, digits and hyphens");
     }
-    Order order = order(q);
+    Order order = order(question);
     View before = replacements.view(name);
     if (before != null && order.sameAs(before.order())) {
       done.accept(told(name, before.phase(), false));
     } else if (before != null && !before.phase().equals("done")) {
       done.accept(Answer.error(409, "replacement " + name + " is another order, and not done"));
     } else if (order.total() == 0) {
-      throw new Question.BadRequest("select = " + select(q.body()) + ": matches no machine");
+      throw new Question.BadRequest("select = " + select(question.body()) + ": matches no machine");
     } else if (before == null && replacements.views().size() >= MOST_ORDERS) {
       done.accept(Answer.error(409, "there are " + MOST_ORDERS + " replacements: abort some"));
     } else {
@@ -131,9 +133,9 @@
     }
   }
 
-  void pause(Question q, String name, Consumer<Answer> done) throws Question.BadRequest {
-    String why = why(q.body());
-    String words = "by " + q.caller().name() + (why.isEmpty() ? "" : ": " + why);
+  void pause(Question question, String name, Consumer<Answer> done) throws Question.BadRequest {
+    String why = why(question.body());
+    String words = "by " + question.caller().name() + (why.isEmpty() ? "" : ": " + why);
     change(name, () -> replacements.told(name, words), "paused", done);
   }
 
@@ -192,82 +194,83 @@
 
   // ---- what is asked for ----
 
-  private Order order(Question q) throws Question.BadRequest {
-    JsonNode b = q.body();
+  private Order order(Question question) throws Question.BadRequest {
+    JsonNode node = question.body();
     long now = clock.wall();
-    Selection selection = selection(b, now);
+    Selection selection = selection(node, now);
     int total = replacements.covered(selection);
-    double ratio = number(b, "step_ratio", 0, 0, 1);
+    double ratio = number(node, "step_ratio", 0, 0, 1);
     double usual = ratio > 0 ? Math.max(1, Math.min(MOST_NAMES, Math.ceil(ratio * total))) : 1;
-    int step = (int) number(b, "step", usual, 1, MOST_NAMES);
-    if (b.has("step_ratio") && (ratio == 0 || b.has("step"))) {
+    int step = (int) number(node, "step", usual, 1, MOST_NAMES);
+    if (node.has("step_ratio") && (ratio == 0 || node.has("step"))) {
       throw new Question.BadRequest(
-          "step_ratio = " + b.get("step_ratio") + ": must be above 0, and stand without step");
+          "step_ratio = " + node.get("step_ratio") + ": must be above 0, and stand without step");
     }
     return new Order(
-        q.caller().name(),
+        question.caller().name(),
         now,
-        why(b),
+        why(node),
         selection,
         total,
         step,
         ratio,
-        (int) number(b, "beyond", 0, 0, MOST_NAMES),
-        number(b, "watch_s", 2 * settings.workers().reportMs() / 1000.0, 0, 1e6),
-        number(b, "deadline_s", 0, 0, 1e7),
-        number(b, "slower", 1.5, 1, 100));
+        (int) number(node, "beyond", 0, 0, MOST_NAMES),
+        number(node, "watch_s", 2 * settings.workers().reportMs() / 1000.0, 0, 1e6),
+        number(node, "deadline_s", 0, 0, 1e7),
+        number(node, "slower", 1.5, 1, 100));
   }
 
-  private static ObjectNode select(JsonNode b) {
-    ObjectNode o = Json.object();
+  private static ObjectNode select(JsonNode node) {
+    ObjectNode object = Json.object();
     for (String field : new String[] {"zone", "type", "spot", "older_s", "machines"}) {
-      if (b.has(field)) {
-        o.set(field, b.get(field));
+      if (node.has(field)) {
+        object.set(field, node.get(field));
       }
     }
-    return o;
+    return object;
   }
 
-  private Selection selection(JsonNode b, long now) throws Question.BadRequest {
-    String zone = Json.text(b, "zone");
+  private Selection selection(JsonNode node, long now) throws Question.BadRequest {
+    String zone = Json.text(node, "zone");
     if (zone != null && !settings.zones().contains(zone)) {
       throw new Question.BadRequest("zone = \"" + zone + "\": no such zone");
     }
-    String type = Json.text(b, "type");
+    String type = Json.text(node, "type");
     if (type != null && types.get(type) == null) {
       throw new Question.BadRequest("type = \"" + type + "\": no such type");
     }
-    if (b.has("spot") && !b.get("spot").isBoolean()) {
-      throw new Question.BadRequest("spot = " + b.get("spot") + ": must be true or false");
+    if (node.has("spot") && !node.get("spot").isBoolean()) {
+      throw new Question.BadRequest("spot = " + node.get("spot") + ": must be true or false");
     }
     Set<String> names = new TreeSet<>();
-    b.path("machines").forEach(n -> names.add(n.asText()));
+    node.path("machines").forEach(n -> names.add(n.asText()));
     if (names.size() > MOST_NAMES) {
       throw new Question.BadRequest("machines: must be at most " + MOST_NAMES);
     }
-    double olderS = number(b, "older_s", 0, 0, 1e9);
-    if (zone == null && type == null && !b.has("spot") && names.isEmpty() && olderS == 0) {
+    double olderS = number(node, "older_s", 0, 0, 1e9);
+    if (zone == null && type == null && !node.has("spot") && names.isEmpty() && olderS == 0) {
       throw new Question.BadRequest("select = {}: name a zone, a type, a kind, an age or machines");
     }
     long before = olderS > 0 ? now - Math.round(1000 * olderS) : 0;
     return new Selection(
-        zone, type, b.has("spot") ? b.get("spot").asBoolean() : null, before, names);
+        zone, type, node.has("spot") ? node.get("spot").asBoolean() : null, before, names);
   }
 
-  private static String why(JsonNode b) throws Question.BadRequest {
-    String why = Json.text(b, "why");
+  private static String why(JsonNode node) throws Question.BadRequest {
+    String why = Json.text(node, "why");
     if (why != null && why.length() > LONGEST_WHY) {
       throw new Question.BadRequest("why: must have at most " + LONGEST_WHY + " characters");
     }
     return why == null ? "" : why;
   }
 
-  private static double number(JsonNode b, String field, double otherwise, double low, double high)
+  private static double number(
+      JsonNode node, String field, double otherwise, double low, double high)
       throws Question.BadRequest {
-    if (!b.has(field)) {
+    if (!node.has(field)) {
       return otherwise;
     }
-    JsonNode v = b.get(field);
+    JsonNode v = node.get(field);
     if (!v.isNumber() || !(v.asDouble() >= low && v.asDouble() <= high)) {
       throw new Question.BadRequest(
           "%s = %s: must be a number from %s to %s".formatted(field, v, show(low), show(high)));
--- a/src/main/java/dapplestair/admin/Role.java
+++ b/src/main/java/dapplestair/admin/Role.java
@@ -13,9 +13,9 @@
 
   /** The role of this name, or null. */
   public static Role of(String word) {
-    for (Role r : values()) {
-      if (r.shown().equals(word)) {
-        return r;
+    for (Role role : values()) {
+      if (role.shown().equals(word)) {
+        return role;
       }
     }
     return null;
--- a/src/main/java/dapplestair/admin/Routes.java
+++ b/src/main/java/dapplestair/admin/Routes.java
@@ -42,7 +42,7 @@
   /** Something that answers a question. */
   @FunctionalInterface
   interface Handler {
-    void answer(Question q, Consumer<Answer> done) throws Question.BadRequest;
+    void answer(Question question, Consumer<Answer> done) throws Question.BadRequest;
   }
 
   /**
@@ -55,13 +55,13 @@
   record Route(Role role, boolean byLeader, long waitMs, Handler handler) {}
 
   /** Where a question goes, or null when there is no such path. */
-  Route find(Question q) {
-    if (!q.path().startsWith(V1)) {
+  Route find(Question question) {
+    if (!question.path().startsWith(V1)) {
       return null;
     }
-    String[] parts = q.path().substring(V1.length()).split("/", -1);
+    String[] parts = question.path().substring(V1.length()).split("/", -1);
     return switch (parts.length) {
-      case 1 -> all(q, parts[0]);
+      case 1 -> all(question, parts[0]);
       case 2 -> one(parts[0], parts[1]);
       case 3 -> part(parts[0], parts[1], parts[2]);
       default -> null;
@@ -72,7 +72,7 @@
     return new Route(Role.VIEW, byLeader, 0, handler);
   }
 
-  private Route all(Question q, String what) {
+  private Route all(Question question, String what) {
     return switch (what) {
       case "jobs" -> view(false, this::listJobs);
       case "machines" -> view(true, this::listMachines);
@@ -82,7 +82,7 @@
       case "status" -> view(true, (x, done) -> done.accept(Answer.of(cluster.status())));
       case "replacements" -> view(true, (x, done) -> done.accept(Answer.of(replacements.list())));
       case "drains" -> view(true, (x, done) -> done.accept(Answer.of(machines.drains())));
-      case "events" -> new Route(Role.VIEW, true, waitMs(q), this::listEvents);
+      case "events" -> new Route(Role.VIEW, true, waitMs(question), this::listEvents);
       default -> null;
     };
   }
@@ -146,16 +146,16 @@
     return new Route(Role.OPERATE, true, 0, handler);
   }
 
-  private static long waitMs(Question q) {
+  private static long waitMs(Question question) {
     try {
-      return q.number("waitMs", 0, 0, LONGEST_POLL_MS);
+      return question.number("waitMs", 0, 0, LONGEST_POLL_MS);
     } catch (Question.BadRequest e) {
       return 0;
     }
   }
 
-  private static Filter filter(Question q, Schema schema) throws Question.BadRequest {
-    String where = q.param("where");
+  private static Filter filter(Question question, Schema schema) throws Question.BadRequest {
+    String where = question.param("where");
     try {
       return Filter.read(where, schema);
     } catch (FilterException e) {
@@ -163,25 +163,26 @@
     }
   }
 
-  private static int limit(Question q) throws Question.BadRequest {
-    return (int) q.number("limit", USUAL_ROWS, 1, Pages.MOST_ROWS);
+  private static int limit(Question question) throws Question.BadRequest {
+    return (int) question.number("limit", USUAL_ROWS, 1, Pages.MOST_ROWS);
   }
 
-  private void listJobs(Question q, Consumer<Answer> done) throws Question.BadRequest {
-    Filter filter = filter(q, Schema.JOBS);
-    if ("over".equals(q.param("scope"))) {
-      jobs.listOver(filter, q.param("after"), limit(q), done);
+  private void listJobs(Question question, Consumer<Answer> done) throws Question.BadRequest {
+    Filter filter = filter(question, Schema.JOBS);
+    if ("over".equals(question.param("scope"))) {
+      jobs.listOver(filter, question.param("after"), limit(question), done);
     } else {
-      jobs.list(filter, q.param("after"), limit(q), done);
+      jobs.list(filter, question.param("after"), limit(question), done);
     }
   }
 
-  private void listMachines(Question q, Consumer<Answer> done) throws Question.BadRequest {
-    machines.list(filter(q, Schema.MACHINES), q.param("after"), limit(q), done);
+  private void listMachines(Question question, Consumer<Answer> done) throws Question.BadRequest {
+    machines.list(
+        filter(question, Schema.MACHINES), question.param("after"), limit(question), done);
   }
 
-  private void listEvents(Question q, Consumer<Answer> done) throws Question.BadRequest {
-    long after = q.number("after", 0, 0, Long.MAX_VALUE);
-    events.list(filter(q, Schema.EVENTS), after, limit(q), waitMs(q), done);
+  private void listEvents(Question question, Consumer<Answer> done) throws Question.BadRequest {
+    long after = question.number("after", 0, 0, Long.MAX_VALUE);
+    events.list(filter(question, Schema.EVENTS), after, limit(question), waitMs(question), done);
   }
 }
--- a/src/main/java/dapplestair/admin/Tokens.java
+++ b/src/main/java/dapplestair/admin/Tokens.java
@@ -49,10 +49,10 @@
 
   /** Reads a file, and again whenever it has changed. */
   public static Tokens watch(Path file, Timers timers, Background background) throws IOException {
-    Tokens t = new Tokens(file);
-    t.read = t.load();
-    t.look(timers, background);
-    return t;
+    Tokens tokens = new Tokens(file);
+    tokens.read = tokens.load();
+    tokens.look(timers, background);
+    return tokens;
   }
 
   private void look(Timers timers, Background background) {
@@ -92,11 +92,11 @@
       number++;
       String text = line.strip();
       if (!text.isEmpty() && !text.startsWith("#")) {
-        Entry e = entry(text);
-        if (e == null) {
+        Entry entry = entry(text);
+        if (entry == null) {
           LOG.error("{} line {}: must be a name, view or operate, and a hash", file, number);
         } else {
-          entries.add(e);
+          entries.add(entry);
         }
       }
     }
@@ -122,21 +122,21 @@
   }
 
   @Override
-  public Known who(Exchange x) {
-    String header = x.header("authorization");
+  public Known who(Exchange exchange) {
+    String header = exchange.header("authorization");
     if (header != null && header.startsWith(BEARER)) {
       return byToken(header.substring(BEARER.length()).strip());
     }
-    return bySubject(x.subject());
+    return bySubject(exchange.subject());
   }
 
   /** Looks at all entries, each in the same time, so that no answer tells how close a guess was. */
   private Known byToken(String token) {
     byte[] hash = HexFormat.of().parseHex(hash(token));
     Known found = null;
-    for (Entry e : read.entries()) {
-      if (MessageDigest.isEqual(e.hash(), hash)) {
-        found = new Known(e.name(), e.role() == Role.OPERATE);
+    for (Entry entry : read.entries()) {
+      if (MessageDigest.isEqual(entry.hash(), hash)) {
+        found = new Known(entry.name(), entry.role() == Role.OPERATE);
       }
     }
     return found;
--- a/src/main/java/dapplestair/admin/WhyView.java
+++ b/src/main/java/dapplestair/admin/WhyView.java
@@ -27,13 +27,13 @@
   private final Moment moment;
   private final double planIntervalS;
 
-  WhyView(Duties d, JobViews jobs, Moment moment, double planIntervalS) {
-    this.settings = d.settings();
-    this.ledger = d.ledger();
-    this.placer = d.placer();
-    this.fleet = d.fleet();
-    this.disruption = d.disruption();
-    this.blame = d.blame();
+  WhyView(Duties duties, JobViews jobs, Moment moment, double planIntervalS) {
+    this.settings = duties.settings();
+    this.ledger = duties.ledger();
+    this.placer = duties.placer();
+    this.fleet = duties.fleet();
+    this.disruption = duties.disruption();
+    this.blame = duties.blame();
     this.jobs = jobs;
     this.moment = moment;
     this.planIntervalS = planIntervalS;
@@ -60,35 +60,37 @@
   }
 
   private ObjectNode nothing(String ref, String status) {
-    ObjectNode o = moment.object().put("ref", ref).put("status", status).put("waiting_tasks", 0);
-    o.putArray("reasons");
-    return o;
+    ObjectNode object =
+        moment.object().put("ref", ref).put("status", status).put("waiting_tasks", 0);
+    object.putArray("reasons");
+    return object;
   }
 
-  private ObjectNode explained(Job job, Explanation e) {
+  private ObjectNode explained(Job job, Explanation explanation) {
     String ref = job.spec().ref();
     int[] counts = ledger.counts(job);
-    ObjectNode o = nothing(ref, JobViews.status(counts));
-    o.put("waiting_tasks", e.waiting());
+    ObjectNode object = nothing(ref, JobViews.status(counts));
+    object.put("waiting_tasks", explanation.waiting());
     Refusal refusal = disruption.refused(job);
     if (refusal != null) {
-      o.put("not_moved", refusal.words());
+      object.put("not_moved", refusal.words());
     }
-    Blame.Standing standing = blame.standing(job);
+    Blame.BudgetStatus standing = blame.standing(job);
     if (standing != null) {
-      o.putObject("failing")
+      object
+          .putObject("failing")
           .put("failures", standing.failures())
           .put("machines", standing.machines())
           .put("one_at_a_time", standing.suspected())
           .put("next_s", standing.nextS());
     }
-    if (e.waiting() == 0) {
-      return o;
+    if (explanation.waiting() == 0) {
+      return object;
     }
     Prospects prospects = fleet.prospects(job.spec());
-    ArrayNode reasons = o.putArray("reasons");
-    e.job().forEach((v, n) -> add(reasons, v, "tasks", n, job, e));
-    e.machines().forEach((v, n) -> add(reasons, v, "machines", n, job, e));
+    ArrayNode reasons = object.putArray("reasons");
+    explanation.job().forEach((v, n) -> add(reasons, v, "tasks", n, job, explanation));
+    explanation.machines().forEach((v, n) -> add(reasons, v, "machines", n, job, explanation));
     if (prospects.booting() > 0) {
       reasons
           .addObject()
@@ -114,46 +116,49 @@
           .put("words", "there is no machine at all: the next plan rents some")
           .put("in_s", planIntervalS);
     }
-    double start = expected(e, prospects);
+    double start = expected(explanation, prospects);
     if (start >= 0) {
-      o.put("expected_start_s", start);
+      object.put("expected_start_s", start);
     }
-    return o;
+    return object;
   }
 
-  private void add(ArrayNode to, Verdict v, String of, int n, Job job, Explanation e) {
-    ObjectNode r = to.addObject().put("reason", v.shown()).put(of, n).put("words", v.words());
+  private void add(
+      ArrayNode to, Verdict verdict, String of, int count, Job job, Explanation explanation) {
+    ObjectNode object =
+        to.addObject().put("reason", verdict.shown()).put(of, count).put("words", verdict.words());
     Settings.Team team = settings.teams().get(job.spec().team());
-    if (v == Verdict.TEAM_LIMIT && team != null) {
-      r.put("limit_cpus", team.cpusMax()).put("use_cpus", ledger.teamCpus(team.name()));
-    } else if (v == Verdict.BACKED_OFF) {
-      r.put("in_s", e.heldBackS());
-    } else if (v == Verdict.GANG && e.gangRoom() >= 0) {
-      r.put("room_for", e.gangRoom());
-    } else if (v == Verdict.FULL && e.freeInS() >= 0) {
-      r.put("in_s", e.freeInS());
+    if (verdict == Verdict.TEAM_LIMIT && team != null) {
+      object.put("limit_cpus", team.cpusMax()).put("use_cpus", ledger.teamCpus(team.name()));
+    } else if (verdict == Verdict.BACKED_OFF) {
+      object.put("in_s", explanation.heldBackS());
+    } else if (verdict == Verdict.GANG && explanation.gangRoom() >= 0) {
+      object.put("room_for", explanation.gangRoom());
+    } else if (verdict == Verdict.FULL && explanation.freeInS() >= 0) {
+      object.put("in_s", explanation.freeInS());
     }
   }
 
   /** The earliest of what is on its way, but not before the job may start at all; -1: unknown. */
-  private double expected(Explanation e, Prospects prospects) {
+  private double expected(Explanation explanation, Prospects prospects) {
     double first = Double.POSITIVE_INFINITY;
-    if (e.machines().containsKey(Verdict.FITS) || e.job().containsKey(Verdict.ROOM_ON_ITS_WAY)) {
+    if (explanation.machines().containsKey(Verdict.FITS)
+        || explanation.job().containsKey(Verdict.ROOM_ON_ITS_WAY)) {
       first = 0;
     }
-    if (e.freeInS() >= 0) {
-      first = Math.min(first, e.freeInS());
+    if (explanation.freeInS() >= 0) {
+      first = Math.min(first, explanation.freeInS());
     }
     if (prospects.booting() > 0) {
       first = Math.min(first, prospects.nextS());
     }
-    for (Prospects.Refusal r : prospects.refusals()) {
-      first = Math.min(first, r.againS());
+    for (Prospects.Refusal refusal : prospects.refusals()) {
+      first = Math.min(first, refusal.againS());
     }
-    boolean limited = e.job().containsKey(Verdict.TEAM_LIMIT);
-    if (limited && e.freeInS() < 0 || Double.isInfinite(first)) {
+    boolean limited = explanation.job().containsKey(Verdict.TEAM_LIMIT);
+    if (limited && explanation.freeInS() < 0 || Double.isInfinite(first)) {
       return -1;
     }
-    return Math.max(first, e.heldBackS());
+    return Math.max(first, explanation.heldBackS());
   }
 }
--- a/src/main/java/dapplestair/blame/Blame.java
+++ b/src/main/java/dapplestair/blame/Blame.java
@@ -84,15 +84,15 @@
   }
 
   /** How a job stands that has failed, or null. */
-  public Standing standing(Job job) {
-    JobCase c = jobs.get(job.spec().ref());
-    if (c == null && !job.suspected()) {
+  public BudgetStatus standing(Job job) {
+    JobCase jobCase = jobs.get(job.spec().ref());
+    if (jobCase == null && !job.suspected()) {
       return null;
     }
     double next = job.suspected() ? Math.max(0, job.heldBackUntil() - clock.now()) / 1000.0 : 0;
-    return c == null
-        ? new Standing(0, 0, job.suspected(), next)
-        : new Standing(c.failures, c.machines, job.suspected(), next);
+    return jobCase == null
+        ? new BudgetStatus(0, 0, job.suspected(), next)
+        : new BudgetStatus(jobCase.failures, jobCase.machines, job.suspected(), next);
   }
 
   /**
@@ -103,7 +103,7 @@
    * @param suspected true when it is tried by one task at a time
    * @param nextS seconds until it is tried again
    */
-  public record Standing(int failures, int machines, boolean suspected, double nextS) {}
+  public record BudgetStatus(int failures, int machines, boolean suspected, double nextS) {}
 
   /** Jobs that are tried by one task at a time. */
   public int suspects() {
@@ -113,27 +113,28 @@
   // ---- evidence ----
 
   /** A task failed by itself. */
-  public void failed(Attempt a, Host host) {
-    Job job = a.job();
+  public void failed(Attempt attempt, Host host) {
+    Job job = attempt.job();
     if (job.over()) {
       return;
     }
     String ref = job.spec().ref();
-    JobCase j = jobs.computeIfAbsent(ref, r -> new JobCase());
-    j.failed(host.id(), a.ranBeforeExitS());
-    ledger.failedStep(a, reportMs, MOST_PAUSE * reportMs);
+    JobCase jobCase = jobs.computeIfAbsent(ref, r -> new JobCase());
+    jobCase.failed(host.id(), attempt.ranBeforeExitS());
+    ledger.failedStep(attempt, reportMs, MOST_PAUSE * reportMs);
     if (job.suspected()) {
       // A probe, or what still ran when the verdict was given: nothing new of its machine.
-      pause(job, j);
+      pause(job, jobCase);
       return;
     }
-    MachineCase m = machines.computeIfAbsent(host.id(), h -> new MachineCase(clock.now()));
-    m.failed(ref, a.step());
-    host.setFailures(m.count());
+    MachineCase machineCase =
+        machines.computeIfAbsent(host.id(), h -> new MachineCase(clock.now()));
+    machineCase.failed(ref, attempt.step());
+    host.setFailures(machineCase.count());
     if (due.isEmpty()) {
       judging = timers.after(reportMs / 60, this::judge);
     }
-    if (due.add(ref) && job.doneCount() + job.worked() + working(job, j, null) == 0) {
+    if (due.add(ref) && job.doneCount() + job.worked() + working(job, jobCase, null) == 0) {
       // Failures come in crowds: what is lost starts again after the verdict, not before. Until one
       // of its tasks is known to work that is when no more fail.
       ledger.holdBack(job, reportMs / 2);
@@ -141,10 +142,10 @@
   }
 
   /** A task completed. */
-  public void completed(Attempt a, Host host) {
-    Job job = a.job();
-    MachineCase m = machines.get(host.id());
-    if (m != null && a.plannedAt() > m.since) {
+  public void completed(Attempt attempt, Host host) {
+    Job job = attempt.job();
+    MachineCase machineCase = machines.get(host.id());
+    if (machineCase != null && attempt.plannedAt() > machineCase.since) {
       machines.remove(host.id());
       host.setFailures(0);
     }
@@ -160,28 +161,28 @@
   /** A job is over: nothing is held against it, nor by it against machines. */
   public void over(String ref) {
     due.remove(ref);
-    JobCase c = jobs.remove(ref);
-    if (c != null) {
-      withdraw(ref, c);
+    JobCase jobCase = jobs.remove(ref);
+    if (jobCase != null) {
+      cancel(ref, jobCase);
     }
   }
 
-  private void withdraw(String ref, JobCase c) {
-    for (String id : c.failedOn.keySet()) {
-      MachineCase m = machines.get(id);
-      if (m == null) {
+  private void cancel(String ref, JobCase jobCase) {
+    for (String id : jobCase.failedOn.keySet()) {
+      MachineCase machineCase = machines.get(id);
+      if (machineCase == null) {
         continue;
       }
-      m.failed.remove(ref);
-      if (m.failed.isEmpty()) {
+      machineCase.failed.remove(ref);
+      if (machineCase.failed.isEmpty()) {
         machines.remove(id);
       }
-      Host h = desk.known(id);
-      if (h != null) {
-        h.setFailures(m.count());
+      Host host = desk.known(id);
+      if (host != null) {
+        host.setFailures(machineCase.count());
       }
     }
-    c.failedOn.clear();
+    jobCase.failedOn.clear();
   }
 
   // ---- verdicts ----
@@ -190,43 +191,43 @@
     List<String> refs = List.copyOf(due);
     due.clear();
     for (String ref : refs) {
-      JobCase c = jobs.get(ref);
+      JobCase jobCase = jobs.get(ref);
       Job job = ledger.job(ref);
-      if (c != null && job != null && !job.over() && !job.suspected()) {
-        if (c.failedOn.size() >= 2 && Odds.sure(odds(job, c))) {
-          suspect(job, c);
+      if (jobCase != null && job != null && !job.over() && !job.suspected()) {
+        if (jobCase.failedOn.size() >= 2 && Odds.sure(odds(job, jobCase))) {
+          suspect(job, jobCase);
         } else {
-          judgeMachines(c);
+          judgeMachines(jobCase);
         }
       }
     }
   }
 
   /** Log odds that the job is wrong. */
-  private double odds(Job job, JobCase c) {
+  private double odds(Job job, JobCase jobCase) {
     long now = clock.now();
-    long works = working(job, c, null);
+    long works = working(job, jobCase, null);
     long outlived =
-        ledger.attempts(job).stream().filter(a -> a.ranS(now) > c.longestS).count() - works;
+        ledger.attempts(job).stream().filter(a -> a.ranS(now) > jobCase.longestS).count() - works;
     double sum =
         Odds.logit(Odds.JOB_WRONG) + Odds.completions(job.doneCount() + job.worked() + works);
-    for (String id : c.failedOn.keySet()) {
+    for (String id : jobCase.failedOn.keySet()) {
       sum += Odds.failureUnless(odds(id, job.spec().ref(), false));
     }
-    return sum + Odds.outlived(outlived / (double) c.failures);
+    return sum + Odds.outlived(outlived / (double) jobCase.failures);
   }
 
   /** Tasks that live on, on other machines than this one. */
-  private long working(Job job, JobCase c, String butOn) {
+  private long working(Job job, JobCase jobCase, String butOn) {
     long now = clock.now();
     return ledger.attempts(job).stream()
-        .filter(a -> a.ranS(now) > worksAfterS(c) && !a.host().equals(butOn))
+        .filter(a -> a.ranS(now) > worksAfterS(jobCase) && !a.host().equals(butOn))
         .count();
   }
 
   /** Services never complete: a task that outlives by far what failed says as much. */
-  private double worksAfterS(JobCase c) {
-    return Math.max(reportMs / 1000.0, c == null ? 0 : 2 * c.longestS);
+  private double worksAfterS(JobCase jobCase) {
+    return Math.max(reportMs / 1000.0, jobCase == null ? 0 : 2 * jobCase.longestS);
   }
 
   /**
@@ -236,27 +237,27 @@
    */
   private double odds(String id, String except, boolean knownGood) {
     double sum = Odds.logit(Odds.MACHINE_FAULTY);
-    MachineCase m = machines.get(id);
-    if (m == null) {
+    MachineCase machineCase = machines.get(id);
+    if (machineCase == null) {
       return sum;
     }
-    for (var e : m.failed.entrySet()) {
+    for (var e : machineCase.failed.entrySet()) {
       Job job = ledger.job(e.getKey());
-      JobCase c = jobs.get(e.getKey());
-      if (e.getKey().equals(except) || job == null || c == null) {
+      JobCase jobCase = jobs.get(e.getKey());
+      if (e.getKey().equals(except) || job == null || jobCase == null) {
         continue;
       }
       // Replicas are alike, and never complete: others that live on elsewhere say as much.
-      long good = job.spec().service() ? working(job, c, id) + job.worked() : job.doneCount();
+      long good = job.spec().service() ? working(job, jobCase, id) + job.worked() : job.doneCount();
       int steps = e.getValue().size();
       if (knownGood && job.spec().service()) {
         // The same replica that fails here again and again says as much as another one.
-        steps = good > 0 ? c.failedOn.getInt(id) : 0;
+        steps = good > 0 ? jobCase.failedOn.getInt(id) : 0;
       } else if (knownGood) {
         steps = (int) e.getValue().intStream().filter(job::done).count();
       }
       if (steps > 0) {
-        double one = Odds.failure(Odds.rate(c.elsewhere(id), good));
+        double one = Odds.failure(Odds.rate(jobCase.elsewhere(id), good));
         // More tasks of one job say less than those of another job.
         sum += one * (1 + (Math.min(MOST_SAME_JOB, steps) - 1) / 2.0);
       }
@@ -264,49 +265,49 @@
     return sum;
   }
 
-  private void judgeMachines(JobCase c) {
-    List.copyOf(c.failedOn.keySet()).forEach(this::judgeMachine);
+  private void judgeMachines(JobCase jobCase) {
+    List.copyOf(jobCase.failedOn.keySet()).forEach(this::judgeMachine);
   }
 
   private void judgeMachine(String id) {
-    Host h = desk.known(id);
-    if (h != null && !h.draining() && Odds.sure(odds(id, null, true))) {
+    Host host = desk.known(id);
+    if (host != null && !host.draining() && Odds.sure(odds(id, null, true))) {
       LOG.info("{} fails what others complete: it is emptied", id);
-      h.setDraining(true);
+      host.setDraining(true);
       machines.get(id).failed.forEach((ref, steps) -> forgive(id, ref, steps));
-      listener.faulty(h);
+      listener.faulty(host);
     }
   }
 
   /** What a faulty machine explains is held against no job, and no step waits for it. */
   private void forgive(String id, String ref, IntOpenHashSet steps) {
     Job job = ledger.job(ref);
-    JobCase c = jobs.get(ref);
-    if (job != null && c != null) {
-      c.failedOn.removeInt(id);
+    JobCase jobCase = jobs.get(ref);
+    if (job != null && jobCase != null) {
+      jobCase.failedOn.removeInt(id);
       steps.forEach(step -> ledger.forgive(job, step));
     }
   }
 
-  private void suspect(Job job, JobCase c) {
+  private void suspect(Job job, JobCase jobCase) {
     LOG.info(
         "{} fails wherever it runs, {} times on {} machines: one task at a time from now on",
         job.spec().ref(),
-        c.failures,
-        c.failedOn.size());
+        jobCase.failures,
+        jobCase.failedOn.size());
     // Its failures are explained, and say nothing of the machines any more.
-    withdraw(job.spec().ref(), c);
-    pause(job, c);
+    cancel(job.spec().ref(), jobCase);
+    pause(job, jobCase);
   }
 
-  private void pause(Job job, JobCase c) {
+  private void pause(Job job, JobCase jobCase) {
     if (job.suspected() && job.held() > 1) {
       // Others of the same wave, or of the same gang, still run: one pause for all of them.
       return;
     }
     long pause = reportMs * Math.min(MOST_PAUSE, 1L << Math.min(10, job.probesFailed()));
     ledger.suspect(job, pause);
-    listener.wrong(job, c.failures, c.machines, pause);
+    listener.wrong(job, jobCase.failures, jobCase.machines, pause);
   }
 
   private void works(Job job) {
--- a/src/main/java/dapplestair/blame/JobCase.java
+++ b/src/main/java/dapplestair/blame/JobCase.java
@@ -30,8 +30,8 @@
   /** Failures on other machines than this one. */
   int elsewhere(String host) {
     int sum = 0;
-    for (int n : failedOn.values()) {
-      sum += n;
+    for (int count : failedOn.values()) {
+      sum += count;
     }
     return sum - failedOn.getInt(host);
   }
--- a/src/main/java/dapplestair/calendar/Calendars.java
+++ b/src/main/java/dapplestair/calendar/Calendars.java
@@ -131,9 +131,9 @@
   }
 
   private void tick() {
-    for (RunCalendar c : calendars.values()) {
-      if (!writing.contains(c.name()) && state.unreachableMs() == 0) {
-        look(c);
+    for (RunCalendar calendar : calendars.values()) {
+      if (!writing.contains(calendar.name()) && state.unreachableMs() == 0) {
+        look(calendar);
       }
     }
     rest();
@@ -141,38 +141,40 @@
   }
 
   /** Releases the newest cycle that can be; what lies further back was missed. */
-  private void look(RunCalendar c) {
+  private void look(RunCalendar calendar) {
     long wall = clock.wall();
-    long current = c.cycle(wall);
-    Cycle last = cycle(c.name());
-    By by = current > last.start() ? due(c, current, wall) : null;
+    long current = calendar.cycle(wall);
+    Cycle last = cycle(calendar.name());
+    By by = current > last.start() ? due(calendar, current, wall) : null;
     if (by != null) {
-      release(c, last.released(current, by, wall, delivered(c, current)));
+      release(calendar, last.released(current, by, wall, delivered(calendar, current)));
       return;
     }
-    long before = last.start() == 0 ? current : c.next(last.start());
+    long before = last.start() == 0 ? current : calendar.next(last.start());
     if (before < current) {
       // Nobody led, or nobody could write, until it was over; its runs are long on their way.
-      release(c, last.released(before, By.MISSED, wall, delivered(c, before)));
+      release(calendar, last.released(before, By.MISSED, wall, delivered(calendar, before)));
       return;
     }
-    compact(c, last);
+    compact(calendar, last);
   }
 
-  private By due(RunCalendar c, long start, long wall) {
-    int delivered = delivered(c, start);
-    if (delivered >= c.complete()) {
+  private By due(RunCalendar calendar, long start, long wall) {
+    int delivered = delivered(calendar, start);
+    if (delivered >= calendar.complete()) {
       return By.COMPLETE;
     }
-    if (c.quorum() > 0 && delivered >= c.quorum() && wall - start >= c.quorumAfterMs()) {
+    if (calendar.quorum() > 0
+        && delivered >= calendar.quorum()
+        && wall - start >= calendar.quorumAfterMs()) {
       return By.QUORUM;
     }
-    return wall - start >= c.cutOffMs() ? By.CUT_OFF : null;
+    return wall - start >= calendar.cutOffMs() ? By.CUT_OFF : null;
   }
 
-  private void release(RunCalendar c, Cycle next) {
-    writing.add(c.name());
-    String key = Keys.CALENDAR + c.name();
+  private void release(RunCalendar calendar, Cycle next) {
+    writing.add(calendar.name());
+    String key = Keys.CALENDAR + calendar.name();
     writer.put(
         key,
         replica.stamp(key),
@@ -183,27 +185,27 @@
             return;
           }
           if (outcome instanceof Outcome.Applied) {
-            cycles.put(c.name(), next);
-            told(c, next);
+            cycles.put(calendar.name(), next);
+            told(calendar, next);
             changed.run();
           }
           // The replica shows it a moment later; without an answer it tells what became of it.
-          timers.after(settings.workers().reportMs() / 12, () -> writing.remove(c.name()));
+          timers.after(settings.workers().reportMs() / 12, () -> writing.remove(calendar.name()));
         });
   }
 
-  private void told(RunCalendar c, Cycle cycle) {
+  private void told(RunCalendar calendar, Cycle cycle) {
     LOG.info(
         "{}: the cycle of {} is released ({}, {} of {} deliveries)",
-        c.name(),
+        calendar.name(),
         cycle.start(),
         cycle.by().shown(),
         cycle.delivered(),
-        c.complete());
+        calendar.complete());
     events.note(
         Events.Kind.CYCLE,
         o ->
-            o.put("calendar", c.name())
+            o.put("calendar", calendar.name())
                 .put("cycle", cycle.start())
                 .put("state", cycle.by().shown())
                 .put("delivered", cycle.delivered())
@@ -211,26 +213,27 @@
   }
 
   /** Marks of cycles that are over are taken out, a few at a time, one period after their end. */
-  private void compact(RunCalendar c, Cycle last) {
+  private void compact(RunCalendar calendar, Cycle last) {
     Txn txn = writer.transaction();
     marks
-        .getOrDefault(c.name(), Map.of())
+        .getOrDefault(calendar.name(), Map.of())
         .forEach(
             (start, refs) -> {
-              if (start < last.start() - c.periodMs()) {
+              if (start < last.start() - calendar.periodMs()) {
                 refs.stream()
                     .limit(Math.max(0, settings.state().txnOps() - txn.size()))
-                    .forEach(ref -> txn.remove(mark(c.name(), start, ref)));
+                    .forEach(ref -> txn.remove(mark(calendar.name(), start, ref)));
               }
             });
     if (txn.size() > 0) {
-      writing.add(c.name());
+      writing.add(calendar.name());
       writer.commit(
           txn,
           Priority.BOOKKEEPING,
           outcome -> {
             if (!leadership.deposedBy(outcome)) {
-              timers.after(settings.workers().reportMs() / 3, () -> writing.remove(c.name()));
+              timers.after(
+                  settings.workers().reportMs() / 3, () -> writing.remove(calendar.name()));
             }
           });
     }
@@ -239,26 +242,26 @@
   /** What is held is planned for only from when its machines have to be asked for. */
   private void rest() {
     for (Job job : ledger.jobs()) {
-      RunCalendar c = of(job.spec());
-      if (c != null) {
-        ledger.rest(job, holds(job) && !soon(c, job));
+      RunCalendar calendar = of(job.spec());
+      if (calendar != null) {
+        ledger.rest(job, holds(job) && !soon(calendar, job));
       }
     }
   }
 
   /** True from a boot before the usual release on. */
-  private boolean soon(RunCalendar c, Job job) {
-    long start = c.cycle(job.acceptedWall());
-    double usual = cycle(c.name()).usualLagMs(c.cutOffMs());
+  private boolean soon(RunCalendar calendar, Job job) {
+    long start = calendar.cycle(job.acceptedWall());
+    double usual = cycle(calendar.name()).usualLagMs(calendar.cutOffMs());
     return clock.wall() >= start + usual - 1000 * bootS.getAsDouble();
   }
 
   // ---- asked by the others ----
 
-  private RunCalendar of(Submission s) {
-    for (RunCalendar c : calendars.values()) {
-      if (c.isRun(s)) {
-        return c;
+  private RunCalendar of(Submission submission) {
+    for (RunCalendar calendar : calendars.values()) {
+      if (calendar.isRun(submission)) {
+        return calendar;
       }
     }
     return null;
@@ -266,27 +269,28 @@
 
   /** True while a job has to wait for its cycle. */
   public boolean holds(Job job) {
-    RunCalendar c = calendars.isEmpty() ? null : of(job.spec());
-    if (c == null) {
+    RunCalendar calendar = calendars.isEmpty() ? null : of(job.spec());
+    if (calendar == null) {
       return false;
     }
-    long start = c.cycle(job.acceptedWall());
-    return cycle(c.name()).start() < start && clock.wall() - start < c.cutOffMs();
+    long start = calendar.cycle(job.acceptedWall());
+    return cycle(calendar.name()).start() < start && clock.wall() - start < calendar.cutOffMs();
   }
 
   /** True for a run of the cycle released last: it goes first of its rank. */
   public boolean goesFirst(Job job) {
-    RunCalendar c = calendars.isEmpty() ? null : of(job.spec());
-    return c != null && cycle(c.name()).start() == c.cycle(job.acceptedWall());
+    RunCalendar calendar = calendars.isEmpty() ? null : of(job.spec());
+    return calendar != null && cycle(calendar.name()).start() == calendar.cycle(job.acceptedWall());
   }
 
   /** A job is about to be recorded as done: if it is a delivery, it is marked with the same put. */
   public void finishing(Job job, Txn txn) {
-    for (RunCalendar c : calendars.values()) {
-      if (c.isDelivery(job.spec())) {
-        long start = c.cycle(job.acceptedWall());
-        if (delivered(c, start) < c.complete() && start > cycle(c.name()).start()) {
-          txn.put(mark(c.name(), start, job.spec().ref()), Json.object());
+    for (RunCalendar calendar : calendars.values()) {
+      if (calendar.isDelivery(job.spec())) {
+        long start = calendar.cycle(job.acceptedWall());
+        if (delivered(calendar, start) < calendar.complete()
+            && start > cycle(calendar.name()).start()) {
+          txn.put(mark(calendar.name(), start, job.spec().ref()), Json.object());
         }
       }
     }
@@ -301,8 +305,8 @@
     return Keys.CALENDAR + name + "/" + start + "/" + ref;
   }
 
-  private int delivered(RunCalendar c, long start) {
-    return marks.getOrDefault(c.name(), Map.of()).getOrDefault(start, Set.of()).size();
+  private int delivered(RunCalendar calendar, long start) {
+    return marks.getOrDefault(calendar.name(), Map.of()).getOrDefault(start, Set.of()).size();
   }
 
   private Cycle cycle(String name) {
@@ -312,7 +316,7 @@
   // ---- views ----
 
   /** How a calendar stands. */
-  public record Standing(
+  public record CalendarStatus(
       String name,
       String state,
       long cycle,
@@ -324,24 +328,24 @@
       int held) {}
 
   /** All calendars, in the order of the file. */
-  public List<Standing> standings() {
-    List<Standing> out = new ArrayList<>();
+  public List<CalendarStatus> statuses() {
+    List<CalendarStatus> out = new ArrayList<>();
     long wall = clock.wall();
-    for (RunCalendar c : calendars.values()) {
-      long current = c.cycle(wall);
-      Cycle last = cycle(c.name());
-      int delivered = delivered(c, current);
+    for (RunCalendar calendar : calendars.values()) {
+      long current = calendar.cycle(wall);
+      Cycle last = cycle(calendar.name());
+      int delivered = delivered(calendar, current);
       String stands =
           last.start() >= current ? "released" : delivered > 0 ? "gathering" : "waiting";
-      long held = ledger.jobs().stream().filter(j -> c.isRun(j.spec()) && holds(j)).count();
+      long held = ledger.jobs().stream().filter(j -> calendar.isRun(j.spec()) && holds(j)).count();
       out.add(
-          new Standing(
-              c.name(),
+          new CalendarStatus(
+              calendar.name(),
               stands,
               current,
               Math.max(delivered, last.start() == current ? last.delivered() : 0),
-              c.complete(),
-              c.next(current) - wall,
+              calendar.complete(),
+              calendar.next(current) - wall,
               last.start() == 0 ? null : last.by().shown(),
               (last.at() - last.start()) / 1000.0,
               (int) held));
--- a/src/main/java/dapplestair/calendar/Cycle.java
+++ b/src/main/java/dapplestair/calendar/Cycle.java
@@ -64,20 +64,20 @@
   }
 
   ObjectNode toJson() {
-    ObjectNode o =
+    ObjectNode object =
         Json.object()
             .put("cycle", start)
             .put("by", by.shown())
             .put("at", at)
             .put("delivered", delivered);
-    ArrayNode list = o.putArray("past");
+    ArrayNode list = object.putArray("past");
     past.forEach(
         p ->
             list.addObject()
                 .put("cycle", p.start())
                 .put("by", p.by().shown())
                 .put("lag_ms", p.lagMs()));
-    return o;
+    return object;
   }
 
   static Cycle parse(JsonNode in) {
@@ -97,9 +97,9 @@
   }
 
   private static By by(JsonNode word) {
-    for (By b : By.values()) {
-      if (b.shown().equals(word.asText())) {
-        return b;
+    for (By by : By.values()) {
+      if (by.shown().equals(word.asText())) {
+        return by;
       }
     }
     // A later version's: released all the same.
--- a/src/main/java/dapplestair/withdrawals/Withdrawal.java
+++ b/src/main/java/dapplestair/cancellations/Cancellation.java
@@ -1,4 +1,4 @@
-package dapplestair.withdrawals;
+package dapplestair.cancellations;
 
 import java.util.List;
 
@@ -9,9 +9,9 @@
  * @param at when it was learned of here, steady time; at the latest when its user was told
  * @param places where its tasks may be, by the records as of the confirmation
  */
-public record Withdrawal(String ref, long at, List<Place> places) {
+public record Cancellation(String ref, long at, List<TaskLocation> places) {
   /** An attempt on record: a task of the job may be on that machine, in that session. */
-  public record Place(String host, long session, int step, long number) {
+  public record TaskLocation(String host, long session, int step, long number) {
     /** The name of its task on the wire. */
     public String key(String ref) {
       return ref + "/" + step;
--- a/src/main/java/dapplestair/withdrawals/WithdrawalCodec.java
+++ b/src/main/java/dapplestair/cancellations/CancellationCodec.java
@@ -1,4 +1,4 @@
-package dapplestair.withdrawals;
+package dapplestair.cancellations;
 
 import com.esotericsoftware.kryo.KryoException;
 import com.esotericsoftware.kryo.io.Input;
@@ -8,12 +8,12 @@
 import java.util.Comparator;
 import java.util.List;
 
-/** What controllers tell each other of withdrawals: bounded, and of one form. */
-final class WithdrawalCodec {
+/** What controllers tell each other of cancellations: bounded, and of one form. */
+final class CancellationCodec {
   /** Raised whenever the form changes; other forms are not understood, and so say nothing. */
   static final byte FORM = 1;
 
-  /** Most places in one message. A withdrawal with more of them is never told as a whole. */
+  /** Most places in one message. A cancellation with more of them is never told as a whole. */
   static final int MOST_PLACES = 20_000;
 
   static final int MOST_ENTRIES = 1000;
@@ -22,7 +22,7 @@
   /** No leader of a cluster gets that far: it would make a number that workers cannot read. */
   private static final long HIGHEST_TERM = 1L << 38;
 
-  private WithdrawalCodec() {}
+  private CancellationCodec() {}
 
   /**
    * A question: what was confirmed since?
@@ -35,7 +35,7 @@
   record Ask(long asker, long number, long log, long after) {}
 
   /** One entry of a log and how long ago it was made. */
-  record Entry(long number, String ref, long ageMs, List<Withdrawal.Place> places) {}
+  record Entry(long number, String ref, long ageMs, List<Cancellation.TaskLocation> places) {}
 
   /**
    * An answer: the entries after the one named, and whether these are all.
@@ -92,19 +92,19 @@
     return out.toBytes();
   }
 
-  private static void write(Output out, Entry e) {
-    out.writeVarLong(e.number(), true);
-    out.writeString(e.ref());
-    out.writeVarLong(Math.max(0, e.ageMs()), true);
-    out.writeVarInt(e.places().size(), true);
+  private static void write(Output out, Entry entry) {
+    out.writeVarLong(entry.number(), true);
+    out.writeString(entry.ref());
+    out.writeVarLong(Math.max(0, entry.ageMs()), true);
+    out.writeVarInt(entry.places().size(), true);
     Names names = new Names();
-    List<Withdrawal.Place> sorted = new ArrayList<>(e.places());
-    sorted.sort(Comparator.comparing(Withdrawal.Place::host));
-    for (Withdrawal.Place p : sorted) {
-      names.write(out, p.host());
-      out.writeVarLong(p.session(), true);
-      out.writeVarInt(p.step(), true);
-      out.writeVarLong(p.number(), true);
+    List<Cancellation.TaskLocation> sorted = new ArrayList<>(entry.places());
+    sorted.sort(Comparator.comparing(Cancellation.TaskLocation::host));
+    for (Cancellation.TaskLocation location : sorted) {
+      names.write(out, location.host());
+      out.writeVarLong(location.session(), true);
+      out.writeVarInt(location.step(), true);
+      out.writeVarLong(location.number(), true);
     }
   }
 
@@ -120,13 +120,13 @@
       long log = in.readLong();
       long term = in.readVarLong(true);
       boolean whole = in.readBoolean();
-      int n = in.readVarInt(true);
-      if (n < 0 || n > MOST_ENTRIES || term < 0 || term > HIGHEST_TERM) {
+      int count = in.readVarInt(true);
+      if (count < 0 || count > MOST_ENTRIES || term < 0 || term > HIGHEST_TERM) {
         return null;
       }
       List<Entry> entries = new ArrayList<>();
       int places = 0;
-      for (int i = 0; i < n; i++) {
+      for (int i = 0; i < count; i++) {
         Entry e = entry(in, MOST_PLACES - places);
         places += e.places().size();
         entries.add(e);
@@ -141,16 +141,16 @@
     long number = in.readVarLong(true);
     String ref = in.readString();
     long age = in.readVarLong(true);
-    int n = in.readVarInt(true);
-    if (number < 1 || ref == null || age < 0 || n < 0 || n > mostPlaces) {
+    int count = in.readVarInt(true);
+    if (number < 1 || ref == null || age < 0 || count < 0 || count > mostPlaces) {
       throw new IllegalArgumentException("no entry of a log");
     }
-    List<Withdrawal.Place> places = new ArrayList<>();
+    List<Cancellation.TaskLocation> places = new ArrayList<>();
     Names names = new Names();
-    for (int i = 0; i < n; i++) {
+    for (int i = 0; i < count; i++) {
       String host = names.read(in);
       places.add(
-          new Withdrawal.Place(
+          new Cancellation.TaskLocation(
               host, in.readVarLong(true), in.readVarInt(true), in.readVarLong(true)));
     }
     return new Entry(number, ref, age, places);
--- a/src/main/java/dapplestair/withdrawals/Withdrawals.java
+++ b/src/main/java/dapplestair/cancellations/Cancellations.java
@@ -1,4 +1,4 @@
-package dapplestair.withdrawals;
+package dapplestair.cancellations;
 
 import dapplestair.cloud.CloudClient;
 import dapplestair.leadership.Leadership;
@@ -18,10 +18,10 @@
 /**
  * What users were told is cancelled, and how far each controller knows it. Whoever tells a user
  * tells the other controllers first, and goes on until it is proved that the tasks are gone; nobody
- * keeps a worker's lease who may not know of a withdrawal (docs/withdrawals.md has the proof).
+ * keeps a worker's lease who may not know of a cancellation (docs/cancellations.md has the proof).
  */
-public final class Withdrawals implements AutoCloseable {
-  private static final Logger LOG = LoggerFactory.getLogger(Withdrawals.class);
+public final class Cancellations implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(Cancellations.class);
 
   /** What is about to be told to a user. */
   private static final String TELL = "withdrawing";
@@ -31,13 +31,13 @@
   private static final byte CARRIED_ON = 2;
   private static final byte PROVED = 3;
 
-  /** Told of withdrawals that others confirmed. */
+  /** Told of cancellations that others confirmed. */
   public interface Listener {
-    /** This job is over for good, since its user withdrew it. */
-    void withdrawn(String ref);
+    /** This job is over for good, since its user cancelled it. */
+    void cancelled(String ref);
 
     /** Where its tasks may be, by the records as this controller has them. */
-    List<Withdrawal.Place> places(String ref);
+    List<Cancellation.TaskLocation> places(String ref);
 
     /** True when this controller leads and has all attempts at hand. */
     boolean begun();
@@ -54,11 +54,11 @@
   private final Peers peers;
   private final Leadership leadership;
   private final Listener listener;
-  private final KnownWithdrawals known;
+  private final KnownCancellations known;
   private final KnownTo knownTo;
   private final LogExchange logs;
   private final Enforcer enforcer;
-  private final OpenWithdrawals open;
+  private final OpenCancellations open;
   private final long process;
   private final long reportMs;
   private final long windowMs;
@@ -69,7 +69,7 @@
   private Cancellable looking = () -> {};
 
   /** {@code stateAsOf} is when the newest read of the records was asked for. */
-  public Withdrawals(
+  public Cancellations(
       Clock clock,
       Timers timers,
       HttpCaller http,
@@ -90,8 +90,8 @@
     this.reportMs = settings.workers().reportMs();
     this.windowMs = windowMs(settings.workers());
     this.keptMs = 2 * settings.workers().cancelMs();
-    this.known = new KnownWithdrawals(clock, keptMs);
-    this.open = new OpenWithdrawals(clock, known, 2 * reportMs);
+    this.known = new KnownCancellations(clock, keptMs);
+    this.open = new OpenCancellations(clock, known, 2 * reportMs);
     this.knownTo =
         new KnownTo(
             clock, stateAsOf, settings.peers().stream().map(Settings.Peer::member).toList());
@@ -105,29 +105,29 @@
    * For how long a lease may be kept by one who knows nothing newer: what is kept then still ends
    * in time. A sixteenth of a lease is left for clocks that drift and for what is under way.
    */
-  static long windowMs(Settings.Workers w) {
-    return Math.max(leftMs(w), leastWindowMs(w));
+  static long windowMs(Settings.Workers workers) {
+    return Math.max(leftMs(workers), leastWindowMs(workers));
   }
 
-  private static long leftMs(Settings.Workers w) {
-    return w.cancelMs() - w.leaseMs() - w.leaseMs() / 16;
+  private static long leftMs(Settings.Workers workers) {
+    return workers.cancelMs() - workers.leaseMs() - workers.leaseMs() / 16;
   }
 
-  private static long leastWindowMs(Settings.Workers w) {
-    return 2 * w.reportMs();
+  private static long leastWindowMs(Settings.Workers workers) {
+    return 2 * workers.reportMs();
   }
 
   /** Begins to ask and to answer peers. */
   public void start() {
-    Settings.Workers w = settings.workers();
-    if (leftMs(w) < leastWindowMs(w)) {
+    Settings.Workers workers = settings.workers();
+    if (leftMs(workers) < leastWindowMs(workers)) {
       LOG.warn(
           "cancel_s ({} s) is not above lease_s ({} s) by two reports and more: while controllers "
-              + "cannot reach the state service or each other, a withdrawn job may hold its machines "
+              + "cannot reach the state service or each other, a cancelled job may hold its machines "
               + "for up to {} s",
-          w.cancelMs() / 1000.0,
-          w.leaseMs() / 1000.0,
-          (windowMs + w.leaseMs() + w.leaseMs() / 16) / 1000.0);
+          workers.cancelMs() / 1000.0,
+          workers.leaseMs() / 1000.0,
+          (windowMs + workers.leaseMs() + workers.leaseMs() / 16) / 1000.0);
     }
     peers.questions().answer(TELL, this::hear);
     logs.start();
@@ -136,7 +136,7 @@
 
   // ---- who knows ----
 
-  /** True when every confirmed withdrawal old enough to matter is known here. */
+  /** True when every confirmed cancellation old enough to matter is known here. */
   public boolean mayRenew() {
     return !known.forgotTooEarly() && ageMs() <= windowMs;
   }
@@ -146,37 +146,37 @@
     return ageMs() <= launchMs();
   }
 
-  /** For how long after a withdrawal a launch of its job may still be sent. */
+  /** For how long after a cancellation a launch of its job may still be sent. */
   public long launchMs() {
     return windowMs / 4;
   }
 
-  /** How old the knowledge of all withdrawals is, milliseconds. */
+  /** How old the knowledge of all cancellations is, milliseconds. */
   public long ageMs() {
     return knownTo.ageMs();
   }
 
-  /** True when this job's user was told that it is withdrawn, or the job is over otherwise. */
+  /** True when this job's user was told that it is cancelled, or the job is over otherwise. */
   public boolean knows(String ref) {
     return known.knows(ref);
   }
 
   /** Attempts of such jobs that may be on a machine, by the records, in a session of its worker. */
-  public List<KnownWithdrawals.Task> on(String host, long session) {
+  public List<KnownCancellations.Task> on(String host, long session) {
     return known.on(host).stream().filter(t -> t.place().session() == session).toList();
   }
 
-  /** When a withdrawal was last learned of that may not be carried out yet. */
+  /** When a cancellation was last learned of that may not be carried out yet. */
   public long newestAt() {
     return newestAt;
   }
 
-  /** For how long a withdrawal counts: after that nothing of it can be left. */
+  /** For how long a cancellation counts: after that nothing of it can be left. */
   public long keptMs() {
     return keptMs;
   }
 
-  /** Withdrawals told here that are not known to be carried out. */
+  /** Cancellations told here that are not known to be carried out. */
   public int open() {
     return open.size();
   }
@@ -186,7 +186,7 @@
     return open.oldestMs();
   }
 
-  /** The records say that a job is over: withdrawn, or done. */
+  /** The records say that a job is over: cancelled, or done. */
   public void removed(String ref) {
     known.learn(ref, 0, listener.places(ref));
     newestAt = clock.now();
@@ -195,7 +195,7 @@
   // ---- telling ----
 
   /**
-   * A user is about to be told, by whatever question, that this job is withdrawn. All that the
+   * A user is about to be told, by whatever question, that this job is cancelled. All that the
    * records held of the job at that moment has been read. Whoever can be asked now knows of it
    * before the user does, so that the end of this controller right afterwards loses nothing.
    */
@@ -215,7 +215,7 @@
     List<Telling> now = telling;
     telling = new ArrayList<>();
     for (Telling t : now) {
-      List<Withdrawal.Place> places = listener.places(t.ref());
+      List<Cancellation.TaskLocation> places = listener.places(t.ref());
       known.learn(t.ref(), 0, places);
       known.told(t.ref());
       if (known.log(t.ref()) && !places.isEmpty()) {
@@ -231,10 +231,10 @@
             now.forEach(t -> t.then().run());
           }
         };
-    for (Settings.Peer p : settings.peers()) {
-      if (peers.alive(p.member())) {
+    for (Settings.Peer peer : settings.peers()) {
+      if (peers.alive(peer.member())) {
         waiting[0]++;
-        tell(p.member(), refs, one);
+        tell(peer.member(), refs, one);
       }
     }
     one.run();
@@ -242,16 +242,16 @@
 
   /** A short bound: whoever does not answer is no reason to keep a user waiting. */
   private void tell(String member, List<String> refs, Runnable then) {
-    List<WithdrawalCodec.Entry> entries =
+    List<CancellationCodec.Entry> entries =
         refs.stream()
             .map(known::get)
-            .filter(w -> w != null && w.places().size() <= WithdrawalCodec.MOST_PLACES)
-            .limit(WithdrawalCodec.MOST_ENTRIES)
+            .filter(w -> w != null && w.places().size() <= CancellationCodec.MOST_PLACES)
+            .limit(CancellationCodec.MOST_ENTRIES)
             .map(this::entry)
             .toList();
     byte[] body =
-        WithdrawalCodec.encode(
-            new WithdrawalCodec.Answer(0, 0, process, leadership.termSeen(), false, entries));
+        CancellationCodec.encode(
+            new CancellationCodec.Answer(0, 0, process, leadership.termSeen(), false, entries));
     if (body == null) {
       // Too much for one message: it is asked for, part by part.
       timers.after(0, then);
@@ -274,9 +274,12 @@
             });
   }
 
-  private WithdrawalCodec.Entry entry(Withdrawal w) {
-    return new WithdrawalCodec.Entry(
-        Math.max(1, known.number(w.ref())), w.ref(), clock.now() - w.at(), w.places());
+  private CancellationCodec.Entry entry(Cancellation cancellation) {
+    return new CancellationCodec.Entry(
+        Math.max(1, known.number(cancellation.ref())),
+        cancellation.ref(),
+        clock.now() - cancellation.at(),
+        cancellation.places());
   }
 
   private void heardOf(String ref, byte how) {
@@ -288,7 +291,7 @@
   }
 
   private void hear(byte[] body, Consumer<byte[]> reply) {
-    WithdrawalCodec.Answer told = WithdrawalCodec.answer(body);
+    CancellationCodec.Answer told = CancellationCodec.answer(body);
     if (told == null) {
       peers.questions().refused();
       return;
@@ -296,9 +299,9 @@
     leadership.termShown(told.term());
     byte[] how = new byte[told.entries().size()];
     int i = 0;
-    for (WithdrawalCodec.Entry e : told.entries()) {
-      learn(e, told.log());
-      how[i++] = carriedOut(e.ref());
+    for (CancellationCodec.Entry entry : told.entries()) {
+      learn(entry, told.log());
+      how[i++] = carriedOut(entry.ref());
     }
     reply.accept(how);
   }
@@ -312,16 +315,16 @@
     return listener.proved(ref) ? PROVED : CARRIED_ON;
   }
 
-  private void learn(WithdrawalCodec.Entry e, long teller) {
-    known.learn(e.ref(), e.ageMs(), e.places());
-    if (known.told(e.ref())) {
+  private void learn(CancellationCodec.Entry entry, long teller) {
+    known.learn(entry.ref(), entry.ageMs(), entry.places());
+    if (known.told(entry.ref())) {
       // Also when it was known from the records: its user hears of it only now.
       newestAt = clock.now();
-      if (!e.places().isEmpty()) {
-        open.heard(e.ref(), teller, e.ageMs());
+      if (!entry.places().isEmpty()) {
+        open.heard(entry.ref(), teller, entry.ageMs());
       }
     }
-    listener.withdrawn(e.ref());
+    listener.cancelled(entry.ref());
   }
 
   // ---- carrying out ----
@@ -338,12 +341,12 @@
     open.adopt(process -> knownTo.lives(process, peers::alive));
     List<String> refs = open.refs();
     if (!refs.isEmpty()) {
-      for (Settings.Peer p : settings.peers()) {
-        if (peers.alive(p.member())) {
-          tell(p.member(), refs, () -> {});
+      for (Settings.Peer peer : settings.peers()) {
+        if (peers.alive(peer.member())) {
+          tell(peer.member(), refs, () -> {});
         }
       }
-      // Whoever leads by records that are new has read of the withdrawal there.
+      // Whoever leads by records that are new has read of the cancellation there.
       if (!leadership.leading() && !(recordsAreNew && leadership.leader() != null)) {
         enforcer.enforce();
       }
--- a/src/main/java/dapplestair/withdrawals/Enforcer.java
+++ b/src/main/java/dapplestair/cancellations/Enforcer.java
@@ -1,4 +1,4 @@
-package dapplestair.withdrawals;
+package dapplestair.cancellations;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -24,7 +24,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Ends withdrawn tasks without being the leader: halts go to their machines' own addresses, with a
+ * Ends cancelled tasks without being the leader: halts go to their machines' own addresses, with a
  * token raised above any that a launch still on its way can carry. Only for what this controller
  * told a user, and while no leader says that it does the same. The last resort is the return of the
  * machine.
@@ -36,10 +36,10 @@
   private static final int MOST_LISTED = 50;
   private static final int MOST_RETURNED_AT_ONCE = 20;
 
-  /** A place at which a withdrawal's task is not proved to be absent. */
-  private record Left(Withdrawal withdrawal, Withdrawal.Place place) {
+  /** A place at which a cancellation's task is not proved to be absent. */
+  private record Left(Cancellation cancellation, Cancellation.TaskLocation place) {
     String ref() {
-      return withdrawal.ref();
+      return cancellation.ref();
     }
   }
 
@@ -48,19 +48,19 @@
   private final HttpCaller http;
   private final CloudClient cloud;
   private final Settings settings;
-  private final OpenWithdrawals open;
+  private final OpenCancellations open;
   private final long launchMs;
   private final long callMs;
   private final Map<String, String> addresses = new Latest<>(MOST_ADDRESSES);
   private final Set<String> calling = new HashSet<>();
 
   // What is proved to be absent, by job; forgotten with the job.
-  private final Map<String, Set<Withdrawal.Place>> absent = new HashMap<>();
+  private final Map<String, Set<Cancellation.TaskLocation>> absent = new HashMap<>();
   private boolean asking;
   private boolean returning;
 
   /**
-   * Launches may be sent for {@code launchMs} after a withdrawal by one who does not know of it.
+   * Launches may be sent for {@code launchMs} after a cancellation by one who does not know of it.
    */
   Enforcer(
       Clock clock,
@@ -68,7 +68,7 @@
       HttpCaller http,
       CloudClient cloud,
       Settings settings,
-      OpenWithdrawals open,
+      OpenCancellations open,
       long launchMs) {
     this.clock = clock;
     this.timers = timers;
@@ -85,26 +85,27 @@
     addresses.put(host, endpoint);
   }
 
-  /** One turn over all withdrawals that nobody is known to carry out. */
+  /** One turn over all cancellations that nobody is known to carry out. */
   void enforce() {
-    List<Withdrawal> all = open.all();
-    absent.keySet().retainAll(all.stream().map(Withdrawal::ref).toList());
+    List<Cancellation> all = open.all();
+    absent.keySet().retainAll(all.stream().map(Cancellation::ref).toList());
     Map<String, List<Left>> byHost = new LinkedHashMap<>();
     List<String> hopeless = new ArrayList<>();
     long cancelMs = settings.workers().cancelMs();
-    for (Withdrawal w : all) {
-      long ageMs = clock.now() - w.at();
-      boolean carriedOn = open.carriedOn(w.ref());
+    for (Cancellation cancellation : all) {
+      long ageMs = clock.now() - cancellation.at();
+      boolean carriedOn = open.carriedOn(cancellation.ref());
       if (ageMs < cancelMs / 16 || carriedOn && ageMs < cancelMs / 2) {
         continue;
       }
-      Set<Withdrawal.Place> gone = absent.getOrDefault(w.ref(), Set.of());
-      List<Withdrawal.Place> left = w.places().stream().filter(p -> !gone.contains(p)).toList();
+      Set<Cancellation.TaskLocation> gone = absent.getOrDefault(cancellation.ref(), Set.of());
+      List<Cancellation.TaskLocation> left =
+          cancellation.places().stream().filter(p -> !gone.contains(p)).toList();
       if (left.isEmpty()) {
-        open.proved(w.ref());
+        open.proved(cancellation.ref());
       }
-      for (Withdrawal.Place p : left) {
-        byHost.computeIfAbsent(p.host(), h -> new ArrayList<>()).add(new Left(w, p));
+      for (Cancellation.TaskLocation p : left) {
+        byHost.computeIfAbsent(p.host(), h -> new ArrayList<>()).add(new Left(cancellation, p));
         // Whoever leads returns a machine after half of the time at the latest.
         if (!carriedOn && ageMs > cancelMs * 5 / 8 && hopeless.size() < MOST_RETURNED_AT_ONCE) {
           hopeless.add(p.host());
@@ -132,26 +133,26 @@
         null,
         callMs,
         reply -> {
-          Report r = reply.status() == 200 ? Report.parse(Json.parse(reply.body())) : null;
-          if (r == null || !r.host().equals(host)) {
+          Report report = reply.status() == 200 ? Report.parse(Json.parse(reply.body())) : null;
+          if (report == null || !report.host().equals(host)) {
             calling.remove(host);
             return;
           }
-          halt(endpoint, r, tasks);
+          halt(endpoint, report, tasks);
         });
   }
 
-  private void halt(String endpoint, Report r, List<Left> tasks) {
-    long token = FencingToken.raisedByOther(r.token());
+  private void halt(String endpoint, Report report, List<Left> tasks) {
+    long token = FencingToken.raisedByOther(report.token());
     if (token < 0) {
-      calling.remove(r.host());
+      calling.remove(report.host());
       return;
     }
     List<Order.Halt> halts =
         tasks.stream()
             .map(t -> new Order.Halt(t.place().key(t.ref()), t.place().number(), 0))
             .toList();
-    ObjectNode body = Order.call(token, r.session(), halts);
+    ObjectNode body = Order.call(token, report.session(), halts);
     long sentAt = clock.now();
     http.call(
         endpoint,
@@ -160,7 +161,7 @@
         Json.bytes(body),
         callMs,
         reply -> {
-          calling.remove(r.host());
+          calling.remove(report.host());
           if (reply.status() == 200) {
             conclude(Report.parse(Json.parse(reply.body())), sentAt, tasks);
           }
@@ -181,7 +182,7 @@
         .filter(t -> t.status() != Report.Status.EXITED)
         .forEach(t -> there.add(t.key()));
     for (Left t : tasks) {
-      boolean settled = sentAt > t.withdrawal().at() + 2 * launchMs;
+      boolean settled = sentAt > t.cancellation().at() + 2 * launchMs;
       boolean laterSession = after.session() > t.place().session();
       if (laterSession || settled && !there.contains(t.place().key(t.ref()))) {
         absent.computeIfAbsent(t.ref(), k -> new HashSet<>()).add(t.place());
@@ -205,9 +206,9 @@
         reply -> {
           // The leader needs nearly all calls that the cloud allows.
           timers.after(Math.round(4000 / settings.cloud().rps()), () -> asking = false);
-          for (JsonNode m : Json.parse(reply.ok() ? reply.body() : new byte[0]).path("hosts")) {
-            String name = Json.text(m, "ref");
-            String endpoint = Json.text(m, "endpoint");
+          for (JsonNode node : Json.parse(reply.ok() ? reply.body() : new byte[0]).path("hosts")) {
+            String name = Json.text(node, "ref");
+            String endpoint = Json.text(node, "endpoint");
             if (name != null && endpoint != null) {
               addressed(name, endpoint);
             }
@@ -220,7 +221,7 @@
       return;
     }
     returning = true;
-    LOG.warn("{} still hold withdrawn work, and nobody else ends it: returning them", hosts);
+    LOG.warn("{} still hold cancelled work, and nobody else ends it: returning them", hosts);
     cloud.enforceRelease(
         hosts,
         reply -> {
@@ -234,10 +235,10 @@
       return;
     }
     Set<String> gone = new HashSet<>(hosts);
-    for (Withdrawal w : open.all()) {
-      w.places().stream()
+    for (Cancellation cancellation : open.all()) {
+      cancellation.places().stream()
           .filter(p -> gone.contains(p.host()))
-          .forEach(p -> absent.computeIfAbsent(w.ref(), k -> new HashSet<>()).add(p));
+          .forEach(p -> absent.computeIfAbsent(cancellation.ref(), k -> new HashSet<>()).add(p));
     }
   }
 }
--- a/src/main/java/dapplestair/withdrawals/KnownWithdrawals.java
+++ b/src/main/java/dapplestair/cancellations/KnownCancellations.java
@@ -1,4 +1,4 @@
-package dapplestair.withdrawals;
+package dapplestair.cancellations;
 
 import dapplestair.ports.Clock;
 import java.util.ArrayList;
@@ -11,22 +11,22 @@
 import java.util.Set;
 
 /**
- * The withdrawals that this controller knows of, from whomever, and among them the log of those
+ * The cancellations that this controller knows of, from whomever, and among them the log of those
  * that it told users itself. Kept for as long as a task of theirs can be anywhere.
  */
-public final class KnownWithdrawals {
+public final class KnownCancellations {
   /**
    * Beyond these the oldest are forgotten. Whoever forgets one before its time must not vouch for
    * what it knows: see {@link #forgotTooEarly}.
    */
   private static final int MOST_KEPT = 20_000;
 
-  /** A withdrawn job's attempt at a place. */
-  public record Task(String ref, Withdrawal.Place place) {}
+  /** A cancelled job's attempt at a place. */
+  public record Task(String ref, Cancellation.TaskLocation place) {}
 
   private final Clock clock;
   private final long keptMs;
-  private final Map<String, Withdrawal> known = new LinkedHashMap<>();
+  private final Map<String, Cancellation> known = new LinkedHashMap<>();
   // What was told to users here, in the order of its telling.
   private final Map<String, Long> numbers = new LinkedHashMap<>();
   private final Set<String> told = new HashSet<>();
@@ -34,7 +34,7 @@
   private long lastNumber;
   private long forgotAt = Long.MIN_VALUE / 2;
 
-  KnownWithdrawals(Clock clock, long keptMs) {
+  KnownCancellations(Clock clock, long keptMs) {
     this.clock = clock;
     this.keptMs = keptMs;
   }
@@ -43,38 +43,40 @@
     return known.containsKey(ref);
   }
 
-  Withdrawal get(String ref) {
+  Cancellation get(String ref) {
     return known.get(ref);
   }
 
   /** Enters one; true when it is new. What is learned of its places later is added. */
-  boolean learn(String ref, long ageMs, List<Withdrawal.Place> places) {
+  boolean learn(String ref, long ageMs, List<Cancellation.TaskLocation> places) {
     forget();
-    Withdrawal before = known.get(ref);
+    Cancellation before = known.get(ref);
     if (before == null) {
-      Withdrawal w = new Withdrawal(ref, clock.now() - ageMs, List.copyOf(places));
-      known.put(ref, w);
-      index(w);
+      Cancellation cancellation = new Cancellation(ref, clock.now() - ageMs, List.copyOf(places));
+      known.put(ref, cancellation);
+      index(cancellation);
       return true;
     }
-    List<Withdrawal.Place> more = new ArrayList<>(places);
+    List<Cancellation.TaskLocation> more = new ArrayList<>(places);
     more.removeAll(new HashSet<>(before.places()));
     if (!more.isEmpty()) {
       more.addAll(before.places());
-      Withdrawal w = new Withdrawal(ref, before.at(), List.copyOf(more));
-      known.replace(ref, w);
-      index(w);
+      Cancellation cancellation = new Cancellation(ref, before.at(), List.copyOf(more));
+      known.replace(ref, cancellation);
+      index(cancellation);
     }
     return false;
   }
 
-  private void index(Withdrawal w) {
-    for (Withdrawal.Place p : w.places()) {
-      byHost.computeIfAbsent(p.host(), h -> new HashSet<>()).add(new Task(w.ref(), p));
+  private void index(Cancellation cancellation) {
+    for (Cancellation.TaskLocation location : cancellation.places()) {
+      byHost
+          .computeIfAbsent(location.host(), h -> new HashSet<>())
+          .add(new Task(cancellation.ref(), location));
     }
   }
 
-  /** Attempts of withdrawn jobs that may be on this machine. */
+  /** Attempts of cancelled jobs that may be on this machine. */
   Set<Task> on(String host) {
     return byHost.getOrDefault(host, Set.of());
   }
@@ -98,7 +100,7 @@
     return numbers.containsKey(ref);
   }
 
-  /** The place of a withdrawal in this controller's log, or 0. */
+  /** The place of a cancellation in this controller's log, or 0. */
   long number(String ref) {
     return numbers.getOrDefault(ref, 0L);
   }
@@ -108,22 +110,25 @@
   }
 
   /** Entries of the log after a number, oldest first; stops before {@code mostPlaces}. */
-  List<WithdrawalCodec.Entry> after(long number, int most, int mostPlaces) {
+  List<CancellationCodec.Entry> after(long number, int most, int mostPlaces) {
     forget();
-    List<WithdrawalCodec.Entry> out = new ArrayList<>();
+    List<CancellationCodec.Entry> out = new ArrayList<>();
     int places = 0;
-    for (Map.Entry<String, Long> e : numbers.entrySet()) {
-      if (e.getValue() <= number) {
+    for (Map.Entry<String, Long> entry : numbers.entrySet()) {
+      if (entry.getValue() <= number) {
         continue;
       }
-      Withdrawal w = known.get(e.getKey());
-      if (out.size() >= most || places + w.places().size() > mostPlaces) {
+      Cancellation cancellation = known.get(entry.getKey());
+      if (out.size() >= most || places + cancellation.places().size() > mostPlaces) {
         break;
       }
-      places += w.places().size();
+      places += cancellation.places().size();
       out.add(
-          new WithdrawalCodec.Entry(
-              e.getValue(), w.ref(), Math.max(0, clock.now() - w.at()), w.places()));
+          new CancellationCodec.Entry(
+              entry.getValue(),
+              cancellation.ref(),
+              Math.max(0, clock.now() - cancellation.at()),
+              cancellation.places()));
     }
     return out;
   }
@@ -136,10 +141,10 @@
   /** What is too old to matter goes. */
   void forget() {
     long before = clock.now() - keptMs;
-    Iterator<Withdrawal> oldest = known.values().iterator();
+    Iterator<Cancellation> oldest = known.values().iterator();
     while (oldest.hasNext()) {
-      Withdrawal w = oldest.next();
-      boolean old = w.at() < before;
+      Cancellation cancellation = oldest.next();
+      boolean old = cancellation.at() < before;
       if (!old && known.size() <= MOST_KEPT) {
         return;
       }
@@ -147,14 +152,14 @@
         forgotAt = clock.now();
       }
       oldest.remove();
-      numbers.remove(w.ref());
-      told.remove(w.ref());
-      for (Withdrawal.Place p : w.places()) {
-        Set<Task> on = byHost.get(p.host());
+      numbers.remove(cancellation.ref());
+      told.remove(cancellation.ref());
+      for (Cancellation.TaskLocation location : cancellation.places()) {
+        Set<Task> on = byHost.get(location.host());
         if (on != null) {
-          on.remove(new Task(w.ref(), p));
+          on.remove(new Task(cancellation.ref(), location));
           if (on.isEmpty()) {
-            byHost.remove(p.host());
+            byHost.remove(location.host());
           }
         }
       }
--- a/src/main/java/dapplestair/withdrawals/KnownTo.java
+++ b/src/main/java/dapplestair/cancellations/KnownTo.java
@@ -1,4 +1,4 @@
-package dapplestair.withdrawals;
+package dapplestair.cancellations;
 
 import dapplestair.ports.Clock;
 import java.util.HashMap;
@@ -7,8 +7,9 @@
 import java.util.function.Predicate;
 
 /**
- * Up to which moment this controller knows every withdrawal that any controller has confirmed: its
- * last read of the state service, or the least of the moments up to which each peer has told all.
+ * Up to which moment this controller knows every cancellation that any controller has confirmed:
+ * its last read of the state service, or the least of the moments up to which each peer has told
+ * all.
  */
 final class KnownTo {
   static final long NEVER = Long.MIN_VALUE / 2;
--- a/src/main/java/dapplestair/withdrawals/LogExchange.java
+++ b/src/main/java/dapplestair/cancellations/LogExchange.java
@@ -1,4 +1,4 @@
-package dapplestair.withdrawals;
+package dapplestair.cancellations;
 
 import dapplestair.leadership.Leadership;
 import dapplestair.peers.Peers;
@@ -21,9 +21,9 @@
   private final Peers peers;
   private final Leadership leadership;
   private final long process;
-  private final KnownWithdrawals known;
+  private final KnownCancellations known;
   private final KnownTo knownTo;
-  private final ObjLongConsumer<WithdrawalCodec.Entry> learn;
+  private final ObjLongConsumer<CancellationCodec.Entry> learn;
   private final long everyMs;
   private long asked;
   private Cancellable timer = () -> {};
@@ -39,9 +39,9 @@
       Peers peers,
       Leadership leadership,
       long process,
-      KnownWithdrawals known,
+      KnownCancellations known,
       KnownTo knownTo,
-      ObjLongConsumer<WithdrawalCodec.Entry> learn) {
+      ObjLongConsumer<CancellationCodec.Entry> learn) {
     this.clock = clock;
     this.timers = timers;
     this.settings = settings;
@@ -61,8 +61,8 @@
 
   /** Asks each peer what it has confirmed since, again and again. */
   private void ask() {
-    for (Settings.Peer p : settings.peers()) {
-      ask(p.member());
+    for (Settings.Peer peer : settings.peers()) {
+      ask(peer.member());
     }
     timer = timers.after(everyMs, this::ask);
   }
@@ -72,54 +72,54 @@
     long number = ++asked;
     long askedAt = clock.now();
     byte[] body =
-        WithdrawalCodec.encode(new WithdrawalCodec.Ask(process, number, peer.log, peer.after));
+        CancellationCodec.encode(new CancellationCodec.Ask(process, number, peer.log, peer.after));
     peers
         .questions()
         .ask(member, ASK, body, 4 * everyMs, reply -> answered(peer, number, askedAt, reply));
   }
 
   private void answered(KnownTo.Peer peer, long number, long askedAt, byte[] reply) {
-    WithdrawalCodec.Answer a = reply == null ? null : WithdrawalCodec.answer(reply);
-    if (reply != null && a == null) {
+    CancellationCodec.Answer answer = reply == null ? null : CancellationCodec.answer(reply);
+    if (reply != null && answer == null) {
       peers.questions().refused();
     }
     // An answer to a question of an earlier life of this process says nothing about this one's.
-    if (a == null || a.asker() != process || a.number() != number) {
+    if (answer == null || answer.asker() != process || answer.number() != number) {
       return;
     }
-    leadership.termShown(a.term());
-    if (a.log() != peer.log) {
-      knownTo.met(peer, a.log());
+    leadership.termShown(answer.term());
+    if (answer.log() != peer.log) {
+      knownTo.met(peer, answer.log());
     }
-    for (WithdrawalCodec.Entry e : a.entries()) {
-      learn.accept(e, a.log());
-      peer.after = Math.max(peer.after, e.number());
+    for (CancellationCodec.Entry entry : answer.entries()) {
+      learn.accept(entry, answer.log());
+      peer.after = Math.max(peer.after, entry.number());
     }
-    if (a.whole()) {
+    if (answer.whole()) {
       knownTo.told(peer, askedAt);
     }
   }
 
   private void answer(byte[] body, Consumer<byte[]> reply) {
-    WithdrawalCodec.Ask ask = WithdrawalCodec.ask(body);
+    CancellationCodec.Ask ask = CancellationCodec.ask(body);
     if (ask == null) {
       peers.questions().refused();
       return;
     }
     long after = ask.log() == process ? ask.after() : 0;
-    List<WithdrawalCodec.Entry> entries =
-        known.after(after, WithdrawalCodec.MOST_ENTRIES / 4, WithdrawalCodec.MOST_PLACES);
+    List<CancellationCodec.Entry> entries =
+        known.after(after, CancellationCodec.MOST_ENTRIES / 4, CancellationCodec.MOST_PLACES);
     long last = entries.isEmpty() ? after : entries.get(entries.size() - 1).number();
     boolean whole = last >= known.lastNumber() || known.after(last, 1, Integer.MAX_VALUE).isEmpty();
-    WithdrawalCodec.Answer answer =
-        new WithdrawalCodec.Answer(
+    CancellationCodec.Answer answer =
+        new CancellationCodec.Answer(
             ask.asker(),
             ask.number(),
             process,
             leadership.termSeen(),
             whole && !known.forgotTooEarly(),
             entries);
-    byte[] bytes = WithdrawalCodec.encode(answer);
+    byte[] bytes = CancellationCodec.encode(answer);
     if (bytes != null) {
       reply.accept(bytes);
     }
--- a/src/main/java/dapplestair/withdrawals/OpenWithdrawals.java
+++ b/src/main/java/dapplestair/cancellations/OpenCancellations.java
@@ -1,4 +1,4 @@
-package dapplestair.withdrawals;
+package dapplestair.cancellations;
 
 import dapplestair.ports.Clock;
 import java.util.ArrayList;
@@ -9,10 +9,10 @@
 import java.util.function.Predicate;
 
 /**
- * Withdrawals that users were told of here and that are not known to be carried out; with them
+ * Cancellations that users were told of here and that are not known to be carried out; with them
  * those of other controllers' users, which are looked after here once that controller has ended.
  */
-final class OpenWithdrawals {
+final class OpenCancellations {
   private static final long OURS = 0;
 
   private static final class Open {
@@ -31,12 +31,12 @@
   }
 
   private final Clock clock;
-  private final KnownWithdrawals known;
+  private final KnownCancellations known;
   private final long carriedOnMs;
   private final Map<String, Open> open = new LinkedHashMap<>();
 
   /** Whoever says that it carries one on is believed for {@code carriedOnMs}. */
-  OpenWithdrawals(Clock clock, KnownWithdrawals known, long carriedOnMs) {
+  OpenCancellations(Clock clock, KnownCancellations known, long carriedOnMs) {
     this.clock = clock;
     this.known = known;
     this.carriedOnMs = carriedOnMs;
@@ -54,7 +54,7 @@
 
   /**
    * Takes over from those that have ended. In an outage nobody leads who would read of it: without
-   * this, what a machine that hangs runs of a withdrawn job would stay for as long as it hangs.
+   * this, what a machine that hangs runs of a cancelled job would stay for as long as it hangs.
    */
   void adopt(LongPredicate lives) {
     for (Open o : open.values()) {
@@ -111,13 +111,13 @@
   }
 
   /** Each with its places, as of the moment at which its user was told. */
-  List<Withdrawal> all() {
-    List<Withdrawal> out = new ArrayList<>();
+  List<Cancellation> all() {
+    List<Cancellation> out = new ArrayList<>();
     open.forEach(
         (ref, o) -> {
-          Withdrawal w = known.get(ref);
-          if (w != null && o.ours()) {
-            out.add(new Withdrawal(ref, o.toldAt, w.places()));
+          Cancellation cancellation = known.get(ref);
+          if (cancellation != null && o.ours()) {
+            out.add(new Cancellation(ref, o.toldAt, cancellation.places()));
           }
         });
     return out;
--- a/src/main/java/dapplestair/cli/EmulateCommand.java
+++ b/src/main/java/dapplestair/cli/EmulateCommand.java
@@ -48,10 +48,10 @@
     if (given == null) {
       return otherwise;
     }
-    Address a = Address.parse(given);
-    if (a == null) {
+    Address address = Address.parse(given);
+    if (address == null) {
       throw new SettingsException(option + " = " + given + ": must be host:port");
     }
-    return a;
+    return address;
   }
 }
--- a/src/main/java/dapplestair/cli/Running.java
+++ b/src/main/java/dapplestair/cli/Running.java
@@ -20,7 +20,7 @@
 /** A controller on Netty, with its listeners. */
 final class Running {
   /** A property, so that the run line of a deployment says it and no file has to be read for it. */
-  private static final String LAUNCH_SHEETS = "dapplestair.launchSheets";
+  private static final String LAUNCH_BATCHES = "dapplestair.launchSheets";
 
   private static final int MOST_CALLS_PER_ENDPOINT = 16;
   private static final int ADMIN_IDLE_S = 60;
@@ -66,7 +66,7 @@
             http,
             new PeerLinks(loop, settings),
             RandomSource.XO_RO_SHI_RO_128_PP.create(),
-            Boolean.getBoolean(LAUNCH_SHEETS));
+            Boolean.getBoolean(LAUNCH_BATCHES));
     Operator.Admin on = operator.admin();
     Controller controller =
         new Controller(settings, operator, outside, on == null ? null : access(on, loop));
--- a/src/main/java/dapplestair/client/Api.java
+++ b/src/main/java/dapplestair/client/Api.java
@@ -40,13 +40,13 @@
   Api(Contexts.Context context, long timeoutMs) throws Failure {
     this.context = context;
     this.timeoutMs = timeoutMs;
-    HttpClient.Builder b =
+    HttpClient.Builder builder =
         HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofMillis(timeoutMs));
     boolean secure = context.endpoints().stream().anyMatch(e -> e.startsWith("https:"));
-    b.sslContext(secure ? tls(context) : noTls());
-    this.http = b.build();
+    builder.sslContext(secure ? tls(context) : noTls());
+    this.http = builder.build();
   }
 
   /** For plain HTTP alone: the JDK's client would else read all authorities of this machine. */
@@ -60,16 +60,17 @@
     }
   }
 
-  private static SSLContext tls(Contexts.Context c) throws Failure {
+  private static SSLContext tls(Contexts.Context context) throws Failure {
     try {
-      SslContextBuilder b = SslContextBuilder.forClient().sslProvider(SslProvider.JDK);
-      if (c.authority() != null) {
-        b.trustManager(c.authority().toFile());
+      SslContextBuilder sslContextBuilder =
+          SslContextBuilder.forClient().sslProvider(SslProvider.JDK);
+      if (context.authority() != null) {
+        sslContextBuilder.trustManager(context.authority().toFile());
       }
-      if (c.certificate() != null && c.key() != null) {
-        b.keyManager(c.certificate().toFile(), c.key().toFile());
+      if (context.certificate() != null && context.key() != null) {
+        sslContextBuilder.keyManager(context.certificate().toFile(), context.key().toFile());
       }
-      return ((JdkSslContext) b.build()).context();
+      return ((JdkSslContext) sslContextBuilder.build()).context();
     } catch (SSLException | IllegalArgumentException e) {
       throw new Failure(Failure.WRONG_USAGE, "the key files cannot be used: " + e.getMessage());
     }
@@ -134,21 +135,23 @@
   private HttpResponse<byte[]> send(
       String endpoint, String method, String path, JsonNode body, long leftMs)
       throws IOException, Failure {
-    HttpRequest.Builder b;
+    HttpRequest.Builder builder;
     try {
-      b = HttpRequest.newBuilder(URI.create(endpoint + path)).timeout(Duration.ofMillis(leftMs));
+      builder =
+          HttpRequest.newBuilder(URI.create(endpoint + path)).timeout(Duration.ofMillis(leftMs));
     } catch (IllegalArgumentException e) {
       throw new Failure(Failure.WRONG_USAGE, endpoint + ": not a URL: " + e.getMessage());
     }
     if (context.token() != null) {
-      b.header("Authorization", "Bearer " + context.token());
+      builder.header("Authorization", "Bearer " + context.token());
     }
     HttpRequest.BodyPublisher out =
         body == null
             ? HttpRequest.BodyPublishers.noBody()
             : HttpRequest.BodyPublishers.ofByteArray(Json.bytes(body));
     CompletableFuture<HttpResponse<byte[]>> answer =
-        http.sendAsync(b.method(method, out).build(), HttpResponse.BodyHandlers.ofByteArray());
+        http.sendAsync(
+            builder.method(method, out).build(), HttpResponse.BodyHandlers.ofByteArray());
     try {
       // Headers may come in time and the body not: the time is for all of it.
       return answer.get(leftMs, TimeUnit.MILLISECONDS);
@@ -228,12 +231,12 @@
 
   /** One line for what is wrong with a certificate. */
   private static String reason(SSLException e) {
-    Throwable t = e;
-    while (t.getCause() != null && t.getCause() != t) {
-      t = t.getCause();
+    Throwable cause = e;
+    while (cause.getCause() != null && cause.getCause() != cause) {
+      cause = cause.getCause();
     }
-    String m = String.valueOf(t.getMessage());
-    if (t instanceof java.security.cert.CertificateExpiredException || m.contains("NotAfter")) {
+    String m = String.valueOf(cause.getMessage());
+    if (cause instanceof java.security.cert.CertificateExpiredException || m.contains("NotAfter")) {
       return "its certificate has expired";
     }
     if (m.contains("unable to find valid certification path")) {
--- a/src/main/java/dapplestair/client/Common.java
+++ b/src/main/java/dapplestair/client/Common.java
@@ -68,12 +68,12 @@
   }
 
   long timeoutMs() throws Failure {
-    Matcher m = DURATION.matcher(timeout);
-    if (!m.matches()) {
+    Matcher matcher = DURATION.matcher(timeout);
+    if (!matcher.matches()) {
       throw new Failure(Failure.WRONG_USAGE, "--timeout: " + timeout + " is no time such as 5s");
     }
-    double n = Double.parseDouble(m.group(1));
-    String unit = m.group(2) == null ? "s" : m.group(2);
+    double n = Double.parseDouble(matcher.group(1));
+    String unit = matcher.group(2) == null ? "s" : matcher.group(2);
     return Math.max(1, Math.round(n * (unit.equals("ms") ? 1 : unit.equals("s") ? 1000 : 60_000)));
   }
 
--- a/src/main/java/dapplestair/client/ContextCommand.java
+++ b/src/main/java/dapplestair/client/ContextCommand.java
@@ -25,9 +25,9 @@
         run(Contexts.load(System.getenv()));
         spec.commandLine().getOut().flush();
         return 0;
-      } catch (Failure f) {
-        spec.commandLine().getErr().println("dapplestair: " + f.getMessage());
-        return f.code();
+      } catch (Failure failure) {
+        spec.commandLine().getErr().println("dapplestair: " + failure.getMessage());
+        return failure.code();
       }
     }
   }
@@ -39,10 +39,10 @@
   static final class ListContexts extends Local {
     @Override
     void run(Contexts contexts) throws Failure {
-      for (Map.Entry<String, Contexts.Context> e : contexts.all().entrySet()) {
-        String mark = e.getKey().equals(contexts.current()) ? "* " : "  ";
-        String endpoints = String.join(" ", e.getValue().endpoints());
-        spec.commandLine().getOut().println(mark + e.getKey() + "  " + endpoints);
+      for (Map.Entry<String, Contexts.Context> entry : contexts.all().entrySet()) {
+        String mark = entry.getKey().equals(contexts.current()) ? "* " : "  ";
+        String endpoints = String.join(" ", entry.getValue().endpoints());
+        spec.commandLine().getOut().println(mark + entry.getKey() + "  " + endpoints);
       }
     }
   }
--- a/src/main/java/dapplestair/client/Contexts.java
+++ b/src/main/java/dapplestair/client/Contexts.java
@@ -60,26 +60,26 @@
 
   /** A context by name, which must exist. */
   Context context(String name) throws Failure {
-    JsonNode n = root.path("contexts").path(name);
-    if (!n.isObject()) {
+    JsonNode node = root.path("contexts").path(name);
+    if (!node.isObject()) {
       throw new Failure(Failure.WRONG_USAGE, "no context " + name + " in " + file);
     }
     List<String> endpoints = new ArrayList<>();
-    n.path("endpoints").forEach(e -> endpoints.add(e.asText()));
+    node.path("endpoints").forEach(e -> endpoints.add(e.asText()));
     if (endpoints.isEmpty()) {
       throw new Failure(
           Failure.WRONG_USAGE, file + ": contexts." + name + ".endpoints: must be a list of URLs");
     }
     return new Context(
         endpoints,
-        Json.text(n, "token"),
-        path(n, "authority"),
-        path(n, "certificate"),
-        path(n, "key"));
+        Json.text(node, "token"),
+        path(node, "authority"),
+        path(node, "certificate"),
+        path(node, "key"));
   }
 
-  private Path path(JsonNode n, String field) {
-    String v = Json.text(n, field);
+  private Path path(JsonNode node, String field) {
+    String v = Json.text(node, field);
     return v == null ? null : file.resolveSibling(v);
   }
 
--- a/src/main/java/dapplestair/client/JobCommand.java
+++ b/src/main/java/dapplestair/client/JobCommand.java
@@ -22,14 +22,14 @@
 @Command(
     name = "job",
     mixinStandardHelpOptions = true,
-    description = "Submit, look at and withdraw jobs.",
+    description = "Submit, look at and cancel jobs.",
     subcommands = {
       JobCommand.Submit.class,
       JobCommand.ListJobs.class,
       JobCommand.Show.class,
       JobCommand.Why.class,
       WatchCommand.class,
-      JobCommand.Withdraw.class
+      JobCommand.Cancel.class
     })
 public final class JobCommand {
   @Command(
@@ -56,13 +56,13 @@
           out.say(ref);
         }
         return 0;
-      } catch (Failure f) {
-        if (f.code() != Failure.UNREACHABLE) {
-          throw f;
+      } catch (Failure failure) {
+        if (failure.code() != Failure.UNREACHABLE) {
+          throw failure;
         }
         throw new Failure(
-            f.code(),
-            f.getMessage()
+            failure.code(),
+            failure.getMessage()
                 + "\nwhether "
                 + ref
                 + " was accepted is not known; submitting it again under this ref does no harm");
@@ -90,8 +90,8 @@
             "cli-%015d".formatted(ThreadLocalRandom.current().nextLong(1_000_000_000_000_000L)));
       }
       try {
-        Submission s = Submission.parse(body);
-        warnUnknown(body, s);
+        Submission submission = Submission.parse(body);
+        warnUnknown(body, submission);
       } catch (Submission.Malformed e) {
         throw new Failure(Failure.WRONG_USAGE, file + ": " + e.getMessage());
       }
@@ -99,10 +99,10 @@
     }
 
     /** The service ignores what it does not know; whoever wrote it meant something by it. */
-    private void warnUnknown(JsonNode body, Submission s) {
+    private void warnUnknown(JsonNode body, Submission submission) {
       Set<String> unknown = new TreeSet<>();
       Set<String> known = new TreeSet<>(Set.of("hulls", "basin", "dueS"));
-      s.toJson().fieldNames().forEachRemaining(known::add);
+      submission.toJson().fieldNames().forEachRemaining(known::add);
       for (Iterator<String> it = body.fieldNames(); it.hasNext(); ) {
         String name = it.next();
         if (!known.contains(name)) {
@@ -185,8 +185,8 @@
     }
   }
 
-  @Command(name = "withdraw", description = "Withdraw jobs; prints how each of them ended.")
-  static final class Withdraw extends ClientCommand {
+  @Command(name = "withdraw", description = "Cancel jobs; prints how each of them ended.")
+  static final class Cancel extends ClientCommand {
     @Parameters(paramLabel = "REF", arity = "1..*")
     private List<String> refs;
 
--- a/src/main/java/dapplestair/client/Output.java
+++ b/src/main/java/dapplestair/client/Output.java
@@ -60,11 +60,11 @@
     } else {
       fields("", answer);
       for (Iterator<Map.Entry<String, JsonNode>> it = answer.fields(); it.hasNext(); ) {
-        Map.Entry<String, JsonNode> e = it.next();
-        if (e.getValue().isArray() && !e.getValue().isEmpty()) {
+        Map.Entry<String, JsonNode> entry = it.next();
+        if (entry.getValue().isArray() && !entry.getValue().isEmpty()) {
           out.println();
           List<JsonNode> rows = new ArrayList<>();
-          e.getValue().forEach(rows::add);
+          entry.getValue().forEach(rows::add);
           table(rows, columnsOf(rows));
         }
       }
@@ -84,20 +84,23 @@
   }
 
   private void asOf(JsonNode answer) {
-    JsonNode m = answer.path("asOf");
-    if (m.isObject()) {
+    JsonNode node = answer.path("asOf");
+    if (node.isObject()) {
       out.println(
           "as of term %s, epoch %s, told by %s"
-              .formatted(m.path("term").asText(), m.path("epoch").asText(), m.path("by").asText()));
+              .formatted(
+                  node.path("term").asText(),
+                  node.path("epoch").asText(),
+                  node.path("by").asText()));
     }
   }
 
-  private static List<String> names(JsonNode o) {
+  private static List<String> names(JsonNode node) {
     List<String> out = new ArrayList<>();
-    o.fieldNames()
+    node.fieldNames()
         .forEachRemaining(
             n -> {
-              if (o.get(n).isValueNode()) {
+              if (node.get(n).isValueNode()) {
                 out.add(n);
               }
             });
@@ -110,17 +113,17 @@
     return out.toArray(String[]::new);
   }
 
-  private void fields(String prefix, JsonNode o) {
-    for (Iterator<Map.Entry<String, JsonNode>> it = o.fields(); it.hasNext(); ) {
-      Map.Entry<String, JsonNode> e = it.next();
-      if (e.getKey().equals("asOf") || e.getValue().isArray()) {
+  private void fields(String prefix, JsonNode node) {
+    for (Iterator<Map.Entry<String, JsonNode>> it = node.fields(); it.hasNext(); ) {
+      Map.Entry<String, JsonNode> entry = it.next();
+      if (entry.getKey().equals("asOf") || entry.getValue().isArray()) {
         continue;
       }
-      if (e.getValue().isObject()) {
-        fields(prefix + e.getKey() + ".", e.getValue());
+      if (entry.getValue().isObject()) {
+        fields(prefix + entry.getKey() + ".", entry.getValue());
       } else {
-        String name = prefix + e.getKey();
-        out.println(pad(name, 24) + " " + painted(text(e.getKey(), e.getValue())));
+        String name = prefix + entry.getKey();
+        out.println(pad(name, 24) + " " + painted(text(entry.getKey(), entry.getValue())));
       }
     }
   }
@@ -133,10 +136,10 @@
     for (int c = 0; c < columns.length; c++) {
       widths[c] = columns[c].length();
     }
-    for (JsonNode r : rows) {
+    for (JsonNode node : rows) {
       String[] line = new String[columns.length];
       for (int c = 0; c < columns.length; c++) {
-        line[c] = text(columns[c], r.path(columns[c]));
+        line[c] = text(columns[c], node.path(columns[c]));
         widths[c] = Math.max(widths[c], line[c].length());
       }
       cells.add(line);
@@ -148,13 +151,15 @@
     }
     out.println(head.toString().stripTrailing());
     for (String[] line : cells) {
-      StringBuilder b = new StringBuilder();
+      StringBuilder builder = new StringBuilder();
       for (int c = 0; c < columns.length; c++) {
         String cell = cut(line[c], widths[c]);
         boolean last = c == columns.length - 1;
-        b.append(painted(cell)).append(last ? "" : " ".repeat(widths[c] + GAP - cell.length()));
+        builder
+            .append(painted(cell))
+            .append(last ? "" : " ".repeat(widths[c] + GAP - cell.length()));
       }
-      out.println(b.toString().stripTrailing());
+      out.println(builder.toString().stripTrailing());
     }
   }
 
@@ -191,39 +196,39 @@
     return style == null ? s : Ansi.ON.string("@|" + style + " " + s + "|@");
   }
 
-  private static String text(String column, JsonNode v) {
-    if (v.isMissingNode() || v.isNull()) {
+  private static String text(String column, JsonNode node) {
+    if (node.isMissingNode() || node.isNull()) {
       return "-";
     }
-    if (v.isFloatingPointNumber()) {
-      double d = v.doubleValue();
+    if (node.isFloatingPointNumber()) {
+      double d = node.doubleValue();
       return d == Math.rint(d) && Math.abs(d) < 1e9
           ? Long.toString((long) d)
           : String.format(Locale.ROOT, "%.1f", d);
     }
     if (column.equals("at") || column.equals("accepted")) {
-      return java.time.Instant.ofEpochMilli(v.asLong()).toString();
+      return java.time.Instant.ofEpochMilli(node.asLong()).toString();
     }
-    return v.isContainerNode() ? v.toString() : v.asText();
+    return node.isContainerNode() ? node.toString() : node.asText();
   }
 
   // ---- CSV ----
 
   private void csv(List<JsonNode> rows, String... columns) {
-    try (CSVPrinter p = new CSVPrinter(new StringBuilder(), CSVFormat.RFC4180)) {
-      p.printRecord((Object[]) columns);
-      for (JsonNode r : rows) {
+    try (CSVPrinter cSVPrinter = new CSVPrinter(new StringBuilder(), CSVFormat.RFC4180)) {
+      cSVPrinter.printRecord((Object[]) columns);
+      for (JsonNode node : rows) {
         List<String> line = new ArrayList<>();
         for (String c : columns) {
-          JsonNode v = r.path(c);
+          JsonNode v = node.path(c);
           line.add(
               v.isNull() || v.isMissingNode()
                   ? ""
                   : v.isContainerNode() ? v.toString() : v.asText());
         }
-        p.printRecord(line);
+        cSVPrinter.printRecord(line);
       }
-      out.print(p.getOut());
+      out.print(cSVPrinter.getOut());
     } catch (IOException e) {
       throw new IllegalStateException(e);
     }
@@ -231,12 +236,12 @@
 
   /** Puts rows of several pages into one answer, as of the last page. */
   static ObjectNode gathered(List<JsonNode> rows, JsonNode last) {
-    ObjectNode o = Json.object();
+    ObjectNode object = Json.object();
     if (last.has("asOf")) {
-      o.set("asOf", last.get("asOf"));
+      object.set("asOf", last.get("asOf"));
     }
-    var list = o.putArray("rows");
+    var list = object.putArray("rows");
     rows.forEach(list::add);
-    return o;
+    return object;
   }
 }
--- a/src/main/java/dapplestair/client/WatchCommand.java
+++ b/src/main/java/dapplestair/client/WatchCommand.java
@@ -34,13 +34,13 @@
         if (over(before)) {
           continue;
         }
-        JsonNode a = api.get("/submissions/" + encoded(ref));
-        String line = line(api, ref, a, tasks);
+        JsonNode node = api.get("/submissions/" + encoded(ref));
+        String line = line(api, ref, node, tasks);
         if (!line.equals(before)) {
           last.put(ref, line);
           show(out, line);
         }
-        aborted |= a.path("status").asText().equals("aborted");
+        aborted |= node.path("status").asText().equals("aborted");
         allOver &= over(line);
       }
       if (allOver) {
@@ -54,9 +54,9 @@
     return line != null && (line.endsWith(" done") || line.endsWith(" aborted"));
   }
 
-  private String line(Api api, String ref, JsonNode a, Map<String, Long> tasks) throws Failure {
-    String status = a.path("status").asText();
-    if (!a.has("done")) {
+  private String line(Api api, String ref, JsonNode node, Map<String, Long> tasks) throws Failure {
+    String status = node.path("status").asText();
+    if (!node.has("done")) {
       return ref + " " + status;
     }
     if (!tasks.containsKey(ref)) {
@@ -65,11 +65,11 @@
     long of = tasks.get(ref);
     String counts =
         "%s %s, %d of %d done, %d running"
-            .formatted(ref, status, a.path("done").asLong(), of, a.path("running").asLong());
+            .formatted(ref, status, node.path("done").asLong(), of, node.path("running").asLong());
     if (!common.terminal() || of == 0) {
       return counts;
     }
-    int full = (int) (BAR * a.path("done").asLong() / of);
+    int full = (int) (BAR * node.path("done").asLong() / of);
     return "[" + "#".repeat(full) + ".".repeat(BAR - full) + "] " + counts;
   }
 
--- a/src/main/java/dapplestair/daemon/DaemonSettings.java
+++ b/src/main/java/dapplestair/daemon/DaemonSettings.java
@@ -152,8 +152,8 @@
 
   private static List<Shape.Machine> machines(Fields top) throws SettingsException {
     List<Shape.Machine> out = new ArrayList<>();
-    for (Fields m : top.tables("machines")) {
-      m.only(
+    for (Fields fields : top.tables("machines")) {
+      fields.only(
           "name",
           "cpus",
           "gpus",
@@ -163,18 +163,18 @@
           "price",
           "spot_price",
           "boot_s");
-      double price = m.number("price", 1, 0, MOST);
+      double price = fields.number("price", 1, 0, MOST);
       out.add(
           new Shape.Machine(
-              m.text("name"),
-              m.number("cpus", 8, 0.1, MOST),
-              m.number("gpus", 0, 0, MOST),
-              m.number("memory_gb", 32, 0.1, MOST),
-              m.number("cache_gb", 50, 0.1, MOST),
-              m.number("fetch_gb_per_s", 1, 0.001, MOST),
+              fields.text("name"),
+              fields.number("cpus", 8, 0.1, MOST),
+              fields.number("gpus", 0, 0, MOST),
+              fields.number("memory_gb", 32, 0.1, MOST),
+              fields.number("cache_gb", 50, 0.1, MOST),
+              fields.number("fetch_gb_per_s", 1, 0.001, MOST),
               price,
-              m.number("spot_price", price * 0.4, 0, MOST),
-              m.number("boot_s", 1, 0.1, MOST)));
+              fields.number("spot_price", price * 0.4, 0, MOST),
+              fields.number("boot_s", 1, 0.1, MOST)));
     }
     return out.isEmpty()
         ? List.of(new Shape.Machine("m8", 8, 0, 32, 50, 1, 1, 0.4, 1))
@@ -183,17 +183,17 @@
 
   private static Map<String, Settings.Team> teams(Fields top) throws SettingsException {
     Map<String, Settings.Team> out = new LinkedHashMap<>();
-    for (Fields t : top.tables("teams")) {
-      t.only("name", "cpus", "cpus_max", "gpus", "gpus_max");
-      String name = t.text("name");
+    for (Fields fields : top.tables("teams")) {
+      fields.only("name", "cpus", "cpus_max", "gpus", "gpus_max");
+      String name = fields.text("name");
       out.put(
           name,
           new Settings.Team(
               name,
-              t.number("cpus", 0, 0, MOST),
-              t.number("cpus_max", 0, 0, MOST),
-              t.number("gpus", 0, 0, MOST),
-              t.number("gpus_max", 0, 0, MOST)));
+              fields.number("cpus", 0, 0, MOST),
+              fields.number("cpus_max", 0, 0, MOST),
+              fields.number("gpus", 0, 0, MOST),
+              fields.number("gpus_max", 0, 0, MOST)));
     }
     return out.isEmpty()
         ? Map.of("default", new Settings.Team("default", 0, 0, 0, 0))
@@ -202,14 +202,14 @@
 
   private static List<Settings.Objective> objectives(Fields top) throws SettingsException {
     List<Settings.Objective> out = new ArrayList<>();
-    for (Fields o : top.tables("objectives")) {
-      o.only("kind", "class", "within_s", "share");
+    for (Fields fields : top.tables("objectives")) {
+      fields.only("kind", "class", "within_s", "share");
       out.add(
           new Settings.Objective(
-              o.text("kind"),
-              o.text("class"),
-              o.number("within_s", 0, 0, MOST),
-              o.number("share", 0, 0, 1)));
+              fields.text("kind"),
+              fields.text("class"),
+              fields.number("within_s", 0, 0, MOST),
+              fields.number("share", 0, 0, 1)));
     }
     return List.copyOf(out);
   }
@@ -286,15 +286,15 @@
 
     Address address(String name, String otherwise) throws SettingsException {
       JsonNode v = node.path(name);
-      Address a = v.isMissingNode() ? Address.parse(otherwise) : Address.parse(v.asText());
-      if (a == null) {
+      Address address = v.isMissingNode() ? Address.parse(otherwise) : Address.parse(v.asText());
+      if (address == null) {
         throw bad(name, v, "host:port");
       }
-      return a;
+      return address;
     }
 
-    SettingsException bad(String name, JsonNode v, String wanted) {
-      String shown = v.isMissingNode() ? "missing" : v.toString();
+    SettingsException bad(String name, JsonNode node, String wanted) {
+      String shown = node.isMissingNode() ? "missing" : node.toString();
       return new SettingsException(file + ": " + at + name + " = " + shown + ": must be " + wanted);
     }
   }
--- a/src/main/java/dapplestair/daemon/Emulation.java
+++ b/src/main/java/dapplestair/daemon/Emulation.java
@@ -8,8 +8,8 @@
 import dapplestair.emulator.EmulatedState;
 import dapplestair.emulator.EmulatedTask;
 import dapplestair.emulator.EmulatedWorker;
-import dapplestair.emulator.Place;
-import dapplestair.emulator.Witness;
+import dapplestair.emulator.RequestHandler;
+import dapplestair.emulator.TaskObserver;
 import dapplestair.json.Json;
 import dapplestair.netty.HttpPool;
 import dapplestair.netty.HttpServer;
@@ -50,7 +50,7 @@
                 ? RandomSource.XO_RO_SHI_RO_128_PP.create()
                 : RandomSource.XO_RO_SHI_RO_128_PP.create(settings.seed()));
     state = new EmulatedState(world, settings.shape());
-    cloud = new EmulatedCloud(world, settings.shape(), this::job, this, Witness.none());
+    cloud = new EmulatedCloud(world, settings.shape(), this::job, this, TaskObserver.none());
     server = new HttpServer(loop, HttpServer.Options.users(MOST_CONNECTIONS), this::handle);
   }
 
@@ -83,49 +83,54 @@
     return record == null ? null : record.path("job");
   }
 
-  private void handle(Exchange x) {
-    if (x.path().startsWith(OWN)) {
-      own(x);
+  private void handle(Exchange exchange) {
+    if (exchange.path().startsWith(OWN)) {
+      own(exchange);
     } else {
-      boolean forCloud = x.path().equals("/machine_types") || x.path().startsWith("/rentals");
-      Place place = forCloud ? cloud : state;
-      Wire.hand(x, place);
+      boolean forCloud =
+          exchange.path().equals("/machine_types") || exchange.path().startsWith("/rentals");
+      RequestHandler place = forCloud ? cloud : state;
+      Wire.hand(exchange, place);
     }
   }
 
-  private void own(Exchange x) {
-    if (x.path().startsWith(CONTROLLERS) && x.method().equals("PUT")) {
-      String endpoint = Json.text(Json.parse(x.body()), "endpoint");
+  private void own(Exchange exchange) {
+    if (exchange.path().startsWith(CONTROLLERS) && exchange.method().equals("PUT")) {
+      String endpoint = Json.text(Json.parse(exchange.body()), "endpoint");
       if (endpoint == null) {
-        x.reply(400, Json.bytes(Json.object().put("error", "endpoint: missing")), 0);
+        exchange.reply(400, Json.bytes(Json.object().put("error", "endpoint: missing")), 0);
         return;
       }
-      controllers.put(x.path().substring(CONTROLLERS.length()), endpoint);
-      x.reply(200, Json.bytes(Json.object()), 0);
-    } else if (x.path().equals(OWN + "machines") && x.method().equals("GET")) {
-      x.reply(200, Json.bytes(machines()), 0);
+      controllers.put(exchange.path().substring(CONTROLLERS.length()), endpoint);
+      exchange.reply(200, Json.bytes(Json.object()), 0);
+    } else if (exchange.path().equals(OWN + "machines") && exchange.method().equals("GET")) {
+      exchange.reply(200, Json.bytes(machines()), 0);
     } else {
-      x.reply(404, Json.bytes(Json.object().put("error", "no such path")), 0);
+      exchange.reply(404, Json.bytes(Json.object().put("error", "no such path")), 0);
     }
   }
 
   private ObjectNode machines() {
-    ObjectNode o = Json.object().put("violation", cloud.violation());
-    ArrayNode list = o.putArray("machines");
-    for (EmulatedWorker w : cloud.machines()) {
+    ObjectNode object = Json.object().put("violation", cloud.violation());
+    ArrayNode list = object.putArray("machines");
+    for (EmulatedWorker emulatedWorker : cloud.machines()) {
       ArrayNode tasks =
           list.addObject()
-              .put("id", w.id())
-              .put("type", w.type())
-              .put("zone", w.zone())
-              .put("spot", w.spot())
-              .put("up", w.booted() && !w.gone())
+              .put("id", emulatedWorker.id())
+              .put("type", emulatedWorker.type())
+              .put("zone", emulatedWorker.zone())
+              .put("spot", emulatedWorker.spot())
+              .put("up", emulatedWorker.booted() && !emulatedWorker.gone())
               .putArray("tasks");
-      for (EmulatedTask t : w.tasks()) {
-        tasks.addObject().put("task", t.key()).put("try", t.attempt()).put("status", t.status());
+      for (EmulatedTask emulatedTask : emulatedWorker.tasks()) {
+        tasks
+            .addObject()
+            .put("task", emulatedTask.key())
+            .put("try", emulatedTask.attempt())
+            .put("status", emulatedTask.status());
       }
     }
-    return o;
+    return object;
   }
 
   @Override
--- a/src/main/java/dapplestair/daemon/Loopback.java
+++ b/src/main/java/dapplestair/daemon/Loopback.java
@@ -1,6 +1,6 @@
 package dapplestair.daemon;
 
-import dapplestair.emulator.Place;
+import dapplestair.emulator.RequestHandler;
 import dapplestair.emulator.Surroundings;
 import dapplestair.netty.HttpPool;
 import dapplestair.netty.HttpServer;
@@ -65,7 +65,7 @@
   }
 
   @Override
-  public void open(String name, Place place, Consumer<String> opened) {
+  public void open(String name, RequestHandler place, Consumer<String> opened) {
     HttpServer.Options options = HttpServer.Options.users(CONNECTIONS_A_MACHINE);
     HttpServer server = new HttpServer(loop, options, x -> Wire.hand(x, place));
     server.open(
--- a/src/main/java/dapplestair/daemon/Wire.java
+++ b/src/main/java/dapplestair/daemon/Wire.java
@@ -1,14 +1,16 @@
 package dapplestair.daemon;
 
-import dapplestair.emulator.Place;
+import dapplestair.emulator.RequestHandler;
 import dapplestair.ports.Exchange;
 
 /** Hands a request of a socket to an emulated place. */
 final class Wire {
   private Wire() {}
 
-  static void hand(Exchange x, Place place) {
-    String path = x.query().isEmpty() ? x.path() : x.path() + "?" + x.query();
-    place.request("", x.method(), path, x.body(), r -> x.reply(r.status(), r.body(), 0));
+  static void hand(Exchange exchange, RequestHandler place) {
+    String path =
+        exchange.query().isEmpty() ? exchange.path() : exchange.path() + "?" + exchange.query();
+    place.request(
+        "", exchange.method(), path, exchange.body(), r -> exchange.reply(r.status(), r.body(), 0));
   }
 }
--- a/src/main/java/dapplestair/disruption/Standing.java
+++ b/src/main/java/dapplestair/disruption/BudgetStatus.java
@@ -12,7 +12,7 @@
  * @param lostCpuS work thrown away or reserved in the last hour, CPU seconds
  * @param lostAllowed how much of it may be
  */
-public record Standing(
+public record BudgetStatus(
     int wanted,
     int out,
     int stopping,
--- a/src/main/java/dapplestair/disruption/Disruption.java
+++ b/src/main/java/dapplestair/disruption/Disruption.java
@@ -15,7 +15,7 @@
 import java.util.TreeMap;
 
 /**
- * The one door for stops that are our own choice. What can wait asks first; what cannot, such as a
+ * The one gate for stops that are our own choice. What can wait asks first; what cannot, such as a
  * notice of the cloud or room that a rank or a guarantee claims, is let through and debited. What
  * is out is no counter: it is derived anew from the attempts on record and from what is heard of
  * them, so that neither a change of leader nor a restart of all fills a budget up again.
@@ -57,30 +57,30 @@
   // ---- what cannot wait ----
 
   /** Stops what must be stopped, whatever the budget says, and debits it. */
-  public void must(Attempt a, double windDownS, StopReason why) {
-    if (!a.halting()) {
-      debit(a);
+  public void must(Attempt attempt, double windDownS, StopReason why) {
+    if (!attempt.halting()) {
+      debit(attempt);
     }
-    ledger.halt(a, windDownS, why);
+    ledger.halt(attempt, windDownS, why);
   }
 
   /** Makes room for a rider of a lane: by an account of its own, so that no budget is used up. */
-  public void ride(Attempt a, double windDownS) {
-    ledger.halt(a, windDownS, StopReason.LANE);
+  public void ride(Attempt attempt, double windDownS) {
+    ledger.halt(attempt, windDownS, StopReason.LANE);
   }
 
   /** A machine is given up with all that is on it. */
   public void givenUp(Host host) {
-    for (Attempt a : host.attempts()) {
-      if (!a.exited() && !a.halting() && !a.job().over()) {
-        debit(a);
+    for (Attempt attempt : host.attempts()) {
+      if (!attempt.exited() && !attempt.halting() && !attempt.job().over()) {
+        debit(attempt);
       }
     }
   }
 
-  private void debit(Attempt a) {
+  private void debit(Attempt attempt) {
     forced++;
-    lost.debit(a.spec().team(), lossCpuS(a));
+    lost.debit(attempt.spec().team(), lossCpuS(attempt));
   }
 
   // ---- what asks first ----
@@ -119,37 +119,37 @@
    * Only a machine that has shown a token of this term: before, a stop of the former leader may
    * still be carried out on it, and what it said may be older than that.
    */
-  private boolean reached(Attempt a) {
-    Host h = desk.known(a.host());
-    return h != null
-        && h.acknowledged()
-        && !h.outOfReach()
-        && !h.hanging()
-        && !h.releasing()
-        && !h.gone();
+  private boolean reached(Attempt attempt) {
+    Host host = desk.known(attempt.host());
+    return host != null
+        && host.acknowledged()
+        && !host.outOfReach()
+        && !host.hanging()
+        && !host.releasing()
+        && !host.gone();
   }
 
   /** Stops a task if its team's budget allows that now; null, or what stands against it. */
-  public Refusal ask(Attempt a, double windDownS, StopReason why) {
-    Refusal refusal = refusal(a);
+  public Refusal ask(Attempt attempt, double windDownS, StopReason why) {
+    Refusal refusal = refusal(attempt);
     if (refusal != null) {
-      refusals.put(a.job(), refusal);
+      refusals.put(attempt.job(), refusal);
       return refusal;
     }
-    refusals.remove(a.job());
+    refusals.remove(attempt.job());
     granted++;
-    lost.spend(a.spec().team(), lossCpuS(a));
-    take(a);
-    ledger.halt(a, windDownS, why);
+    lost.spend(attempt.spec().team(), lossCpuS(attempt));
+    take(attempt);
+    ledger.halt(attempt, windDownS, why);
     return null;
   }
 
-  private void take(Attempt a) {
-    Sum sum = sum(a.spec().team());
-    if (a.spec().service()) {
+  private void take(Attempt attempt) {
+    Sum sum = sum(attempt.spec().team());
+    if (attempt.spec().service()) {
       sum.out++;
       sum.stopping++;
-      missing.merge(a.job(), 1, Integer::sum);
+      missing.merge(attempt.job(), 1, Integer::sum);
     } else {
       sum.arraysOut++;
       sum.arraysStopping++;
@@ -160,23 +160,23 @@
     return teams.computeIfAbsent(team, t -> new Sum());
   }
 
-  private Refusal refusal(Attempt a) {
-    String team = a.spec().team();
+  private Refusal refusal(Attempt attempt) {
+    String team = attempt.spec().team();
     Budget budget = budgets.of(team);
     Sum sum = sum(team);
-    if (a.spec().service()) {
+    if (attempt.spec().service()) {
       int ofTeam = budget.ofTeam(sum.wanted);
       if (sum.out >= ofTeam) {
         return new Refusal(
             team, "replicas of the team", ofTeam, sum.out, because(sum.out, sum.stopping));
       }
-      int steps = a.spec().steps();
+      int steps = attempt.spec().steps();
       int ofJob = budget.ofJob(steps);
-      int gone = missing.getOrDefault(a.job(), steps);
+      int gone = missing.getOrDefault(attempt.job(), steps);
       return gone < ofJob
           ? null
           : new Refusal(
-              team, "replicas of " + a.spec().ref(), ofJob, gone, "of " + steps + " wanted");
+              team, "replicas of " + attempt.spec().ref(), ofJob, gone, "of " + steps + " wanted");
     }
     if (sum.arraysOut >= budget.arrayTasks()) {
       return new Refusal(
@@ -186,7 +186,7 @@
           sum.arraysOut,
           because(sum.arraysOut, sum.arraysStopping));
     }
-    return lost.refusal(team, lossCpuS(a));
+    return lost.refusal(team, lossCpuS(attempt));
   }
 
   private static String because(int out, int stopping) {
@@ -199,18 +199,18 @@
    * Work that stopping a task would throw away, CPU seconds. How long one ran under an earlier
    * leader is not known: then at most since its job was accepted.
    */
-  public double lossCpuS(Attempt a) {
-    if (a.spec().service()) {
+  public double lossCpuS(Attempt attempt) {
+    if (attempt.spec().service()) {
       return 0;
     }
-    double ran = a.ranS(clock.now());
-    if (a.adopted()) {
-      ran = Math.max(ran, (clock.wall() - a.job().acceptedWall()) / 1000.0);
+    double ran = attempt.ranS(clock.now());
+    if (attempt.adopted()) {
+      ran = Math.max(ran, (clock.wall() - attempt.job().acceptedWall()) / 1000.0);
     }
     // It runs on until the stop has arrived.
     ran += MESSAGE_S;
-    double unsaved = a.spec().saves() ? Math.min(ran, a.spec().saveEveryS()) : ran;
-    return unsaved * a.spec().cpus();
+    double unsaved = attempt.spec().saves() ? Math.min(ran, attempt.spec().saveEveryS()) : ran;
+    return unsaved * attempt.spec().cpus();
   }
 
   // ---- views ----
@@ -221,25 +221,25 @@
   }
 
   /** How each team stands now. */
-  public Map<String, Standing> standings() {
+  public Map<String, BudgetStatus> statuses() {
     if (lookedAt != clock.now()) {
       look();
     }
-    Map<String, Standing> out = new TreeMap<>();
+    Map<String, BudgetStatus> out = new TreeMap<>();
     teams.forEach(
         (team, s) -> {
-          Budget b = budgets.of(team);
+          Budget budget = budgets.of(team);
           out.put(
               team,
-              new Standing(
+              new BudgetStatus(
                   s.wanted,
                   s.out,
                   s.stopping,
-                  b.ofTeam(s.wanted),
+                  budget.ofTeam(s.wanted),
                   s.arraysOut,
-                  b.arrayTasks(),
+                  budget.arrayTasks(),
                   lost.spent(team),
-                  b.lostCpuS()));
+                  budget.lostCpuS()));
         });
     return out;
   }
--- a/src/main/java/dapplestair/disruption/LostWork.java
+++ b/src/main/java/dapplestair/disruption/LostWork.java
@@ -66,14 +66,14 @@
 
   /** The record of a team has this value, or is gone. */
   public void recorded(String key, JsonNode value) {
-    Account a = account(key.substring(Keys.DISRUPTION.length()));
-    a.reserved.clear();
+    Account account = account(key.substring(Keys.DISRUPTION.length()));
+    account.reserved.clear();
     if (value != null) {
       value
           .path("reserved")
           .fields()
           .forEachRemaining(
-              e -> a.reserved.put(Long.parseLong(e.getKey()), e.getValue().asDouble()));
+              e -> account.reserved.put(Long.parseLong(e.getKey()), e.getValue().asDouble()));
     }
   }
 
@@ -81,11 +81,11 @@
     leading = true;
     writer.reset();
     long slice = slice();
-    for (Account a : accounts.values()) {
+    for (Account account : accounts.values()) {
       // All that is reserved counts as spent: the former leader may have done so.
-      a.slice = slice;
-      a.spent = a.reserved.getOrDefault(slice, 0.0);
-      a.writing = false;
+      account.slice = slice;
+      account.spent = account.reserved.getOrDefault(slice, 0.0);
+      account.writing = false;
     }
   }
 
@@ -105,22 +105,23 @@
 
   /** The account in this slice: what was reserved in an earlier one and not spent is void. */
   private Account now(String team) {
-    Account a = account(team);
+    Account account = account(team);
     long slice = slice();
-    if (a.slice != slice) {
-      a.slice = slice;
+    if (account.slice != slice) {
+      account.slice = slice;
       // A controller whose clock was ahead may have written of this slice already.
-      a.spent = a.reserved.getOrDefault(slice, 0.0);
+      account.spent = account.reserved.getOrDefault(slice, 0.0);
     }
-    return a;
+    return account;
   }
 
   /** Reserved or spent in the last hour, CPU seconds. */
   double spent(String team) {
-    Account a = now(team);
-    double sum = Math.max(a.spent, a.reserved.getOrDefault(a.slice, 0.0));
+    Account account = now(team);
+    double sum = Math.max(account.spent, account.reserved.getOrDefault(account.slice, 0.0));
     // One slice more than an hour: what was spent at its end counts for a whole hour.
-    for (double r : a.reserved.subMap(a.slice - HOUR_MS / SLICE_MS, a.slice).values()) {
+    for (double r :
+        account.reserved.subMap(account.slice - HOUR_MS / SLICE_MS, account.slice).values()) {
       sum += r;
     }
     return sum;
@@ -132,14 +133,14 @@
     if (Double.isInfinite(allowed) || cpuS <= 0) {
       return null;
     }
-    Account a = now(team);
-    double reserved = a.reserved.getOrDefault(a.slice, 0.0);
-    if (a.spent + cpuS <= reserved + 1e-9 && !a.writing) {
+    Account account = now(team);
+    double reserved = account.reserved.getOrDefault(account.slice, 0.0);
+    if (account.spent + cpuS <= reserved + 1e-9 && !account.writing) {
       return null;
     }
     double before = spent(team);
-    double wanted = a.spent + cpuS;
-    if (before - Math.max(a.spent, reserved) + wanted > allowed + 1e-9) {
+    double wanted = account.spent + cpuS;
+    if (before - Math.max(account.spent, reserved) + wanted > allowed + 1e-9) {
       return new Refusal(
           team,
           "CPU seconds thrown away in an hour",
@@ -151,9 +152,9 @@
                       .formatted(cpuS)
                   + " was accepted");
     }
-    double room = allowed - (before - Math.max(a.spent, reserved));
+    double room = allowed - (before - Math.max(account.spent, reserved));
     // Twice as much, since what runs loses more by the time the put is made.
-    write(team, a, Math.min(room, a.spent + Math.max(2 * cpuS, allowed * SHARE)));
+    write(team, account, Math.min(room, account.spent + Math.max(2 * cpuS, allowed * SHARE)));
     return new Refusal(
         team, "CPU seconds thrown away in an hour", allowed, before, "being put on record");
   }
@@ -170,26 +171,27 @@
     if (budgets.of(team).anyLoss() || cpuS <= 0) {
       return;
     }
-    Account a = now(team);
-    a.spent += cpuS;
-    if (a.spent > a.reserved.getOrDefault(a.slice, 0.0)) {
-      write(team, a, a.spent + budgets.of(team).lostCpuS() * SHARE);
+    Account account = now(team);
+    account.spent += cpuS;
+    if (account.spent > account.reserved.getOrDefault(account.slice, 0.0)) {
+      write(team, account, account.spent + budgets.of(team).lostCpuS() * SHARE);
     }
   }
 
-  private void write(String team, Account a, double reserve) {
-    if (a.writing || !leading) {
+  private void write(String team, Account account, double reserve) {
+    if (account.writing || !leading) {
       return;
     }
-    a.writing = true;
-    long slice = a.slice;
+    account.writing = true;
+    long slice = account.slice;
     String key = Keys.DISRUPTION + team;
     ObjectNode value = Json.object();
     ObjectNode slices = value.putObject("reserved");
-    a.reserved
+    account
+        .reserved
         .tailMap(slice - HOUR_MS / SLICE_MS)
         .forEach((s, r) -> slices.put(Long.toString(s), (double) r));
-    slices.put(Long.toString(slice), Math.max(reserve, a.reserved.getOrDefault(slice, 0.0)));
+    slices.put(Long.toString(slice), Math.max(reserve, account.reserved.getOrDefault(slice, 0.0)));
     writer.put(
         key,
         replica.stamp(key),
@@ -197,7 +199,7 @@
         Priority.BOOKKEEPING,
         outcome -> {
           // Without an answer the replica tells what is on record; until then nothing is granted.
-          a.writing = false;
+          account.writing = false;
           if (outcome instanceof Outcome.Applied) {
             recorded(key, value);
           } else {
--- a/src/main/java/dapplestair/disruption/package-info.java
+++ b/src/main/java/dapplestair/disruption/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The one door for every stop that is our own choice, and each team's budget for it
+ * The one gate for every stop that is our own choice, and each team's budget for it
  * (docs/disruption.md).
  */
 package dapplestair.disruption;
--- a/src/main/java/dapplestair/drain/Drain.java
+++ b/src/main/java/dapplestair/drain/Drain.java
@@ -25,15 +25,15 @@
   }
 
   /** Reads the recorded form. */
-  public static Drain parse(JsonNode n) {
-    String by = Json.text(n, "by");
-    String why = Json.text(n, "why");
+  public static Drain parse(JsonNode node) {
+    String by = Json.text(node, "by");
+    String why = Json.text(node, "why");
     return new Drain(
         by == null ? "" : by,
-        Json.number(n, "at", 0),
+        Json.number(node, "at", 0),
         why == null ? "" : why,
-        Json.flag(n, "return"),
-        Json.decimal(n, "deadlineS", 0));
+        Json.flag(node, "return"),
+        Json.decimal(node, "deadlineS", 0));
   }
 
   /** The moment after which work that does not save is stopped, time of day. */
--- a/src/main/java/dapplestair/drain/Drains.java
+++ b/src/main/java/dapplestair/drain/Drains.java
@@ -93,13 +93,13 @@
       of.put(name, Drain.parse(value));
     }
     if (leading) {
-      Drain d = of.get(name);
+      Drain drain = of.get(name);
       events.note(
           Events.Kind.DRAIN,
           o -> {
-            o.put(zone ? "zone" : "machine", name).put("on", d != null);
-            if (d != null) {
-              o.put("by", d.by()).put("reason", d.why());
+            o.put(zone ? "zone" : "machine", name).put("on", drain != null);
+            if (drain != null) {
+              o.put("by", drain.by()).put("reason", drain.why());
             }
           });
       look();
@@ -194,10 +194,10 @@
     }
     Map<Host, Drain> drained = new HashMap<>();
     for (Host h : desk.hosts()) {
-      Drain d = of(h);
-      h.setDrained(d != null);
-      if (d != null) {
-        drained.put(h, d);
+      Drain drain = of(h);
+      h.setDrained(drain != null);
+      if (drain != null) {
+        drained.put(h, drain);
       }
     }
     emptying.step(drained, clock.wall());
--- a/src/main/java/dapplestair/drain/Emptying.java
+++ b/src/main/java/dapplestair/drain/Emptying.java
@@ -87,39 +87,41 @@
             .thenComparingLong(h -> drained.get(h).atWall())
             .thenComparing(Host::id));
     for (Host h : order) {
-      Drain d = drained.get(h);
-      for (Attempt a : List.copyOf(h.attempts())) {
-        if (!a.exited() && !a.halting() && a.sent()) {
-          empty(h, a, d.overdue(nowWall));
+      Drain drain = drained.get(h);
+      for (Attempt attempt : List.copyOf(h.attempts())) {
+        if (!attempt.exited() && !attempt.halting() && attempt.sent()) {
+          empty(h, attempt, drain.overdue(nowWall));
         }
       }
-      if (d.giveBack() && h.attempts().isEmpty() && h.up()) {
+      if (drain.giveBack() && h.attempts().isEmpty() && h.up()) {
         fleet.release(h);
       }
     }
   }
 
-  private void empty(Host h, Attempt a, boolean overdue) {
-    Submission s = a.spec();
-    if (s.service()) {
-      Host to = a.job().over() ? null : place(a.job(), h);
+  private void empty(Host host, Attempt attempt, boolean overdue) {
+    Submission submission = attempt.spec();
+    if (submission.service()) {
+      Host to = attempt.job().over() ? null : place(attempt.job(), host);
       if (to == null) {
-        standing.putIfAbsent(h, NO_PLACE.formatted(a.key()));
-        placeless.add(h);
-      } else if (ask(h, a, 0)) {
-        promised.computeIfAbsent(to, x -> new ArrayList<>()).add(s);
+        standing.putIfAbsent(host, NO_PLACE.formatted(attempt.key()));
+        placeless.add(host);
+      } else if (ask(host, attempt, 0)) {
+        promised.computeIfAbsent(to, x -> new ArrayList<>()).add(submission);
       }
-    } else if (s.saves() && !s.gang() && a.status() == Report.Status.RUNNING) {
-      ask(h, a, 2 * s.saveS());
+    } else if (submission.saves()
+        && !submission.gang()
+        && attempt.status() == Report.Status.RUNNING) {
+      ask(host, attempt, 2 * submission.saveS());
     } else if (overdue) {
-      ask(h, a, s.saves() ? 2 * s.saveS() : 0);
+      ask(host, attempt, submission.saves() ? 2 * submission.saveS() : 0);
     }
   }
 
-  private boolean ask(Host h, Attempt a, double windDownS) {
-    Refusal refusal = disruption.ask(a, windDownS, StopReason.DRAIN);
+  private boolean ask(Host host, Attempt attempt, double windDownS) {
+    Refusal refusal = disruption.ask(attempt, windDownS, StopReason.DRAIN);
     if (refusal != null) {
-      standing.putIfAbsent(h, refusal.words());
+      standing.putIfAbsent(host, refusal.words());
     }
     return refusal == null;
   }
@@ -130,19 +132,19 @@
    * own replacement cannot run before it has stopped.
    */
   private Host place(Job job, Host from) {
-    Submission s = job.spec();
+    Submission submission = job.spec();
     Host best = null;
     double bestWaitS = Double.POSITIVE_INFINITY;
-    for (Host h : desk.hosts()) {
-      if (h != from
-          && !h.closed()
-          && desk.fresh(h)
-          && h.allowed(s)
-          && roomBeside(h, s)
-          && zoneAllowsMove(job, from.zone(), h.zone())) {
-        double waitS = h.imageWaitS(s, clock.now());
+    for (Host host : desk.hosts()) {
+      if (host != from
+          && !host.closed()
+          && desk.fresh(host)
+          && host.allowed(submission)
+          && roomBeside(host, submission)
+          && zoneAllowsMove(job, from.zone(), host.zone())) {
+        double waitS = host.imageWaitS(submission, clock.now());
         if (waitS < bestWaitS) {
-          best = h;
+          best = host;
           bestWaitS = waitS;
         }
         if (waitS == 0) {
@@ -153,43 +155,43 @@
     return best;
   }
 
-  private boolean roomBeside(Host h, Submission s) {
-    double cpus = s.cpus();
-    double memory = s.memoryGb();
-    double gpus = s.gpus();
-    for (Submission p : promised.getOrDefault(h, List.of())) {
+  private boolean roomBeside(Host host, Submission submission) {
+    double cpus = submission.cpus();
+    double memory = submission.memoryGb();
+    double gpus = submission.gpus();
+    for (Submission p : promised.getOrDefault(host, List.of())) {
       cpus += p.cpus();
       memory += p.memoryGb();
       gpus += p.gpus();
     }
-    return cpus <= h.cpusFree() + 1e-9
-        && memory <= h.memoryFree() + 1e-9
-        && gpus <= h.gpusFree() + 1e-9;
+    return cpus <= host.cpusFree() + 1e-9
+        && memory <= host.memoryFree() + 1e-9
+        && gpus <= host.gpusFree() + 1e-9;
   }
 
   /** The job's rules on zones, counted without the replica that leaves. */
   private static boolean zoneAllowsMove(Job job, String from, String to) {
-    Submission s = job.spec();
+    Submission submission = job.spec();
     int there = job.inZone(to) - (to.equals(from) ? 1 : 0);
     int others = job.held() - 1;
-    if (s.apart() && there >= s.mostPerZone()) {
+    if (submission.apart() && there >= submission.mostPerZone()) {
       return false;
     }
-    return !s.together() || others == 0 || there == others;
+    return !submission.together() || others == 0 || there == others;
   }
 
   Progress progress(Host host) {
     int tasks = 0;
     int services = 0;
     int held = 0;
-    for (Attempt a : host.attempts()) {
-      if (a.exited()) {
+    for (Attempt attempt : host.attempts()) {
+      if (attempt.exited()) {
         continue;
       }
       tasks++;
-      if (a.spec().service()) {
+      if (attempt.spec().service()) {
         services++;
-        if (!a.halting()) {
+        if (!attempt.halting()) {
           held++;
         }
       }
--- a/src/main/java/dapplestair/emulator/EmulatedSteward.java
+++ b/src/main/java/dapplestair/emulator/ControllerSelector.java
@@ -3,11 +3,11 @@
 import java.util.List;
 
 /** The controller that a worker reports to. */
-final class EmulatedSteward {
+final class ControllerSelector {
   private final EmulatedCloud cloud;
   private int node;
 
-  EmulatedSteward(EmulatedCloud cloud) {
+  ControllerSelector(EmulatedCloud cloud) {
     this.cloud = cloud;
   }
 
--- a/src/main/java/dapplestair/emulator/EmulatedCloud.java
+++ b/src/main/java/dapplestair/emulator/EmulatedCloud.java
@@ -15,7 +15,7 @@
 import java.util.function.Consumer;
 
 /** The cloud by its protocol: idempotent rentals, a lagging list, machines that never boot. */
-public final class EmulatedCloud implements Place {
+public final class EmulatedCloud implements RequestHandler {
   private record Snapshot(long at, TreeMap<String, ObjectNode> hosts) {}
 
   private static final int MOST_LISTED = 500;
@@ -26,7 +26,7 @@
   private final Shape shape;
   private final JobBook book;
   private final Directory directory;
-  private final Witness witness;
+  private final TaskObserver observer;
   private final TreeMap<String, EmulatedWorker> machines = new TreeMap<>();
   private final Map<String, Long> rentedAt = new HashMap<>();
   private final Map<String, List<String>> answered = new HashMap<>();
@@ -45,12 +45,12 @@
 
   /** A cloud without rented machines. */
   public EmulatedCloud(
-      Surroundings world, Shape shape, JobBook book, Directory directory, Witness witness) {
+      Surroundings world, Shape shape, JobBook book, Directory directory, TaskObserver observer) {
     this.world = world;
     this.shape = shape;
     this.book = book;
     this.directory = directory;
-    this.witness = witness;
+    this.observer = observer;
     this.neverBoots = shape.neverBoots();
     snapshot();
   }
@@ -112,8 +112,8 @@
     return directory;
   }
 
-  Witness witness() {
-    return witness;
+  TaskObserver observer() {
+    return observer;
   }
 
   void violated(String what) {
@@ -157,14 +157,14 @@
     world.after(SNAPSHOT_MS, this::snapshot);
   }
 
-  private ObjectNode listed(String id, EmulatedWorker w) {
+  private ObjectNode listed(String id, EmulatedWorker emulatedWorker) {
     return Json.object()
         .put("ref", id)
-        .put("endpoint", w.endpoint())
-        .put("hull", w.type())
-        .put("basin", w.zone())
-        .put("loaners", w.spot())
-        .put("status", w.booted() ? "running" : "booting")
+        .put("endpoint", emulatedWorker.endpoint())
+        .put("hull", emulatedWorker.type())
+        .put("basin", emulatedWorker.zone())
+        .put("loaners", emulatedWorker.spot())
+        .put("status", emulatedWorker.booted() ? "running" : "booting")
         .put("ageS", (world.now() - rentedAt.get(id)) / 1000.0);
   }
 
@@ -186,12 +186,15 @@
   }
 
   private void release(String id) {
-    EmulatedWorker w = machines.remove(id);
-    if (w != null) {
-      killedByRelease += (int) w.tasks().stream().filter(EmulatedTask::onMachine).count();
+    EmulatedWorker emulatedWorker = machines.remove(id);
+    if (emulatedWorker != null) {
+      killedByRelease +=
+          (int) emulatedWorker.tasks().stream().filter(EmulatedTask::onMachine).count();
       rentedAt.remove(id);
-      w.tasks().stream().filter(t -> !t.exited()).forEach(t -> witness.returned(w, t));
-      w.end();
+      emulatedWorker.tasks().stream()
+          .filter(t -> !t.exited())
+          .forEach(t -> observer.returned(emulatedWorker, t));
+      emulatedWorker.end();
     }
   }
 
@@ -199,13 +202,13 @@
     // Lists lag by up to twice the stated time, and come out of order.
     long at = world.now() - world.between(shape.listLagMs() / 2, 2 * shape.listLagMs());
     Snapshot best = snapshots.peek();
-    for (Snapshot s : snapshots) {
-      if (s.at <= at) {
-        best = s;
+    for (Snapshot snapshot : snapshots) {
+      if (snapshot.at <= at) {
+        best = snapshot;
       }
     }
-    ObjectNode o = Json.object();
-    ArrayNode hosts = o.putArray("hosts");
+    ObjectNode object = Json.object();
+    ArrayNode hosts = object.putArray("hosts");
     Map<String, ObjectNode> rest = from == null ? best.hosts : best.hosts.tailMap(from, false);
     for (ObjectNode h : rest.values()) {
       if (hosts.size() == MOST_LISTED) {
@@ -213,7 +216,7 @@
       }
       hosts.add(h);
     }
-    return EmulatedState.json(200, o.put("more", rest.size() > MOST_LISTED));
+    return EmulatedState.json(200, object.put("more", rest.size() > MOST_LISTED));
   }
 
   private HttpReply rent(JsonNode in) {
@@ -236,28 +239,28 @@
       }
       answered.put(name, hosts);
     }
-    ObjectNode o = Json.object();
-    hosts.forEach(o.putArray("hosts")::add);
-    return EmulatedState.json(200, o);
+    ObjectNode object = Json.object();
+    hosts.forEach(object.putArray("hosts")::add);
+    return EmulatedState.json(200, object);
   }
 
   private List<String> make(Shape.Machine type, String zone, boolean spot, int count) {
     List<String> hosts = new ArrayList<>();
     for (int i = 0; i < count && room(type, zone, spot); i++) {
       String id = String.format("n-%06d", made++);
-      EmulatedWorker w = new EmulatedWorker(world, this, shape, type, id, zone, spot);
-      machines.put(id, w);
+      EmulatedWorker emulatedWorker = new EmulatedWorker(world, this, shape, type, id, zone, spot);
+      machines.put(id, emulatedWorker);
       rentedAt.put(id, world.now());
       hosts.add(id);
       if (sick) {
-        w.sicken();
+        emulatedWorker.sicken();
       }
       if (!world.chance(neverBoots)) {
         world.after(
             bootMs(type),
             () -> {
-              if (!w.gone()) {
-                w.boot();
+              if (!emulatedWorker.gone()) {
+                emulatedWorker.boot();
               }
             });
       }
@@ -283,23 +286,23 @@
   }
 
   private ObjectNode types() {
-    ObjectNode o = Json.object();
-    ArrayNode hulls = o.putArray("hulls");
-    for (Shape.Machine m : shape.types()) {
+    ObjectNode object = Json.object();
+    ArrayNode hulls = object.putArray("hulls");
+    for (Shape.Machine machine : shape.types()) {
       ObjectNode t =
           hulls
               .addObject()
-              .put("label", m.name())
-              .put("vcpus", m.cpus())
-              .put("accelerators", m.gpus())
-              .put("memoryGb", m.memoryGb())
-              .put("cacheGb", m.cacheGb())
-              .put("pullGbPerS", m.fetchGbPerS())
-              .put("hourly", m.price())
-              .put("marketPrice", m.spotPrice())
-              .put("readyS", m.bootS());
+              .put("label", machine.name())
+              .put("vcpus", machine.cpus())
+              .put("accelerators", machine.gpus())
+              .put("memoryGb", machine.memoryGb())
+              .put("cacheGb", machine.cacheGb())
+              .put("pullGbPerS", machine.fetchGbPerS())
+              .put("hourly", machine.price())
+              .put("marketPrice", machine.spotPrice())
+              .put("readyS", machine.bootS());
       shape.zones().forEach(t.putArray("basins")::add);
     }
-    return o;
+    return object;
   }
 }
--- a/src/main/java/dapplestair/emulator/EmulatedImages.java
+++ b/src/main/java/dapplestair/emulator/EmulatedImages.java
@@ -15,10 +15,10 @@
   }
 
   /** How long a task waits for its image; the rate varies by a third. */
-  long fetchMs(EmulatedTask t) {
+  long fetchMs(EmulatedTask emulatedTask) {
     long now = world.now();
-    String image = String.valueOf(t.image());
-    long usual = Math.round(1000 * t.amount("imageGb") / type.fetchGbPerS());
+    String image = String.valueOf(emulatedTask.image());
+    long usual = Math.round(1000 * emulatedTask.amount("imageGb") / type.fetchGbPerS());
     long ready =
         readyAt.computeIfAbsent(image, i -> now + world.between(usual * 2 / 3, usual * 4 / 3));
     return Math.max(0, ready - now) + world.between(20, 60);
--- a/src/main/java/dapplestair/emulator/EmulatedState.java
+++ b/src/main/java/dapplestair/emulator/EmulatedState.java
@@ -17,7 +17,7 @@
 import java.util.function.Consumer;
 
 /** The state service by its protocol: transactions, holds, changes, outages, limits. */
-public final class EmulatedState implements Place {
+public final class EmulatedState implements RequestHandler {
   private record Row(JsonNode value, long stamp, long hold) {}
 
   private record Change(String key, JsonNode value, long stamp) {}
@@ -56,8 +56,8 @@
 
   /** The value under a key now, or null. */
   public JsonNode value(String key) {
-    Row r = rows.get(key);
-    return r == null ? null : r.value;
+    Row row = rows.get(key);
+    return row == null ? null : row.value;
   }
 
   /** All keys with this prefix now, in order. */
@@ -122,10 +122,10 @@
           endHold(h);
         }
       }
-      for (Watch w : List.copyOf(watches)) {
-        if (w.until <= world.now()) {
-          watches.remove(w);
-          w.reply.accept(news(w.prefix, w.from));
+      for (Watch watch : List.copyOf(watches)) {
+        if (watch.until <= world.now()) {
+          watches.remove(watch);
+          watch.reply.accept(news(watch.prefix, watch.from));
         }
       }
     }
@@ -161,10 +161,10 @@
       forgotten = old.get(old.size() - 1).stamp;
       old.clear();
     }
-    for (Watch w : List.copyOf(watches)) {
-      if (!down && anyNews(w.prefix, w.from)) {
-        watches.remove(w);
-        w.reply.accept(news(w.prefix, w.from));
+    for (Watch watch : List.copyOf(watches)) {
+      if (!down && anyNews(watch.prefix, watch.from)) {
+        watches.remove(watch);
+        watch.reply.accept(news(watch.prefix, watch.from));
       }
     }
   }
@@ -183,9 +183,9 @@
       reply.accept(commit(in));
     } else if (path.startsWith("/kv/")) {
       String key = path.substring(4);
-      Row r = rows.get(key);
+      Row row = rows.get(key);
       reply.accept(
-          r == null ? json(404, Json.object().put("epoch", epoch)) : json(200, row(key, r)));
+          row == null ? json(404, Json.object().put("epoch", epoch)) : json(200, row(key, row)));
     } else if (path.startsWith("/kv?")) {
       reply.accept(list(query(path, "prefix"), query(path, "from"), query(path, "limit")));
     } else if (path.startsWith("/changes")) {
@@ -237,10 +237,10 @@
       return json(429, Json.object());
     }
     ArrayNode failed = Json.array();
-    for (JsonNode c : in.path("when")) {
-      Row r = rows.get(c.path("k").asText());
-      if ((r == null ? 0 : r.stamp) != c.path("stamp").asLong()) {
-        failed.add(c.path("k").asText());
+    for (JsonNode node : in.path("when")) {
+      Row row = rows.get(node.path("k").asText());
+      if ((row == null ? 0 : row.stamp) != node.path("stamp").asLong()) {
+        failed.add(node.path("k").asText());
       }
     }
     for (JsonNode w : in.path("writes")) {
@@ -253,9 +253,9 @@
       }
     }
     if (!failed.isEmpty()) {
-      ObjectNode o = Json.object().put("epoch", epoch);
-      o.set("failed", failed);
-      return json(409, o);
+      ObjectNode object = Json.object().put("epoch", epoch);
+      object.set("failed", failed);
+      return json(409, object);
     }
     if (!in.path("writes").isEmpty()) {
       write(in.path("writes"));
@@ -283,27 +283,27 @@
   private HttpReply list(String prefix, String from, String limit) {
     int most =
         Math.min(shape.pageRows(), limit == null ? shape.pageRows() : Integer.parseInt(limit));
-    ObjectNode o = Json.object();
-    ArrayNode out = o.putArray("rows");
+    ObjectNode object = Json.object();
+    ArrayNode out = object.putArray("rows");
     boolean more = false;
-    for (Map.Entry<String, Row> e :
+    for (Map.Entry<String, Row> entry :
         rows.tailMap(from == null ? prefix : from, from == null).entrySet()) {
-      if (!e.getKey().startsWith(prefix)) {
+      if (!entry.getKey().startsWith(prefix)) {
         break;
       }
       if (out.size() >= most) {
         more = true;
         break;
       }
-      out.add(row(e.getKey(), e.getValue()));
+      out.add(row(entry.getKey(), entry.getValue()));
     }
-    return json(200, o.put("more", more).put("epoch", epoch));
+    return json(200, object.put("more", more).put("epoch", epoch));
   }
 
   private boolean tooOld(long since) {
-    int n = changes.size();
+    int count = changes.size();
     return since < forgotten
-        || n > shape.changesKept() && changes.get(n - shape.changesKept()).stamp > since;
+        || count > shape.changesKept() && changes.get(count - shape.changesKept()).stamp > since;
   }
 
   /** Index of the first change after a moment. */
@@ -330,25 +330,25 @@
     if (tooOld(since)) {
       return json(410, Json.object());
     }
-    ObjectNode o = Json.object().put("epoch", epoch);
-    ArrayNode out = o.putArray("news");
-    for (Change c : changes.subList(firstAfter(since), changes.size())) {
-      if (c.key.startsWith(prefix)) {
-        ObjectNode n = out.addObject().put("stamp", c.stamp);
-        if (c.value == null) {
-          n.put("remove", c.key);
+    ObjectNode object = Json.object().put("epoch", epoch);
+    ArrayNode out = object.putArray("news");
+    for (Change change : changes.subList(firstAfter(since), changes.size())) {
+      if (change.key.startsWith(prefix)) {
+        ObjectNode n = out.addObject().put("stamp", change.stamp);
+        if (change.value == null) {
+          n.put("remove", change.key);
         } else {
-          n.put("put", c.key).set("value", c.value);
+          n.put("put", change.key).set("value", change.value);
         }
       }
     }
-    return json(200, o);
+    return json(200, object);
   }
 
-  private static ObjectNode row(String key, Row r) {
-    ObjectNode o = Json.object().put("k", key).put("stamp", r.stamp);
-    o.set("value", r.value);
-    return o;
+  private static ObjectNode row(String key, Row row) {
+    ObjectNode object = Json.object().put("k", key).put("stamp", row.stamp);
+    object.set("value", row.value);
+    return object;
   }
 
   static String query(String path, String name) {
--- a/src/main/java/dapplestair/emulator/EmulatedTask.java
+++ b/src/main/java/dapplestair/emulator/EmulatedTask.java
@@ -95,13 +95,13 @@
   }
 
   ObjectNode toJson() {
-    ObjectNode o = Json.object().put("step", key).put("try", attempt).put("status", status);
+    ObjectNode object = Json.object().put("step", key).put("try", attempt).put("status", status);
     if (cause != null) {
-      o.put("cause", cause);
+      object.put("cause", cause);
     }
     if (stored) {
-      o.put("stored", true);
+      object.put("stored", true);
     }
-    return o;
+    return object;
   }
 }
