--- a/src/main/java/dapplestair/emulator/EmulatedWorker.java
+++ b/src/main/java/dapplestair/emulator/EmulatedWorker.java
@@ -12,7 +12,7 @@
  * orders executed by {@link TaskRunner}; this class boots and ends it, checks its lease and answers
  * the controllers' direct requests.
  */
-public final class EmulatedWorker implements Place {
+public final class EmulatedWorker implements RequestHandler {
   private static final long LEASE_CHECK_MS = 200;
 
   private final Surroundings world;
@@ -23,7 +23,7 @@
   private final boolean spot;
   private final MachineCondition condition;
   private final WorkerSession session;
-  private final EmulatedSteward steward;
+  private final ControllerSelector selector;
   private final ReportSender reports;
   private final TaskRunner tasks;
   private String endpoint;
@@ -46,8 +46,8 @@
     this.spot = spot;
     this.condition = new MachineCondition(world);
     this.session = new WorkerSession(world, shape.leaseMs());
-    this.steward = new EmulatedSteward(cloud);
-    this.reports = new ReportSender(world, this, condition, session, steward, shape.reportMs());
+    this.selector = new ControllerSelector(cloud);
+    this.reports = new ReportSender(world, this, condition, session, selector, shape.reportMs());
     this.tasks = new TaskRunner(world, cloud, this, type, condition, session, reports::report);
     this.endpoint = world.address(id);
   }
@@ -112,7 +112,7 @@
   void boot() {
     booted = true;
     session.startLease();
-    steward.any(world);
+    selector.any(world);
     world.open(
         id,
         this,
@@ -138,7 +138,7 @@
 
   /** It stops executing for a while; its lease goes on. */
   public void hang(long ms) {
-    condition.hang(ms, this::checkLease, () -> cloud.witness().resumed(this));
+    condition.hang(ms, this::checkLease, () -> cloud.observer().resumed(this));
   }
 
   /** As {@link #hang}, and its tasks stay on it past its lease: it kills them when it goes on. */
--- a/src/main/java/dapplestair/emulator/ReportSender.java
+++ b/src/main/java/dapplestair/emulator/ReportSender.java
@@ -14,7 +14,7 @@
   private final EmulatedWorker worker;
   private final MachineCondition condition;
   private final WorkerSession session;
-  private final EmulatedSteward steward;
+  private final ControllerSelector selector;
   private final long reportMs;
   private boolean reporting;
 
@@ -23,13 +23,13 @@
       EmulatedWorker worker,
       MachineCondition condition,
       WorkerSession session,
-      EmulatedSteward steward,
+      ControllerSelector selector,
       long reportMs) {
     this.world = world;
     this.worker = worker;
     this.condition = condition;
     this.session = session;
-    this.steward = steward;
+    this.selector = selector;
     this.reportMs = reportMs;
   }
 
@@ -47,7 +47,7 @@
     if (condition.gone() || condition.hanging() || reporting) {
       return;
     }
-    String controller = steward.endpoint();
+    String controller = selector.endpoint();
     if (controller == null) {
       return;
     }
@@ -110,10 +110,10 @@
 
   private void redirected(HttpReply reply) {
     String named = reply.status() == 421 ? Json.text(Json.parse(reply.body()), "steward") : null;
-    if (steward.named(named)) {
+    if (selector.named(named)) {
       world.after(world.between(0, LEAST_PAUSE_MS), this::report);
     } else {
-      steward.next();
+      selector.next();
       world.after(NEXT_CONTROLLER_MS, this::report);
     }
   }
--- a/src/main/java/dapplestair/emulator/Shape.java
+++ b/src/main/java/dapplestair/emulator/Shape.java
@@ -71,8 +71,8 @@
     public static final List<String> FIELDS = List.of("vcpus", "memoryGb", "accelerators");
 
     /** True when one more task has room beside these; what has exited holds none. */
-    boolean fits(EmulatedTask t, Collection<EmulatedTask> others) {
-      return FIELDS.stream().allMatch(f -> t.amount(f) <= free(others, f) + 1e-9);
+    boolean fits(EmulatedTask emulatedTask, Collection<EmulatedTask> others) {
+      return FIELDS.stream().allMatch(f -> emulatedTask.amount(f) <= free(others, f) + 1e-9);
     }
 
     /** What tasks leave of the amount in this field of a submission; what has exited holds none. */
--- a/src/main/java/dapplestair/emulator/Surroundings.java
+++ b/src/main/java/dapplestair/emulator/Surroundings.java
@@ -22,7 +22,7 @@
   String address(String name);
 
   /** Puts a place under an address; {@code opened} is told which, soon. */
-  void open(String name, Place place, Consumer<String> opened);
+  void open(String name, RequestHandler place, Consumer<String> opened);
 
   /** The machine of this name is gone for good: it is silent, and its address is not used again. */
   void silence(String name);
--- a/src/main/java/dapplestair/emulator/Witness.java
+++ b/src/main/java/dapplestair/emulator/TaskObserver.java
@@ -1,7 +1,7 @@
 package dapplestair.emulator;
 
 /** Sees what truly happens on machines. */
-public interface Witness {
+public interface TaskObserver {
   /** A task runs from now on. */
   void started(EmulatedWorker worker, EmulatedTask task);
 
@@ -18,8 +18,8 @@
   default void resumed(EmulatedWorker worker) {}
 
   /** A witness that looks away. */
-  static Witness none() {
-    return new Witness() {
+  static TaskObserver none() {
+    return new TaskObserver() {
       @Override
       public void started(EmulatedWorker worker, EmulatedTask task) {}
 
--- a/src/main/java/dapplestair/emulator/TaskRunner.java
+++ b/src/main/java/dapplestair/emulator/TaskRunner.java
@@ -86,11 +86,11 @@
     if (!saves || windDownS < saveS) {
       keepCheckpoints(task);
       task.exit("stopped");
-      cloud.witness().stopped(worker, task);
+      cloud.observer().stopped(worker, task);
       return;
     }
     task.status = "flushing";
-    cloud.witness().stopped(worker, task);
+    cloud.observer().stopped(worker, task);
     double ranS = task.ranS(world.now());
     long startedIn = session.number();
     world.after(Math.round(1000 * saveS), () -> saved(task, ranS, startedIn));
@@ -146,7 +146,7 @@
     }
     task.status = "running";
     task.runsSince = world.now();
-    cloud.witness().started(worker, task);
+    cloud.observer().started(worker, task);
     if (condition.failing()) {
       world.after(LEAST_RUN_MS, () -> finish(task, "error", startedIn));
     } else if (task.mistaken()) {
@@ -173,7 +173,7 @@
       return;
     }
     if (cause.equals("done")) {
-      cloud.witness().completed(task.key());
+      cloud.observer().completed(task.key());
       cloud.forget(task.key());
     }
     task.exit(cause);
--- a/src/main/java/dapplestair/events/EventLog.java
+++ b/src/main/java/dapplestair/events/EventLog.java
@@ -46,16 +46,16 @@
 
   @Override
   public void note(Kind kind, Consumer<ObjectNode> fields) {
-    ObjectNode o =
+    ObjectNode object =
         Json.object().put("id", ++last).put("at", clock.wall()).put("kind", kind.shown());
-    fields.accept(o);
+    fields.accept(object);
     if (LOG.isDebugEnabled()) {
-      say(o);
+      say(object);
     }
     if (kept.size() == MOST_KEPT) {
       kept.poll();
     }
-    kept.add(new Event(last, o));
+    kept.add(new Event(last, object));
     if (!waiting.isEmpty()) {
       List<Runnable> wake = List.copyOf(waiting);
       waiting.clear();
@@ -64,9 +64,9 @@
   }
 
   /** A line with fields, for logs that are read by programs. */
-  private static void say(ObjectNode o) {
+  private static void say(ObjectNode object) {
     LoggingEventBuilder line = LOG.atDebug();
-    o.fields().forEachRemaining(f -> line.addKeyValue(f.getKey(), f.getValue().asText()));
+    object.fields().forEachRemaining(f -> line.addKeyValue(f.getKey(), f.getValue().asText()));
     line.log("event");
   }
 
@@ -74,11 +74,11 @@
   public Iterable<Event> after(long number) {
     List<Event> out = new ArrayList<>();
     for (var it = kept.descendingIterator(); it.hasNext(); ) {
-      Event e = it.next();
-      if (e.number() <= number) {
+      Event event = it.next();
+      if (event.number() <= number) {
         break;
       }
-      out.add(e);
+      out.add(event);
     }
     java.util.Collections.reverse(out);
     return out;
--- a/src/main/java/dapplestair/filter/Compiler.java
+++ b/src/main/java/dapplestair/filter/Compiler.java
@@ -82,30 +82,30 @@
     return type;
   }
 
-  private static Object value(Schema.Type type, FilterParser.ValueContext v) {
-    Token t = v.getStart();
-    String text = t.getText();
+  private static Object value(Schema.Type type, FilterParser.ValueContext valueContext) {
+    Token token = valueContext.getStart();
+    String text = token.getText();
     return switch (type) {
       case TEXT -> {
-        if (v.TEXT() == null) {
+        if (valueContext.TEXT() == null) {
           yield text;
         }
         yield text.substring(1, text.length() - 1).replaceAll("\\\\(.)", "$1");
       }
       case NUMBER -> {
-        if (v.NUMBER() != null) {
+        if (valueContext.NUMBER() != null) {
           yield Double.parseDouble(text);
         }
-        if (v.DURATION() != null) {
+        if (valueContext.DURATION() != null) {
           yield seconds(text);
         }
-        throw mistake(t, "a number is wanted here, such as 3 or 30s");
+        throw mistake(token, "a number is wanted here, such as 3 or 30s");
       }
       case FLAG -> {
         if (text.equals("true") || text.equals("false")) {
           yield Boolean.valueOf(text);
         }
-        throw mistake(t, "true or false is wanted here");
+        throw mistake(token, "true or false is wanted here");
       }
     };
   }
--- a/src/main/java/dapplestair/filter/Filter.java
+++ b/src/main/java/dapplestair/filter/Filter.java
@@ -42,8 +42,8 @@
     try {
       return new Compiler(schema).visit(parser.filter());
     } catch (ParseCancellationException e) {
-      if (e.getCause() instanceof FilterException f) {
-        throw f;
+      if (e.getCause() instanceof FilterException filterException) {
+        throw filterException;
       }
       throw e;
     }
--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -12,7 +12,7 @@
 import dapplestair.ports.Clock;
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
-import dapplestair.silence.Patience;
+import dapplestair.silence.SilenceTimeouts;
 import dapplestair.state.Keys;
 import dapplestair.state.StateClient;
 import dapplestair.state.StateClient.Priority;
@@ -39,11 +39,11 @@
   private final CloudClient cloud;
   private final Market market;
   private final Rentals rentals;
-  private final Stock stock;
+  private final FleetCapacity capacity;
   private final Supply supply;
   private final Releases releases;
   private final MachineList list;
-  private final Lookout lookout;
+  private final MachineHealthMonitor healthMonitor;
   private boolean leading;
   private long typesStamp;
   private long typesAt = Long.MIN_VALUE / 2;
@@ -71,7 +71,7 @@
     this.types = types;
     this.desk = desk;
     market = new Market(clock);
-    Patience patience = new Patience(settings);
+    SilenceTimeouts timeouts = new SilenceTimeouts(settings);
     rentals =
         new Rentals(
             clock,
@@ -85,19 +85,19 @@
             events,
             this::open,
             this::refused);
-    stock = new Stock(clock, desk, rentals, patience);
+    capacity = new FleetCapacity(clock, desk, rentals, timeouts);
     supply =
         new Supply(
             clock,
             types,
             events,
             5 * settings.workers().reportMs(),
-            stock::holding,
-            stock::staying);
+            capacity::holding,
+            capacity::staying);
     supply.closeZones(z -> desk.zoneSilentMs(z) > 0);
     releases = new Releases(desk, cloud, events);
-    lookout =
-        new Lookout(
+    healthMonitor =
+        new MachineHealthMonitor(
             clock,
             settings,
             state,
@@ -105,21 +105,21 @@
             desk,
             releases,
             market,
-            patience,
+            timeouts,
             supply,
             disruption::givenUp,
             events);
-    list = new MachineList(clock, settings, types, desk, cloud, lookout);
+    list = new MachineList(clock, settings, types, desk, cloud, healthMonitor);
   }
 
-  private boolean open(Place place) {
-    return supply.open(place);
+  private boolean open(CapacityPool pool) {
+    return supply.open(pool);
   }
 
-  private void refused(Place place) {
-    if (supply.refuse(place)) {
+  private void refused(CapacityPool pool) {
+    if (supply.refuse(pool)) {
       // What is wanted must come from elsewhere: a plan that knows, not the next one in its turn.
-      lookout.roomLost();
+      healthMonitor.roomLost();
     }
   }
 
@@ -134,7 +134,7 @@
    * of room that is lost.
    */
   public void weigh(DoubleSupplier waitingCpus, Runnable roomLost) {
-    lookout.weigh(waitingCpus, roomLost);
+    healthMonitor.weigh(waitingCpus, roomLost);
   }
 
   // ---- what the replica says ----
@@ -162,7 +162,7 @@
   /** Takes over the machines that earlier terms rented. */
   public void lead() {
     leading = true;
-    lookout.lead(list);
+    healthMonitor.lead(list);
     releases.lead();
     rentals.lead();
     tick();
@@ -186,7 +186,7 @@
       askTypes();
     }
     list.refresh();
-    lookout.look();
+    healthMonitor.look();
     releases.send();
     rentals.forget();
     timer = timers.after(settings.workers().reportMs() / 8, this::tick);
@@ -233,29 +233,29 @@
   // ---- returning and renting ----
 
   /** Returns an idle machine; false when something holds room on it. */
-  public boolean release(Host h) {
-    if (!h.idle() || h.releasing() || !lookout.mayJudge()) {
+  public boolean release(Host host) {
+    if (!host.idle() || host.releasing() || !healthMonitor.mayJudge()) {
       return false;
     }
-    releases.add(h);
+    releases.add(host);
     return true;
   }
 
   /** Rents up to {@code count} more, spread over the zones that still have some. */
   public void rent(Slot slot, int count) {
-    MachineType t = types.get(slot.type());
-    if (t == null || !leading) {
+    MachineType type = types.get(slot.type());
+    if (type == null || !leading) {
       return;
     }
     supply
-        .spread(slot, t, count)
+        .spread(slot, type, count)
         .forEach(
-            (place, n) -> {
+            (pool, n) -> {
               // Where the cloud has refused lately one lot tells whether it has more again: each
               // is a put before the cloud is asked.
-              int most = supply.refusedBefore(place) ? Math.min(n, MOST_PER_RENTAL) : n;
+              int most = supply.refusedBefore(pool) ? Math.min(n, MOST_PER_RENTAL) : n;
               for (int left = most; left > 0; left -= MOST_PER_RENTAL) {
-                rentals.begin(place, Math.min(left, MOST_PER_RENTAL));
+                rentals.begin(pool, Math.min(left, MOST_PER_RENTAL));
               }
             });
   }
@@ -265,25 +265,25 @@
     if (!leading || !mayRentIn(slot, zone)) {
       return false;
     }
-    rentals.begin(new Place(slot, zone), 1);
+    rentals.begin(new CapacityPool(slot, zone), 1);
     return true;
   }
 
   /** Rents up to {@code count} more in this zone, at most one lot. */
   public void rentIn(Slot slot, String zone, int count) {
     if (leading && count > 0 && mayRentIn(slot, zone)) {
-      rentals.begin(new Place(slot, zone), Math.min(count, MOST_PER_RENTAL));
+      rentals.begin(new CapacityPool(slot, zone), Math.min(count, MOST_PER_RENTAL));
     }
   }
 
   /** True when the cloud may have more there, and something may be rented there. */
   public boolean mayRentIn(Slot slot, String zone) {
-    return supply.mayRent(new Place(slot, zone));
+    return supply.mayRent(new CapacityPool(slot, zone));
   }
 
   /** Machines asked for in this zone of which the cloud has not told yet. */
   public int pendingIn(Slot slot, String zone) {
-    return rentals.pending(new Place(slot, zone));
+    return rentals.pending(new CapacityPool(slot, zone));
   }
 
   /** A machine that no list has shown for so long is not there; milliseconds. */
@@ -295,12 +295,12 @@
 
   /** Machines of a slot that are or will be of use. */
   public int holding(Slot slot) {
-    return stock.holding(slot);
+    return capacity.holding(slot);
   }
 
   /** True when a machine is, or will be, of use in this slot. */
-  public boolean counts(Host h, Slot slot) {
-    return stock.counts(h, slot);
+  public boolean counts(Host host, Slot slot) {
+    return capacity.counts(host, slot);
   }
 
   /** Most machines of a slot that the cloud has shown to give, or {@code otherwise}. */
@@ -313,49 +313,53 @@
    * in the zones that are spared.
    */
   public void cordon(Slot slot, int count, Predicate<String> spared) {
-    stock.cordon(slot, count, spared);
+    capacity.cordon(slot, count, spared);
   }
 
   /** Idle machines of a slot that may be returned now, those idle longest first. */
   public List<Host> returnable(Slot slot) {
-    return stock.returnable(slot);
+    return capacity.returnable(slot);
   }
 
   /** What is on its way for a job, and what the cloud refused. */
-  public Prospects prospects(Submission s) {
+  public Prospects prospects(Submission submission) {
     long now = clock.now();
     int booting = 0;
     double next = -1;
-    for (Host h : desk.hosts()) {
-      if (!h.up() && !h.gone() && !h.releasing() && !h.drained() && h.allowed(s)) {
+    for (Host host : desk.hosts()) {
+      if (!host.up()
+          && !host.gone()
+          && !host.releasing()
+          && !host.drained()
+          && host.allowed(submission)) {
         booting++;
-        double due = Math.max(0, h.type().bootS() - Math.max(0, now - h.rentedAt()) / 1000.0);
+        double due = Math.max(0, host.type().bootS() - Math.max(0, now - host.rentedAt()) / 1000.0);
         next = next < 0 ? due : Math.min(next, due);
       }
     }
-    for (Rental r : rentals.all()) {
-      if (r.pending() && suits(s, r.place)) {
-        booting += r.count;
-        double due = types.get(r.place.slot().type()).bootS();
+    for (Rental rental : rentals.all()) {
+      if (rental.pending() && suits(submission, rental.pool)) {
+        booting += rental.count;
+        double due = types.get(rental.pool.slot().type()).bootS();
         next = next < 0 ? due : Math.min(next, due);
       }
     }
     List<Prospects.Refusal> refusals = new ArrayList<>();
     supply.refusals(
         (p, againS) -> {
-          if (suits(s, p)) {
+          if (suits(submission, p)) {
             refusals.add(new Prospects.Refusal(p.slot().type(), p.zone(), p.slot().spot(), againS));
           }
         });
     return new Prospects(booting, next, refusals);
   }
 
-  private boolean suits(Submission s, Place p) {
-    MachineType t = types.get(p.slot().type());
-    return t != null
-        && t.suits(s)
-        && (s.spot() || !p.slot().spot())
-        && (s.zone() == null || s.zone().equals(p.zone()));
+  private boolean suits(Submission submission, CapacityPool capacityPool) {
+    MachineType type = types.get(capacityPool.slot().type());
+    return type != null
+        && type.suits(submission)
+        && (submission.spot() || !capacityPool.slot().spot())
+        && (submission.zone() == null || submission.zone().equals(capacityPool.zone()));
   }
 
   @Override
--- a/src/main/java/dapplestair/fleet/Stock.java
+++ b/src/main/java/dapplestair/fleet/FleetCapacity.java
@@ -1,7 +1,7 @@
 package dapplestair.fleet;
 
 import dapplestair.ports.Clock;
-import dapplestair.silence.Patience;
+import dapplestair.silence.SilenceTimeouts;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import java.util.ArrayList;
@@ -10,82 +10,82 @@
 import java.util.function.Predicate;
 
 /** The machines that are held or on their way, by slot and zone. */
-final class Stock {
+final class FleetCapacity {
   /** The shortest time a machine is charged for, from the cloud's description. */
   private static final long CHARGED_MS = 60_000;
 
   private final Clock clock;
   private final WorkerDesk desk;
   private final Rentals rentals;
-  private final Patience patience;
+  private final SilenceTimeouts timeouts;
 
-  Stock(Clock clock, WorkerDesk desk, Rentals rentals, Patience patience) {
+  FleetCapacity(Clock clock, WorkerDesk desk, Rentals rentals, SilenceTimeouts timeouts) {
     this.clock = clock;
     this.desk = desk;
     this.rentals = rentals;
-    this.patience = patience;
+    this.timeouts = timeouts;
   }
 
   /** True when a machine is, or will be, of use in this slot. */
-  boolean counts(Host h, Slot slot) {
-    return !h.gone()
-        && !h.releasing()
-        && !h.draining()
-        && !h.drained()
-        && !h.recalled()
-        && awaited(h)
-        && h.type() != null
-        && h.type().name().equals(slot.type())
-        && h.spot() == slot.spot();
+  boolean counts(Host host, Slot slot) {
+    return !host.gone()
+        && !host.releasing()
+        && !host.draining()
+        && !host.drained()
+        && !host.recalled()
+        && awaited(host)
+        && host.type() != null
+        && host.type().name().equals(slot.type())
+        && host.spot() == slot.spot();
   }
 
   /**
    * Machines that hang, or of a silent zone, are waited for, so that nothing is rented in their
    * place; but the replicas on them will be lost first, and room for those must boot in time.
    */
-  private boolean awaited(Host h) {
+  private boolean awaited(Host host) {
     // What runs on a mute machine will be lost with its lease, so others are rented in time. If
     // nobody reports at all, new ones could not either.
-    if (h.mute() && desk.anyReports()) {
+    if (host.mute() && desk.anyReports()) {
       return false;
     }
-    if (h.zoneSilentMs() == 0 && !h.hanging()) {
-      return !h.outOfReach();
+    if (host.zoneSilentMs() == 0 && !host.hanging()) {
+      return !host.outOfReach();
     }
-    return h.serviceCpus() == 0 || desk.silentMs(h) < patience.prepareAfterMs();
+    return host.serviceCpus() == 0 || desk.silentMs(host) < timeouts.prepareAfterMs();
   }
 
   int holding(Slot slot) {
-    int n = 0;
-    for (Host h : desk.hosts()) {
-      if (counts(h, slot)) {
-        n++;
+    int count = 0;
+    for (Host host : desk.hosts()) {
+      if (counts(host, slot)) {
+        count++;
       }
     }
-    return n + rentals.pending(slot);
+    return count + rentals.pending(slot);
   }
 
   /** The same without machines that are about to be replaced: new ones go where those leave. */
-  int staying(Place place) {
-    int n = 0;
-    for (Host h : desk.hosts()) {
-      if (h.leavesAt() == Long.MAX_VALUE
-          && counts(h, place.slot())
-          && place.zone().equals(h.zone())) {
-        n++;
+  int staying(CapacityPool pool) {
+    int count = 0;
+    for (Host host : desk.hosts()) {
+      if (host.leavesAt() == Long.MAX_VALUE
+          && counts(host, pool.slot())
+          && pool.zone().equals(host.zone())) {
+        count++;
       }
     }
-    return n + rentals.pending(place);
+    return count + rentals.pending(pool);
   }
 
-  int holding(Place place) {
-    int n = 0;
-    for (Host h : desk.hosts()) {
-      if (counts(h, place.slot()) && place.zone().equals(h.zone())) {
-        n++;
+  int holding(CapacityPool pool) {
+    int count = 0;
+    for (Host host : desk.hosts()) {
+      if (counts(host, pool.slot()) && pool.zone().equals(host.zone())) {
+        count++;
       }
     }
-    return n + rentals.pending(place);
+    return count + rentals.pending(pool);
   }
 
   /**
@@ -118,11 +118,11 @@
   List<Host> returnable(Slot slot) {
     long now = clock.now();
     List<Host> out = new ArrayList<>();
-    for (Host h : desk.hosts()) {
+    for (Host host : desk.hosts()) {
       // What a silent machine does is not known.
-      boolean idle = h.up() && h.idle() && h.zoneSilentMs() == 0 && !h.hanging();
-      if (idle && counts(h, slot) && now - h.rentedAt() >= CHARGED_MS) {
-        out.add(h);
+      boolean idle = host.up() && host.idle() && host.zoneSilentMs() == 0 && !host.hanging();
+      if (idle && counts(host, slot) && now - host.rentedAt() >= CHARGED_MS) {
+        out.add(host);
       }
     }
     out.sort(Comparator.comparingLong(Host::idleSince));
--- a/src/main/java/dapplestair/fleet/Lookout.java
+++ b/src/main/java/dapplestair/fleet/MachineHealthMonitor.java
@@ -7,7 +7,7 @@
 import dapplestair.machines.MachineTypes;
 import dapplestair.ports.Clock;
 import dapplestair.settings.Settings;
-import dapplestair.silence.Patience;
+import dapplestair.silence.SilenceTimeouts;
 import dapplestair.state.StateClient;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
@@ -22,8 +22,8 @@
 /**
  * Which machines are given up: lost, late, silent, emptied, or with work that cannot be stopped.
  */
-final class Lookout implements MachineList.Listener {
-  private static final Logger LOG = LoggerFactory.getLogger(Lookout.class);
+final class MachineHealthMonitor implements MachineList.Listener {
+  private static final Logger LOG = LoggerFactory.getLogger(MachineHealthMonitor.class);
 
   // Usual boots take up to 1.5 times the stated time, and a bad day nearly doubles that.
   private static final double BOOT_OVERDUE = 3.0;
@@ -35,7 +35,7 @@
   private final WorkerDesk desk;
   private final Releases releases;
   private final Market market;
-  private final Patience patience;
+  private final SilenceTimeouts timeouts;
   private final Supply supply;
   private final Consumer<Host> debit;
   private DoubleSupplier waitingCpus = () -> 0;
@@ -50,7 +50,7 @@
   private double freeCpus;
   private long leadingSince;
 
-  Lookout(
+  MachineHealthMonitor(
       Clock clock,
       Settings settings,
       StateClient state,
@@ -58,7 +58,7 @@
       WorkerDesk desk,
       Releases releases,
       Market market,
-      Patience patience,
+      SilenceTimeouts timeouts,
       Supply supply,
       Consumer<Host> debit,
       Events events) {
@@ -69,7 +69,7 @@
     this.desk = desk;
     this.releases = releases;
     this.market = market;
-    this.patience = patience;
+    this.timeouts = timeouts;
     this.supply = supply;
     this.debit = debit;
     this.events = events;
@@ -97,45 +97,45 @@
     anyFresh = false;
     boolean anyAwaited = false;
     expectedUp.clear();
-    for (Host h : desk.hosts()) {
-      anyFresh |= desk.fresh(h);
-      anyAwaited |= h.zoneSilentMs() > 0;
-      prepare(h);
-      if (h.expectedUp()) {
-        expectedUp.add(String.valueOf(h.zone()));
+    for (Host host : desk.hosts()) {
+      anyFresh |= desk.fresh(host);
+      anyAwaited |= host.zoneSilentMs() > 0;
+      prepare(host);
+      if (host.expectedUp()) {
+        expectedUp.add(String.valueOf(host.zone()));
       }
     }
     freeCpus = anyAwaited ? freeCpus() : 0;
-    for (Host h : List.copyOf(desk.hosts())) {
-      inspect(h, now);
+    for (Host host : List.copyOf(desk.hosts())) {
+      inspect(host, now);
     }
   }
 
   @Override
-  public void failed(Host h) {
-    LOG.info("{} has failed", h.id());
-    lost(h, "failed");
-    desk.gone(h);
-    releases.addGone(h.id());
+  public void failed(Host host) {
+    LOG.info("{} has failed", host.id());
+    lost(host, "failed");
+    desk.gone(host);
+    releases.addGone(host.id());
   }
 
   @Override
-  public void taken(Host h) {
-    LOG.info("{} was taken", h.id());
-    lost(h, "taken by the cloud");
-    market.noteTaken(h);
-    desk.gone(h);
+  public void taken(Host host) {
+    LOG.info("{} was taken", host.id());
+    lost(host, "taken by the cloud");
+    market.noteTaken(host);
+    desk.gone(host);
   }
 
-  private void inspect(Host h, long now) {
-    if (h.releasing()) {
+  private void inspect(Host host, long now) {
+    if (host.releasing()) {
       return;
     }
-    if (unstoppable(h, now)) {
-      LOG.info("{} still holds withdrawn work: returning it", h.id());
-      giveUp(h);
+    if (unstoppable(host, now)) {
+      LOG.info("{} still holds cancelled work: returning it", host.id());
+      giveUp(host);
     } else if (mayJudge()) {
-      judge(h, now);
+      judge(host, now);
     }
   }
 
@@ -148,38 +148,38 @@
     return state.unreachableMs() == 0;
   }
 
-  private void judge(Host h, long now) {
-    if (desk.saidGone(h)) {
-      LOG.info("{} was returned by the leader before: once more", h.id());
-      releases.add(h);
-    } else if (h.outOfReach() && givenUp(h)) {
-      LOG.info("{} is silent: returning it", h.id());
-      lost(h, "silent");
-      market.noteTaken(h);
-      giveUp(h);
-    } else if (!h.expectedUp() && bootOverdue(h, now)) {
-      LOG.info("{} does not come up: returning it", h.id());
-      lost(h, "does not come up");
-      releases.add(h);
-    } else if (neverListed(h, now)) {
-      LOG.info("{} is recorded but not listed: returning it", h.id());
-      releases.add(h);
-    } else if ((h.draining() || h.recalled()) && h.idle() && h.attempts().isEmpty()) {
-      market.noteTaken(h);
-      releases.add(h);
+  private void judge(Host host, long now) {
+    if (desk.saidGone(host)) {
+      LOG.info("{} was returned by the leader before: once more", host.id());
+      releases.add(host);
+    } else if (host.outOfReach() && givenUp(host)) {
+      LOG.info("{} is silent: returning it", host.id());
+      lost(host, "silent");
+      market.noteTaken(host);
+      giveUp(host);
+    } else if (!host.expectedUp() && bootOverdue(host, now)) {
+      LOG.info("{} does not come up: returning it", host.id());
+      lost(host, "does not come up");
+      releases.add(host);
+    } else if (neverListed(host, now)) {
+      LOG.info("{} is recorded but not listed: returning it", host.id());
+      releases.add(host);
+    } else if ((host.draining() || host.recalled()) && host.idle() && host.attempts().isEmpty()) {
+      market.noteTaken(host);
+      releases.add(host);
     }
   }
 
   /**
    * A silent machine is given up while its zone is heard, unless it hangs: then its tasks may go on
    * within its lease. If a whole zone is silent, it is rather the way there that is cut, and its
-   * tasks run on. Both are waited for as {@link Patience} says.
+   * tasks run on. Both are waited for as {@link SilenceTimeouts} says.
    */
   private boolean givenUp(Host silent) {
     boolean replicas = silent.serviceCpus() > 0;
     double bootS = types.bootS(silent.type());
     if (desk.zoneHeard(silent)) {
-      return !silent.hanging() || patience.hangsTooLong(desk.silentMs(silent), replicas, bootS);
+      return !silent.hanging() || timeouts.hangsTooLong(desk.silentMs(silent), replicas, bootS);
     }
     if (!anyFresh) {
       return false;
@@ -189,7 +189,7 @@
     }
     boolean room = !replicas && silent.cpusUsed() > 0 && silent.cpusUsed() <= freeCpus;
     boolean givenUp =
-        patience.givenUp(
+        timeouts.givenUp(
             silent.zone(),
             desk.silentMs(silent),
             replicas,
@@ -203,11 +203,11 @@
   }
 
   /** Once for each silence of a zone, as soon as its machines with replicas count as lost. */
-  private void prepare(Host h) {
-    if (h.zoneSilentMs() == 0) {
-      prepared.remove(String.valueOf(h.zone()));
-    } else if (h.zoneSilentMs() >= patience.prepareAfterMs()
-        && prepared.add(String.valueOf(h.zone()))) {
+  private void prepare(Host host) {
+    if (host.zoneSilentMs() == 0) {
+      prepared.remove(String.valueOf(host.zone()));
+    } else if (host.zoneSilentMs() >= timeouts.prepareAfterMs()
+        && prepared.add(String.valueOf(host.zone()))) {
       roomLost.run();
     }
   }
@@ -215,8 +215,8 @@
   /** Room that is free now and that nothing waits for. */
   private double freeCpus() {
     double free = -waitingCpus.getAsDouble();
-    for (Host h : desk.hosts()) {
-      free += !h.closed() && desk.fresh(h) ? Math.max(0, h.cpusFree()) : 0;
+    for (Host host : desk.hosts()) {
+      free += !host.closed() && desk.fresh(host) ? Math.max(0, host.cpusFree()) : 0;
     }
     return free;
   }
@@ -225,21 +225,21 @@
    * Only for machines that no list calls running. To a leader that has just begun, every machine is
    * one that it has not heard yet: those that run must not be taken for late ones.
    */
-  private boolean bootOverdue(Host h, long now) {
+  private boolean bootOverdue(Host host, long now) {
     // In a silent zone it may be up, and cannot say so.
-    if (h.firstListedAt() == Long.MAX_VALUE
+    if (host.firstListedAt() == Long.MAX_VALUE
         || now - leadingSince < list.longestLag()
-        || h.zoneSilentMs() > 0) {
+        || host.zoneSilentMs() > 0) {
       return false;
     }
-    double boot = types.bootS(h.type());
-    return now - h.rentedAt() > BOOT_OVERDUE * boot * 1000;
+    double boot = types.bootS(host.type());
+    return now - host.rentedAt() > BOOT_OVERDUE * boot * 1000;
   }
 
   /** What runs there ends with it: that cannot wait, and counts against its teams' budgets. */
-  private void giveUp(Host h) {
-    debit.accept(h);
-    releases.add(h);
+  private void giveUp(Host host) {
+    debit.accept(host);
+    releases.add(host);
   }
 
   /**
@@ -249,27 +249,27 @@
    * <p>Such a machine may have been heard all the same: a report that a cut held back arrives when
    * the machine has long been returned. Then it must not make its zone look silent for long.
    */
-  private boolean neverListed(Host h, long now) {
-    boolean ghost = h.up() && desk.silentMs(h) > 2 * settings.workers().reportMs();
-    return (!h.up() || ghost)
-        && h.firstListedAt() == Long.MAX_VALUE
-        && list.listedAt() - h.knownSince() > list.longestLag()
-        && now - Math.min(h.rentedAt(), h.knownSince()) > list.longestLag();
+  private boolean neverListed(Host host, long now) {
+    boolean ghost = host.up() && desk.silentMs(host) > 2 * settings.workers().reportMs();
+    return (!host.up() || ghost)
+        && host.firstListedAt() == Long.MAX_VALUE
+        && list.listedAt() - host.knownSince() > list.longestLag()
+        && now - Math.min(host.rentedAt(), host.knownSince()) > list.longestLag();
   }
 
-  /** Withdrawn work must be gone in time, reachable or not: a release is always a proof. */
-  private boolean unstoppable(Host h, long now) {
+  /** Cancelled work must be gone in time, reachable or not: a release is always a proof. */
+  private boolean unstoppable(Host host, long now) {
     // Behind a cut it may yet be proved otherwise, and a release would end all else there: half of
     // the time is left for the cloud's own troubles.
     long cancelMs = settings.workers().cancelMs();
-    long patience = cancelMs / (h.outOfReach() ? 2 : 4);
-    for (Attempt a : h.attempts()) {
-      if (a.job().over() && a.halting() && !a.exited()) {
-        long haltedMs = now - a.haltAt();
+    long timeouts = cancelMs / (host.outOfReach() ? 2 : 4);
+    for (Attempt attempt : host.attempts()) {
+      if (attempt.job().over() && attempt.halting() && !attempt.exited()) {
+        long haltedMs = now - attempt.haltAt();
         // The time allowed does not begin anew with each leader: of what an earlier one could not
         // stop either, this one only waits for an answer.
-        boolean late = now - a.job().overAt() > cancelMs / 2 && haltedMs > cancelMs / 16;
-        if (haltedMs > patience || late) {
+        boolean late = now - attempt.job().overAt() > cancelMs / 2 && haltedMs > cancelMs / 16;
+        if (haltedMs > timeouts || late) {
           return true;
         }
       }
@@ -277,10 +277,10 @@
     return false;
   }
 
-  private void lost(Host h, String why) {
+  private void lost(Host host, String why) {
     roomLost.run();
     events.note(
         Events.Kind.MACHINE_LOST,
-        o -> o.put("machine", h.id()).put("zone", h.zone()).put("reason", why));
+        o -> o.put("machine", host.id()).put("zone", host.zone()).put("reason", why));
   }
 }
--- a/src/main/java/dapplestair/fleet/MachineList.java
+++ b/src/main/java/dapplestair/fleet/MachineList.java
@@ -86,10 +86,10 @@
             return;
           }
           String last = from;
-          for (JsonNode n : body.get("hosts")) {
-            last = n.path("ref").asText();
+          for (JsonNode node : body.get("hosts")) {
+            last = node.path("ref").asText();
             seen.add(last);
-            listed(last, n);
+            listed(last, node);
           }
           if (Json.flag(body, "more") && last != null) {
             ask(last, askedAt, seen, gen);
@@ -105,27 +105,27 @@
     listedAt = clock.now();
   }
 
-  private void listed(String id, JsonNode n) {
+  private void listed(String id, JsonNode node) {
     if (desk.isGone(id)) {
       return;
     }
     long now = clock.now();
-    Host h = desk.host(id);
-    boolean addressed = h.addressed();
-    h.describe(
-        Json.text(n, "endpoint"),
-        types.get(n.path("hull").asText()),
-        n.path("basin").asText(),
-        Json.flag(n, "loaners"));
-    h.setRentedAt(now - Math.round(1000 * Json.decimal(n, "ageS", 0)));
-    h.listed(now);
-    String status = n.path("status").asText();
+    Host host = desk.host(id);
+    boolean addressed = host.addressed();
+    host.describe(
+        Json.text(node, "endpoint"),
+        types.get(node.path("hull").asText()),
+        node.path("basin").asText(),
+        Json.flag(node, "loaners"));
+    host.setRentedAt(now - Math.round(1000 * Json.decimal(node, "ageS", 0)));
+    host.listed(now);
+    String status = node.path("status").asText();
     if (status.equals("failed")) {
-      listener.failed(h);
+      listener.failed(host);
     } else if (status.equals("running")) {
-      h.saidUp();
+      host.saidUp();
       if (!addressed) {
-        desk.reach(h);
+        desk.reach(host);
       }
     }
   }
@@ -136,11 +136,11 @@
    */
   private void missing(long askedAt, Set<String> seen) {
     long longestLag = longestLag();
-    for (Host h : List.copyOf(desk.hosts())) {
-      if (!seen.contains(h.id())
-          && h.firstListedAt() != Long.MAX_VALUE
-          && askedAt - h.firstListedAt() > longestLag) {
-        listener.taken(h);
+    for (Host host : List.copyOf(desk.hosts())) {
+      if (!seen.contains(host.id())
+          && host.firstListedAt() != Long.MAX_VALUE
+          && askedAt - host.firstListedAt() > longestLag) {
+        listener.taken(host);
       }
     }
   }
--- a/src/main/java/dapplestair/fleet/Market.java
+++ b/src/main/java/dapplestair/fleet/Market.java
@@ -25,10 +25,10 @@
 
   void notePrices(Collection<MachineType> types) {
     long now = clock.now();
-    for (MachineType t : types) {
+    for (MachineType type : types) {
       ArrayDeque<Price> seen =
-          prices.computeIfAbsent(new Slot(t.name(), true), s -> new ArrayDeque<>());
-      seen.addLast(new Price(now, t.spotPrice()));
+          prices.computeIfAbsent(new Slot(type.name(), true), s -> new ArrayDeque<>());
+      seen.addLast(new Price(now, type.spotPrice()));
       while (seen.size() > 1 && seen.peekFirst().at() < now - PRICE_WINDOW_MS) {
         seen.removeFirst();
       }
@@ -41,17 +41,17 @@
       return type.price();
     }
     double highest = type.spotPrice();
-    for (Price p : prices.getOrDefault(new Slot(type.name(), true), new ArrayDeque<>())) {
-      highest = Math.max(highest, p.perHour());
+    for (Price price : prices.getOrDefault(new Slot(type.name(), true), new ArrayDeque<>())) {
+      highest = Math.max(highest, price.perHour());
     }
     return highest;
   }
 
   /** A machine that may be taken was taken, or has been given notice. */
-  void noteTaken(Host h) {
-    if (h.spot() && h.type() != null) {
+  void noteTaken(Host host) {
+    if (host.spot() && host.type() != null) {
       takenAt
-          .computeIfAbsent(new Slot(h.type().name(), true), s -> new ArrayDeque<>())
+          .computeIfAbsent(new Slot(host.type().name(), true), s -> new ArrayDeque<>())
           .addLast(clock.now());
     }
   }
--- a/src/main/java/dapplestair/fleet/Releases.java
+++ b/src/main/java/dapplestair/fleet/Releases.java
@@ -43,9 +43,9 @@
   }
 
   /** Returns a machine, whatever is on it. */
-  void add(Host h) {
-    h.setReleasing(true);
-    (h.serviceCpus() > 0 ? urgent : waiting).add(h.id());
+  void add(Host host) {
+    host.setReleasing(true);
+    (host.serviceCpus() > 0 ? urgent : waiting).add(host.id());
   }
 
   /** Takes a machine that is gone already off the cloud's list. */
@@ -75,11 +75,11 @@
   private void returned(String id) {
     urgent.remove(id);
     waiting.remove(id);
-    Host h = desk.known(id);
-    if (h != null) {
+    Host host = desk.known(id);
+    if (host != null) {
       LOG.debug("{} is returned", id);
-      events.note(Events.Kind.RETURNED, o -> o.put("machine", id).put("zone", h.zone()));
-      desk.gone(h);
+      events.note(Events.Kind.RETURNED, o -> o.put("machine", id).put("zone", host.zone()));
+      desk.gone(host);
     }
   }
 }
--- a/src/main/java/dapplestair/fleet/Rental.java
+++ b/src/main/java/dapplestair/fleet/Rental.java
@@ -10,7 +10,7 @@
 /** What was asked of the cloud under one name, and the machines had for it that still exist. */
 final class Rental {
   final String name;
-  final Place place;
+  final CapacityPool pool;
   final int count;
 
   /** Time of day at which it was asked for. */
@@ -29,9 +29,9 @@
 
   long writtenAt = Long.MIN_VALUE / 2;
 
-  Rental(String name, Place place, int count, long wall) {
+  Rental(String name, CapacityPool pool, int count, long wall) {
     this.name = name;
-    this.place = place;
+    this.pool = pool;
     this.count = count;
     this.wall = wall;
   }
@@ -39,8 +39,8 @@
   /** The rental of a record; {@code now} is the time of day where it names none. */
   static Rental read(String name, JsonNode value, long now) {
     Slot slot = new Slot(value.path("hull").asText(), Json.flag(value, "loaners"));
-    Place place = new Place(slot, value.path("basin").asText());
-    return new Rental(name, place, value.path("howMany").asInt(), Json.number(value, "at", now));
+    CapacityPool pool = new CapacityPool(slot, value.path("basin").asText());
+    return new Rental(name, pool, value.path("howMany").asInt(), Json.number(value, "at", now));
   }
 
   void readHosts(JsonNode value) {
@@ -56,17 +56,17 @@
   }
 
   ObjectNode toJson() {
-    ObjectNode o =
+    ObjectNode object =
         Json.object()
-            .put("hull", place.slot().type())
-            .put("basin", place.zone())
-            .put("loaners", place.slot().spot())
+            .put("hull", pool.slot().type())
+            .put("basin", pool.zone())
+            .put("loaners", pool.slot().spot())
             .put("howMany", count)
             .put("at", wall);
     if (hosts != null) {
-      ArrayNode names = o.putArray("hosts");
+      ArrayNode names = object.putArray("hosts");
       hosts.forEach(names::add);
     }
-    return o;
+    return object;
   }
 }
--- a/src/main/java/dapplestair/fleet/Rentals.java
+++ b/src/main/java/dapplestair/fleet/Rentals.java
@@ -41,8 +41,8 @@
   private final WorkerDesk desk;
   private final CloudClient cloud;
   private final Events events;
-  private final Predicate<Place> open;
-  private final Consumer<Place> refused;
+  private final Predicate<CapacityPool> open;
+  private final Consumer<CapacityPool> refused;
   private final Map<String, Rental> rentals = new LinkedHashMap<>();
   private boolean leading;
   private long counter;
@@ -61,8 +61,8 @@
       WorkerDesk desk,
       CloudClient cloud,
       Events events,
-      Predicate<Place> open,
-      Consumer<Place> refused) {
+      Predicate<CapacityPool> open,
+      Consumer<CapacityPool> refused) {
     this.clock = clock;
     this.timers = timers;
     this.settings = settings;
@@ -81,9 +81,9 @@
       recordedLate(name, value, stamp);
       return;
     }
-    Rental r = rentals.computeIfAbsent(name, n -> Rental.read(n, value, clock.wall()));
-    r.stamp = stamp;
-    r.readHosts(value);
+    Rental rental = rentals.computeIfAbsent(name, n -> Rental.read(n, value, clock.wall()));
+    rental.stamp = stamp;
+    rental.readHosts(value);
   }
 
   /**
@@ -97,10 +97,10 @@
     }
     Rental known = rentals.get(name);
     if (known == null) {
-      Rental r = Rental.read(name, value, clock.wall());
-      r.refused = true;
-      r.stamp = stamp;
-      rentals.put(name, r);
+      Rental rental = Rental.read(name, value, clock.wall());
+      rental.refused = true;
+      rental.stamp = stamp;
+      rentals.put(name, rental);
     } else if (known.refused) {
       // Another copy of the transaction, carried out while the record of the first is taken away.
       known.stamp = Math.max(known.stamp, stamp);
@@ -117,13 +117,13 @@
   void lead() {
     leading = true;
     counter = 0;
-    for (Rental r : List.copyOf(rentals.values())) {
-      if (r.hosts == null) {
+    for (Rental rental : List.copyOf(rentals.values())) {
+      if (rental.hosts == null) {
         // An earlier leader asked, and the answer is not recorded: asking again rents nothing new.
-        r.asked = true;
-        ask(r);
+        rental.asked = true;
+        ask(rental);
       } else {
-        adopt(r);
+        adopt(rental);
       }
     }
   }
@@ -139,66 +139,66 @@
 
   /** Machines of a slot that are asked for. */
   int pending(Slot slot) {
-    int n = 0;
-    for (Rental r : rentals.values()) {
-      if (r.pending() && r.place.slot().equals(slot)) {
-        n += r.count;
+    int count = 0;
+    for (Rental rental : rentals.values()) {
+      if (rental.pending() && rental.pool.slot().equals(slot)) {
+        count += rental.count;
       }
     }
-    return n;
+    return count;
   }
 
   /** Machines of a slot that are asked for in one zone. */
-  int pending(Place place) {
-    int n = 0;
-    for (Rental r : rentals.values()) {
-      if (r.pending() && r.place.equals(place)) {
-        n += r.count;
+  int pending(CapacityPool pool) {
+    int count = 0;
+    for (Rental rental : rentals.values()) {
+      if (rental.pending() && rental.pool.equals(pool)) {
+        count += rental.count;
       }
     }
-    return n;
+    return count;
   }
 
   /** Asks the cloud for machines, once that is on record. */
-  void begin(Place place, int count) {
+  void begin(CapacityPool pool, int count) {
     // Names hold the term, so that no other controller ever uses the same one.
     String name = "r-" + leadership.term() + "-" + ++counter;
-    Rental r = new Rental(name, place, count, clock.wall());
-    rentals.put(name, r);
-    write(r, true);
+    Rental rental = new Rental(name, pool, count, clock.wall());
+    rentals.put(name, rental);
+    write(rental, true);
   }
 
-  private void write(Rental r, boolean thenAsk) {
-    r.writing = true;
-    r.writtenAt = clock.now();
-    String key = Keys.rental(r.name);
-    Txn txn = leadership.guard(new Txn()).when(key, r.stamp).put(key, r.toJson());
+  private void write(Rental rental, boolean thenAsk) {
+    rental.writing = true;
+    rental.writtenAt = clock.now();
+    String key = Keys.rental(rental.name);
+    Txn txn = leadership.guard(new Txn()).when(key, rental.stamp).put(key, rental.toJson());
     long term = leadership.term();
     state.commit(
         txn,
         Priority.FLEET,
         settings.workers().reportMs(),
         outcome -> {
-          r.writing = false;
+          rental.writing = false;
           if (!leads(term)) {
             return;
           }
           guarded(outcome);
-          if (outcome instanceof Outcome.Applied a) {
-            r.stamp = a.stamp();
+          if (outcome instanceof Outcome.Applied applied) {
+            rental.stamp = applied.stamp();
             if (thenAsk) {
-              ask(r);
+              ask(rental);
             }
           } else if (thenAsk) {
             // Nothing was asked of the cloud: the plan will ask again under another name.
-            rentals.remove(r.name);
+            rentals.remove(rental.name);
             if (outcome instanceof Outcome.Unknown) {
-              r.refused = true;
-              rentals.put(r.name, r);
-              readBack(r);
+              rental.refused = true;
+              rentals.put(rental.name, rental);
+              readBack(rental);
             }
           } else {
-            readBack(r);
+            readBack(rental);
           }
         });
   }
@@ -213,59 +213,59 @@
     }
   }
 
-  private void readBack(Rental r) {
-    r.writing = true;
+  private void readBack(Rental rental) {
+    rental.writing = true;
     long term = leadership.term();
     state.get(
-        Keys.rental(r.name),
+        Keys.rental(rental.name),
         read -> {
           if (!leads(term)) {
             return;
           }
           if (!read.known()) {
-            timers.after(settings.workers().reportMs() / 6, () -> readBack(r));
+            timers.after(settings.workers().reportMs() / 6, () -> readBack(rental));
             return;
           }
-          r.writing = false;
-          r.stamp = read.stamp();
-          if (!r.refused && r.hosts != null) {
-            write(r, false);
+          rental.writing = false;
+          rental.stamp = read.stamp();
+          if (!rental.refused && rental.hosts != null) {
+            write(rental, false);
           }
         });
   }
 
-  private void ask(Rental r) {
-    if (r.asking || !leading) {
+  private void ask(Rental rental) {
+    if (rental.asking || !leading) {
       return;
     }
-    r.asking = true;
+    rental.asking = true;
     cloud.rent(
-        r.name,
-        r.place.slot().type(),
-        r.place.slot().spot(),
-        r.place.zone(),
-        r.count,
-        () -> wanted(r),
+        rental.name,
+        rental.pool.slot().type(),
+        rental.pool.slot().spot(),
+        rental.pool.zone(),
+        rental.count,
+        () -> wanted(rental),
         reply -> {
-          r.asking = false;
-          if (!leading || rentals.get(r.name) != r) {
+          rental.asking = false;
+          if (!leading || rentals.get(rental.name) != rental) {
             return;
           }
           if (reply == null) {
-            r.refused = true;
-            refused.accept(r.place);
+            rental.refused = true;
+            refused.accept(rental.pool);
             return;
           }
           JsonNode body = Json.parse(reply.body());
           if (reply.status() == 200 && body.path("hosts").isArray()) {
-            rented(r, body);
+            rented(rental, body);
           } else if (CloudClient.noCapacity(reply) || reply.status() == 400) {
             // First, or it would itself count as held where the cloud has no more.
-            r.refused = true;
-            refused.accept(r.place);
+            rental.refused = true;
+            refused.accept(rental.pool);
           } else {
             // No answer: it may have rented. The same name again tells, and rents nothing twice.
-            timers.after(settings.workers().reportMs() / 4, () -> ask(r));
+            timers.after(settings.workers().reportMs() / 4, () -> ask(rental));
           }
         });
   }
@@ -274,60 +274,66 @@
    * What the cloud has just refused to one rental it need not refuse to the next. Not so when it
    * may have been asked before: then only its answer tells what was rented.
    */
-  private boolean wanted(Rental r) {
-    boolean ask = r.asked || open.test(r.place);
-    r.asked |= ask;
+  private boolean wanted(Rental rental) {
+    boolean ask = rental.asked || open.test(rental.pool);
+    rental.asked |= ask;
     return ask;
   }
 
-  private void rented(Rental r, JsonNode body) {
-    r.readHosts(body);
+  private void rented(Rental rental, JsonNode body) {
+    rental.readHosts(body);
     LOG.info(
         "rented {} of {} {} {} in {}",
-        r.hosts.size(),
-        r.count,
-        r.place.slot().type(),
-        r.place.slot().spot() ? "spot" : "steady",
-        r.place.zone());
+        rental.hosts.size(),
+        rental.count,
+        rental.pool.slot().type(),
+        rental.pool.slot().spot() ? "spot" : "steady",
+        rental.pool.zone());
     events.note(
         Events.Kind.RENTED,
         o -> {
-          r.place.describe(o);
-          o.put("count", r.hosts.size()).put("asked", r.count).put("rental", r.name);
+          rental.pool.describe(o);
+          o.put("count", rental.hosts.size()).put("asked", rental.count).put("rental", rental.name);
         });
-    adopt(r);
-    if (r.hosts.size() < r.count) {
-      refused.accept(r.place);
+    adopt(rental);
+    if (rental.hosts.size() < rental.count) {
+      refused.accept(rental.pool);
     }
-    if (!r.writing) {
-      write(r, false);
+    if (!rental.writing) {
+      write(rental, false);
     }
   }
 
-  private void adopt(Rental r) {
-    for (String id : r.hosts) {
+  private void adopt(Rental rental) {
+    for (String id : rental.hosts) {
       if (!desk.isGone(id)) {
-        Host h = desk.host(id);
-        h.describe(null, types.get(r.place.slot().type()), r.place.zone(), r.place.slot().spot());
-        h.setRentedAt(clock.now() - Math.max(0, clock.wall() - r.wall));
+        Host host = desk.host(id);
+        host.describe(
+            null,
+            types.get(rental.pool.slot().type()),
+            rental.pool.zone(),
+            rental.pool.slot().spot());
+        host.setRentedAt(clock.now() - Math.max(0, clock.wall() - rental.wall));
       }
     }
   }
 
   /** Removes the records of rentals whose machines are all gone. */
   void forget() {
-    for (Rental r : List.copyOf(rentals.values())) {
-      if (r.writing || r.asking) {
+    for (Rental rental : List.copyOf(rentals.values())) {
+      if (rental.writing || rental.asking) {
         continue;
       }
       boolean over =
-          r.refused || (r.hosts != null && r.hosts.stream().allMatch(h -> desk.known(h) == null));
+          rental.refused
+              || (rental.hosts != null
+                  && rental.hosts.stream().allMatch(h -> desk.known(h) == null));
       if (!over) {
-        shorten(r);
-      } else if (r.stamp == 0) {
-        rentals.remove(r.name);
+        shorten(rental);
+      } else if (rental.stamp == 0) {
+        rentals.remove(rental.name);
       } else {
-        remove(r);
+        remove(rental);
       }
     }
   }
@@ -336,18 +342,18 @@
    * Kept exact, so that a new leader does not count on machines that are gone; seldom enough that a
    * wave of losses does not use up the puts that launches need.
    */
-  private void shorten(Rental r) {
-    if (r.hosts != null
-        && clock.now() - r.writtenAt > settings.workers().leaseMs()
-        && r.hosts.removeIf(h -> desk.known(h) == null)) {
-      write(r, false);
+  private void shorten(Rental rental) {
+    if (rental.hosts != null
+        && clock.now() - rental.writtenAt > settings.workers().leaseMs()
+        && rental.hosts.removeIf(h -> desk.known(h) == null)) {
+      write(rental, false);
     }
   }
 
-  private void remove(Rental r) {
-    r.writing = true;
-    String key = Keys.rental(r.name);
-    long removed = r.stamp;
+  private void remove(Rental rental) {
+    rental.writing = true;
+    String key = Keys.rental(rental.name);
+    long removed = rental.stamp;
     Txn txn = leadership.guard(new Txn()).when(key, removed).remove(key);
     long term = leadership.term();
     state.commit(
@@ -358,14 +364,14 @@
           if (!leads(term)) {
             return;
           }
-          r.writing = false;
+          rental.writing = false;
           guarded(outcome);
           if (outcome instanceof Outcome.Applied) {
-            if (r.stamp == removed) {
-              rentals.remove(r.name);
+            if (rental.stamp == removed) {
+              rentals.remove(rental.name);
             }
           } else if (!(outcome instanceof Outcome.Refused)) {
-            readBack(r);
+            readBack(rental);
           }
         });
   }
--- a/src/main/java/dapplestair/fleet/Supply.java
+++ b/src/main/java/dapplestair/fleet/Supply.java
@@ -24,10 +24,10 @@
   private final MachineTypes types;
   private final Events events;
   private final long refusalMs;
-  private final ToIntFunction<Place> holding;
-  private final ToIntFunction<Place> staying;
-  private final Map<Place, Long> refusedUntil = new HashMap<>();
-  private final Map<Place, Integer> granted = new HashMap<>();
+  private final ToIntFunction<CapacityPool> holding;
+  private final ToIntFunction<CapacityPool> staying;
+  private final Map<CapacityPool, Long> refusedUntil = new HashMap<>();
+  private final Map<CapacityPool, Integer> granted = new HashMap<>();
   private Predicate<String> closed = z -> false;
 
   /** A refusal is believed for {@code refusalMs}. */
@@ -36,8 +36,8 @@
       MachineTypes types,
       Events events,
       long refusalMs,
-      ToIntFunction<Place> holding,
-      ToIntFunction<Place> staying) {
+      ToIntFunction<CapacityPool> holding,
+      ToIntFunction<CapacityPool> staying) {
     this.clock = clock;
     this.types = types;
     this.events = events;
@@ -51,70 +51,73 @@
   }
 
   /** The cloud has no more there. True when it was thought to. */
-  boolean refuse(Place place) {
-    boolean news = open(place);
+  boolean refuse(CapacityPool pool) {
+    boolean news = open(pool);
     if (news) {
-      LOG.info("no more {} in {}", place.slot(), place.zone());
-      events.note(Events.Kind.REFUSED, place::describe);
+      LOG.info("no more {} in {}", pool.slot(), pool.zone());
+      events.note(Events.Kind.REFUSED, pool::describe);
     }
-    refusedUntil.put(place, clock.now() + refusalMs);
-    granted.put(place, holding.applyAsInt(place));
+    refusedUntil.put(pool, clock.now() + refusalMs);
+    granted.put(pool, holding.applyAsInt(pool));
     return news;
   }
 
   /** True when the cloud may have more there. */
-  boolean open(Place place) {
-    return refusedUntil.getOrDefault(place, Long.MIN_VALUE) <= clock.now();
+  boolean open(CapacityPool pool) {
+    return refusedUntil.getOrDefault(pool, Long.MIN_VALUE) <= clock.now();
   }
 
   /** True when the cloud once had no more there. */
-  boolean refusedBefore(Place place) {
-    return granted.containsKey(place);
+  boolean refusedBefore(CapacityPool pool) {
+    return granted.containsKey(pool);
   }
 
   /** True when there may be more, and something may be rented there. */
-  boolean mayRent(Place place) {
-    return open(place) && !closed.test(place.zone());
+  boolean mayRent(CapacityPool pool) {
+    return open(pool) && !closed.test(pool.zone());
   }
 
   /** True when some zone may have more of this slot. */
   boolean open(Slot slot) {
-    MachineType t = types.get(slot.type());
-    return t != null && t.zones().stream().anyMatch(z -> mayRent(new Place(slot, z)));
+    MachineType type = types.get(slot.type());
+    return type != null && type.zones().stream().anyMatch(z -> mayRent(new CapacityPool(slot, z)));
   }
 
   /** Most machines of a slot that the cloud has shown to give, or {@code otherwise}. */
   int capacity(Slot slot, int otherwise) {
-    MachineType t = types.get(slot.type());
-    if (t == null) {
+    MachineType type = types.get(slot.type());
+    if (type == null) {
       return 0;
     }
     int sum = 0;
-    for (String z : t.zones()) {
-      Place p = new Place(slot, z);
+    for (String z : type.zones()) {
+      CapacityPool capacityPool = new CapacityPool(slot, z);
       if (closed.test(z)) {
         // What is held there stays; nothing more is rented.
-        sum += holding.applyAsInt(p);
+        sum += holding.applyAsInt(capacityPool);
       } else {
-        sum += open(p) ? holding.applyAsInt(p) + otherwise : granted.getOrDefault(p, 0);
+        sum +=
+            open(capacityPool)
+                ? holding.applyAsInt(capacityPool) + otherwise
+                : granted.getOrDefault(capacityPool, 0);
       }
     }
     return sum;
   }
 
   /** Spreads {@code count} more of a type over the zones that still have some, the fewest first. */
-  Map<Place, Integer> spread(Slot slot, MachineType type, int count) {
-    Map<Place, Integer> share = new LinkedHashMap<>();
-    Map<Place, Integer> have = new HashMap<>();
+  Map<CapacityPool, Integer> spread(Slot slot, MachineType type, int count) {
+    Map<CapacityPool, Integer> share = new LinkedHashMap<>();
+    Map<CapacityPool, Integer> have = new HashMap<>();
     for (String z : type.zones()) {
-      Place p = new Place(slot, z);
+      CapacityPool p = new CapacityPool(slot, z);
       if (mayRent(p)) {
         share.put(p, 0);
         have.put(p, staying.applyAsInt(p));
       }
     }
     for (int i = 0; i < count && !share.isEmpty(); i++) {
-      Place least =
+      CapacityPool least =
           share.keySet().stream()
               .min(Comparator.comparingInt(p -> have.get(p) + share.get(p)))
               .orElseThrow();
@@ -124,12 +127,12 @@
   }
 
   /** Where the cloud refuses now, and for how many more seconds that is believed. */
-  void refusals(BiConsumer<Place, Double> each) {
+  void refusals(BiConsumer<CapacityPool, Double> each) {
     long now = clock.now();
-    List<Map.Entry<Place, Long>> all = new ArrayList<>(refusedUntil.entrySet());
-    for (Map.Entry<Place, Long> e : all) {
-      if (e.getValue() > now) {
-        each.accept(e.getKey(), (e.getValue() - now) / 1000.0);
+    List<Map.Entry<CapacityPool, Long>> all = new ArrayList<>(refusedUntil.entrySet());
+    for (Map.Entry<CapacityPool, Long> entry : all) {
+      if (entry.getValue() > now) {
+        each.accept(entry.getKey(), (entry.getValue() - now) / 1000.0);
       }
     }
   }
--- a/src/main/java/dapplestair/keys/Authority.java
+++ b/src/main/java/dapplestair/keys/Authority.java
@@ -57,16 +57,17 @@
       throws GeneralSecurityException, IOException {
     KeyPair pair = pair();
     X500Name self = new X500NameBuilder().addRDN(BCStyle.CN, name).build();
-    JcaX509v3CertificateBuilder b = builder(self, self, pair, now, lasts);
-    b.addExtension(Extension.basicConstraints, true, new BasicConstraints(0));
-    b.addExtension(Extension.keyUsage, true, new KeyUsage(KeyUsage.keyCertSign | KeyUsage.cRLSign));
-    return new Authority(signed(b, pair.getPrivate()), pair.getPrivate());
+    JcaX509v3CertificateBuilder builder = builder(self, self, pair, now, lasts);
+    builder.addExtension(Extension.basicConstraints, true, new BasicConstraints(0));
+    builder.addExtension(
+        Extension.keyUsage, true, new KeyUsage(KeyUsage.keyCertSign | KeyUsage.cRLSign));
+    return new Authority(signed(builder, pair.getPrivate()), pair.getPrivate());
   }
 
   /** Reads one that was made earlier. */
   static Authority read(String certificatePem, String keyPem)
       throws GeneralSecurityException, IOException {
-    X509Certificate c =
+    X509Certificate x509Certificate =
         (X509Certificate)
             CertificateFactory.getInstance("X.509")
                 .generateCertificate(
@@ -74,8 +75,9 @@
                         certificatePem.getBytes(java.nio.charset.StandardCharsets.US_ASCII)));
     try (PemReader in = new PemReader(new java.io.StringReader(keyPem))) {
       byte[] bytes = in.readPemObject().getContent();
-      PrivateKey k = KeyFactory.getInstance("EC").generatePrivate(new PKCS8EncodedKeySpec(bytes));
-      return new Authority(c, k);
+      PrivateKey privateKey =
+          KeyFactory.getInstance("EC").generatePrivate(new PKCS8EncodedKeySpec(bytes));
+      return new Authority(x509Certificate, privateKey);
     }
   }
 
@@ -88,7 +90,7 @@
       throws GeneralSecurityException, IOException {
     KeyPair pair = pair();
     X500Name subject = new X500NameBuilder().addRDN(BCStyle.CN, names.get(0)).build();
-    JcaX509v3CertificateBuilder b = builder(issuer(), subject, pair, now, lasts);
+    JcaX509v3CertificateBuilder builder = builder(issuer(), subject, pair, now, lasts);
     GeneralName[] all =
         names.stream()
             .map(
@@ -99,10 +101,10 @@
                             : GeneralName.dNSName,
                         n))
             .toArray(GeneralName[]::new);
-    b.addExtension(Extension.subjectAlternativeName, false, new GeneralNames(all));
-    b.addExtension(
+    builder.addExtension(Extension.subjectAlternativeName, false, new GeneralNames(all));
+    builder.addExtension(
         Extension.extendedKeyUsage, false, new ExtendedKeyUsage(KeyPurposeId.id_kp_serverAuth));
-    return new Issued(pem(signed(b, key)), pem(pair.getPrivate()));
+    return new Issued(pem(signed(builder, key)), pem(pair.getPrivate()));
   }
 
   /** For an operator; the organisational unit says what they may do. */
@@ -111,10 +113,10 @@
     KeyPair pair = pair();
     X500Name subject =
         new X500NameBuilder().addRDN(BCStyle.OU, role).addRDN(BCStyle.CN, name).build();
-    JcaX509v3CertificateBuilder b = builder(issuer(), subject, pair, now, lasts);
-    b.addExtension(
+    JcaX509v3CertificateBuilder builder = builder(issuer(), subject, pair, now, lasts);
+    builder.addExtension(
         Extension.extendedKeyUsage, false, new ExtendedKeyUsage(KeyPurposeId.id_kp_clientAuth));
-    return new Issued(pem(signed(b, key)), pem(pair.getPrivate()));
+    return new Issued(pem(signed(builder, key)), pem(pair.getPrivate()));
   }
 
   private X500Name issuer() {
@@ -122,9 +124,9 @@
   }
 
   private static KeyPair pair() throws GeneralSecurityException {
-    KeyPairGenerator g = KeyPairGenerator.getInstance("EC");
-    g.initialize(new ECGenParameterSpec("secp256r1"));
-    return g.generateKeyPair();
+    KeyPairGenerator keyPairGenerator = KeyPairGenerator.getInstance("EC");
+    keyPairGenerator.initialize(new ECGenParameterSpec("secp256r1"));
+    return keyPairGenerator.generateKeyPair();
   }
 
   private static JcaX509v3CertificateBuilder builder(
@@ -138,11 +140,11 @@
         pair.getPublic());
   }
 
-  private static X509Certificate signed(JcaX509v3CertificateBuilder b, PrivateKey by)
+  private static X509Certificate signed(JcaX509v3CertificateBuilder builder, PrivateKey by)
       throws GeneralSecurityException {
     try {
       return new JcaX509CertificateConverter()
-          .getCertificate(b.build(new JcaContentSignerBuilder("SHA256withECDSA").build(by)));
+          .getCertificate(builder.build(new JcaContentSignerBuilder("SHA256withECDSA").build(by)));
     } catch (OperatorCreationException e) {
       throw new GeneralSecurityException(e);
     }
@@ -150,8 +152,9 @@
 
   private static String pem(Object what) throws IOException {
     StringWriter out = new StringWriter();
-    try (JcaPEMWriter w = new JcaPEMWriter(out)) {
-      w.writeObject(what instanceof PrivateKey k ? new JcaPKCS8Generator(k, null) : what);
+    try (JcaPEMWriter jcaPEMWriter = new JcaPEMWriter(out)) {
+      jcaPEMWriter.writeObject(
+          what instanceof PrivateKey k ? new JcaPKCS8Generator(k, null) : what);
     }
     return out.toString();
   }
--- a/src/main/java/dapplestair/lane/Choice.java
+++ b/src/main/java/dapplestair/lane/Choice.java
@@ -46,13 +46,13 @@
   /** Claims for up to {@code wanted} tasks on machines that are not claimed yet. */
   List<Claim> claims(Lane lane, Job rider, int wanted, Predicate<Host> unclaimed) {
     List<Offer> offers = new ArrayList<>();
-    for (Host h : desk.hosts()) {
-      if (!h.closed()
-          && desk.fresh(h)
-          && h.allowed(rider.spec())
-          && unclaimed.test(h)
-          && ledger.zoneAllows(rider, h.zone())) {
-        Offer offer = offer(lane, rider.spec(), h, wanted);
+    for (Host host : desk.hosts()) {
+      if (!host.closed()
+          && desk.fresh(host)
+          && host.allowed(rider.spec())
+          && unclaimed.test(host)
+          && ledger.zoneAllows(rider, host.zone())) {
+        Offer offer = offer(lane, rider.spec(), host, wanted);
         if (offer != null) {
           offers.add(offer);
         }
@@ -63,20 +63,20 @@
   }
 
   private List<Claim> take(Lane lane, Job rider, int wanted, List<Offer> offers) {
-    Submission s = rider.spec();
+    Submission submission = rider.spec();
     Map<String, Integer> perZone = new HashMap<>();
     List<Claim> out = new ArrayList<>();
     int left = wanted;
-    for (Offer o : offers) {
-      String zone = o.host().zone();
-      int allowed = s.mostPerZone() - rider.inZone(zone) - perZone.getOrDefault(zone, 0);
-      int tasks = Math.min(Math.min(left, o.tasks()), allowed);
-      if (tasks > 0 && (!s.together() || perZone.isEmpty() || perZone.containsKey(zone))) {
+    for (Offer offer : offers) {
+      String zone = offer.host().zone();
+      int allowed = submission.mostPerZone() - rider.inZone(zone) - perZone.getOrDefault(zone, 0);
+      int tasks = Math.min(Math.min(left, offer.tasks()), allowed);
+      if (tasks > 0 && (!submission.together() || perZone.isEmpty() || perZone.containsKey(zone))) {
         // Fewer than it has room for: then fewer have to go.
-        Offer exact = tasks < o.tasks() ? offer(lane, s, o.host(), tasks) : o;
+        Offer exact = tasks < offer.tasks() ? offer(lane, submission, offer.host(), tasks) : offer;
         List<String> victims = new ArrayList<>();
         exact.victims().forEach(a -> victims.add(Claim.victim(a.key(), a.number())));
-        out.add(new Claim(s.ref(), o.host().id(), tasks, victims));
+        out.add(new Claim(submission.ref(), offer.host().id(), tasks, victims));
         perZone.merge(zone, tasks, Integer::sum);
         left -= tasks;
       }
@@ -85,35 +85,35 @@
   }
 
   /** The cheapest room for up to {@code most} tasks on this machine; null without any. */
-  private Offer offer(Lane lane, Submission s, Host h, int most) {
-    double cpus = h.cpusFree();
-    double memory = h.memoryFree();
-    double gpus = h.gpusFree();
+  private Offer offer(Lane lane, Submission submission, Host host, int most) {
+    double cpus = host.cpusFree();
+    double memory = host.memoryFree();
+    double gpus = host.gpusFree();
     List<Attempt> may = new ArrayList<>();
-    for (Attempt a : h.attempts()) {
-      if (!a.exited() && a.halting()) {
+    for (Attempt attempt : host.attempts()) {
+      if (!attempt.exited() && attempt.halting()) {
         // On its way there already.
-        cpus += a.spec().cpus();
-        memory += a.spec().memoryGb();
-        gpus += a.spec().gpus();
-      } else if (!a.exited() && lane.over(a.spec())) {
-        may.add(a);
+        cpus += attempt.spec().cpus();
+        memory += attempt.spec().memoryGb();
+        gpus += attempt.spec().gpus();
+      } else if (!attempt.exited() && lane.over(attempt.spec())) {
+        may.add(attempt);
       }
     }
     may.sort(Comparator.comparingDouble(this::loss));
-    int tasks = s.fitting(cpus, memory, gpus);
+    int tasks = submission.fitting(cpus, memory, gpus);
     List<Attempt> victims = new ArrayList<>();
     double loss = 0;
     List<Attempt> counted = new ArrayList<>();
-    for (Attempt a : may) {
+    for (Attempt attempt : may) {
       if (tasks >= most) {
         break;
       }
-      counted.add(a);
-      cpus += a.spec().cpus();
-      memory += a.spec().memoryGb();
-      gpus += a.spec().gpus();
-      int now = s.fitting(cpus, memory, gpus);
+      counted.add(attempt);
+      cpus += attempt.spec().cpus();
+      memory += attempt.spec().memoryGb();
+      gpus += attempt.spec().gpus();
+      int now = submission.fitting(cpus, memory, gpus);
       if (now > tasks) {
         tasks = now;
         victims.addAll(counted);
@@ -121,10 +121,10 @@
         counted.clear();
       }
     }
-    return tasks == 0 ? null : new Offer(h, Math.min(tasks, most), victims, loss);
+    return tasks == 0 ? null : new Offer(host, Math.min(tasks, most), victims, loss);
   }
 
-  private double loss(Attempt a) {
-    return disruption.lossCpuS(a) + (sheltered.test(a) ? SHELTERED : 0);
+  private double loss(Attempt attempt) {
+    return disruption.lossCpuS(attempt) + (sheltered.test(attempt) ? SHELTERED : 0);
   }
 }
--- a/src/main/java/dapplestair/lane/Claim.java
+++ b/src/main/java/dapplestair/lane/Claim.java
@@ -28,10 +28,10 @@
   }
 
   ObjectNode toJson() {
-    ObjectNode o = Json.object().put("ref", ref).put("host", host).put("tasks", tasks);
-    ArrayNode list = o.putArray("victims");
+    ObjectNode object = Json.object().put("ref", ref).put("host", host).put("tasks", tasks);
+    ArrayNode list = object.putArray("victims");
     victims.forEach(list::add);
-    return o;
+    return object;
   }
 
   static Claim parse(JsonNode in) {
--- a/src/main/java/dapplestair/lane/Lanes.java
+++ b/src/main/java/dapplestair/lane/Lanes.java
@@ -194,26 +194,26 @@
   /** Stops whoever has to go for claims on record, and at once whoever saves for too long. */
   private void carryOn(String name) {
     Lane lane = lanes.get(name);
-    for (OpenClaim o : open.getOrDefault(name, List.of())) {
-      Host host = o.recorded() ? desk.known(o.claim().host()) : null;
+    for (OpenClaim openClaim : open.getOrDefault(name, List.of())) {
+      Host host = openClaim.recorded() ? desk.known(openClaim.claim().host()) : null;
       if (host == null) {
         continue;
       }
-      for (String victim : o.claim().victims()) {
-        Attempt a = host.attempt(Claim.key(victim));
-        if (a != null && a.number() == Claim.number(victim) && !a.exited()) {
-          stop(lane, a);
+      for (String victim : openClaim.claim().victims()) {
+        Attempt attempt = host.attempt(Claim.key(victim));
+        if (attempt != null && attempt.number() == Claim.number(victim) && !attempt.exited()) {
+          stop(lane, attempt);
         }
       }
     }
   }
 
-  private void stop(Lane lane, Attempt a) {
-    if (!a.halting()) {
+  private void stop(Lane lane, Attempt attempt) {
+    if (!attempt.halting()) {
       stops++;
-      disruption.ride(a, lane.windDownS(a.spec()));
-    } else if (a.windDownS() > 0 && clock.now() - a.haltAt() > lane.beginWithinMs()) {
-      disruption.ride(a, 0);
+      disruption.ride(attempt, lane.windDownS(attempt.spec()));
+    } else if (attempt.windDownS() > 0 && clock.now() - attempt.haltAt() > lane.beginWithinMs()) {
+      disruption.ride(attempt, 0);
     }
   }
 
@@ -225,13 +225,13 @@
   }
 
   /** True for a job that rides. */
-  public boolean rides(Submission s) {
-    return lane(s) != null;
+  public boolean rides(Submission submission) {
+    return lane(submission) != null;
   }
 
-  private Lane lane(Submission s) {
+  private Lane lane(Submission submission) {
     for (Lane lane : lanes.values()) {
-      if (lane.rides(s)) {
+      if (lane.rides(submission)) {
         return lane;
       }
     }
@@ -239,8 +239,8 @@
   }
 
   /** True when this machine is claimed by riders, and this job is none. */
-  public boolean keptFrom(Submission s, Host h) {
-    return !claimed.isEmpty() && claimed.contains(h) && !rides(s);
+  public boolean keptFrom(Submission submission, Host host) {
+    return !claimed.isEmpty() && claimed.contains(host) && !rides(submission);
   }
 
   /** A turn of placing begins: {@code free} machines may be used. */
@@ -251,9 +251,9 @@
   }
 
   /** So many CPUs more are free on a machine. */
-  public void add(Host h, double cpus) {
+  public void add(Host host, double cpus) {
     if (any()) {
-      reserve.add(h, cpus);
+      reserve.add(host, cpus);
     }
   }
 
@@ -261,9 +261,11 @@
    * True when riders find their reserve after this task has started there: each zone holds its part
    * of it, but for what can be gone in time.
    */
-  public boolean leavesReserve(Submission s, Host h) {
+  public boolean leavesReserve(Submission submission, Host host) {
     for (Lane lane : lanes.values()) {
-      if (lane.over(s) && !lane.goneInTime(s) && !reserve.leaves(lane, s, h)) {
+      if (lane.over(submission)
+          && !lane.goneInTime(submission)
+          && !reserve.leaves(lane, submission, host)) {
         return false;
       }
     }
@@ -289,10 +291,10 @@
       if (wanted <= 0 || list.size() >= most) {
         continue;
       }
-      for (Claim c : choice.claims(lane, job, wanted, h -> !claimed.contains(h))) {
+      for (Claim claim : choice.claims(lane, job, wanted, h -> !claimed.contains(h))) {
         if (list.size() < most) {
-          list.add(new OpenClaim(c, clock.now(), false));
-          claimed.add(desk.host(c.host()));
+          list.add(new OpenClaim(claim, clock.now(), false));
+          claimed.add(desk.host(claim.host()));
           more.add(lane.name());
         }
       }
--- a/src/main/java/dapplestair/lane/ReserveRoom.java
+++ b/src/main/java/dapplestair/lane/ReserveRoom.java
@@ -15,23 +15,23 @@
     usable.forEach(h -> add(h, h.cpusFree()));
   }
 
-  void add(Host h, double cpus) {
-    if (!h.spot()) {
-      free.addTo(h.zone(), cpus);
+  void add(Host host, double cpus) {
+    if (!host.spot()) {
+      free.addTo(host.zone(), cpus);
     }
   }
 
   /** True when the zone keeps its part, or the others hold it meanwhile. */
-  boolean leaves(Lane lane, Submission s, Host h) {
-    if (h.spot() || lane.reserveCpus() <= 0) {
+  boolean leaves(Lane lane, Submission submission, Host host) {
+    if (host.spot() || lane.reserveCpus() <= 0) {
       return true;
     }
     double part = lane.reserveCpus() / Math.max(1, free.size());
     double others = 0;
     for (var e : free.object2DoubleEntrySet()) {
-      others += e.getKey().equals(h.zone()) ? 0 : Math.max(0, e.getDoubleValue());
+      others += e.getKey().equals(host.zone()) ? 0 : Math.max(0, e.getDoubleValue());
     }
-    double here = free.getDouble(h.zone()) - s.cpus();
+    double here = free.getDouble(host.zone()) - submission.cpus();
     return here >= part - 1e-9 && here + others >= lane.reserveCpus() - 1e-9;
   }
 }
--- a/src/main/java/dapplestair/leadership/Leadership.java
+++ b/src/main/java/dapplestair/leadership/Leadership.java
@@ -187,7 +187,7 @@
    * and this controller steps down if it still believed to lead itself.
    */
   public boolean deposedBy(Outcome outcome) {
-    if (outcome instanceof Outcome.Conflict c && c.failed().contains(Keys.LEADER)) {
+    if (outcome instanceof Outcome.Conflict conflict && conflict.failed().contains(Keys.LEADER)) {
       guardFailed();
       return true;
     }
@@ -332,8 +332,8 @@
         StateClient.Priority.ELECTION,
         ttlMs / 3,
         outcome -> {
-          if (outcome instanceof Outcome.Applied a) {
-            won(next, a.stamp());
+          if (outcome instanceof Outcome.Applied applied) {
+            won(next, applied.stamp());
           } else if (outcome instanceof Outcome.Unknown) {
             state.get(Keys.LEADER, read -> settle(next, read));
           } else {
--- a/src/main/java/dapplestair/ledger/Attempts.java
+++ b/src/main/java/dapplestair/ledger/Attempts.java
@@ -7,13 +7,13 @@
 final class Attempts {
   private static final double START_COUNTS_S = 30;
 
-  private final Office office;
+  private final LedgerContext context;
   private final TeamUse use;
   private final ChunkWriter writer;
   private Consumer<Job> emptied = j -> {};
 
-  Attempts(Office office, TeamUse use, ChunkWriter writer) {
-    this.office = office;
+  Attempts(LedgerContext context, TeamUse use, ChunkWriter writer) {
+    this.context = context;
     this.use = use;
     this.writer = writer;
   }
@@ -23,28 +23,28 @@
     emptied = listener;
   }
 
-  void enter(Chunk c, Attempt a) {
-    c.live.put(a.step, a);
-    a.job.held++;
-    a.job.perZone.addTo(a.zone, 1);
-    use.add(a.spec());
-    office.hooks.host(a.host).hold(a);
+  void enter(Chunk chunk, Attempt attempt) {
+    chunk.live.put(attempt.step, attempt);
+    attempt.job.held++;
+    attempt.job.perZone.addTo(attempt.zone, 1);
+    use.add(attempt.spec());
+    context.hooks.host(attempt.host).hold(attempt);
   }
 
   /** Asks for a stop; repeated by the workers' duty until it is proved. */
-  void halt(Attempt a, double windDownS, StopReason why) {
-    if (!a.sent()) {
-      retire(a);
+  void halt(Attempt attempt, double windDownS, StopReason why) {
+    if (!attempt.sent()) {
+      retire(attempt);
       return;
     }
-    if (!a.halting) {
-      a.haltAt = office.clock.now();
-      takeBackStart(a, why);
-      office.hooks.stopping(a, why);
+    if (!attempt.halting) {
+      attempt.haltAt = context.clock.now();
+      takeBackStart(attempt, why);
+      context.hooks.stopping(attempt, why);
     }
-    a.halting = true;
-    office.hooks.halt(a, windDownS);
-    stopRestOfGang(a);
+    attempt.halting = true;
+    context.hooks.halt(attempt, windDownS);
+    stopRestOfGang(attempt);
   }
 
   /**
@@ -59,10 +59,10 @@
     }
     job.gangStopping = true;
     double windDownS = job.spec().saves() ? 2 * job.spec().saveS() : 0;
-    for (Chunk c : List.copyOf(job.chunks.values())) {
-      for (Attempt a : List.copyOf(c.live.values())) {
-        if (!a.exited && !a.halting) {
-          halt(a, windDownS, StopReason.GANG);
+    for (Chunk chunk : List.copyOf(job.chunks.values())) {
+      for (Attempt attempt : List.copyOf(chunk.live.values())) {
+        if (!attempt.exited && !attempt.halting) {
+          halt(attempt, windDownS, StopReason.GANG);
         }
       }
     }
@@ -70,76 +70,76 @@
   }
 
   /** A start that is soon stopped by command is none (PROTOCOL, "How aims are counted"). */
-  private void takeBackStart(Attempt a, StopReason why) {
-    Job job = a.job;
+  private void takeBackStart(Attempt attempt, StopReason why) {
+    Job job = attempt.job;
     if (!job.over
         && why != StopReason.NOTICE
-        && a.ranS(office.clock.now()) < START_COUNTS_S
+        && attempt.ranS(context.clock.now()) < START_COUNTS_S
         && job.doneCount() == 0
         && job.chunks.values().stream()
             .flatMap(c -> c.live.values().stream())
-            .noneMatch(o -> o != a && o.began && !o.halting)) {
+            .noneMatch(o -> o != attempt && o.began && !o.halting)) {
       job.begun = false;
     }
   }
 
   /** An attempt stops counting: it has exited, or its absence is proved. */
-  void vacate(Attempt a) {
-    if (a.exited) {
+  void vacate(Attempt attempt) {
+    if (attempt.exited) {
       return;
     }
-    a.exited = true;
-    Job job = a.job;
-    if (a.spec().service() && ranS(a) > office.settings.workers().reportMs() / 500.0) {
+    attempt.exited = true;
+    Job job = attempt.job;
+    if (attempt.spec().service() && ranS(attempt) > context.settings.workers().reportMs() / 500.0) {
       job.worked++;
     }
-    if (!a.done) {
-      job.keep(a.step, a.keptS(ranS(a)));
+    if (!attempt.done) {
+      job.keep(attempt.step, attempt.keptS(ranS(attempt)));
     }
-    job.perZone.addTo(a.zone, -1);
-    use.subtract(a.spec());
-    office.hooks.host(a.host).vacate(a, office.clock.now());
+    job.perZone.addTo(attempt.zone, -1);
+    use.subtract(attempt.spec());
+    context.hooks.host(attempt.host).vacate(attempt, context.clock.now());
   }
 
-  private double ranS(Attempt a) {
-    return Math.max(a.ranBeforeExitS, a.ranS(office.clock.now()));
+  private double ranS(Attempt attempt) {
+    return Math.max(attempt.ranBeforeExitS, attempt.ranS(context.clock.now()));
   }
 
   /** Nothing of it is left on its machine. */
-  void retire(Attempt a) {
-    vacate(a);
-    Chunk c = a.job.chunkOf(a.step);
-    if (c.live.get(a.step) == a) {
-      c.live.remove(a.step);
-      if (!a.done && (a.began || a.adopted)) {
-        c.interrupted(a.step);
+  void retire(Attempt attempt) {
+    vacate(attempt);
+    Chunk chunk = attempt.job.chunkOf(attempt.step);
+    if (chunk.live.get(attempt.step) == attempt) {
+      chunk.live.remove(attempt.step);
+      if (!attempt.done && (attempt.began || attempt.adopted)) {
+        chunk.interrupted(attempt.step);
       }
-      a.job.held--;
+      attempt.job.held--;
     }
-    office.hooks.host(a.host).forget(a);
-    if (a.job.over) {
-      emptied.accept(a.job);
+    context.hooks.host(attempt.host).forget(attempt);
+    if (attempt.job.over) {
+      emptied.accept(attempt.job);
     } else {
-      writer.dirty(a.job, c, false);
-      stopRestOfGang(a);
+      writer.dirty(attempt.job, chunk, false);
+      stopRestOfGang(attempt);
     }
-    office.hooks.changed();
+    context.hooks.changed();
   }
 
   /** The attempt of a job that is over needs nothing more. */
-  void drop(Attempt a) {
-    retire(a);
-    if (a.done) {
-      office.hooks.clear(a.host, a.key(), a.number);
+  void drop(Attempt attempt) {
+    retire(attempt);
+    if (attempt.done) {
+      context.hooks.clear(attempt.host, attempt.key(), attempt.number);
     }
   }
 
   /** Its absence is proved, though nobody saw it end. */
-  void absent(Attempt a) {
-    if (a.sent() && !a.exited && !a.halting && !a.job.over) {
-      office.hooks.lost(a);
+  void absent(Attempt attempt) {
+    if (attempt.sent() && !attempt.exited && !attempt.halting && !attempt.job.over) {
+      context.hooks.lost(attempt);
     }
-    retire(a);
+    retire(attempt);
   }
 
   /** The machine is proved to be gone: so is all that was on it. */
--- a/src/main/java/dapplestair/ledger/Chunk.java
+++ b/src/main/java/dapplestair/ledger/Chunk.java
@@ -29,8 +29,8 @@
   /** The highest number that the record in the state service has reached. */
   long recordedNumber;
 
-  /** Sheets with attempts that the record does not know of yet. */
-  final Set<Sheet> sheets = new HashSet<>();
+  /** Launch batches with attempts that the record does not know of yet. */
+  final Set<LaunchBatch> launchBatches = new HashSet<>();
 
   long stamp;
   boolean dirty;
@@ -108,45 +108,45 @@
 
   /** {@code probesFailed} is the job's: 0 unless it fails wherever it runs. */
   ObjectNode toJson(int probesFailed) {
-    ObjectNode o = Json.object().put("t", lastNumber);
+    ObjectNode object = Json.object().put("t", lastNumber);
     if (probesFailed > 0) {
-      o.put("w", probesFailed);
+      object.put("w", probesFailed);
     }
     if (!done.isEmpty()) {
-      ArrayNode d = o.putArray("d");
+      ArrayNode array = object.putArray("d");
       for (int i = done.nextSetBit(0); i >= 0; ) {
         int end = done.nextClearBit(i);
-        d.add(i).add(end);
+        array.add(i).add(end);
         i = done.nextSetBit(end);
       }
     }
-    writeLive(o);
-    return o;
+    writeLive(object);
+    return object;
   }
 
   /** Attempts by machine, zones by number: each put carries all of it to every replica. */
-  private void writeLive(ObjectNode o) {
+  private void writeLive(ObjectNode object) {
     List<String> zones = new ArrayList<>();
     ObjectNode byHost = Json.object();
-    for (Attempt a : live.values()) {
+    for (Attempt attempt : live.values()) {
       // An attempt seen to complete needs no record of its own: its step is done.
-      if (a.done) {
+      if (attempt.done) {
         continue;
       }
-      if (!zones.contains(a.zone)) {
-        zones.add(a.zone);
+      if (!zones.contains(attempt.zone)) {
+        zones.add(attempt.zone);
       }
       // A machine's later session is another machine as far as attempts are concerned.
-      String place = a.host + " " + a.session;
+      String place = attempt.host + " " + attempt.session;
       ArrayNode of = (ArrayNode) byHost.get(place);
       if (of == null) {
-        of = byHost.putArray(place).add(zones.indexOf(a.zone));
+        of = byHost.putArray(place).add(zones.indexOf(attempt.zone));
       }
-      of.add(a.step).add(a.number);
+      of.add(attempt.step).add(attempt.number);
     }
-    ArrayNode z = o.putArray("z");
-    zones.forEach(z::add);
-    o.set("h", byHost);
+    ArrayNode array = object.putArray("z");
+    zones.forEach(array::add);
+    object.set("h", byHost);
   }
 
   /** Reads a record, giving each attempt in it to {@code attempts}. */
@@ -154,9 +154,9 @@
     stamp = newStamp;
     lastNumber = Json.number(value, "t", 0);
     recordedNumber = lastNumber;
-    JsonNode d = value.path("d");
-    for (int i = 0; i + 1 < d.size(); i += 2) {
-      done.set(d.get(i).asInt(), d.get(i + 1).asInt());
+    JsonNode node = value.path("d");
+    for (int i = 0; i + 1 < node.size(); i += 2) {
+      done.set(node.get(i).asInt(), node.get(i + 1).asInt());
     }
     attempts(value, attempts);
   }
@@ -201,20 +201,20 @@
 
   /** Completed steps of a record, without building it. */
   static int countDone(JsonNode value) {
-    JsonNode d = value.path("d");
-    int n = 0;
-    for (int i = 0; i + 1 < d.size(); i += 2) {
-      n += d.get(i + 1).asInt() - d.get(i).asInt();
+    JsonNode node = value.path("d");
+    int count = 0;
+    for (int i = 0; i + 1 < node.size(); i += 2) {
+      count += node.get(i + 1).asInt() - node.get(i).asInt();
     }
-    return n;
+    return count;
   }
 
   /** Attempts in a record, without building it. */
   static int countLive(JsonNode value) {
-    int n = value.path("l").size();
+    int count = value.path("l").size();
     for (JsonNode of : value.path("h")) {
-      n += (of.size() - 1) / 2;
+      count += (of.size() - 1) / 2;
     }
-    return n;
+    return count;
   }
 }
--- a/src/main/java/dapplestair/ledger/ChunkWriter.java
+++ b/src/main/java/dapplestair/ledger/ChunkWriter.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 
 /** Keeps the records of attempts: puts what changed, in as few puts as may be. */
-final class ChunkWriter implements Sheets.Chunks {
+final class ChunkWriter implements LaunchBatches.Chunks {
   /** Told of what a put has settled. */
   interface Listener {
     /** A put of this job was made. True when the job is over, so that no more follow. */
@@ -19,7 +19,7 @@
     /** The job is over, and one of its records may be removed now. */
     void over(Job job);
 
-    /** The job was withdrawn before this attempt's launch was sent. */
+    /** The job was cancelled before this attempt's launch was sent. */
     void dropped(Attempt unsent);
   }
 
@@ -34,16 +34,16 @@
   // Of the state service's puts: what nobody waits for may take no more, however much ends.
   private static final double BOOKKEEPING_SHARE = 0.12;
 
-  private final Office office;
+  private final LedgerContext context;
   private final double bookkeepingPerS;
   private final Set<Chunk> gathering = new HashSet<>();
-  private final Sheets sheets;
+  private final LaunchBatches launchBatches;
   private Listener listener;
 
-  ChunkWriter(Office office, boolean withSheets) {
-    this.office = office;
-    this.sheets = new Sheets(office, this, withSheets);
-    this.bookkeepingPerS = BOOKKEEPING_SHARE * office.settings.state().writeRps();
+  ChunkWriter(LedgerContext context, boolean withLaunchBatches) {
+    this.context = context;
+    this.launchBatches = new LaunchBatches(context, this, withLaunchBatches);
+    this.bookkeepingPerS = BOOKKEEPING_SHARE * context.settings.state().writeRps();
   }
 
   void listen(Listener newListener) {
@@ -52,27 +52,28 @@
 
   void clear() {
     gathering.clear();
-    sheets.clear();
+    launchBatches.clear();
   }
 
   /** The chunk differs from its record; {@code urgent} when launches wait for the put. */
-  void dirty(Job job, Chunk c, boolean urgent) {
-    if (!office.held()) {
+  void dirty(Job job, Chunk chunk, boolean urgent) {
+    if (!context.held()) {
       return;
     }
-    c.dirty = true;
-    c.urgent |= urgent;
-    c.ends |= !urgent;
-    if (c.inFlight) {
+    chunk.dirty = true;
+    chunk.urgent |= urgent;
+    chunk.ends |= !urgent;
+    if (chunk.inFlight) {
       return;
     }
     // Both may be queued for one chunk: launches must not wait behind a put that nobody waits for.
-    if (urgent && !c.launchQueued) {
-      c.launchQueued = true;
+    if (urgent && !chunk.launchQueued) {
+      chunk.launchQueued = true;
       boolean shared = job.spec().service() || single(job);
-      office.timers.after(0, shared ? () -> sheets.add(job, c) : () -> alone(job, c));
-    } else if (!urgent && gathering.add(c)) {
-      office.timers.after(gatherMs(), () -> enqueue(job, c, Priority.BOOKKEEPING));
+      context.timers.after(
+          0, shared ? () -> launchBatches.add(job, chunk) : () -> alone(job, chunk));
+    } else if (!urgent && gathering.add(chunk)) {
+      context.timers.after(gatherMs(), () -> enqueue(job, chunk, Priority.BOOKKEEPING));
     }
   }
 
@@ -82,29 +83,31 @@
   }
 
   @Override
-  public void alone(Job job, Chunk c) {
-    enqueue(job, c, job.spec().service() ? Priority.REPLICA : Priority.LAUNCH);
+  public void alone(Job job, Chunk chunk) {
+    enqueue(job, chunk, job.spec().service() ? Priority.REPLICA : Priority.LAUNCH);
   }
 
   @Override
-  public boolean waits(Job job, Chunk c) {
-    c.launchQueued = false;
-    return office.held() && !c.inFlight && c.dirty && c.urgent && !job.over();
+  public boolean waits(Job job, Chunk chunk) {
+    chunk.launchQueued = false;
+    return context.held() && !chunk.inFlight && chunk.dirty && chunk.urgent && !job.over();
   }
 
   @Override
-  public void landed(Job job, Chunk c, boolean made) {
-    // Its own record takes over when nobody waits for the put. Before that it must, if the sheet
+  public void landed(Job job, Chunk chunk, boolean made) {
+    // Its own record takes over when nobody waits for the put. Before that it must, if the launch
+    // batch
     // may have been made without our knowing: entries of a lost one then count no more.
-    c.urgent = !made || c.live.values().stream().anyMatch(a -> a.phase == Attempt.Phase.PLANNED);
-    if (made && single(job) && !c.urgent && !c.ends) {
+    chunk.urgent =
+        !made || chunk.live.values().stream().anyMatch(a -> a.phase == Attempt.Phase.PLANNED);
+    if (made && single(job) && !chunk.urgent && !chunk.ends) {
       // A swarm's jobs are mostly done before a record of their own would be written.
-      c.dirty = false;
+      chunk.dirty = false;
     }
     if (job.over) {
       listener.over(job);
     } else {
-      again(job, c);
+      again(job, chunk);
     }
   }
 
@@ -113,14 +116,14 @@
     listener.dropped(unsent);
   }
 
-  /** Sheets of services' launches. */
-  Sheets sheets() {
-    return sheets;
+  /** Launch batches of services' launches. */
+  LaunchBatches launchBatches() {
+    return launchBatches;
   }
 
-  private void again(Job job, Chunk c) {
-    if (c.dirty && !job.over()) {
-      dirty(job, c, c.urgent);
+  private void again(Job job, Chunk chunk) {
+    if (chunk.dirty && !job.over()) {
+      dirty(job, chunk, chunk.urgent);
     }
   }
 
@@ -129,99 +132,103 @@
    * for them stay within their share. A completion need only be recorded before it is cleared.
    */
   private long gatherMs() {
-    long least = office.settings.workers().reportMs() / 8;
+    long least = context.settings.workers().reportMs() / 8;
     long paced = Math.round(1000 * gathering.size() / bookkeepingPerS);
-    return Math.max(least, Math.min(paced, office.settings.workers().leaseMs() / 2));
+    return Math.max(least, Math.min(paced, context.settings.workers().leaseMs() / 2));
   }
 
-  private void enqueue(Job job, Chunk c, Priority priority) {
+  private void enqueue(Job job, Chunk chunk, Priority priority) {
     Flush flush = new Flush();
-    long term = office.term();
-    office.state.commit(
+    long term = context.term();
+    context.state.commit(
         1,
-        () -> office.term() == term ? put(job, c, priority, flush) : null,
+        () -> context.term() == term ? put(job, chunk, priority, flush) : null,
         priority,
-        office.settings.workers().reportMs(),
+        context.settings.workers().reportMs(),
         outcome -> {
-          if (!office.still(term)) {
+          if (!context.still(term)) {
             return;
           }
           if (!flush.built) {
-            unqueued(c, priority);
-            office.timers.after(office.retryMs, () -> again(job, c));
+            unqueued(chunk, priority);
+            context.timers.after(context.retryMs, () -> again(job, chunk));
             return;
           }
-          c.inFlight = false;
-          written(job, c, outcome, flush);
+          chunk.inFlight = false;
+          written(job, chunk, outcome, flush);
         });
   }
 
-  private void unqueued(Chunk c, Priority priority) {
+  private void unqueued(Chunk chunk, Priority priority) {
     if (priority != Priority.BOOKKEEPING) {
-      c.launchQueued = false;
+      chunk.launchQueued = false;
     } else {
-      gathering.remove(c);
+      gathering.remove(chunk);
     }
   }
 
   /** The put of a chunk as it is now, or null when there is none to make. */
-  private Txn put(Job job, Chunk c, Priority priority, Flush flush) {
-    unqueued(c, priority);
-    if (!office.held() || c.inFlight || !c.dirty || job.over() || !office.leadership.leading()) {
+  private Txn put(Job job, Chunk chunk, Priority priority, Flush flush) {
+    unqueued(chunk, priority);
+    if (!context.held()
+        || chunk.inFlight
+        || !chunk.dirty
+        || job.over()
+        || !context.leadership.leading()) {
       return null;
     }
     flush.built = true;
-    flush.number = c.lastNumber;
-    c.inFlight = true;
-    c.dirty = false;
-    c.urgent = false;
-    c.ends = false;
-    for (Attempt a : c.live.values()) {
-      if (a.phase == Attempt.Phase.PLANNED) {
-        flush.planned.add(a);
+    flush.number = chunk.lastNumber;
+    chunk.inFlight = true;
+    chunk.dirty = false;
+    chunk.urgent = false;
+    chunk.ends = false;
+    for (Attempt attempt : chunk.live.values()) {
+      if (attempt.phase == Attempt.Phase.PLANNED) {
+        flush.planned.add(attempt);
       }
-      if (a.done) {
-        flush.completed.add(a);
+      if (attempt.done) {
+        flush.completed.add(attempt);
       }
     }
-    // The job's own stamp: nothing starts for a job that was withdrawn meanwhile.
+    // The job's own stamp: nothing starts for a job that was cancelled meanwhile.
     String ref = job.spec().ref();
-    String key = Keys.run(ref, c.index);
-    return office
+    String key = Keys.run(ref, chunk.index);
+    return context
         .leadership
         .guard(new Txn())
-        .when(key, c.stamp)
+        .when(key, chunk.stamp)
         .when(Keys.job(ref), job.stamp)
-        .put(key, c.toJson(job.probesFailed));
+        .put(key, chunk.toJson(job.probesFailed));
   }
 
-  private void written(Job job, Chunk c, Outcome outcome, Flush flush) {
+  private void written(Job job, Chunk chunk, Outcome outcome, Flush flush) {
     if (outcome instanceof Outcome.Applied applied) {
-      c.stamp = applied.stamp();
-      c.recordedNumber = flush.number;
-      sheets.released(c);
+      chunk.stamp = applied.stamp();
+      chunk.recordedNumber = flush.number;
+      launchBatches.released(chunk);
       if (job.over) {
         listener.over(job);
         return;
       }
-      flush.planned.forEach(a -> launch(c, a));
-      flush.completed.forEach(a -> settle(job, c, a));
+      flush.planned.forEach(a -> launch(chunk, a));
+      flush.completed.forEach(a -> settle(job, chunk, a));
       if (!listener.written(job)) {
-        again(job, c);
+        again(job, chunk);
       }
       return;
     }
-    c.dirty = true;
-    c.ends = true;
-    c.urgent |= !flush.planned.isEmpty();
+    chunk.dirty = true;
+    chunk.ends = true;
+    chunk.urgent |= !flush.planned.isEmpty();
     if (outcome instanceof Outcome.Conflict conflict) {
-      if (office.leadership.deposedBy(outcome)) {
+      if (context.leadership.deposedBy(outcome)) {
         return;
       }
       if (conflict.failed().contains(Keys.job(job.spec().ref()))) {
-        // Withdrawn: the replica will say so; what was not sent never will be.
+        // Cancelled: the replica will say so; what was not sent never will be.
         for (Attempt a : flush.planned) {
-          if (c.live.get(a.step) == a && !a.sent()) {
+          if (chunk.live.get(a.step) == a && !a.sent()) {
             listener.dropped(a);
           }
         }
@@ -229,26 +236,26 @@
       }
     }
     if (outcome instanceof Outcome.Conflict || outcome instanceof Outcome.Unknown) {
-      readBack(job, c);
+      readBack(job, chunk);
     } else {
-      office.timers.after(office.retryMs, () -> again(job, c));
+      context.timers.after(context.retryMs, () -> again(job, chunk));
     }
   }
 
-  private void launch(Chunk c, Attempt a) {
-    if (c.live.get(a.step) == a && a.phase == Attempt.Phase.PLANNED) {
-      a.phase = Attempt.Phase.COMMITTED;
-      office.hooks.launch(a);
+  private void launch(Chunk chunk, Attempt attempt) {
+    if (chunk.live.get(attempt.step) == attempt && attempt.phase == Attempt.Phase.PLANNED) {
+      attempt.phase = Attempt.Phase.COMMITTED;
+      context.hooks.launch(attempt);
     }
   }
 
   /** Its completion is on record: the report of it is not needed any more. */
-  private void settle(Job job, Chunk c, Attempt a) {
-    if (c.live.get(a.step) == a) {
-      c.live.remove(a.step);
+  private void settle(Job job, Chunk chunk, Attempt attempt) {
+    if (chunk.live.get(attempt.step) == attempt) {
+      chunk.live.remove(attempt.step);
       job.held--;
-      office.hooks.host(a.host).forget(a);
-      office.hooks.clear(a.host, a.key(), a.number);
+      context.hooks.host(attempt.host).forget(attempt);
+      context.hooks.clear(attempt.host, attempt.key(), attempt.number);
     }
   }
 
@@ -256,23 +263,23 @@
    * An unanswered write may have been applied, or may be later. Each write is conditional on the
    * stamp of the one before, so once a newer one has succeeded, the lost one cannot follow.
    */
-  void readBack(Job job, Chunk c) {
-    long term = office.term();
-    c.inFlight = true;
-    office.state.get(
-        Keys.run(job.spec().ref(), c.index),
+  void readBack(Job job, Chunk chunk) {
+    long term = context.term();
+    chunk.inFlight = true;
+    context.state.get(
+        Keys.run(job.spec().ref(), chunk.index),
         read -> {
-          if (!office.still(term)) {
+          if (!context.still(term)) {
             return;
           }
-          c.inFlight = false;
+          chunk.inFlight = false;
           if (read.known()) {
-            c.stamp = read.stamp();
+            chunk.stamp = read.stamp();
           }
           if (job.over) {
             listener.over(job);
           } else {
-            office.timers.after(read.known() ? 0 : office.retryMs, () -> again(job, c));
+            context.timers.after(read.known() ? 0 : context.retryMs, () -> again(job, chunk));
           }
         });
   }
--- a/src/main/java/dapplestair/ledger/Endings.java
+++ b/src/main/java/dapplestair/ledger/Endings.java
@@ -11,15 +11,19 @@
 
 /** How jobs end, and the removal of what was recorded of them. */
 final class Endings implements ChunkWriter.Listener {
-  private final Office office;
+  private final LedgerContext context;
   private final ChunkWriter writer;
   private final Attempts attempts;
   private final Map<String, Job> jobs;
   private final Served served;
 
   Endings(
-      Office office, ChunkWriter writer, Attempts attempts, Map<String, Job> jobs, Served served) {
-    this.office = office;
+      LedgerContext context,
+      ChunkWriter writer,
+      Attempts attempts,
+      Map<String, Job> jobs,
+      Served served) {
+    this.context = context;
     this.writer = writer;
     this.attempts = attempts;
     this.jobs = jobs;
@@ -46,26 +50,26 @@
     job.over = true;
     job.finishing = false;
     job.stamp = 0;
-    job.overAt = office.clock.now();
-    if (office.armed()) {
+    job.overAt = context.clock.now();
+    if (context.armed()) {
       served.ended(job);
     }
-    for (Chunk c : job.chunks.values()) {
-      for (Attempt a : List.copyOf(c.live.values())) {
-        if (!a.sent() || a.done) {
-          attempts.drop(a);
+    for (Chunk chunk : job.chunks.values()) {
+      for (Attempt attempt : List.copyOf(chunk.live.values())) {
+        if (!attempt.sent() || attempt.done) {
+          attempts.drop(attempt);
         } else {
-          attempts.halt(a, 0, StopReason.JOB_OVER);
+          attempts.halt(attempt, 0, StopReason.JOB_OVER);
         }
       }
     }
     over(job);
-    office.hooks.changed();
+    context.hooks.changed();
   }
 
   /** Makes the job done when all of it is. True when the job is over. */
   boolean finishIfDone(Job job) {
-    if (job.over() || !office.armed() || !job.allDone()) {
+    if (job.over() || !context.armed() || !job.allDone()) {
       return job.over();
     }
     job.finishing = true;
@@ -74,25 +78,25 @@
   }
 
   private void finish(Job job) {
-    if (!office.held() || job.over || !office.leadership.leading()) {
+    if (!context.held() || job.over || !context.leadership.leading()) {
       return;
     }
     List<Chunk> removed = new ArrayList<>();
-    long term = office.term();
+    long term = context.term();
     boolean low = job.spec().rank() == Rank.LOW;
-    office.state.commit(
-        2 + office.hooks.mostWithFinish() + job.chunks.size(),
-        () -> office.term() == term && !job.over ? finishing(job, removed) : null,
+    context.state.commit(
+        2 + context.hooks.mostWithFinish() + job.chunks.size(),
+        () -> context.term() == term && !job.over ? finishing(job, removed) : null,
         // A swarm's ends come by the hundred; no other user is to hear later that all is done.
         low ? Priority.FINISH_LOW : Priority.FINISH,
-        low ? office.settings.workers().leaseMs() : office.settings.workers().reportMs(),
+        low ? context.settings.workers().leaseMs() : context.settings.workers().reportMs(),
         outcome -> {
-          if (!office.still(term)) {
+          if (!context.still(term)) {
             return;
           }
           if (outcome instanceof Outcome.Applied) {
             // Also when the replica was quicker to say that the job's key is gone.
-            office.hooks.ended(job.spec().ref(), true);
+            context.hooks.ended(job.spec().ref(), true);
           }
           if (!job.over) {
             finished(job, removed, outcome);
@@ -104,17 +108,17 @@
   private Txn finishing(Job job, List<Chunk> removed) {
     String ref = job.spec().ref();
     Txn txn =
-        office
+        context
             .leadership
             .guard(new Txn())
             .when(Keys.job(ref), job.stamp)
-            .put(Keys.over(ref), JobRecord.over(job, "done", office.clock.wall()))
+            .put(Keys.over(ref), JobRecord.over(job, "done", context.clock.wall()))
             .remove(Keys.job(ref));
-    office.hooks.finishing(job, txn);
-    for (Chunk c : job.chunks.values()) {
-      if (c.stamp != 0 && !c.inFlight && txn.size() < office.settings.state().txnOps()) {
-        txn.when(Keys.run(ref, c.index), c.stamp).remove(Keys.run(ref, c.index));
-        removed.add(c);
+    context.hooks.finishing(job, txn);
+    for (Chunk chunk : job.chunks.values()) {
+      if (chunk.stamp != 0 && !chunk.inFlight && txn.size() < context.settings.state().txnOps()) {
+        txn.when(Keys.run(ref, chunk.index), chunk.stamp).remove(Keys.run(ref, chunk.index));
+        removed.add(chunk);
       }
     }
     return txn;
@@ -128,11 +132,11 @@
       return;
     }
     if (outcome instanceof Outcome.Conflict conflict) {
-      if (office.leadership.deposedBy(outcome)) {
+      if (context.leadership.deposedBy(outcome)) {
         return;
       }
       if (conflict.failed().contains(Keys.job(ref))) {
-        // Withdrawn before, or our own unanswered write was applied: over/ tells which.
+        // Cancelled before, or our own unanswered write was applied: over/ tells which.
         end(job);
         return;
       }
@@ -142,54 +146,54 @@
         }
       }
     }
-    office.timers.after(office.retryMs, () -> finish(job));
+    context.timers.after(context.retryMs, () -> finish(job));
   }
 
   /** Deletes the records of a job that is over, each once nothing in it can be running. */
   @Override
   public void over(Job job) {
-    if (!office.held()) {
+    if (!context.held()) {
       return;
     }
     boolean left = false;
-    for (Chunk c : job.chunks.values()) {
-      if (!c.empty() || c.stamp != 0 || c.inFlight) {
+    for (Chunk chunk : job.chunks.values()) {
+      if (!chunk.empty() || chunk.stamp != 0 || chunk.inFlight) {
         left = true;
       }
-      if (c.empty() && c.stamp != 0 && !c.inFlight) {
-        removeRecord(job, c);
+      if (chunk.empty() && chunk.stamp != 0 && !chunk.inFlight) {
+        removeRecord(job, chunk);
       }
     }
     if (!left) {
-      job.chunks.values().forEach(writer.sheets()::released);
+      job.chunks.values().forEach(writer.launchBatches()::released);
       jobs.remove(job.spec().ref(), job);
     }
   }
 
-  private void removeRecord(Job job, Chunk c) {
-    c.inFlight = true;
-    String key = Keys.run(job.spec().ref(), c.index);
-    Txn txn = office.leadership.guard(new Txn()).when(key, c.stamp).remove(key);
-    long term = office.term();
-    office.state.commit(
+  private void removeRecord(Job job, Chunk chunk) {
+    chunk.inFlight = true;
+    String key = Keys.run(job.spec().ref(), chunk.index);
+    Txn txn = context.leadership.guard(new Txn()).when(key, chunk.stamp).remove(key);
+    long term = context.term();
+    context.state.commit(
         txn,
         Priority.BOOKKEEPING,
-        office.settings.workers().leaseMs(),
+        context.settings.workers().leaseMs(),
         outcome -> {
-          if (!office.still(term)) {
+          if (!context.still(term)) {
             return;
           }
-          c.inFlight = false;
+          chunk.inFlight = false;
           if (outcome instanceof Outcome.Applied) {
-            c.stamp = 0;
+            chunk.stamp = 0;
             over(job);
-          } else if (office.leadership.deposedBy(outcome)) {
+          } else if (context.leadership.deposedBy(outcome)) {
             return;
           } else if (outcome instanceof Outcome.Refused) {
-            office.timers.after(4 * office.retryMs, () -> over(job));
+            context.timers.after(4 * context.retryMs, () -> over(job));
           } else {
-            c.inFlight = true;
-            office.timers.after(office.retryMs, () -> writer.readBack(job, c));
+            chunk.inFlight = true;
+            context.timers.after(context.retryMs, () -> writer.readBack(job, chunk));
           }
         });
   }
--- a/src/main/java/dapplestair/ledger/Evidence.java
+++ b/src/main/java/dapplestair/ledger/Evidence.java
@@ -14,119 +14,124 @@
 
   private static final int MOST_HELD_STEPS = 64;
 
-  private final Office office;
+  private final LedgerContext context;
   private final Attempts attempts;
   private final ChunkWriter writer;
   private final Endings endings;
 
-  Evidence(Office office, Attempts attempts, ChunkWriter writer, Endings endings) {
-    this.office = office;
+  Evidence(LedgerContext context, Attempts attempts, ChunkWriter writer, Endings endings) {
+    this.context = context;
     this.attempts = attempts;
     this.writer = writer;
     this.endings = endings;
   }
 
   /** Applies a machine's newest report. Returns tasks in it that no attempt accounts for. */
-  List<Report.Task> report(Machine host, Report r) {
+  List<Report.Task> report(Machine host, Report report) {
     List<Report.Task> strays = new ArrayList<>();
     Set<Attempt> seen = new HashSet<>();
-    for (Report.Task t : r.tasks()) {
-      Attempt a = host.attempt(t.key());
-      if (a == null || a.number != t.attempt() || a.session != r.session()) {
-        strays.add(t);
+    for (Report.Task task : report.tasks()) {
+      Attempt attempt = host.attempt(task.key());
+      if (attempt == null
+          || attempt.number != task.attempt()
+          || attempt.session != report.session()) {
+        strays.add(task);
       } else {
-        seen.add(a);
-        seen(host, a, t);
+        seen.add(attempt);
+        seen(host, attempt, task);
       }
     }
-    for (Attempt a : List.copyOf(host.attempts())) {
-      if (!seen.contains(a) && provedAbsent(a, r)) {
-        if (a.done) {
+    for (Attempt attempt : List.copyOf(host.attempts())) {
+      if (!seen.contains(attempt) && provedAbsent(attempt, report)) {
+        if (attempt.done) {
           continue;
         }
-        LOG.debug("{} try {} is not on {} any more", a.key(), a.number, host.id());
-        attempts.absent(a);
+        LOG.debug("{} try {} is not on {} any more", attempt.key(), attempt.number, host.id());
+        attempts.absent(attempt);
       }
     }
-    return office.armed() ? strays : List.of();
+    return context.armed() ? strays : List.of();
   }
 
   /** True when this report, newer than any before, proves that the attempt is not there. */
-  static boolean provedAbsent(Attempt a, Report r) {
+  static boolean provedAbsent(Attempt attempt, Report report) {
     // A later session has killed all that the earlier one ran, and refuses launches meant for it.
-    if (r.session() > a.session) {
+    if (report.session() > attempt.session) {
       return true;
     }
     // Otherwise the report must come after the last moment at which a launch could be executed.
-    return a.sent() && r.session() == a.session && r.token() >= a.neededToken;
+    return attempt.sent()
+        && report.session() == attempt.session
+        && report.token() >= attempt.neededToken;
   }
 
-  private void seen(Machine host, Attempt a, Report.Task t) {
-    a.seenOnMachine();
-    if (a.status != t.status()) {
-      long now = office.clock.now();
-      if (a.status == Report.Status.RUNNING) {
-        a.ranBeforeExitS = a.ranS(now);
+  private void seen(Machine host, Attempt attempt, Report.Task task) {
+    attempt.seenOnMachine();
+    if (attempt.status != task.status()) {
+      long now = context.clock.now();
+      if (attempt.status == Report.Status.RUNNING) {
+        attempt.ranBeforeExitS = attempt.ranS(now);
       }
-      a.status = t.status();
-      a.statusAt = now;
-      if (t.status() == Report.Status.RUNNING) {
-        if (!a.job.begun && !a.adopted) {
-          a.job.begunAfterMs = office.clock.wall() - a.job.askedWall();
+      attempt.status = task.status();
+      attempt.statusAt = now;
+      if (task.status() == Report.Status.RUNNING) {
+        if (!attempt.job.begun && !attempt.adopted) {
+          attempt.job.begunAfterMs = context.clock.wall() - attempt.job.askedWall();
         }
-        a.job.begun = true;
-        a.began = true;
-        a.job.chunkOf(a.step).resumed(a.step);
-        office.hooks.started(a);
-        host.imageSeen(a.spec(), now);
-      } else if (t.status() == Report.Status.EXITED) {
-        exited(host, a, t);
+        attempt.job.begun = true;
+        attempt.began = true;
+        attempt.job.chunkOf(attempt.step).resumed(attempt.step);
+        context.hooks.started(attempt);
+        host.imageSeen(attempt.spec(), now);
+      } else if (task.status() == Report.Status.EXITED) {
+        exited(host, attempt, task);
       }
     }
   }
 
-  private void exited(Machine host, Attempt a, Report.Task t) {
-    String cause = t.cause();
-    LOG.debug("{} try {} exited on {}: {}", a.key(), a.number, host.id(), cause);
-    if (cause.equals("done") && !a.spec().service()) {
-      completed(host, a);
+  private void exited(Machine host, Attempt attempt, Report.Task task) {
+    String cause = task.cause();
+    LOG.debug("{} try {} exited on {}: {}", attempt.key(), attempt.number, host.id(), cause);
+    if (cause.equals("done") && !attempt.spec().service()) {
+      completed(host, attempt);
       return;
     }
     if (cause.equals("error")) {
-      a.job.failedOn.addTo(host.id(), 1);
-      office.hooks.failed(a, host);
+      attempt.job.failedOn.addTo(host.id(), 1);
+      context.hooks.failed(attempt, host);
     } else if (cause.equals("unknown") || cause.equals("busy")) {
-      holdBack(a.job, office.settings.workers().reportMs() / 3);
+      holdBack(attempt.job, context.settings.workers().reportMs() / 3);
     }
-    if (t.stored()) {
-      a.job.keep(a.step, a.ranBeforeExitS - a.keptS(a.ranBeforeExitS));
+    if (task.stored()) {
+      attempt.job.keep(
+          attempt.step, attempt.ranBeforeExitS - attempt.keptS(attempt.ranBeforeExitS));
     }
-    attempts.retire(a);
-    office.hooks.clear(a.host, a.key(), a.number);
+    attempts.retire(attempt);
+    context.hooks.clear(attempt.host, attempt.key(), attempt.number);
   }
 
-  private void completed(Machine host, Attempt a) {
-    Chunk c = a.job.chunkOf(a.step);
-    a.done = true;
-    attempts.vacate(a);
-    c.done.set(a.step - c.from);
-    office.hooks.completed(a, host, a.ranBeforeExitS);
-    if (a.job.over) {
-      attempts.drop(a);
-    } else if (!endings.finishIfDone(a.job)) {
+  private void completed(Machine host, Attempt attempt) {
+    Chunk chunk = attempt.job.chunkOf(attempt.step);
+    attempt.done = true;
+    attempts.vacate(attempt);
+    chunk.done.set(attempt.step - chunk.from);
+    context.hooks.completed(attempt, host, attempt.ranBeforeExitS);
+    if (attempt.job.over) {
+      attempts.drop(attempt);
+    } else if (!endings.finishIfDone(attempt.job)) {
       // Recorded before it is cleared: until then the report is the only proof.
-      writer.dirty(a.job, c, false);
+      writer.dirty(attempt.job, chunk, false);
     }
-    office.hooks.changed();
+    context.hooks.changed();
   }
 
   /**
    * A step that fails again waits for longer each time, whatever becomes of the job's other steps;
    * if many do, the job waits as a whole.
    */
-  void failedStep(Attempt a, long firstMs, long mostMs) {
-    Job job = a.job;
-    int before = job.stepFailures.addTo(a.step, 1);
+  void failedStep(Attempt attempt, long firstMs, long mostMs) {
+    Job job = attempt.job;
+    int before = job.stepFailures.addTo(attempt.step, 1);
     if (before == 0 || job.spec().gang()) {
       // A gang starts as a whole, so it waits as a whole.
       return;
@@ -136,12 +141,12 @@
     long ms = Math.min(most, firstMs << Math.min(10, before - 1));
     if (job.heldSteps.size() >= MOST_HELD_STEPS) {
       holdBack(job, ms);
-    } else if (job.heldSteps.add(a.step)) {
-      office.timers.after(
+    } else if (job.heldSteps.add(attempt.step)) {
+      context.timers.after(
           ms,
           () -> {
-            job.heldSteps.remove(a.step);
-            office.hooks.changed();
+            job.heldSteps.remove(attempt.step);
+            context.hooks.changed();
           });
     }
   }
@@ -150,12 +155,12 @@
   void forgive(Job job, int step) {
     job.stepFailures.remove(step);
     job.heldSteps.remove(step);
-    office.hooks.changed();
+    context.hooks.changed();
   }
 
   /** Keeps a job from starting tasks for a while. */
   void holdBack(Job job, long ms) {
-    job.heldBackUntil = Math.max(job.heldBackUntil, office.clock.now() + ms);
-    office.timers.after(ms + 1, office.hooks::changed);
+    job.heldBackUntil = Math.max(job.heldBackUntil, context.clock.now() + ms);
+    context.timers.after(ms + 1, context.hooks::changed);
   }
 }
--- a/src/main/java/dapplestair/ledger/Hooks.java
+++ b/src/main/java/dapplestair/ledger/Hooks.java
@@ -25,8 +25,8 @@
   /** Room or waiting work has changed. */
   void changed();
 
-  /** A job was withdrawn. */
-  void withdrawn(Job job);
+  /** A job was cancelled. */
+  void cancelled(Job job);
 
   /** A job is about to be recorded as done: what has to be recorded with it may be added. */
   void finishing(Job job, Txn txn);
--- a/src/main/java/dapplestair/ledger/Job.java
+++ b/src/main/java/dapplestair/ledger/Job.java
@@ -95,7 +95,7 @@
     return askedWall;
   }
 
-  /** True when it was withdrawn or all is done. */
+  /** True when it was cancelled or all is done. */
   public boolean over() {
     return over || finishing;
   }
@@ -117,8 +117,8 @@
 
   /** True when this step has completed. */
   public boolean done(int step) {
-    Chunk c = chunks.get(step / chunkSize);
-    return c != null && c.done.get(step - c.from);
+    Chunk chunk = chunks.get(step / chunkSize);
+    return chunk != null && chunk.done.get(step - chunk.from);
   }
 
   /** True when it fails wherever it runs, and is tried by one task at a time. */
@@ -166,20 +166,20 @@
 
   /** Tasks completed. */
   public int doneCount() {
-    int n = 0;
-    for (Chunk c : chunks.values()) {
-      n += c.done.cardinality();
+    int count = 0;
+    for (Chunk chunk : chunks.values()) {
+      count += chunk.done.cardinality();
     }
-    return n;
+    return count;
   }
 
   /** Tasks with an attempt, for display. */
   public int liveCount() {
-    int n = 0;
-    for (Chunk c : chunks.values()) {
-      n += c.live.size();
+    int count = 0;
+    for (Chunk chunk : chunks.values()) {
+      count += chunk.live.size();
     }
-    return n;
+    return count;
   }
 
   /** Attempts whose absence is not proved. */
@@ -193,12 +193,12 @@
   }
 
   Chunk chunk(int index) {
-    Chunk c = chunks.get(index);
-    if (c == null) {
-      c = new Chunk(index, chunkSize, spec.steps());
-      chunks.put(index, c);
+    Chunk chunk = chunks.get(index);
+    if (chunk == null) {
+      chunk = new Chunk(index, chunkSize, spec.steps());
+      chunks.put(index, chunk);
     }
-    return c;
+    return chunk;
   }
 
   Chunk chunkOf(int step) {
@@ -215,19 +215,19 @@
     int chunkCount = (spec.steps() + chunkSize - 1) / chunkSize;
     int start = Math.max(from / chunkSize, firstOpen);
     for (int i = start; i < chunkCount; i++) {
-      Chunk c = chunks.get(i);
-      if (c == null) {
+      Chunk chunk = chunks.get(i);
+      if (chunk == null) {
         return Math.max(from, i * chunkSize);
       }
-      if (c.done.cardinality() == c.size) {
+      if (chunk.done.cardinality() == chunk.size) {
         if (i == firstOpen) {
           firstOpen++;
         }
         continue;
       }
-      int step = c.nextFree(Math.max(from, c.from));
+      int step = chunk.nextFree(Math.max(from, chunk.from));
       while (step >= 0 && heldSteps.contains(step)) {
-        step = step + 1 < c.from + c.size ? c.nextFree(step + 1) : -1;
+        step = step + 1 < chunk.from + chunk.size ? chunk.nextFree(step + 1) : -1;
       }
       if (step >= 0) {
         return step;
--- a/src/main/java/dapplestair/ledger/JobRecord.java
+++ b/src/main/java/dapplestair/ledger/JobRecord.java
@@ -14,19 +14,19 @@
   private JobRecord() {}
 
   /** A job as accepted at a time of day, its tasks recorded by so many. */
-  static ObjectNode accepted(Submission s, long wall, long askedWall, int chunkSize) {
-    ObjectNode o = Json.object().put("at", wall).put("chunk", chunkSize);
+  static ObjectNode accepted(Submission submission, long wall, long askedWall, int chunkSize) {
+    ObjectNode object = Json.object().put("at", wall).put("chunk", chunkSize);
     if (askedWall < wall) {
-      o.put("asked", askedWall);
+      object.put("asked", askedWall);
     }
-    o.set("job", s.toJson());
-    return o;
+    object.set("job", submission.toJson());
+    return object;
   }
 
   /** A job that is over since a time of day. */
   static ObjectNode over(Job job, String status, long wall) {
-    ObjectNode o = accepted(job.spec(), job.acceptedWall(), job.askedWall(), job.chunkSize());
-    return o.put("status", status).put("end", wall);
+    ObjectNode object = accepted(job.spec(), job.acceptedWall(), job.askedWall(), job.chunkSize());
+    return object.put("status", status).put("end", wall);
   }
 
   /** For how long a job has been over, milliseconds; 0 if its record does not say since when. */
--- a/src/main/java/dapplestair/ledger/LargestJobs.java
+++ b/src/main/java/dapplestair/ledger/LargestJobs.java
@@ -30,16 +30,16 @@
 
   private final Map<String, Ended> byClass = new HashMap<>();
 
-  /** A job is over. One that was withdrawn before it began counts for nothing. */
+  /** A job is over. One that was cancelled before it began counts for nothing. */
   void ended(String jobClass, Job job, long nowWall) {
     if (!job.begun && !job.allDone()) {
       return;
     }
-    Ended e = byClass.computeIfAbsent(jobClass, c -> new Ended());
-    e.jobs++;
-    e.largest.add(size(job, nowWall));
-    if (e.largest.size() > MOST_KEPT) {
-      e.largest.poll();
+    Ended ended = byClass.computeIfAbsent(jobClass, c -> new Ended());
+    ended.jobs++;
+    ended.largest.add(size(job, nowWall));
+    if (ended.largest.size() > MOST_KEPT) {
+      ended.largest.poll();
     }
   }
 
--- a/src/main/java/dapplestair/ledger/Sheet.java
+++ b/src/main/java/dapplestair/ledger/LaunchBatch.java
@@ -17,7 +17,7 @@
  * Attempts of many jobs recorded by one put. An entry counts until its chunk's own record reaches
  * its number: that record was written later, and knows of it.
  */
-final class Sheet {
+final class LaunchBatch {
   /** One recorded attempt. */
   record Entry(String ref, int step, long number, String host, String zone, long session) {}
 
@@ -28,10 +28,10 @@
   long stamp;
   boolean removing;
 
-  /** Chunks whose own records do not know of this sheet's entries yet. */
+  /** Chunks whose own records do not know of this launch batch's entries yet. */
   final Set<Chunk> claims = new HashSet<>();
 
-  Sheet(String key) {
+  LaunchBatch(String key) {
     this.key = key;
   }
 
@@ -41,8 +41,8 @@
   }
 
   /**
-   * What a job of one task takes. It may be over long before its sheet is deleted, and then tells a
-   * new leader what is left on its machine without one question for each.
+   * What a job of one task takes. It may be over long before its launch batch is deleted, and then
+   * tells a new leader what is left on its machine without one question for each.
    */
   record Brief(String ref, String team, double cpus, double gpus, double memoryGb) {
     Submission spec() {
@@ -74,49 +74,54 @@
   static ObjectNode write(List<Attempt> attempts) {
     List<String> zones = new ArrayList<>();
     ObjectNode byHost = Json.object();
-    for (Attempt a : attempts) {
-      if (!zones.contains(a.zone)) {
-        zones.add(a.zone);
+    for (Attempt attempt : attempts) {
+      if (!zones.contains(attempt.zone)) {
+        zones.add(attempt.zone);
       }
-      String place = a.host + " " + a.session;
+      String place = attempt.host + " " + attempt.session;
       ArrayNode of = (ArrayNode) byHost.get(place);
       if (of == null) {
-        of = byHost.putArray(place).add(zones.indexOf(a.zone));
+        of = byHost.putArray(place).add(zones.indexOf(attempt.zone));
       }
-      of.add(a.spec().ref()).add(a.step).add(a.number);
+      of.add(attempt.spec().ref()).add(attempt.step).add(attempt.number);
     }
-    ObjectNode o = Json.object();
-    writeBriefs(o, attempts);
-    ArrayNode z = o.putArray("z");
-    zones.forEach(z::add);
-    o.set("h", byHost);
-    return o;
+    ObjectNode object = Json.object();
+    writeBriefs(object, attempts);
+    ArrayNode array = object.putArray("z");
+    zones.forEach(array::add);
+    object.set("h", byHost);
+    return object;
   }
 
-  private static void writeBriefs(ObjectNode o, List<Attempt> attempts) {
+  private static void writeBriefs(ObjectNode object, List<Attempt> attempts) {
     ObjectNode briefs = Json.object();
-    for (Attempt a : attempts) {
-      Submission s = a.spec();
-      if (ChunkWriter.single(a.job)) {
-        briefs.putArray(s.ref()).add(s.team()).add(s.cpus()).add(s.gpus()).add(s.memoryGb());
+    for (Attempt attempt : attempts) {
+      Submission submission = attempt.spec();
+      if (ChunkWriter.single(attempt.job)) {
+        briefs
+            .putArray(submission.ref())
+            .add(submission.team())
+            .add(submission.cpus())
+            .add(submission.gpus())
+            .add(submission.memoryGb());
       }
     }
     if (!briefs.isEmpty()) {
-      o.set("j", briefs);
+      object.set("j", briefs);
     }
   }
 
   static List<Brief> readBriefs(JsonNode value) {
     List<Brief> out = new ArrayList<>();
-    for (Map.Entry<String, JsonNode> e : value.path("j").properties()) {
-      JsonNode v = e.getValue();
+    for (Map.Entry<String, JsonNode> entry : value.path("j").properties()) {
+      JsonNode node = entry.getValue();
       out.add(
           new Brief(
-              e.getKey(),
-              v.path(0).asText(),
-              v.path(1).asDouble(),
-              v.path(2).asDouble(),
-              v.path(3).asDouble()));
+              entry.getKey(),
+              node.path(0).asText(),
+              node.path(1).asDouble(),
+              node.path(2).asDouble(),
+              node.path(3).asDouble()));
     }
     return out;
   }
@@ -124,11 +129,11 @@
   static List<Entry> read(JsonNode value) {
     List<Entry> out = new ArrayList<>();
     JsonNode zones = value.path("z");
-    for (Map.Entry<String, JsonNode> e : value.path("h").properties()) {
-      int space = e.getKey().lastIndexOf(' ');
-      String host = e.getKey().substring(0, space);
-      long session = Long.parseLong(e.getKey().substring(space + 1));
-      JsonNode of = e.getValue();
+    for (Map.Entry<String, JsonNode> entry : value.path("h").properties()) {
+      int space = entry.getKey().lastIndexOf(' ');
+      String host = entry.getKey().substring(0, space);
+      long session = Long.parseLong(entry.getKey().substring(space + 1));
+      JsonNode of = entry.getValue();
       String zone = zones.path(of.path(0).asInt()).asText();
       for (int i = 1; i + 2 < of.size(); i += 3) {
         out.add(
--- a/src/main/java/dapplestair/ledger/Sheets.java
+++ b/src/main/java/dapplestair/ledger/LaunchBatches.java
@@ -17,19 +17,19 @@
  * would wait for a dozen seconds. Arrays record their launches in their own chunks: those are
  * written again with each task that ends, and a job that is done must leave nothing behind.
  */
-final class Sheets {
+final class LaunchBatches {
   /** The chunks' own records, which take over in time. */
   interface Chunks {
     /** True when this chunk has launches to record and nothing of it is under way. */
-    boolean waits(Job job, Chunk c);
+    boolean waits(Job job, Chunk chunk);
 
     /** Records one chunk by itself. */
-    void alone(Job job, Chunk c);
+    void alone(Job job, Chunk chunk);
 
     /** The put was made, or not: what waited may go on. */
-    void landed(Job job, Chunk c, boolean made);
+    void landed(Job job, Chunk chunk, boolean made);
 
-    /** The job was withdrawn before this attempt's launch was sent. */
+    /** The job was cancelled before this attempt's launch was sent. */
     void dropped(Attempt unsent);
   }
 
@@ -37,7 +37,7 @@
 
   /** One put under way. */
   private static final class Flight {
-    Sheet sheet;
+    LaunchBatch launchBatch;
     final List<Waiting> of = new ArrayList<>();
     final List<Attempt> planned = new ArrayList<>();
   }
@@ -58,73 +58,74 @@
     }
   }
 
-  // Fewer than these are recorded one by one: a sheet is one put more in the end. The record of a
+  // Fewer than these are recorded one by one: a launch batch is one put more in the end. The record
+  // of a
   // single task's own is deleted in the end as well.
   private static final int FEW_REPLICAS = 4;
   private static final int FEW_SINGLES = 2;
 
-  private final Office office;
+  private final LedgerContext context;
   private final Chunks chunks;
   private final boolean on;
   private final Group replicas;
   private final Group singles;
-  private final Map<String, Sheet> sheets = new LinkedHashMap<>();
+  private final Map<String, LaunchBatch> launchBatches = new LinkedHashMap<>();
   private long counter;
 
-  Sheets(Office office, Chunks chunks, boolean on) {
-    this.office = office;
+  LaunchBatches(LedgerContext context, Chunks chunks, boolean on) {
+    this.context = context;
     this.chunks = chunks;
     this.on = on;
     replicas = new Group(Priority.REPLICA, FEW_REPLICAS, 0);
-    long quarter = office.settings.workers().reportMs() / 4;
+    long quarter = context.settings.workers().reportMs() / 4;
     singles = new Group(Priority.LAUNCH, FEW_SINGLES, quarter);
   }
 
   void clear() {
-    for (Group g : List.of(replicas, singles)) {
-      g.waiting.clear();
-      g.queued = false;
+    for (Group group : List.of(replicas, singles)) {
+      group.waiting.clear();
+      group.queued = false;
     }
-    sheets.clear();
+    launchBatches.clear();
     counter = 0;
   }
 
-  /** Sheets that are recorded. */
+  /** Launch batches that are recorded. */
   int count() {
-    return sheets.size();
+    return launchBatches.size();
   }
 
   /** A chunk of a service, or of a job of one task, has launches to record. */
-  void add(Job job, Chunk c) {
+  void add(Job job, Chunk chunk) {
     if (!on) {
-      chunks.alone(job, c);
+      chunks.alone(job, chunk);
       return;
     }
-    Group g = job.spec().service() ? replicas : singles;
-    g.waiting.put(c, job);
-    if (!g.queued) {
-      g.queued = true;
+    Group group = job.spec().service() ? replicas : singles;
+    group.waiting.put(chunk, job);
+    if (!group.queued) {
+      group.queued = true;
       // Those of the same turn come together; of a swarm, all since the put before.
-      long next = g.sentAt + g.everyMs - office.clock.now();
-      office.timers.after(Math.max(0, next), () -> enqueue(g));
+      long next = group.sentAt + group.everyMs - context.clock.now();
+      context.timers.after(Math.max(0, next), () -> enqueue(group));
     }
   }
 
-  private void enqueue(Group g) {
+  private void enqueue(Group group) {
     Flight flight = new Flight();
-    long term = office.term();
-    office.state.commit(
+    long term = context.term();
+    context.state.commit(
         1,
-        () -> office.term() == term ? build(g, flight) : null,
-        g.priority,
-        office.settings.workers().reportMs(),
+        () -> context.term() == term ? build(group, flight) : null,
+        group.priority,
+        context.settings.workers().reportMs(),
         outcome -> {
-          if (!office.still(term)) {
+          if (!context.still(term)) {
             return;
           }
-          if (flight.sheet == null) {
+          if (flight.launchBatch == null) {
             // Its turn did not come in time.
-            office.timers.after(office.retryMs, () -> enqueue(g));
+            context.timers.after(context.retryMs, () -> enqueue(group));
           } else if (outcome instanceof Outcome.Unknown) {
             readBack(flight, term);
           } else {
@@ -133,54 +134,56 @@
         });
   }
 
-  private Txn build(Group g, Flight flight) {
-    g.queued = false;
-    g.sentAt = office.clock.now();
-    if (!office.leadership.leading()) {
+  private Txn build(Group group, Flight flight) {
+    group.queued = false;
+    group.sentAt = context.clock.now();
+    if (!context.leadership.leading()) {
       return null;
     }
     List<Waiting> ready = new ArrayList<>();
-    g.waiting.forEach((c, job) -> ready.add(new Waiting(job, c)));
-    g.waiting.clear();
+    group.waiting.forEach((c, job) -> ready.add(new Waiting(job, c)));
+    group.waiting.clear();
     ready.removeIf(w -> !chunks.waits(w.job, w.chunk));
-    if (ready.size() < g.few) {
+    if (ready.size() < group.few) {
       ready.forEach(w -> chunks.alone(w.job, w.chunk));
       return null;
     }
     ready.sort(Comparator.comparingInt(w -> w.job.spec().rank().ordinal()));
     fill(flight, ready);
-    Txn txn = office.leadership.guard(new Txn());
+    Txn txn = context.leadership.guard(new Txn());
     for (Waiting w : flight.of) {
-      // The job's own stamp: nothing starts for a job that was withdrawn meanwhile.
+      // The job's own stamp: nothing starts for a job that was cancelled meanwhile.
       txn.when(Keys.job(w.job.spec().ref()), w.job.stamp);
       w.chunk.inFlight = true;
     }
-    Sheet sheet = new Sheet(Keys.sheet(office.term(), ++counter));
-    flight.sheet = sheet;
-    sheets.put(sheet.key, sheet);
-    return txn.when(sheet.key, 0).put(sheet.key, Sheet.write(flight.planned));
+    LaunchBatch launchBatch = new LaunchBatch(Keys.launchBatch(context.term(), ++counter));
+    flight.launchBatch = launchBatch;
+    launchBatches.put(launchBatch.key, launchBatch);
+    return txn.when(launchBatch.key, 0).put(launchBatch.key, LaunchBatch.write(flight.planned));
   }
 
   /** Takes as many as one value and the conditions of one transaction hold; the others wait on. */
   private void fill(Flight flight, List<Waiting> ready) {
-    int mostJobs = 4 * office.settings.state().txnOps() - 2;
-    int mostEntries = Sheet.capacity(office.settings.state().valueBytes());
+    int mostJobs = 4 * context.settings.state().txnOps() - 2;
+    int mostEntries = LaunchBatch.capacity(context.settings.state().valueBytes());
     if (!ready.isEmpty() && ChunkWriter.single(ready.get(0).job)) {
       // With each entry goes what its job takes.
       mostEntries /= 2;
     }
-    for (Waiting w : ready) {
+    for (Waiting waiting : ready) {
       List<Attempt> planned =
-          w.chunk.live.values().stream().filter(a -> a.phase == Attempt.Phase.PLANNED).toList();
+          waiting.chunk.live.values().stream()
+              .filter(a -> a.phase == Attempt.Phase.PLANNED)
+              .toList();
       boolean fits =
           flight.of.size() < mostJobs && flight.planned.size() + planned.size() <= mostEntries;
       if (fits) {
-        flight.of.add(w);
+        flight.of.add(waiting);
         flight.planned.addAll(planned);
       } else if (planned.size() > mostEntries) {
-        chunks.alone(w.job, w.chunk);
+        chunks.alone(waiting.job, waiting.chunk);
       } else {
-        add(w.job, w.chunk);
+        add(waiting.job, waiting.chunk);
       }
     }
   }
@@ -191,10 +194,10 @@
    * it.
    */
   private void readBack(Flight flight, long term) {
-    office.state.get(
-        flight.sheet.key,
+    context.state.get(
+        flight.launchBatch.key,
         read -> {
-          if (!office.still(term)) {
+          if (!context.still(term)) {
             return;
           }
           if (read.exists()) {
@@ -202,7 +205,7 @@
           } else if (read.known()) {
             landed(flight, new Outcome.Refused());
           } else {
-            office.timers.after(office.retryMs, () -> readBack(flight, term));
+            context.timers.after(context.retryMs, () -> readBack(flight, term));
           }
         });
   }
@@ -211,88 +214,93 @@
     flight.of.forEach(w -> w.chunk.inFlight = false);
     boolean made = outcome instanceof Outcome.Applied;
     if (outcome instanceof Outcome.Applied applied) {
-      flight.sheet.stamp = applied.stamp();
+      flight.launchBatch.stamp = applied.stamp();
       for (Waiting w : flight.of) {
-        flight.sheet.claims.add(w.chunk);
-        w.chunk.sheets.add(flight.sheet);
+        flight.launchBatch.claims.add(w.chunk);
+        w.chunk.launchBatches.add(flight.launchBatch);
       }
-      for (Attempt a : flight.planned) {
-        if (a.job.chunkOf(a.step).live.get(a.step) == a && a.phase == Attempt.Phase.PLANNED) {
-          a.phase = Attempt.Phase.COMMITTED;
-          office.hooks.launch(a);
+      for (Attempt attempt : flight.planned) {
+        if (attempt.job.chunkOf(attempt.step).live.get(attempt.step) == attempt
+            && attempt.phase == Attempt.Phase.PLANNED) {
+          attempt.phase = Attempt.Phase.COMMITTED;
+          context.hooks.launch(attempt);
         }
       }
     } else if (outcome instanceof Outcome.Conflict conflict) {
-      sheets.remove(flight.sheet.key);
-      if (office.leadership.deposedBy(outcome)) {
+      launchBatches.remove(flight.launchBatch.key);
+      if (context.leadership.deposedBy(outcome)) {
         return;
       }
-      dropWithdrawn(flight, conflict);
+      dropCancelled(flight, conflict);
     } else {
-      sheets.remove(flight.sheet.key);
+      launchBatches.remove(flight.launchBatch.key);
     }
     flight.of.forEach(w -> chunks.landed(w.job, w.chunk, made));
   }
 
-  private void dropWithdrawn(Flight flight, Outcome.Conflict conflict) {
-    for (Attempt a : flight.planned) {
-      if (conflict.failed().contains(Keys.job(a.job.spec().ref()))
-          && a.job.chunkOf(a.step).live.get(a.step) == a
-          && !a.sent()) {
-        chunks.dropped(a);
+  private void dropCancelled(Flight flight, Outcome.Conflict conflict) {
+    for (Attempt attempt : flight.planned) {
+      if (conflict.failed().contains(Keys.job(attempt.job.spec().ref()))
+          && attempt.job.chunkOf(attempt.step).live.get(attempt.step) == attempt
+          && !attempt.sent()) {
+        chunks.dropped(attempt);
       }
     }
   }
 
   /** Its own record knows all of a chunk's attempts now, or nothing of it can be running. */
-  void released(Chunk c) {
-    for (Sheet s : List.copyOf(c.sheets)) {
-      s.claims.remove(c);
-      removeIfEmpty(s);
+  void released(Chunk chunk) {
+    for (LaunchBatch launchBatch : List.copyOf(chunk.launchBatches)) {
+      launchBatch.claims.remove(chunk);
+      removeIfEmpty(launchBatch);
     }
-    c.sheets.clear();
+    chunk.launchBatches.clear();
   }
 
-  /** An earlier leader's sheet, with the chunks that it still counts for. */
+  /** An earlier leader's launch batch, with the chunks that it still counts for. */
   void adopt(String key, long stamp, Collection<Chunk> claims) {
-    Sheet s = new Sheet(key);
-    s.stamp = stamp;
-    sheets.put(key, s);
-    s.claims.addAll(claims);
-    claims.forEach(c -> c.sheets.add(s));
-    removeIfEmpty(s);
+    LaunchBatch launchBatch = new LaunchBatch(key);
+    launchBatch.stamp = stamp;
+    launchBatches.put(key, launchBatch);
+    launchBatch.claims.addAll(claims);
+    claims.forEach(c -> c.launchBatches.add(launchBatch));
+    removeIfEmpty(launchBatch);
   }
 
-  /** The replica shows a sheet. One that this leader took for lost has come late. */
+  /** The replica shows a launch batch. One that this leader took for lost has come late. */
   void shown(String key, long stamp) {
-    if (!sheets.containsKey(key)) {
+    if (!launchBatches.containsKey(key)) {
       adopt(key, stamp, List.of());
     }
   }
 
-  private void removeIfEmpty(Sheet s) {
-    if (!s.claims.isEmpty() || s.removing || s.stamp == 0) {
+  private void removeIfEmpty(LaunchBatch launchBatch) {
+    if (!launchBatch.claims.isEmpty() || launchBatch.removing || launchBatch.stamp == 0) {
       return;
     }
-    s.removing = true;
-    long term = office.term();
-    office.state.commit(
-        office.leadership.guard(new Txn()).when(s.key, s.stamp).remove(s.key),
+    launchBatch.removing = true;
+    long term = context.term();
+    context.state.commit(
+        context
+            .leadership
+            .guard(new Txn())
+            .when(launchBatch.key, launchBatch.stamp)
+            .remove(launchBatch.key),
         Priority.BOOKKEEPING,
-        office.settings.workers().leaseMs(),
+        context.settings.workers().leaseMs(),
         outcome -> {
-          if (!office.still(term)) {
+          if (!context.still(term)) {
             return;
           }
-          s.removing = false;
+          launchBatch.removing = false;
           if (outcome instanceof Outcome.Applied) {
-            sheets.remove(s.key);
-          } else if (office.leadership.deposedBy(outcome)) {
+            launchBatches.remove(launchBatch.key);
+          } else if (context.leadership.deposedBy(outcome)) {
             return;
           } else if (outcome instanceof Outcome.Conflict) {
-            sheets.remove(s.key);
+            launchBatches.remove(launchBatch.key);
           } else {
-            office.timers.after(4 * office.retryMs, () -> removeIfEmpty(s));
+            context.timers.after(4 * context.retryMs, () -> removeIfEmpty(launchBatch));
           }
         });
   }
--- a/src/main/java/dapplestair/ledger/Door.java
+++ b/src/main/java/dapplestair/ledger/LaunchGate.java
@@ -2,38 +2,41 @@
 
 import dapplestair.work.Submission;
 
-/** The one door that every launch passes, whoever proposes it. */
-final class Door {
-  private final Office office;
+/** The one gate that every launch passes, whoever proposes it. */
+final class LaunchGate {
+  private final LedgerContext context;
   private final TeamUse use;
   private final Attempts attempts;
   private final ChunkWriter writer;
 
-  Door(Office office, TeamUse use, Attempts attempts, ChunkWriter writer) {
-    this.office = office;
+  LaunchGate(LedgerContext context, TeamUse use, Attempts attempts, ChunkWriter writer) {
+    this.context = context;
     this.use = use;
     this.attempts = attempts;
     this.writer = writer;
   }
 
   boolean open() {
-    return office.armed() && office.leadership.leading();
+    return context.armed() && context.leadership.leading();
   }
 
   /** True when the job's other attempts leave room for one more in this zone. */
   static boolean zoneAllows(Job job, String zone) {
-    Submission s = job.spec();
+    Submission submission = job.spec();
     // Attempts out of reach count as well: they may still be there.
-    if (s.apart() && job.inZone(zone) >= s.mostPerZone()) {
+    if (submission.apart() && job.inZone(zone) >= submission.mostPerZone()) {
       return false;
     }
-    return !s.together() || job.held() == 0 || job.inZone(zone) == job.held();
+    return !submission.together() || job.held() == 0 || job.inZone(zone) == job.held();
   }
 
   /** True when the job's rules let one more of its tasks start on this machine now. */
   boolean mayStart(Job job, Machine host) {
-    Submission s = job.spec();
-    return host.allowed(s) && host.fits(s) && zoneAllows(job, host.zone()) && use.allows(s, 1);
+    Submission submission = job.spec();
+    return host.allowed(submission)
+        && host.fits(submission)
+        && zoneAllows(job, host.zone())
+        && use.allows(submission, 1);
   }
 
   /** Plans an attempt; refused unless every rule holds in the latest view. */
@@ -41,22 +44,23 @@
     if (!open() || job.over() || host.closed() || !mayStart(job, host)) {
       return false;
     }
-    Chunk c = job.chunkOf(step);
+    Chunk chunk = job.chunkOf(step);
     // An earlier attempt without proof of absence may still run somewhere.
-    if (!c.free(step) || (job.spec().gang() && !joinsGang(job, step))) {
+    if (!chunk.free(step) || (job.spec().gang() && !joinsGang(job, step))) {
       return false;
     }
-    long number = number(job, c);
-    long now = office.clock.now();
-    attempts.enter(c, new Attempt(job, step, number, host.id(), host.zone(), host.session(), now));
-    writer.dirty(job, c, true);
+    long number = number(job, chunk);
+    long now = context.clock.now();
+    attempts.enter(
+        chunk, new Attempt(job, step, number, host.id(), host.zone(), host.session(), now));
+    writer.dirty(job, chunk, true);
     return true;
   }
 
   /** A number that no earlier attempt at this task has; a gang's members share theirs. */
-  private static long number(Job job, Chunk c) {
-    c.lastNumber = job.spec().gang() ? job.gangNumber : c.lastNumber + 1;
-    return c.lastNumber;
+  private static long number(Job job, Chunk chunk) {
+    chunk.lastNumber = job.spec().gang() ? job.gangNumber : chunk.lastNumber + 1;
+    return chunk.lastNumber;
   }
 
   /**
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -2,12 +2,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.cancellations.Cancellation;
 import dapplestair.leadership.Leadership;
 import dapplestair.ports.Clock;
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import dapplestair.state.StateClient;
-import dapplestair.withdrawals.Withdrawal;
 import dapplestair.work.Report;
 import dapplestair.work.Submission;
 import java.util.ArrayList;
@@ -25,7 +25,7 @@
 public final class Ledger {
   private static final int BYTES_PER_ATTEMPT = 64;
 
-  private final Office office;
+  private final LedgerContext context;
   private final int chunkSize;
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final Recorded recorded = new Recorded();
@@ -35,7 +35,7 @@
   private final Attempts attempts;
   private final Endings endings;
   private final Evidence evidence;
-  private final Door door;
+  private final LaunchGate launchGate;
   private final Takeover takeover;
 
   /** An empty ledger; {@code withSheets} when launches of many services share one put. */
@@ -45,18 +45,19 @@
       Settings settings,
       StateClient state,
       Leadership leadership,
-      boolean withSheets,
+      boolean withLaunchBatches,
       Hooks hooks) {
-    office = new Office(clock, timers, settings, state, leadership, hooks);
+    context = new LedgerContext(clock, timers, settings, state, leadership, hooks);
     chunkSize = Math.max(1, settings.state().valueBytes() / BYTES_PER_ATTEMPT);
     served = new Served(clock, jobs.values());
     use = new TeamUse(settings);
-    writer = new ChunkWriter(office, withSheets);
-    attempts = new Attempts(office, use, writer);
-    endings = new Endings(office, writer, attempts, jobs, served);
-    evidence = new Evidence(office, attempts, writer, endings);
-    door = new Door(office, use, attempts, writer);
-    takeover = new Takeover(office, jobs, recorded, attempts, writer, endings, evidence, chunkSize);
+    writer = new ChunkWriter(context, withLaunchBatches);
+    attempts = new Attempts(context, use, writer);
+    endings = new Endings(context, writer, attempts, jobs, served);
+    evidence = new Evidence(context, attempts, writer, endings);
+    launchGate = new LaunchGate(context, use, attempts, writer);
+    takeover =
+        new Takeover(context, jobs, recorded, attempts, writer, endings, evidence, chunkSize);
   }
 
   // ---- what the replica says ----
@@ -73,37 +74,37 @@
       jobs.put(ref, job);
       // Followers count arrivals too, so that a new leader knows what to expect. What a listing
       // brings at a start is older than that.
-      if (office.clock.wall() - job.acceptedWall() < office.settings.workers().reportMs()) {
-        office.hooks.arrived(job);
+      if (context.clock.wall() - job.acceptedWall() < context.settings.workers().reportMs()) {
+        context.hooks.arrived(job);
       }
-      if (office.armed()) {
-        office.hooks.changed();
+      if (context.armed()) {
+        context.hooks.changed();
       }
     }
   }
 
   /** The form in which an accepted job is recorded, whose user first asked at a time of day. */
-  public ObjectNode record(Submission s, long askedWall) {
-    return JobRecord.accepted(s, office.clock.wall(), askedWall, chunkSize);
+  public ObjectNode record(Submission submission, long askedWall) {
+    return JobRecord.accepted(submission, context.clock.wall(), askedWall, chunkSize);
   }
 
   /** The form in which a job that is over is recorded. */
   public ObjectNode overRecord(Job job, String status) {
-    return JobRecord.over(job, status, office.clock.wall());
+    return JobRecord.over(job, status, context.clock.wall());
   }
 
-  /** A job's key is gone: it was withdrawn or is done. */
+  /** A job's key is gone: it was cancelled or is done. */
   public void jobRemoved(String ref) {
     Job job = jobs.get(ref);
     if (job == null) {
       return;
     }
-    if (!office.held()) {
+    if (!context.held()) {
       jobs.remove(ref);
       return;
     }
     if (!job.over && !job.finishing) {
-      office.hooks.withdrawn(job);
+      context.hooks.cancelled(job);
     }
     endings.end(job);
   }
@@ -112,23 +113,23 @@
    * A job is over for good, as another controller says that told its user so: its tasks are stopped
    * before the records say it here.
    */
-  public void withdrawn(String ref) {
-    if (office.held()) {
+  public void cancelled(String ref) {
+    if (context.held()) {
       jobRemoved(ref);
     }
   }
 
   /** Where a job's tasks may be: what is not proved to be absent, or all that is on record. */
-  public List<Withdrawal.Place> places(String ref) {
+  public List<Cancellation.TaskLocation> places(String ref) {
     Job job = jobs.get(ref);
-    if (!office.held()) {
+    if (!context.held()) {
       return recorded.places(ref);
     }
     return job == null
         ? List.of()
         : attempts(job).stream()
             .filter(a -> a.sent() && !a.exited())
-            .map(a -> new Withdrawal.Place(a.host(), a.session(), a.step(), a.number()))
+            .map(a -> new Cancellation.TaskLocation(a.host(), a.session(), a.step(), a.number()))
             .toList();
   }
 
@@ -150,31 +151,31 @@
   /** A record of attempts has this value. */
   public void runPut(String ref, int chunk, JsonNode value, long stamp) {
     // A leader's own memory is ahead of its records.
-    if (!office.held()) {
+    if (!context.held()) {
       recorded.put(ref, chunk, value, stamp);
     }
   }
 
   /** A record of attempts is gone. */
   public void runRemoved(String ref, int chunk) {
-    if (!office.held()) {
+    if (!context.held()) {
       recorded.remove(ref, chunk);
     }
   }
 
-  /** A sheet of attempts has this value. */
-  public void sheetPut(String key, JsonNode value, long stamp) {
-    if (!office.held()) {
-      recorded.putSheet(key, value, stamp);
+  /** A launch batch of attempts has this value. */
+  public void launchBatchPut(String key, JsonNode value, long stamp) {
+    if (!context.held()) {
+      recorded.putLaunchBatch(key, value, stamp);
     } else {
-      writer.sheets().shown(key, stamp);
+      writer.launchBatches().shown(key, stamp);
     }
   }
 
-  /** A sheet of attempts is gone. */
-  public void sheetRemoved(String key) {
-    if (!office.held()) {
-      recorded.removeSheet(key);
+  /** A launch batch of attempts is gone. */
+  public void launchBatchRemoved(String key) {
+    if (!context.held()) {
+      recorded.removeLaunchBatch(key);
     }
   }
 
@@ -193,12 +194,12 @@
     use.clear();
     served.clear();
     writer.clear();
-    office.leave();
+    context.leave();
   }
 
   /** True when launches may be planned. */
   public boolean armed() {
-    return door.open();
+    return launchGate.open();
   }
 
   // ---- views ----
@@ -215,7 +216,7 @@
 
   /** Tasks completed and tasks with an attempt, for display. */
   public int[] counts(Job job) {
-    return office.held()
+    return context.held()
         ? new int[] {job.doneCount(), job.liveCount()}
         : recorded.counts(job.spec().ref());
   }
@@ -236,8 +237,8 @@
   public List<Attempt> attempts(Job job, int from, int most) {
     List<Attempt> out = new ArrayList<>();
     int first = from / job.chunkSize();
-    for (Chunk c : job.chunks.tailMap(first).values()) {
-      c.live.values().stream().filter(a -> a.step >= from).forEach(out::add);
+    for (Chunk chunk : job.chunks.tailMap(first).values()) {
+      chunk.live.values().stream().filter(a -> a.step >= from).forEach(out::add);
       if (out.size() >= most) {
         break;
       }
@@ -246,9 +247,9 @@
     return out.subList(0, Math.min(most, out.size()));
   }
 
-  /** Sheets that are on record; none before a former version may lead again. */
-  public int sheetCount() {
-    return office.held() ? writer.sheets().count() : recorded.sheets().size();
+  /** Launch batches that are on record; none before a former version may lead again. */
+  public int launchBatchCount() {
+    return context.held() ? writer.launchBatches().count() : recorded.launchBatches().size();
   }
 
   /** Attempts whose absence is not proved. */
@@ -271,31 +272,31 @@
     return use.gpus(team);
   }
 
-  // ---- the door ----
+  // ---- the gate ----
 
   /** True when the team has room for one more task of this size. */
-  public boolean teamAllows(Submission s) {
-    return use.allows(s, 1);
+  public boolean teamAllows(Submission submission) {
+    return use.allows(submission, 1);
   }
 
   /** True when the team has room for so many more tasks of this size. */
-  public boolean teamAllows(Submission s, int tasks) {
-    return use.allows(s, tasks);
+  public boolean teamAllows(Submission submission, int tasks) {
+    return use.allows(submission, tasks);
   }
 
   /** How many more tasks of this size the team's limit, or its guarantee, has room for. */
-  public int teamRoom(Submission s, boolean withinGuarantee) {
-    return use.room(s, withinGuarantee);
+  public int teamRoom(Submission submission, boolean withinGuarantee) {
+    return use.room(submission, withinGuarantee);
   }
 
   /** True when the job's other attempts leave room for one more in this zone. */
   public boolean zoneAllows(Job job, String zone) {
-    return Door.zoneAllows(job, zone);
+    return LaunchGate.zoneAllows(job, zone);
   }
 
   /** True when the job's rules let one more of its tasks start on this machine now. */
   public boolean mayStart(Job job, Machine host) {
-    return door.mayStart(job, host);
+    return launchGate.mayStart(job, host);
   }
 
   /**
@@ -303,19 +304,19 @@
    * here unless every rule holds in the latest view.
    */
   public boolean launch(Job job, int step, Machine host) {
-    return door.launch(job, step, host);
+    return launchGate.launch(job, step, host);
   }
 
   /** Asks for a stop; repeated by the workers' duty until it is proved. */
-  public void halt(Attempt a, double windDownS, StopReason why) {
-    attempts.halt(a, windDownS, why);
+  public void halt(Attempt attempt, double windDownS, StopReason why) {
+    attempts.halt(attempt, windDownS, why);
   }
 
   // ---- what workers say ----
 
   /** Applies a machine's newest report. Returns tasks in it that no attempt accounts for. */
-  public List<Report.Task> report(Machine host, Report r) {
-    return evidence.report(host, r);
+  public List<Report.Task> report(Machine host, Report report) {
+    return evidence.report(host, report);
   }
 
   /** The machine is proved to be gone: so is all that was on it. */
@@ -329,8 +330,8 @@
   }
 
   /** A step has failed: it waits if it did before, for longer each time. */
-  public void failedStep(Attempt a, long firstMs, long mostMs) {
-    evidence.failedStep(a, firstMs, mostMs);
+  public void failedStep(Attempt attempt, long firstMs, long mostMs) {
+    evidence.failedStep(attempt, firstMs, mostMs);
   }
 
   /** This step failed only since its machine was faulty: it need not wait. */
@@ -369,6 +370,6 @@
     job.probesFailed = 0;
     job.heldBackUntil = 0;
     job.failedOn.clear();
-    office.hooks.changed();
+    context.hooks.changed();
   }
 }
--- a/src/main/java/dapplestair/ledger/Office.java
+++ b/src/main/java/dapplestair/ledger/LedgerContext.java
@@ -7,7 +7,7 @@
 import dapplestair.state.StateClient;
 
 /** What every part of the ledger stands on, and the term it is kept for. */
-final class Office {
+final class LedgerContext {
   final Clock clock;
   final Timers timers;
   final Settings settings;
@@ -20,7 +20,7 @@
   private boolean held;
   private boolean armed;
 
-  Office(
+  LedgerContext(
       Clock clock,
       Timers timers,
       Settings settings,
--- a/src/main/java/dapplestair/ledger/Machine.java
+++ b/src/main/java/dapplestair/ledger/Machine.java
@@ -98,11 +98,11 @@
   }
 
   /** Gives an attempt its room. */
-  public final void hold(Attempt a) {
-    attempts.put(a.key(), a);
-    use(a.spec(), 1);
-    Submission s = a.spec();
-    images.used(s.image(), s.imageGb(), fetchS(s), a.plannedAt());
+  public final void hold(Attempt attempt) {
+    attempts.put(attempt.key(), attempt);
+    use(attempt.spec(), 1);
+    Submission submission = attempt.spec();
+    images.used(submission.image(), submission.imageGb(), fetchS(submission), attempt.plannedAt());
     if (type != null) {
       images.fit(type.cacheGb(), this::inUse);
     }
@@ -113,8 +113,8 @@
   }
 
   /** Takes the room back; the attempt itself stays known until {@link #forget}. */
-  public final void vacate(Attempt a, long now) {
-    use(a.spec(), -1);
+  public final void vacate(Attempt attempt, long now) {
+    use(attempt.spec(), -1);
     if (holding == 0) {
       cpusUsed = 0;
       gpusUsed = 0;
@@ -125,18 +125,18 @@
   }
 
   /** Forgets an attempt. */
-  public final void forget(Attempt a) {
-    attempts.remove(a.key(), a);
+  public final void forget(Attempt attempt) {
+    attempts.remove(attempt.key(), attempt);
   }
 
-  private void use(Submission s, int sign) {
-    cpusUsed += sign * s.cpus();
+  private void use(Submission submission, int sign) {
+    cpusUsed += sign * submission.cpus();
     holding += sign;
-    if (s.service()) {
-      serviceCpus = Math.max(0, serviceCpus + sign * s.cpus());
+    if (submission.service()) {
+      serviceCpus = Math.max(0, serviceCpus + sign * submission.cpus());
     }
-    gpusUsed += sign * s.gpus();
-    memoryUsed += sign * s.memoryGb();
+    gpusUsed += sign * submission.gpus();
+    memoryUsed += sign * submission.memoryGb();
   }
 
   /** CPUs in use. */
@@ -160,32 +160,32 @@
   }
 
   /** True when one more task of the job fits now. */
-  public final boolean fits(Submission s) {
-    return s.cpus() <= cpusFree() + 1e-9
-        && s.memoryGb() <= memoryFree() + 1e-9
-        && s.gpus() <= gpusFree() + 1e-9;
+  public final boolean fits(Submission submission) {
+    return submission.cpus() <= cpusFree() + 1e-9
+        && submission.memoryGb() <= memoryFree() + 1e-9
+        && submission.gpus() <= gpusFree() + 1e-9;
   }
 
   /** True when the job allows this machine. */
-  public final boolean allowed(Submission s) {
+  public final boolean allowed(Submission submission) {
     return type != null
-        && type.suits(s)
-        && (s.zone() == null || s.zone().equals(zone))
-        && (s.spot() || !spot);
+        && type.suits(submission)
+        && (submission.zone() == null || submission.zone().equals(zone))
+        && (submission.spot() || !spot);
   }
 
   /** Seconds until a task that needs this image could start here; fetches share one rate. */
-  public final double imageWaitS(Submission s, long now) {
-    return images.waitS(s.image(), fetchS(s), now);
+  public final double imageWaitS(Submission submission, long now) {
+    return images.waitS(submission.image(), fetchS(submission), now);
   }
 
-  private double fetchS(Submission s) {
-    return type == null ? 0 : s.imageGb() / type.fetchGbPerS();
+  private double fetchS(Submission submission) {
+    return type == null ? 0 : submission.imageGb() / type.fetchGbPerS();
   }
 
   /** The task's image was seen in use here. */
-  public final void imageSeen(Submission s, long now) {
-    images.seen(s.image(), s.imageGb(), now);
+  public final void imageSeen(Submission submission, long now) {
+    images.seen(submission.image(), submission.imageGb(), now);
   }
 
   /** What is believed of its images. */
--- a/src/main/java/dapplestair/ledger/Out.java
+++ b/src/main/java/dapplestair/ledger/Out.java
@@ -18,29 +18,29 @@
     int disrupted = 0;
     int stopping = 0;
     int done = 0;
-    for (Chunk c : job.chunks.values()) {
-      done += c.done.cardinality();
+    for (Chunk chunk : job.chunks.values()) {
+      done += chunk.done.cardinality();
       int starting = 0;
       int ended = 0;
-      for (Attempt a : c.live.values()) {
-        if (a.done) {
+      for (Attempt attempt : chunk.live.values()) {
+        if (attempt.done) {
           ended++;
-        } else if (a.halting) {
+        } else if (attempt.halting) {
           stopping++;
-        } else if (!a.began && !a.adopted) {
+        } else if (!attempt.began && !attempt.adopted) {
           starting++;
-        } else if (runs(a) && reached.test(a)) {
+        } else if (runs(attempt) && reached.test(attempt)) {
           in++;
         } else {
           disrupted++;
         }
       }
-      disrupted += c.awaitedAgain(starting + ended);
+      disrupted += chunk.awaitedAgain(starting + ended);
     }
     return new Out(job.spec().steps() - done - in, disrupted + stopping, stopping);
   }
 
-  private static boolean runs(Attempt a) {
-    return a.status == Report.Status.RUNNING && !a.exited;
+  private static boolean runs(Attempt attempt) {
+    return attempt.status == Report.Status.RUNNING && !attempt.exited;
   }
 }
--- a/src/main/java/dapplestair/ledger/Recorded.java
+++ b/src/main/java/dapplestair/ledger/Recorded.java
@@ -1,7 +1,7 @@
 package dapplestair.ledger;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import dapplestair.withdrawals.Withdrawal;
+import dapplestair.cancellations.Cancellation;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,16 +12,16 @@
 
 /** The records of attempts as the replica tells them, unread: a follower needs no more. */
 final class Recorded {
-  /** An attempt and the sheet that has it. */
-  record OnSheet(String key, Sheet.Entry entry) {}
+  /** An attempt and the launch batch that has it. */
+  record OnLaunchBatch(String key, LaunchBatch.Entry entry) {}
 
   /** One record and its stamp. */
   record Row(JsonNode value, long stamp) {}
 
   private final Map<String, Int2ObjectOpenHashMap<Row>> rows = new HashMap<>();
-  private final Map<String, Long> sheets = new HashMap<>();
-  private final Map<String, List<OnSheet>> onSheets = new HashMap<>();
-  private final Map<String, Sheet.Brief> briefs = new HashMap<>();
+  private final Map<String, Long> launchBatches = new HashMap<>();
+  private final Map<String, List<OnLaunchBatch>> onLaunchBatches = new HashMap<>();
+  private final Map<String, LaunchBatch.Brief> briefs = new HashMap<>();
 
   void put(String ref, int chunk, JsonNode value, long stamp) {
     rows.computeIfAbsent(ref, r -> new Int2ObjectOpenHashMap<>()).put(chunk, new Row(value, stamp));
@@ -37,42 +37,44 @@
     }
   }
 
-  void putSheet(String key, JsonNode value, long stamp) {
-    removeSheet(key);
-    sheets.put(key, stamp);
-    Sheet.readBriefs(value).forEach(b -> briefs.put(b.ref(), b));
-    for (Sheet.Entry e : Sheet.read(value)) {
-      onSheets.computeIfAbsent(e.ref(), r -> new ArrayList<>()).add(new OnSheet(key, e));
+  void putLaunchBatch(String key, JsonNode value, long stamp) {
+    removeLaunchBatch(key);
+    launchBatches.put(key, stamp);
+    LaunchBatch.readBriefs(value).forEach(b -> briefs.put(b.ref(), b));
+    for (LaunchBatch.Entry entry : LaunchBatch.read(value)) {
+      onLaunchBatches
+          .computeIfAbsent(entry.ref(), r -> new ArrayList<>())
+          .add(new OnLaunchBatch(key, entry));
     }
   }
 
-  void removeSheet(String key) {
-    if (sheets.remove(key) != null) {
-      onSheets.values().forEach(list -> list.removeIf(on -> on.key().equals(key)));
-      onSheets.values().removeIf(List::isEmpty);
-      briefs.keySet().retainAll(onSheets.keySet());
+  void removeLaunchBatch(String key) {
+    if (launchBatches.remove(key) != null) {
+      onLaunchBatches.values().forEach(list -> list.removeIf(on -> on.key().equals(key)));
+      onLaunchBatches.values().removeIf(List::isEmpty);
+      briefs.keySet().retainAll(onLaunchBatches.keySet());
     }
   }
 
-  /** All sheets and their stamps. */
-  Map<String, Long> sheets() {
-    return sheets;
+  /** All launch batches and their stamps. */
+  Map<String, Long> launchBatches() {
+    return launchBatches;
   }
 
-  /** What sheets say of a job. */
-  List<OnSheet> onSheets(String ref) {
-    return onSheets.getOrDefault(ref, List.of());
+  /** What launch batches say of a job. */
+  List<OnLaunchBatch> onLaunchBatches(String ref) {
+    return onLaunchBatches.getOrDefault(ref, List.of());
   }
 
-  /** What a job of one task takes of which nothing but sheets speaks, or null. */
-  Sheet.Brief brief(String ref) {
+  /** What a job of one task takes of which nothing but launch batches speaks, or null. */
+  LaunchBatch.Brief brief(String ref) {
     return rows.containsKey(ref) ? null : briefs.get(ref);
   }
 
   /** Jobs with attempts on record. */
   Set<String> refs() {
     Set<String> out = new LinkedHashSet<>(rows.keySet());
-    out.addAll(onSheets.keySet());
+    out.addAll(onLaunchBatches.keySet());
     return out;
   }
 
@@ -84,17 +86,17 @@
   /** Tasks completed and tasks with an attempt. */
   int[] counts(String ref) {
     int[] out = new int[2];
-    for (Row r : of(ref).values()) {
-      out[0] += Chunk.countDone(r.value());
-      out[1] += Chunk.countLive(r.value());
+    for (Row row : of(ref).values()) {
+      out[0] += Chunk.countDone(row.value());
+      out[1] += Chunk.countLive(row.value());
     }
-    out[1] += onSheets(ref).size();
+    out[1] += onLaunchBatches(ref).size();
     return out;
   }
 
-  /** Where a job's tasks may be by its own records and by sheets. */
-  List<Withdrawal.Place> places(String ref) {
-    List<Withdrawal.Place> out = new ArrayList<>();
+  /** Where a job's tasks may be by its own records and by launch batches. */
+  List<Cancellation.TaskLocation> places(String ref) {
+    List<Cancellation.TaskLocation> out = new ArrayList<>();
     of(ref)
         .values()
         .forEach(
@@ -102,19 +104,21 @@
                 Chunk.attempts(
                     row.value(),
                     (step, number, host, zone, session) ->
-                        out.add(new Withdrawal.Place(host, session, step, number))));
-    for (OnSheet on : onSheets(ref)) {
+                        out.add(new Cancellation.TaskLocation(host, session, step, number))));
+    for (OnLaunchBatch on : onLaunchBatches(ref)) {
       // Too many rather than too few: a chunk's own record may know better.
-      Sheet.Entry e = on.entry();
-      out.add(new Withdrawal.Place(e.host(), e.session(), e.step(), e.number()));
+      LaunchBatch.Entry entry = on.entry();
+      out.add(
+          new Cancellation.TaskLocation(
+              entry.host(), entry.session(), entry.step(), entry.number()));
     }
     return out;
   }
 
   void clear() {
     rows.clear();
-    sheets.clear();
-    onSheets.clear();
+    launchBatches.clear();
+    onLaunchBatches.clear();
     briefs.clear();
   }
 }
--- a/src/main/java/dapplestair/ledger/Served.java
+++ b/src/main/java/dapplestair/ledger/Served.java
@@ -26,15 +26,16 @@
    *
    * @param accepted jobs that were accepted
    * @param started those of which a task was seen to run
-   * @param due those that are to complete: neither services nor withdrawn
+   * @param due those that are to complete: neither services nor cancelled
    * @param done those that completed
    */
   public record Count(int accepted, int started, int due, int done) {
     /** No jobs. */
     public static final Count NONE = new Count(0, 0, 0, 0);
 
-    private Count plus(Count o) {
-      return new Count(accepted + o.accepted, started + o.started, due + o.due, done + o.done);
+    private Count plus(Count count) {
+      return new Count(
+          accepted + count.accepted, started + count.started, due + count.due, done + count.done);
     }
 
     /** Share of the accepted jobs that started; 1 without any. */
@@ -101,11 +102,11 @@
 
   private static Count one(Job job) {
     boolean done = job.allDone();
-    boolean withdrawn = job.over && !done;
+    boolean cancelled = job.over && !done;
     return new Count(
         1,
         job.begun || job.doneCount() > 0 ? 1 : 0,
-        job.spec().service() || withdrawn ? 0 : 1,
+        job.spec().service() || cancelled ? 0 : 1,
         done ? 1 : 0);
   }
 
--- a/src/main/java/dapplestair/ledger/Takeover.java
+++ b/src/main/java/dapplestair/ledger/Takeover.java
@@ -18,7 +18,7 @@
 final class Takeover {
   private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
 
-  private final Office office;
+  private final LedgerContext context;
   private final Map<String, Job> jobs;
   private final Recorded recorded;
   private final Attempts attempts;
@@ -27,14 +27,14 @@
   private final Evidence evidence;
   private final int chunkSize;
 
-  // The chunks that each earlier sheet still counts for.
+  // The chunks that each earlier launch batch still counts for.
   private final Map<String, Set<Chunk>> claims = new HashMap<>();
   // Jobs that are over since a moment that is not known here.
   private final Deque<Job> endUnread = new ArrayDeque<>();
   private int orphans;
 
   Takeover(
-      Office office,
+      LedgerContext context,
       Map<String, Job> jobs,
       Recorded recorded,
       Attempts attempts,
@@ -42,7 +42,7 @@
       Endings endings,
       Evidence evidence,
       int chunkSize) {
-    this.office = office;
+    this.context = context;
     this.jobs = jobs;
     this.recorded = recorded;
     this.attempts = attempts;
@@ -59,11 +59,11 @@
 
   /** Builds attempts from the records; launches begin once nothing is unaccounted for. */
   void begin(long newTerm) {
-    office.take(newTerm);
+    context.take(newTerm);
     orphans = 1;
     for (String ref : recorded.refs()) {
       Job job = jobs.get(ref);
-      Sheet.Brief brief = recorded.brief(ref);
+      LaunchBatch.Brief brief = recorded.brief(ref);
       if (job != null) {
         build(job);
       } else if (brief != null) {
@@ -77,44 +77,45 @@
       }
     }
     orphanFound();
-    office.timers.after(office.settings.workers().cancelMs() / 16, () -> readEnds(newTerm));
+    context.timers.after(context.settings.workers().cancelMs() / 16, () -> readEnds(newTerm));
   }
 
   /**
-   * Since when jobs are over of which only sheets told. Most are gone by now; of what does not stop
-   * it has to be known, since the time allowed for it does not begin anew with each leader.
+   * Since when jobs are over of which only launch batches told. Most are gone by now; of what does
+   * not stop it has to be known, since the time allowed for it does not begin anew with each
+   * leader.
    */
   private void readEnds(long forTerm) {
     Job job = endUnread.poll();
     while (job != null && job.held() == 0) {
       job = endUnread.poll();
     }
-    if (job == null || !office.still(forTerm)) {
+    if (job == null || !context.still(forTerm)) {
       return;
     }
     Job held = job;
-    office.state.get(
+    context.state.get(
         Keys.over(held.spec().ref()),
         read -> {
           if (read.exists()) {
-            overFor(held, JobRecord.overForMs(read.value(), office.clock.wall()));
+            overFor(held, JobRecord.overForMs(read.value(), context.clock.wall()));
           } else {
             endUnread.add(held);
           }
-          office.timers.after(office.retryMs, () -> readEnds(forTerm));
+          context.timers.after(context.retryMs, () -> readEnds(forTerm));
         });
   }
 
   private void overFor(Job job, long ms) {
-    job.overAt = Math.min(job.overAt, office.clock.now() - ms);
+    job.overAt = Math.min(job.overAt, context.clock.now() - ms);
   }
 
   /** Attempts of a job that is over still use its team's share: its description is needed. */
   private void fetchOrphan(long forTerm, String ref) {
-    office.state.get(
+    context.state.get(
         Keys.over(ref),
         read -> {
-          if (!office.still(forTerm)) {
+          if (!context.still(forTerm)) {
             return;
           }
           Job job = read.exists() ? JobRecord.read(read.value(), 0, chunkSize) : null;
@@ -122,10 +123,10 @@
             if (read.known()) {
               LOG.error("attempts of {} are recorded, but no such job", ref);
             }
-            office.timers.after(office.retryMs, () -> fetchOrphan(forTerm, ref));
+            context.timers.after(context.retryMs, () -> fetchOrphan(forTerm, ref));
             return;
           }
-          over(job, JobRecord.overForMs(read.value(), office.clock.wall()));
+          over(job, JobRecord.overForMs(read.value(), context.clock.wall()));
           orphanFound();
         });
   }
@@ -142,11 +143,11 @@
     if (--orphans == 0) {
       dropClaimsOfForgottenJobs();
       recorded
-          .sheets()
+          .launchBatches()
           .forEach(
               (key, stamp) ->
-                  writer.sheets().adopt(key, stamp, claims.getOrDefault(key, Set.of())));
-      office.arm();
+                  writer.launchBatches().adopt(key, stamp, claims.getOrDefault(key, Set.of())));
+      context.arm();
       recorded.clear();
       claims.clear();
       LOG.info(
@@ -156,13 +157,14 @@
       for (Job job : List.copyOf(jobs.values())) {
         endings.finishIfDone(job);
       }
-      office.hooks.changed();
+      context.hooks.changed();
     }
   }
 
   /**
    * While descriptions were fetched, reports may have proved that nothing is left of a job that is
-   * over. It is forgotten then: with its claim a sheet would stay on record until the next leader.
+   * over. It is forgotten then: with its claim a launch batch would stay on record until the next
+   * leader.
    */
   private void dropClaimsOfForgottenJobs() {
     Set<Chunk> present = new HashSet<>();
@@ -171,55 +173,56 @@
   }
 
   /**
-   * Enters what the sheets add to a job's own records. Of two sheets with the same task the higher
-   * number counts: it was given out after the other one was proved absent.
+   * Enters what the launch batches add to a job's own records. Of two launch batches with the same
+   * task the higher number counts: it was given out after the other one was proved absent.
    */
-  private void readSheets(Job job) {
-    Int2ObjectMap<Recorded.OnSheet> newest = new Int2ObjectOpenHashMap<>();
-    for (Recorded.OnSheet on : recorded.onSheets(job.spec().ref())) {
-      Sheet.Entry e = on.entry();
-      if (e.number() > job.chunkOf(e.step()).recordedNumber) {
-        newest.merge(e.step(), on, (a, b) -> a.entry().number() > b.entry().number() ? a : b);
-        claims.computeIfAbsent(on.key(), k -> new LinkedHashSet<>()).add(job.chunkOf(e.step()));
+  private void readLaunchBatches(Job job) {
+    Int2ObjectMap<Recorded.OnLaunchBatch> newest = new Int2ObjectOpenHashMap<>();
+    for (Recorded.OnLaunchBatch on : recorded.onLaunchBatches(job.spec().ref())) {
+      LaunchBatch.Entry entry = on.entry();
+      if (entry.number() > job.chunkOf(entry.step()).recordedNumber) {
+        newest.merge(entry.step(), on, (a, b) -> a.entry().number() > b.entry().number() ? a : b);
+        claims.computeIfAbsent(on.key(), k -> new LinkedHashSet<>()).add(job.chunkOf(entry.step()));
       }
     }
-    for (Recorded.OnSheet on : newest.values()) {
-      Sheet.Entry e = on.entry();
-      Chunk c = job.chunkOf(e.step());
-      c.lastNumber = Math.max(c.lastNumber, e.number());
-      Attempt older = c.live.get(e.step());
+    for (Recorded.OnLaunchBatch on : newest.values()) {
+      LaunchBatch.Entry entry = on.entry();
+      Chunk chunk = job.chunkOf(entry.step());
+      chunk.lastNumber = Math.max(chunk.lastNumber, entry.number());
+      Attempt older = chunk.live.get(entry.step());
       if (older != null) {
         attempts.retire(older);
       }
-      enter(job, c, e.step(), e.number(), e.host(), e.zone(), e.session());
+      enter(job, chunk, entry.step(), entry.number(), entry.host(), entry.zone(), entry.session());
       if (!ChunkWriter.single(job)) {
         // Its own record takes over. A job of one task needs none: hundreds of puts, for nothing.
-        writer.dirty(job, c, false);
+        writer.dirty(job, chunk, false);
       }
     }
   }
 
   private void enter(
-      Job job, Chunk c, int step, long number, String host, String zone, long session) {
-    Attempt a = new Attempt(job, step, number, host, zone, session, office.clock.now());
-    a.adoptedBy(office.term());
-    attempts.enter(c, a);
+      Job job, Chunk chunk, int step, long number, String host, String zone, long session) {
+    Attempt attempt = new Attempt(job, step, number, host, zone, session, context.clock.now());
+    attempt.adoptedBy(context.term());
+    attempts.enter(chunk, attempt);
   }
 
   private void build(Job job) {
-    for (Int2ObjectMap.Entry<Recorded.Row> e : recorded.of(job.spec().ref()).int2ObjectEntrySet()) {
-      Chunk c = job.chunk(e.getIntKey());
-      job.probesFailed = Math.max(job.probesFailed, Chunk.probesFailed(e.getValue().value()));
+    for (Int2ObjectMap.Entry<Recorded.Row> entry :
+        recorded.of(job.spec().ref()).int2ObjectEntrySet()) {
+      Chunk c = job.chunk(entry.getIntKey());
+      job.probesFailed = Math.max(job.probesFailed, Chunk.probesFailed(entry.getValue().value()));
       c.read(
-          e.getValue().value(),
-          e.getValue().stamp(),
+          entry.getValue().value(),
+          entry.getValue().stamp(),
           (step, number, host, zone, session) -> enter(job, c, step, number, host, zone, session));
     }
-    readSheets(job);
+    readLaunchBatches(job);
     job.chunks.values().forEach(c -> c.countUnknown(job.spec().gang()));
     if (job.probesFailed > 0) {
       job.suspected = true;
-      evidence.holdBack(job, office.settings.workers().reportMs());
+      evidence.holdBack(job, context.settings.workers().reportMs());
     }
   }
 }
--- a/src/main/java/dapplestair/ledger/TeamUse.java
+++ b/src/main/java/dapplestair/ledger/TeamUse.java
@@ -21,16 +21,16 @@
     this.settings = settings;
   }
 
-  void add(Submission s) {
-    Use u = teams.computeIfAbsent(s.team(), t -> new Use());
-    u.cpus += s.cpus();
-    u.gpus += s.gpus();
+  void add(Submission submission) {
+    Use use = teams.computeIfAbsent(submission.team(), t -> new Use());
+    use.cpus += submission.cpus();
+    use.gpus += submission.gpus();
   }
 
-  void subtract(Submission s) {
-    Use u = teams.get(s.team());
-    u.cpus -= s.cpus();
-    u.gpus -= s.gpus();
+  void subtract(Submission submission) {
+    Use use = teams.get(submission.team());
+    use.cpus -= submission.cpus();
+    use.gpus -= submission.gpus();
   }
 
   double cpus(String team) {
@@ -42,24 +42,25 @@
   }
 
   /** True when the team has room for so many more tasks of this size. */
-  boolean allows(Submission s, int tasks) {
-    Settings.Team team = settings.teams().get(s.team());
+  boolean allows(Submission submission, int tasks) {
+    Settings.Team team = settings.teams().get(submission.team());
     if (team == null) {
       return false;
     }
-    Use u = teams.getOrDefault(s.team(), NONE);
-    return (team.cpusMax() <= 0 || u.cpus + tasks * s.cpus() <= team.cpusMax() + 1e-6)
-        && (team.gpusMax() <= 0 || u.gpus + tasks * s.gpus() <= team.gpusMax() + 1e-6);
+    Use use = teams.getOrDefault(submission.team(), NONE);
+    return (team.cpusMax() <= 0 || use.cpus + tasks * submission.cpus() <= team.cpusMax() + 1e-6)
+        && (team.gpusMax() <= 0 || use.gpus + tasks * submission.gpus() <= team.gpusMax() + 1e-6);
   }
 
   /** How many more tasks of this size the team's limit, or its guarantee, has room for. */
-  int room(Submission s, boolean withinGuarantee) {
-    Settings.Team team = settings.teams().get(s.team());
+  int room(Submission submission, boolean withinGuarantee) {
+    Settings.Team team = settings.teams().get(submission.team());
     double most = team == null ? 0 : withinGuarantee ? team.cpus() : team.cpusMax();
     if (team != null && most <= 0 && !withinGuarantee) {
       return Integer.MAX_VALUE;
     }
-    return (int) Math.max(0, Math.floor((most - cpus(s.team())) / s.cpus() + 1e-9));
+    return (int)
+        Math.max(0, Math.floor((most - cpus(submission.team())) / submission.cpus() + 1e-9));
   }
 
   void clear() {
--- a/src/main/java/dapplestair/ledger/package-info.java
+++ b/src/main/java/dapplestair/ledger/package-info.java
@@ -1,2 +1,2 @@
-/** Which attempts exist and where; the one door that every launch passes. */
+/** Which attempts exist and where; the one gate that every launch passes. */
 package dapplestair.ledger;
--- a/src/main/java/dapplestair/machines/MachineType.java
+++ b/src/main/java/dapplestair/machines/MachineType.java
@@ -21,31 +21,31 @@
     List<String> zones) {
 
   /** Reads one entry, or null when it makes no sense. */
-  static MachineType parse(JsonNode n) {
-    String name = Json.text(n, "label");
-    double cpus = Json.decimal(n, "vcpus", -1);
-    double memory = Json.decimal(n, "memoryGb", -1);
+  static MachineType parse(JsonNode node) {
+    String name = Json.text(node, "label");
+    double cpus = Json.decimal(node, "vcpus", -1);
+    double memory = Json.decimal(node, "memoryGb", -1);
     if (name == null || cpus <= 0 || memory <= 0) {
       return null;
     }
     List<String> zones = new ArrayList<>();
-    n.path("basins").forEach(z -> zones.add(z.asText()));
-    double price = Json.decimal(n, "hourly", 1);
+    node.path("basins").forEach(z -> zones.add(z.asText()));
+    double price = Json.decimal(node, "hourly", 1);
     return new MachineType(
         name,
         cpus,
-        Json.decimal(n, "accelerators", 0),
+        Json.decimal(node, "accelerators", 0),
         memory,
-        Json.decimal(n, "cacheGb", 1),
-        Math.max(0.001, Json.decimal(n, "pullGbPerS", 1)),
+        Json.decimal(node, "cacheGb", 1),
+        Math.max(0.001, Json.decimal(node, "pullGbPerS", 1)),
         price,
-        Json.decimal(n, "marketPrice", price),
-        Math.max(0.1, Json.decimal(n, "readyS", 30)),
+        Json.decimal(node, "marketPrice", price),
+        Math.max(0.1, Json.decimal(node, "readyS", 30)),
         List.copyOf(zones));
   }
 
   ObjectNode toJson() {
-    ObjectNode o =
+    ObjectNode object =
         Json.object()
             .put("label", name)
             .put("vcpus", cpus)
@@ -56,17 +56,17 @@
             .put("hourly", price)
             .put("marketPrice", spotPrice)
             .put("readyS", bootS);
-    zones.forEach(o.putArray("basins")::add);
-    return o;
+    zones.forEach(object.putArray("basins")::add);
+    return object;
   }
 
   /** True when one task of the job fits an empty machine of this type and the job allows it. */
-  public boolean suits(Submission s) {
-    return (s.types() == null || s.types().contains(name))
-        && (s.zone() == null || zones.contains(s.zone()))
-        && s.cpus() <= cpus
-        && s.gpus() <= gpus
-        && s.memoryGb() <= memoryGb;
+  public boolean suits(Submission submission) {
+    return (submission.types() == null || submission.types().contains(name))
+        && (submission.zone() == null || zones.contains(submission.zone()))
+        && submission.cpus() <= cpus
+        && submission.gpus() <= gpus
+        && submission.memoryGb() <= memoryGb;
   }
 
   /** What one hour costs now. */
--- a/src/main/java/dapplestair/machines/MachineTypes.java
+++ b/src/main/java/dapplestair/machines/MachineTypes.java
@@ -15,10 +15,10 @@
   /** Reads the cloud's answer or our own record of it. False when there is nothing in it. */
   public boolean read(JsonNode body) {
     Map<String, MachineType> fresh = new LinkedHashMap<>();
-    for (JsonNode n : body.path("hulls")) {
-      MachineType t = MachineType.parse(n);
-      if (t != null) {
-        fresh.put(t.name(), t);
+    for (JsonNode node : body.path("hulls")) {
+      MachineType type = MachineType.parse(node);
+      if (type != null) {
+        fresh.put(type.name(), type);
       }
     }
     if (fresh.isEmpty()) {
@@ -30,10 +30,10 @@
 
   /** For the record that every controller reads. */
   public ObjectNode toJson() {
-    ObjectNode o = Json.object();
-    var hulls = o.putArray("hulls");
+    ObjectNode object = Json.object();
+    var hulls = object.putArray("hulls");
     types.values().forEach(t -> hulls.add(t.toJson()));
-    return o;
+    return object;
   }
 
   /** False until types have been read. */
@@ -52,8 +52,8 @@
   }
 
   /** True when some type can hold a task of this job. */
-  public boolean anySuits(Submission s) {
-    return types.values().stream().anyMatch(t -> t.suits(s));
+  public boolean anySuits(Submission submission) {
+    return types.values().stream().anyMatch(t -> t.suits(submission));
   }
 
   /** Seconds that a machine of this type takes to boot; of an unknown one, null, at most. */
--- a/src/main/java/dapplestair/netty/HttpPool.java
+++ b/src/main/java/dapplestair/netty/HttpPool.java
@@ -82,11 +82,11 @@
     long before = loop.now() - (crowded ? KEEP_IDLE_CROWDED_MS : KEEP_IDLE_MS);
     Iterator<Endpoint> it = endpoints.values().iterator();
     while (it.hasNext()) {
-      Endpoint e = it.next();
-      while (!e.idle.isEmpty() && e.idle.peekFirst().usedAt < before) {
-        e.idle.pollFirst().channel.close();
+      Endpoint endpoint = it.next();
+      while (!endpoint.idle.isEmpty() && endpoint.idle.peekFirst().usedAt < before) {
+        endpoint.idle.pollFirst().channel.close();
       }
-      if (e.open == 0 && e.waiting.isEmpty()) {
+      if (endpoint.open == 0 && endpoint.waiting.isEmpty()) {
         it.remove();
       }
     }
@@ -115,10 +115,10 @@
 
     void pump() {
       while (!waiting.isEmpty()) {
-        Connection c = idle.pollLast();
-        if (c != null) {
-          if (c.channel.isActive()) {
-            c.send(waiting.poll());
+        Connection connection = idle.pollLast();
+        if (connection != null) {
+          if (connection.channel.isActive()) {
+            connection.send(waiting.poll());
           }
         } else if (open < mostPerEndpoint) {
           connect();
@@ -132,18 +132,18 @@
     void connect() {
       open++;
       connections++;
-      Connection c = new Connection(this);
+      Connection connection = new Connection(this);
       int colon = name.lastIndexOf(':');
-      ChannelFuture f =
+      ChannelFuture channelFuture =
           new Bootstrap()
               .group(loop.group())
               .channel(NioSocketChannel.class)
               .option(ChannelOption.TCP_NODELAY, true)
               .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMs)
-              .handler(c.initializer())
+              .handler(connection.initializer())
               .connect(name.substring(0, colon), Integer.parseInt(name.substring(colon + 1)));
-      c.channel = f.channel();
-      f.addListener(x -> c.connected(x.isSuccess()));
+      connection.channel = channelFuture.channel();
+      channelFuture.addListener(x -> connection.connected(x.isSuccess()));
     }
   }
 
@@ -244,18 +244,18 @@
       current = call;
       call.carrier = this;
       byte[] body = call.body == null ? new byte[0] : call.body;
-      DefaultFullHttpRequest r =
+      DefaultFullHttpRequest defaultFullHttpRequest =
           new DefaultFullHttpRequest(
               HttpVersion.HTTP_1_1,
               HttpMethod.valueOf(call.method),
               call.path,
               Unpooled.wrappedBuffer(body));
-      r.headers().set(HttpHeaderNames.HOST, endpoint.name);
+      defaultFullHttpRequest.headers().set(HttpHeaderNames.HOST, endpoint.name);
       if (body.length > 0 || !call.method.equals("GET")) {
-        r.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-        r.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        defaultFullHttpRequest.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        defaultFullHttpRequest.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
       }
-      channel.writeAndFlush(r);
+      channel.writeAndFlush(defaultFullHttpRequest);
     }
 
     @Override
--- a/src/main/java/dapplestair/netty/HttpServer.java
+++ b/src/main/java/dapplestair/netty/HttpServer.java
@@ -156,12 +156,12 @@
 
     @Override
     protected Object newContinueResponse(
-        HttpMessage start, int max, io.netty.channel.ChannelPipeline p) {
-      Object r = super.newContinueResponse(start, max, p);
+        HttpMessage start, int max, io.netty.channel.ChannelPipeline channelPipeline) {
+      Object r = super.newContinueResponse(start, max, channelPipeline);
       // An announced oversized body gets the same 400 as a sent one.
       boolean tooLarge =
-          r instanceof io.netty.handler.codec.http.HttpResponse h
-              && h.status().equals(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+          r instanceof io.netty.handler.codec.http.HttpResponse httpResponse
+              && httpResponse.status().equals(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
       return tooLarge ? null : r;
     }
   }
--- a/src/main/java/dapplestair/netty/Loop.java
+++ b/src/main/java/dapplestair/netty/Loop.java
@@ -58,8 +58,9 @@
 
   @Override
   public Cancellable after(long delayMs, Runnable task) {
-    Future<?> f = eventLoop().schedule(guarded(task), Math.max(0, delayMs), TimeUnit.MILLISECONDS);
-    return () -> f.cancel(false);
+    Future<?> future =
+        eventLoop().schedule(guarded(task), Math.max(0, delayMs), TimeUnit.MILLISECONDS);
+    return () -> future.cancel(false);
   }
 
   @Override
--- a/src/main/java/dapplestair/netty/PeerLinks.java
+++ b/src/main/java/dapplestair/netty/PeerLinks.java
@@ -166,8 +166,10 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
       Object message = codec.decode(ByteBufUtil.getBytes(frame));
-      if (member == null && message instanceof PeerHello h && peers.containsKey(h.member())) {
-        member = h.member();
+      if (member == null
+          && message instanceof PeerHello peerHello
+          && peers.containsKey(peerHello.member())) {
+        member = peerHello.member();
       } else if (member != null && message != null) {
         listener.message(member, message);
       } else {
--- a/src/main/java/dapplestair/netty/Pending.java
+++ b/src/main/java/dapplestair/netty/Pending.java
@@ -115,17 +115,17 @@
 
   private static DefaultFullHttpResponse response(
       int status, String type, byte[] body, int retryAfterS, boolean keep) {
-    DefaultFullHttpResponse r =
+    DefaultFullHttpResponse defaultFullHttpResponse =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
-    r.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
-    r.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+    defaultFullHttpResponse.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+    defaultFullHttpResponse.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
     if (retryAfterS > 0) {
-      r.headers().setInt(HttpHeaderNames.RETRY_AFTER, retryAfterS);
+      defaultFullHttpResponse.headers().setInt(HttpHeaderNames.RETRY_AFTER, retryAfterS);
     }
     if (!keep) {
-      r.headers().set(HttpHeaderNames.CONNECTION, "close");
+      defaultFullHttpResponse.headers().set(HttpHeaderNames.CONNECTION, "close");
     }
-    return r;
+    return defaultFullHttpResponse;
   }
 }
--- a/src/main/java/dapplestair/netty/TlsFiles.java
+++ b/src/main/java/dapplestair/netty/TlsFiles.java
@@ -40,10 +40,10 @@
   /** Reads the files now, and again whenever one has changed. */
   public static TlsFiles watch(Operator.Tls files, Timers timers, Background background)
       throws IOException {
-    TlsFiles t = new TlsFiles(files);
-    t.loaded = t.load();
-    t.look(timers, background);
-    return t;
+    TlsFiles tlsFiles = new TlsFiles(files);
+    tlsFiles.loaded = tlsFiles.load();
+    tlsFiles.look(timers, background);
+    return tlsFiles;
   }
 
   @Override
@@ -78,8 +78,8 @@
 
   private List<FileTime> times() throws IOException {
     List<FileTime> out = new ArrayList<>();
-    for (Path p : List.of(files.certificate(), files.key(), files.authority())) {
-      out.add(Files.getLastModifiedTime(p));
+    for (Path path : List.of(files.certificate(), files.key(), files.authority())) {
+      out.add(Files.getLastModifiedTime(path));
     }
     return out;
   }
@@ -103,10 +103,13 @@
 
   private void warnIfExpired() throws IOException, CertificateException {
     try (InputStream in = Files.newInputStream(files.certificate())) {
-      X509Certificate c =
+      X509Certificate x509Certificate =
           (X509Certificate) CertificateFactory.getInstance("X.509").generateCertificate(in);
-      if (c.getNotAfter().getTime() < System.currentTimeMillis()) {
-        LOG.warn("{} expired on {}: clients refuse it", files.certificate(), c.getNotAfter());
+      if (x509Certificate.getNotAfter().getTime() < System.currentTimeMillis()) {
+        LOG.warn(
+            "{} expired on {}: clients refuse it",
+            files.certificate(),
+            x509Certificate.getNotAfter());
       }
     }
   }
--- a/src/main/java/dapplestair/netty/TlsGreeting.java
+++ b/src/main/java/dapplestair/netty/TlsGreeting.java
@@ -45,8 +45,8 @@
     super.userEventTriggered(ctx, event);
   }
 
-  private static String reason(Throwable t) {
-    Throwable last = t;
+  private static String reason(Throwable cause) {
+    Throwable last = cause;
     while (last.getCause() != null && last.getCause() != last) {
       last = last.getCause();
     }
--- a/src/main/java/dapplestair/node/Verdicts.java
+++ b/src/main/java/dapplestair/node/BlameEvents.java
@@ -6,7 +6,7 @@
 import dapplestair.workers.Host;
 
 /** What is found out about jobs and machines that fail, brought to operators and to the plan. */
-record Verdicts(Events events, Runnable roomLost) implements Blame.Listener {
+record BlameEvents(Events events, Runnable roomLost) implements Blame.Listener {
   @Override
   public void faulty(Host host) {
     events.note(
@@ -20,7 +20,7 @@
     events.note(
         Events.Kind.SUSPECTED,
         o ->
-            Happenings.of(o, job)
+            EventFields.of(o, job)
                 .put("failures", failures)
                 .put("machines", machines)
                 .put("next_s", pauseMs / 1000.0));
@@ -28,6 +28,6 @@
 
   @Override
   public void works(Job job) {
-    events.note(Events.Kind.WORKS, o -> Happenings.of(o, job));
+    events.note(Events.Kind.WORKS, o -> EventFields.of(o, job));
   }
 }
