--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -4,6 +4,8 @@
 import dapplestair.admin.Access;
 import dapplestair.admin.AdminDesk;
 import dapplestair.admin.Duties;
+import dapplestair.cancellations.Cancellation;
+import dapplestair.cancellations.Cancellations;
 import dapplestair.leadership.Leadership;
 import dapplestair.metrics.Exposition;
 import dapplestair.peers.PeerStatus;
@@ -11,8 +13,6 @@
 import dapplestair.settings.Operator;
 import dapplestair.settings.Settings;
 import dapplestair.state.Replica;
-import dapplestair.withdrawals.Withdrawal;
-import dapplestair.withdrawals.Withdrawals;
 import dapplestair.workers.Host;
 import java.util.List;
 import org.slf4j.Logger;
@@ -32,7 +32,7 @@
   private final RoleChanges roleChanges;
   private final Records records;
   private final HttpRouter router;
-  private final Pulse pulse;
+  private final LoopMonitor loopMonitor;
   private final SelfReport self;
 
   /** Wires the duties, without an operators' interface; nothing runs before {@link #start}. */
@@ -54,15 +54,15 @@
                 this::ownStatus,
                 this::peerStatus,
                 new RoleEvents(),
-                new WithdrawalEvents(),
+                new CancellationEvents(),
                 this::hostChanged,
                 new ReplicaEvents()));
     scheduling = new SchedulingDuties(settings, operator, outside, core);
     core.hooks.wire(core, scheduling);
     self = new SelfReport(core);
     long reportMs = settings.workers().reportMs();
-    pulse =
-        new Pulse(
+    loopMonitor =
+        new LoopMonitor(
             outside.clock(),
             outside.timers(),
             core.metrics,
@@ -107,17 +107,17 @@
             scheduling.calendars,
             scheduling.blame,
             operations.wishes,
-            core.withdrawals,
+            core.cancellations,
             core.relay,
             core.log);
-    Exposition exposition = Figures.of(duties);
+    Exposition exposition = ControllerMetrics.of(duties);
     core.metrics.tell(exposition);
     return new AdminDesk(duties, access, this::handle, exposition::text);
   }
 
   /** Answers a request of an operator; only with access given. */
-  public void operators(Exchange x) {
-    admin.handle(x);
+  public void operators(Exchange exchange) {
+    admin.handle(exchange);
   }
 
   /** True once this controller leads and may launch tasks, so that a lone one serves fully. */
@@ -137,15 +137,15 @@
     core.replica.reload();
     core.workers.start();
     core.peers.start();
-    core.withdrawals.start();
+    core.cancellations.start();
     core.requestRelay.start(router::handleUser);
     core.leadership.start(core.replica);
-    pulse.start();
+    loopMonitor.start();
   }
 
   /** Answers a request of a user, a worker or a health check. */
-  public void handle(Exchange x) {
-    router.handle(x);
+  public void handle(Exchange exchange) {
+    router.handle(exchange);
   }
 
   // ---- between the duties ----
@@ -183,15 +183,15 @@
   }
 
   /** The ledger and the users' desk hear of what others confirmed. */
-  private final class WithdrawalEvents implements Withdrawals.Listener {
+  private final class CancellationEvents implements Cancellations.Listener {
     @Override
-    public void withdrawn(String ref) {
+    public void cancelled(String ref) {
       core.submissions.ended(ref, false);
-      core.ledger.withdrawn(ref);
+      core.ledger.cancelled(ref);
     }
 
     @Override
-    public List<Withdrawal.Place> places(String ref) {
+    public List<Cancellation.TaskLocation> places(String ref) {
       return core.ledger.places(ref);
     }
 
@@ -226,7 +226,7 @@
 
   @Override
   public void close() {
-    pulse.close();
+    loopMonitor.close();
     operations.close();
     scheduling.close();
     core.close();
--- /dev/null
+++ b/src/main/java/dapplestair/node/ControllerMetrics.java
@@ -0,0 +1,221 @@
+package dapplestair.node;
+
+import com.google.common.collect.Maps;
+import dapplestair.admin.Duties;
+import dapplestair.disruption.BudgetStatus;
+import dapplestair.ledger.Served;
+import dapplestair.metrics.Exposition;
+import dapplestair.planning.Planning;
+import dapplestair.settings.Settings;
+import dapplestair.state.StateClient;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
+
+/** The figures of a controller that are looked up when somebody asks for them. */
+final class ControllerMetrics {
+  private static final String VERSION = "0.2.0";
+
+  private ControllerMetrics() {}
+
+  static Exposition of(Duties duties) {
+    Exposition exposition = new Exposition(VERSION);
+    addCluster(exposition, duties);
+    addState(exposition, duties);
+    addTeams(exposition, duties);
+    addClasses(exposition, duties);
+    addStops(exposition, duties);
+    addPlan(exposition, duties);
+    return exposition;
+  }
+
+  /** Who leads, and what there is in the cluster. */
+  private static void addCluster(Exposition exposition, Duties duties) {
+    exposition
+        .gauge(
+            "leading",
+            "1 while this controller leads.",
+            () -> duties.leadership().leading() ? 1 : 0)
+        .gauge("term", "The highest term known.", () -> duties.leadership().termSeen())
+        .gauge(
+            "epoch",
+            "Up to which change the replica is complete.",
+            () -> duties.replica().position())
+        .gauge("jobs", "Jobs that are not over.", () -> duties.ledger().jobs().size())
+        .gauge(
+            "attempts",
+            "Attempts whose absence is not proved.",
+            () -> duties.ledger().attemptCount())
+        .gauge("machines", "Machines not proved to be gone.", () -> duties.workers().hosts().size())
+        .gauge(
+            "jobs_suspected",
+            "Jobs that fail wherever they run, tried by one task at a time.",
+            () -> duties.blame().suspects())
+        .gauge(
+            "withdrawals_known_to_age_seconds",
+            "Age of the knowledge of all confirmed cancellations; leases are kept only while it is small.",
+            () -> duties.cancellations().ageMs() / 1000.0)
+        .gauge(
+            "withdrawals_open",
+            "Cancellations told to users here that are not proved to be carried out.",
+            () -> duties.cancellations().open())
+        .gauge(
+            "withdrawals_open_oldest_seconds",
+            "For how long the oldest of them has been so.",
+            () -> duties.cancellations().openMs() / 1000.0)
+        .gauge(
+            "peer_messages_refused",
+            "Messages of peers that were garbled, too large or of an unknown form.",
+            () -> duties.peers().questions().refusedSoFar())
+        .gauge(
+            "relay_on",
+            "1 while the connections of workers are spread over all controllers.",
+            () -> duties.relay().on() ? 1 : 0)
+        .gauge(
+            "relayed_reports",
+            "Reports of workers that this controller has passed on to a leader.",
+            () -> duties.relay().relayed())
+        .gauge("machines_drained", "Machines drained by operators.", () -> drained(duties));
+  }
+
+  /** The state service, and what waits for it. */
+  private static void addState(Exposition exposition, Duties duties) {
+    exposition
+        .gauge("state_reachable", "1 while the state service answers.", () -> reachable(duties))
+        .gauge(
+            "puts_allowed", "Puts a second that may be made.", () -> duties.state().putsAllowed())
+        .gauge("puts_wanted", "Puts a second made or waiting.", () -> duties.state().wanted())
+        .gauges("transactions_queued", "Transactions that wait.", "priority", () -> queued(duties));
+  }
+
+  /** What teams use, and what they were promised. */
+  private static void addTeams(Exposition exposition, Duties duties) {
+    exposition
+        .gauges("team_cpus_used", "CPUs that a team's attempts use.", "team", () -> used(duties))
+        .gauges(
+            "team_cpus_guaranteed",
+            "CPUs guaranteed to a team.",
+            "team",
+            () -> teams(duties, Settings.Team::cpus))
+        .gauges(
+            "team_cpus_limit",
+            "Most CPUs of a team, 0 for no limit.",
+            "team",
+            () -> teams(duties, Settings.Team::cpusMax))
+        .gauges(
+            "team_jobs_started_share",
+            "Share of a team's accepted jobs that started, since this controller leads.",
+            "team",
+            () ->
+                Maps.transformValues(duties.ledger().served().byTeam(), Served.Count::startedShare))
+        .gauges(
+            "team_jobs_done_share",
+            "Share of a team's arrays, less those cancelled, that are done since then.",
+            "team",
+            () -> Maps.transformValues(duties.ledger().served().byTeam(), Served.Count::doneShare));
+  }
+
+  /** How classes of jobs are served. */
+  private static void addClasses(Exposition exposition, Duties duties) {
+    exposition
+        .gauges(
+            "class_jobs_started_share",
+            "Share of a class's accepted jobs that started, since this controller leads.",
+            "class",
+            () ->
+                Maps.transformValues(
+                    duties.ledger().served().byClass(), Served.Count::startedShare))
+        .gauges(
+            "class_jobs_done_share",
+            "Share of a class's arrays, less those cancelled, that are done since then.",
+            "class",
+            () -> Maps.transformValues(duties.ledger().served().byClass(), Served.Count::doneShare))
+        .gauges(
+            "class_largest_begun_share",
+            "Share of a class's largest jobs (the largest tenth, three at least) that began.",
+            "class",
+            () -> Maps.transformValues(duties.ledger().served().largest(), Served.Largest::share))
+        .gauges(
+            "class_largest_wait_seconds",
+            "The longest wait of one of a class's largest jobs for its first task.",
+            "class",
+            () ->
+                Maps.transformValues(duties.ledger().served().largest(), Served.Largest::longestS));
+  }
+
+  /** What is stopped by choice. */
+  private static void addStops(Exposition exposition, Duties duties) {
+    exposition
+        .gauges(
+            "team_replicas_out",
+            "Replicas of a team that are out, for whatever reason.",
+            "team",
+            () -> Maps.transformValues(duties.disruption().statuses(), BudgetStatus::out))
+        .gauges(
+            "team_replicas_out_allowed",
+            "Replicas of a team that may be out before nothing more is stopped by choice.",
+            "team",
+            () -> Maps.transformValues(duties.disruption().statuses(), BudgetStatus::allowed))
+        .gauges(
+            "lane_claims", "Open claims of a lane's riders.", "lane", () -> duties.lanes().claims())
+        .gauge("lane_stops", "Tasks stopped for riders of lanes.", () -> duties.lanes().stops())
+        .gauge(
+            "stops_granted",
+            "Stops that asked for a budget and were granted.",
+            () -> duties.disruption().granted())
+        .gauge(
+            "stops_forced",
+            "Stops that could not wait for a budget.",
+            () -> duties.disruption().forced());
+  }
+
+  /** The plan applied. */
+  private static void addPlan(Exposition exposition, Duties duties) {
+    exposition
+        .gauge(
+            "plan_makespan_seconds",
+            "Mean makespan of the plan applied.",
+            () -> plan(duties, Planning.Applied::makespanS))
+        .gauge(
+            "plan_spend_per_hour",
+            "What the plan applied costs an hour.",
+            () -> plan(duties, Planning.Applied::perHour))
+        .gauge(
+            "plan_risk",
+            "Spot CPUs of the plan applied, times their risk.",
+            () -> plan(duties, Planning.Applied::risk));
+  }
+
+  private static double drained(Duties duties) {
+    return duties.workers().hosts().stream().filter(h -> h.drained()).count();
+  }
+
+  private static double reachable(Duties duties) {
+    return duties.state().reachable() ? 1 : 0;
+  }
+
+  private static Map<String, Integer> queued(Duties duties) {
+    Map<String, Integer> out = new TreeMap<>();
+    for (StateClient.Priority priority : StateClient.Priority.values()) {
+      out.put(priority.name().toLowerCase(Locale.ROOT), duties.state().queued(priority));
+    }
+    return out;
+  }
+
+  private static Map<String, Double> used(Duties duties) {
+    return teams(duties, t -> duties.ledger().teamCpus(t.name()));
+  }
+
+  private static Map<String, Double> teams(Duties duties, Function<Settings.Team, Double> figure) {
+    Map<String, Double> out = new TreeMap<>();
+    duties.settings().teams().values().forEach(t -> out.put(t.name(), figure.apply(t)));
+    return out;
+  }
+
+  private static double plan(Duties duties, ToDoubleFunction<Planning.Applied> figure) {
+    Planning.Applied applied = duties.planning().applied();
+    return applied == null ? Double.NaN : figure.applyAsDouble(applied);
+  }
+}
--- a/src/main/java/dapplestair/node/CoreDuties.java
+++ b/src/main/java/dapplestair/node/CoreDuties.java
@@ -1,5 +1,6 @@
 package dapplestair.node;
 
+import dapplestair.cancellations.Cancellations;
 import dapplestair.cloud.CloudClient;
 import dapplestair.events.EventLog;
 import dapplestair.events.Events;
@@ -19,7 +20,6 @@
 import dapplestair.state.StateClient;
 import dapplestair.submissions.RequestRelay;
 import dapplestair.submissions.SubmissionDesk;
-import dapplestair.withdrawals.Withdrawals;
 import dapplestair.workers.WorkerDesk;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -37,7 +37,7 @@
   final CloudClient cloud;
   final LedgerHooks hooks;
   final Ledger ledger;
-  final Withdrawals withdrawals;
+  final Cancellations cancellations;
   final Relay relay;
   final WorkerDesk workers;
 
@@ -59,7 +59,7 @@
       Supplier<PeerStatus> ownStatus,
       Consumer<PeerStatus> peerStatus,
       Leadership.Listener leadership,
-      Withdrawals.Listener withdrawals,
+      Cancellations.Listener cancellations,
       WorkerDesk.Listener workers,
       Replica.Listener replica) {}
 
@@ -79,10 +79,10 @@
         new Leadership(
             clock, timers, outside.random(), settings, state, peers, listeners.leadership);
     hooks = new LedgerHooks(clock, metrics, estimates);
-    ledger = new Ledger(clock, timers, settings, state, leadership, outside.launchSheets(), hooks);
+    ledger = new Ledger(clock, timers, settings, state, leadership, outside.launchBatches(), hooks);
     cloud = new CloudClient(clock, timers, outside.http(), settings);
-    withdrawals =
-        new Withdrawals(
+    cancellations =
+        new Cancellations(
             clock,
             timers,
             outside.http(),
@@ -91,7 +91,7 @@
             peers,
             leadership,
             this::recordsAsOf,
-            listeners.withdrawals);
+            listeners.cancellations);
     relay =
         new Relay(
             clock, timers, outside.http(), settings, operator.relayAbove(), leadership, peers);
@@ -106,7 +106,7 @@
             state,
             types,
             ledger,
-            withdrawals,
+            cancellations,
             listeners.workers);
     log = logsEvents ? new EventLog(clock) : null;
     events = logsEvents ? log : Events.OFF;
@@ -114,7 +114,7 @@
     requestRelay = new RequestRelay(peers, settings.workers().reportMs() / 4);
     submissions =
         new SubmissionDesk(
-            clock, settings, state, replica, ledger, types, withdrawals, requestRelay, metrics);
+            clock, settings, state, replica, ledger, types, cancellations, requestRelay, metrics);
   }
 
   private long recordsAsOf() {
@@ -125,7 +125,7 @@
   public void close() {
     workers.close();
     relay.close();
-    withdrawals.close();
+    cancellations.close();
     leadership.close();
     peers.close();
   }
--- a/src/main/java/dapplestair/node/HttpRouter.java
+++ b/src/main/java/dapplestair/node/HttpRouter.java
@@ -39,47 +39,47 @@
   }
 
   /** Answers a request of a user, a worker or a health check. */
-  void handle(Exchange x) {
-    String path = x.path();
+  void handle(Exchange exchange) {
+    String path = exchange.path();
     if (path.equals("/agent/beat")) {
-      if (method(x, "POST")) {
-        workers.beat(x);
+      if (method(exchange, "POST")) {
+        workers.beat(exchange);
       }
     } else if (path.equals("/up")) {
-      if (method(x, "GET")) {
-        up(x);
+      if (method(exchange, "GET")) {
+        up(exchange);
       }
     } else {
-      handleUser(x);
+      handleUser(exchange);
     }
   }
 
   /** Answers a request of a user, also one that a peer passed on. */
-  void handleUser(Exchange x) {
-    String path = x.path();
+  void handleUser(Exchange exchange) {
+    String path = exchange.path();
     if (path.equals(SUBMISSIONS)) {
-      if (method(x, "POST")) {
-        submissions.submit(x);
+      if (method(exchange, "POST")) {
+        submissions.submit(exchange);
       }
     } else if (path.startsWith(SUBMISSIONS + "/")) {
-      oneSubmission(x, path.substring(SUBMISSIONS.length() + 1));
+      oneSubmission(exchange, path.substring(SUBMISSIONS.length() + 1));
     } else {
-      error(x, 404, "no such path");
+      error(exchange, 404, "no such path");
     }
   }
 
-  private void oneSubmission(Exchange x, String rest) {
+  private void oneSubmission(Exchange exchange, String rest) {
     int slash = rest.indexOf('/');
     if (slash < 0) {
-      if (method(x, "GET")) {
-        submissions.poll(x, rest);
+      if (method(exchange, "GET")) {
+        submissions.poll(exchange, rest);
       }
     } else if (rest.substring(slash).equals("/withdraw")) {
-      if (method(x, "POST")) {
-        submissions.withdraw(x, rest.substring(0, slash));
+      if (method(exchange, "POST")) {
+        submissions.cancel(exchange, rest.substring(0, slash));
       }
     } else {
-      error(x, 404, "no such path");
+      error(exchange, 404, "no such path");
     }
   }
 
@@ -89,21 +89,21 @@
    * any peer cannot know; it takes itself for the one that is cut off, since an outage of all is
    * over for all at once, and costs users little if they find nobody meanwhile.
    */
-  private void up(Exchange x) {
+  private void up(Exchange exchange) {
     boolean cutOff = peers.cutOff() && unreachableMs.getAsLong() > doubtfulMs;
     boolean healthy = able.getAsBoolean() || !peers.anyServed() && !cutOff;
-    x.reply(healthy ? 200 : 503, Json.bytes(Json.object().put("up", healthy)), 0);
+    exchange.reply(healthy ? 200 : 503, Json.bytes(Json.object().put("up", healthy)), 0);
   }
 
-  private static boolean method(Exchange x, String wanted) {
-    if (x.method().equals(wanted)) {
+  private static boolean method(Exchange exchange, String wanted) {
+    if (exchange.method().equals(wanted)) {
       return true;
     }
-    error(x, 405, "use " + wanted);
+    error(exchange, 405, "use " + wanted);
     return false;
   }
 
-  private static void error(Exchange x, int status, String why) {
-    x.reply(status, Json.bytes(Json.object().put("error", why)), 0);
+  private static void error(Exchange exchange, int status, String why) {
+    exchange.reply(status, Json.bytes(Json.object().put("error", why)), 0);
   }
 }
--- a/src/main/java/dapplestair/node/LedgerHooks.java
+++ b/src/main/java/dapplestair/node/LedgerHooks.java
@@ -65,18 +65,18 @@
 
   @Override
   public void stopping(Attempt attempt, StopReason why) {
-    events.note(Events.Kind.STOPPING, o -> Happenings.of(o, attempt).put("reason", why.shown()));
+    events.note(Events.Kind.STOPPING, o -> EventFields.of(o, attempt).put("reason", why.shown()));
   }
 
   @Override
   public void lost(Attempt attempt) {
-    events.note(Events.Kind.LOST, o -> Happenings.of(o, attempt));
+    events.note(Events.Kind.LOST, o -> EventFields.of(o, attempt));
   }
 
   @Override
   public void arrived(Job job) {
     demand.arrived(job.spec());
-    events.note(Events.Kind.ACCEPTED, o -> Happenings.of(o, job));
+    events.note(Events.Kind.ACCEPTED, o -> EventFields.of(o, job));
   }
 
   @Override
@@ -85,9 +85,9 @@
   }
 
   @Override
-  public void withdrawn(Job job) {
+  public void cancelled(Job job) {
     blame.over(job.spec().ref());
-    events.note(Events.Kind.OVER, o -> Happenings.of(o, job).put("status", "aborted"));
+    events.note(Events.Kind.OVER, o -> EventFields.of(o, job).put("status", "aborted"));
   }
 
   @Override
@@ -110,13 +110,13 @@
   @Override
   public void started(Attempt attempt) {
     metrics.started(clock.wall() - attempt.job().askedWall());
-    events.note(Events.Kind.STARTED, o -> Happenings.of(o, attempt));
+    events.note(Events.Kind.STARTED, o -> EventFields.of(o, attempt));
   }
 
   @Override
   public void completed(Attempt attempt, Machine machine, double ranS) {
     double seconds = ranS > 0 ? ranS + attempt.savedS() : 0;
-    events.note(Events.Kind.COMPLETED, o -> Happenings.of(o, attempt));
+    events.note(Events.Kind.COMPLETED, o -> EventFields.of(o, attempt));
     Host host = workers.host(machine.id());
     host.taskCompleted();
     double expected = estimates.runS(attempt.spec());
@@ -130,7 +130,7 @@
   @Override
   public void failed(Attempt attempt, Machine machine) {
     metrics.lost();
-    events.note(Events.Kind.FAILED, o -> Happenings.of(o, attempt));
+    events.note(Events.Kind.FAILED, o -> EventFields.of(o, attempt));
     blame.failed(attempt, workers.host(machine.id()));
   }
 
--- a/src/main/java/dapplestair/node/Outside.java
+++ b/src/main/java/dapplestair/node/Outside.java
@@ -10,7 +10,7 @@
 /**
  * Everything a controller is given from outside itself.
  *
- * @param launchSheets whether launches of many services are recorded by one put; every controller
+ * @param launchBatches whether launches of many services are recorded by one put; every controller
  *     of the deployment must be able to read those (docs/silence.md)
  */
 public record Outside(
@@ -20,4 +20,4 @@
     HttpCaller http,
     PeerNetwork peers,
     UniformRandomProvider random,
-    boolean launchSheets) {}
+    boolean launchBatches) {}
--- a/src/main/java/dapplestair/node/Records.java
+++ b/src/main/java/dapplestair/node/Records.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import dapplestair.admin.AdminDesk;
 import dapplestair.calendar.Calendars;
+import dapplestair.cancellations.Cancellations;
 import dapplestair.disruption.LostWork;
 import dapplestair.drain.Drains;
 import dapplestair.fleet.Fleet;
@@ -14,7 +15,6 @@
 import dapplestair.state.Keys;
 import dapplestair.state.Replica;
 import dapplestair.weights.Weights;
-import dapplestair.withdrawals.Withdrawals;
 import dapplestair.zones.Zones;
 
 /** Hands each record of the replica to the duty whose it is. */
@@ -29,7 +29,7 @@
   private final Lanes lanes;
   private final Calendars calendars;
   private final Weights weights;
-  private final Withdrawals withdrawals;
+  private final Cancellations cancellations;
   private final Placer placer;
   private final AdminDesk admin;
 
@@ -38,7 +38,7 @@
       CoreDuties core, SchedulingDuties scheduling, OperationDuties operations, AdminDesk admin) {
     this.leadership = core.leadership;
     this.ledger = core.ledger;
-    this.withdrawals = core.withdrawals;
+    this.cancellations = core.cancellations;
     this.fleet = scheduling.fleet;
     this.lostWork = scheduling.lostWork;
     this.lanes = scheduling.lanes;
@@ -53,7 +53,9 @@
 
   @Override
   public void put(String key, JsonNode value, long stamp) {
-    if (key.startsWith(Keys.RUN) || key.startsWith(Keys.RENTAL) || key.startsWith(Keys.SHEET)) {
+    if (key.startsWith(Keys.RUN)
+        || key.startsWith(Keys.RENTAL)
+        || key.startsWith(Keys.LAUNCH_BATCH)) {
       leadership.leaderWrote();
     }
     if (key.startsWith(Keys.RUN)) {
@@ -63,8 +65,8 @@
           Integer.parseInt(key.substring(slash + 1)),
           value,
           stamp);
-    } else if (key.startsWith(Keys.SHEET)) {
-      ledger.sheetPut(key, value, stamp);
+    } else if (key.startsWith(Keys.LAUNCH_BATCH)) {
+      ledger.launchBatchPut(key, value, stamp);
     } else if (key.startsWith(Keys.JOB)) {
       ledger.jobPut(key.substring(Keys.JOB.length()), value, stamp);
       if (admin != null) {
@@ -101,11 +103,11 @@
       int slash = key.lastIndexOf('/');
       ledger.runRemoved(
           key.substring(Keys.RUN.length(), slash), Integer.parseInt(key.substring(slash + 1)));
-    } else if (key.startsWith(Keys.SHEET)) {
-      ledger.sheetRemoved(key);
+    } else if (key.startsWith(Keys.LAUNCH_BATCH)) {
+      ledger.launchBatchRemoved(key);
     } else if (key.startsWith(Keys.JOB)) {
       // While the ledger still has what was recorded of it.
-      withdrawals.removed(key.substring(Keys.JOB.length()));
+      cancellations.removed(key.substring(Keys.JOB.length()));
       ledger.jobRemoved(key.substring(Keys.JOB.length()));
       if (admin != null) {
         admin.jobRemoved(key.substring(Keys.JOB.length()));
--- a/src/main/java/dapplestair/node/SchedulingDuties.java
+++ b/src/main/java/dapplestair/node/SchedulingDuties.java
@@ -118,7 +118,7 @@
             settings.workers().reportMs(),
             core.ledger,
             core.workers,
-            new Verdicts(core.events, planning::soon));
+            new BlameEvents(core.events, planning::soon));
   }
 
   @Override
--- a/src/main/java/dapplestair/node/SelfReport.java
+++ b/src/main/java/dapplestair/node/SelfReport.java
@@ -1,5 +1,6 @@
 package dapplestair.node;
 
+import dapplestair.cancellations.Cancellations;
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Ledger;
 import dapplestair.machines.MachineTypes;
@@ -8,7 +9,6 @@
 import dapplestair.state.Replica;
 import dapplestair.state.StateClient;
 import dapplestair.submissions.SubmissionDesk;
-import dapplestair.withdrawals.Withdrawals;
 import dapplestair.workers.WorkerDesk;
 
 /** What a controller says of itself: to its peers, at `/up`, and in the summary line. */
@@ -17,7 +17,7 @@
   private final Ledger ledger;
   private final WorkerDesk workers;
   private final SubmissionDesk submissions;
-  private final Withdrawals withdrawals;
+  private final Cancellations cancellations;
   private final Relay relay;
   private final StateClient state;
   private final Replica replica;
@@ -28,7 +28,7 @@
     this.ledger = core.ledger;
     this.workers = core.workers;
     this.submissions = core.submissions;
-    this.withdrawals = core.withdrawals;
+    this.cancellations = core.cancellations;
     this.relay = core.relay;
     this.state = core.state;
     this.replica = core.replica;
@@ -56,14 +56,14 @@
 
   /** Before the records were read once nothing is known at all. */
   private String knownTo() {
-    long ms = withdrawals.ageMs();
+    long ms = cancellations.ageMs();
     return ms > Integer.MAX_VALUE ? "never" : "%.1f s".formatted(ms / 1000.0);
   }
 
   String line() {
     String line =
         ("%s, %d jobs, %d attempts, %d machines, %d transactions waiting; puts: %s; longest without an answer: %.0f s; "
-                + "withdrawals known to %s ago, %d told here not proved done, the oldest for %.0f s")
+                + "cancellations known to %s ago, %d told here not proved done, the oldest for %.0f s")
             .formatted(
                 leadership.leading() ? "leading" : "following " + leadership.leader(),
                 ledger.jobs().size(),
@@ -73,8 +73,8 @@
                 state.putsSent(),
                 submissions.unansweredMs() / 1000.0,
                 knownTo(),
-                withdrawals.open(),
-                withdrawals.openMs() / 1000.0);
+                cancellations.open(),
+                cancellations.openMs() / 1000.0);
     if (relay.on()) {
       line += "; connections spread, %d reports relayed".formatted(relay.relayed());
     }
--- a/src/main/java/dapplestair/placement/Bound.java
+++ b/src/main/java/dapplestair/placement/Bound.java
@@ -51,8 +51,8 @@
   }
 
   /** True for work that no bound of others may delay. */
-  static boolean critical(Submission s) {
-    return s.service() && s.rank() == Rank.CRITICAL;
+  static boolean critical(Submission submission) {
+    return submission.service() && submission.rank() == Rank.CRITICAL;
   }
 
   private long ageMs(Job job) {
@@ -74,12 +74,12 @@
    * whole, other arrays by their first.
    */
   private int window(Job job) {
-    Submission s = job.spec();
-    if (s.service() || s.gang() || ledger.served().isLarge(job)) {
-      return s.steps();
+    Submission submission = job.spec();
+    if (submission.service() || submission.gang() || ledger.served().isLarge(job)) {
+      return submission.steps();
     }
     int part = ageMs(job) > boundMs ? WINDOW : STARTER;
-    return (s.steps() + part - 1) / part;
+    return (submission.steps() + part - 1) / part;
   }
 
   /** How many more of its tasks go first now; 0 when it has to take its turn. */
@@ -93,13 +93,13 @@
   }
 
   /** True for an attempt that runs in its job's window: nothing but a critical service stops it. */
-  boolean shelters(Attempt a) {
-    Job job = a.job();
-    if (job.over() || !near(job) || critical(a.spec())) {
+  boolean shelters(Attempt attempt) {
+    Job job = attempt.job();
+    if (job.over() || !near(job) || critical(attempt.spec())) {
       return false;
     }
-    if (a.spec().service()) {
-      return clock.now() - Math.max(a.plannedAt(), a.statusAt()) < boundMs / SETTLED;
+    if (attempt.spec().service()) {
+      return clock.now() - Math.max(attempt.plannedAt(), attempt.statusAt()) < boundMs / SETTLED;
     }
     return job.held() <= window(job);
   }
--- a/src/main/java/dapplestair/placement/Recorder.java
+++ b/src/main/java/dapplestair/placement/DecisionRecorder.java
@@ -22,7 +22,7 @@
  * Writes down what a turn of placing decides about the jobs that somebody asked for. It exists only
  * while a question is open; without one, placing does nothing for it.
  */
-final class Recorder {
+final class DecisionRecorder {
   private final Clock clock;
   private final Ledger ledger;
   private final WorkerDesk desk;
@@ -32,7 +32,8 @@
   private final Map<String, Map<Verdict, Integer>> found = new LinkedHashMap<>();
   private final Object2IntOpenHashMap<String> gangRoom = new Object2IntOpenHashMap<>();
 
-  Recorder(Clock clock, Ledger ledger, WorkerDesk desk, Estimates estimates, Calendars calendars) {
+  DecisionRecorder(
+      Clock clock, Ledger ledger, WorkerDesk desk, Estimates estimates, Calendars calendars) {
     this.calendars = calendars;
     this.clock = clock;
     this.ledger = ledger;
@@ -61,11 +62,11 @@
   }
 
   /** Ends the turn: {@code judge} is the same that placed. Nothing is asked afterwards. */
-  void answer(BiFunction<Job, Host, Verdict> judge) {
+  void answer(BiFunction<Job, Host, Verdict> filter) {
     asked.forEach(
         (ref, answers) -> {
-          Explanation e = explain(ref, judge);
-          answers.forEach(a -> a.accept(e));
+          Explanation explanation = explain(ref, filter);
+          answers.forEach(a -> a.accept(explanation));
         });
   }
 
@@ -74,18 +75,18 @@
     asked.values().forEach(answers -> answers.forEach(a -> a.accept(null)));
   }
 
-  private Explanation explain(String ref, BiFunction<Job, Host, Verdict> judge) {
+  private Explanation explain(String ref, BiFunction<Job, Host, Verdict> filter) {
     Job job = ledger.job(ref);
     if (job == null || job.waiting() == 0) {
       return Explanation.nothingWaits();
     }
     Map<Verdict, Integer> machines = new EnumMap<>(Verdict.class);
     double free = -1;
-    for (Host h : desk.hosts()) {
-      Verdict v = judge.apply(job, h);
-      machines.merge(v, 1, Integer::sum);
-      if (v == Verdict.FULL) {
-        double s = freeInS(job.spec(), h);
+    for (Host host : desk.hosts()) {
+      Verdict verdict = filter.apply(job, host);
+      machines.merge(verdict, 1, Integer::sum);
+      if (verdict == Verdict.FULL) {
+        double s = freeInS(job.spec(), host);
         free = free < 0 || s >= 0 && s < free ? s : free;
       }
     }
@@ -110,30 +111,32 @@
   }
 
   /** When enough is expected to have ended on a full machine, or -1. */
-  private double freeInS(Submission s, Host h) {
-    double cpus = s.cpus() - h.cpusFree();
-    double memory = s.memoryGb() - h.memoryFree();
-    double gpus = s.gpus() - h.gpusFree();
+  private double freeInS(Submission submission, Host host) {
+    double cpus = submission.cpus() - host.cpusFree();
+    double memory = submission.memoryGb() - host.memoryFree();
+    double gpus = submission.gpus() - host.gpusFree();
     List<Attempt> ending = new ArrayList<>();
-    for (Attempt a : h.attempts()) {
+    for (Attempt a : host.attempts()) {
       if (!a.exited() && (!a.spec().service() || a.halting())) {
         ending.add(a);
       }
     }
     long now = clock.now();
-    ending.sort(Comparator.comparingDouble(a -> endsInS(a, h, now)));
+    ending.sort(Comparator.comparingDouble(a -> endsInS(a, host, now)));
     for (Attempt a : ending) {
       cpus -= a.spec().cpus();
       memory -= a.spec().memoryGb();
       gpus -= a.spec().gpus();
       if (cpus <= 1e-9 && memory <= 1e-9 && gpus <= 1e-9) {
-        return endsInS(a, h, now);
+        return endsInS(a, host, now);
       }
     }
     return -1;
   }
 
-  private double endsInS(Attempt a, Host h, long now) {
-    return a.halting() ? a.windDownS() / 2 : Math.max(0, estimates.leftS(a, h, now));
+  private double endsInS(Attempt attempt, Host host, long now) {
+    return attempt.halting()
+        ? attempt.windDownS() / 2
+        : Math.max(0, estimates.leftS(attempt, host, now));
   }
 }
--- a/src/main/java/dapplestair/placement/Departures.java
+++ b/src/main/java/dapplestair/placement/Departures.java
@@ -29,15 +29,16 @@
   /** A notice has come for this machine. */
   public void leave(Host host) {
     double noticeS = (host.recallAt() - clock.now()) / 1000.0;
-    for (Attempt a : List.copyOf(host.attempts())) {
-      if (a.exited() || a.halting() || a.spec().gang()) {
+    for (Attempt attempt : List.copyOf(host.attempts())) {
+      if (attempt.exited() || attempt.halting() || attempt.spec().gang()) {
         continue;
       }
-      double saveS = a.spec().saves() ? a.spec().saveS() : 0;
-      double left = a.spec().service() ? noticeS : estimates.leftS(a, host, clock.now());
-      double most = a.spec().saves() ? noticeS - saveS : SURELY_LATE * noticeS;
+      double saveS = attempt.spec().saves() ? attempt.spec().saveS() : 0;
+      double left =
+          attempt.spec().service() ? noticeS : estimates.leftS(attempt, host, clock.now());
+      double most = attempt.spec().saves() ? noticeS - saveS : SURELY_LATE * noticeS;
       if (left > most) {
-        disruption.must(a, Math.max(0, Math.min(2 * saveS, noticeS)), StopReason.NOTICE);
+        disruption.must(attempt, Math.max(0, Math.min(2 * saveS, noticeS)), StopReason.NOTICE);
       }
     }
   }
--- a/src/main/java/dapplestair/placement/Earliest.java
+++ b/src/main/java/dapplestair/placement/Earliest.java
@@ -16,7 +16,7 @@
   private final Ledger ledger;
   private final Estimates estimates;
   private final SteadyRoom steady;
-  private final RoomJudge judge;
+  private final PlacementFilter filter;
   private final Reservations reservations;
   private final List<NoRoom> noRoom = new ArrayList<>();
 
@@ -25,13 +25,13 @@
       Ledger ledger,
       Estimates estimates,
       SteadyRoom steady,
-      RoomJudge judge,
+      PlacementFilter filter,
       Reservations reservations) {
     this.clock = clock;
     this.ledger = ledger;
     this.estimates = estimates;
     this.steady = steady;
-    this.judge = judge;
+    this.filter = filter;
     this.reservations = reservations;
   }
 
@@ -42,69 +42,70 @@
 
   /** The best of these machines for the job's next task, or null. */
   Host best(Job job, List<Host> usable, boolean explain) {
-    Submission s = job.spec();
+    Submission submission = job.spec();
     // What is kept for a job is room for it alone, so others' search says nothing.
     boolean keeps = reservations.holds(job);
-    if (!ledger.teamAllows(s) || !keeps && noRoom.stream().anyMatch(n -> n.covers(s))) {
+    if (!ledger.teamAllows(submission)
+        || !keeps && noRoom.stream().anyMatch(n -> n.covers(submission))) {
       return null;
     }
     Host best = null;
     double bestScore = Double.POSITIVE_INFINITY;
     boolean room = false;
-    for (Host h : usable) {
-      Verdict v = judge.judge(job, h, explain);
-      if (v == Verdict.FITS) {
+    for (Host host : usable) {
+      Verdict verdict = filter.filter(job, host, explain);
+      if (verdict == Verdict.FITS) {
         room = true;
-        double score = score(job, h);
+        double score = score(job, host);
         if (score < bestScore) {
           bestScore = score;
-          best = h;
+          best = host;
         }
-      } else if (v == Verdict.SPREAD || v == Verdict.TOGETHER) {
+      } else if (verdict == Verdict.SPREAD || verdict == Verdict.TOGETHER) {
         room = true;
       }
     }
     if (!room && !keeps) {
-      noRoom.add(new NoRoom(s));
+      noRoom.add(new NoRoom(submission));
     }
     return best;
   }
 
   /** A size for which no machine had room in this turn: nothing larger of its kind finds any. */
   private record NoRoom(Submission of) {
-    boolean covers(Submission s) {
-      return s.cpus() >= of.cpus()
-          && s.memoryGb() >= of.memoryGb()
-          && s.gpus() >= of.gpus()
-          && s.spot() == of.spot()
-          && s.service() == of.service()
-          && (of.zone() == null || of.zone().equals(s.zone()))
-          && (of.types() == null || of.types().equals(s.types()));
+    boolean covers(Submission submission) {
+      return submission.cpus() >= of.cpus()
+          && submission.memoryGb() >= of.memoryGb()
+          && submission.gpus() >= of.gpus()
+          && submission.spot() == of.spot()
+          && submission.service() == of.service()
+          && (of.zone() == null || of.zone().equals(submission.zone()))
+          && (of.types() == null || of.types().equals(submission.types()));
     }
   }
 
   /** Seconds until completion there; ties go to cheap, then to full machines. */
-  private double score(Job job, Host h) {
-    Submission s = job.spec();
-    double fetch = h.imageWaitS(s, clock.now());
-    double run = s.service() ? 0 : estimates.runS(s) * h.slowness();
-    double tieBreak = h.cpusFree() / h.type().cpus();
-    if (s.service()) {
+  private double score(Job job, Host host) {
+    Submission submission = job.spec();
+    double fetch = host.imageWaitS(submission, clock.now());
+    double run = submission.service() ? 0 : estimates.runS(submission) * host.slowness();
+    double tieBreak = host.cpusFree() / host.type().cpus();
+    if (submission.service()) {
       // Replicas gather on few machines, so that the others can become idle.
-      tieBreak = 1 - h.serviceCpus() / h.type().cpus();
-      if (s.apart()) {
+      tieBreak = 1 - host.serviceCpus() / host.type().cpus();
+      if (submission.apart()) {
         // The fullest zone last: room that is left in one zone alone is none for half of a job.
-        tieBreak += steady.fullness(h.zone());
+        tieBreak += steady.fullness(host.zone());
       }
     }
-    if (!s.service() && !h.spot()) {
+    if (!submission.service() && !host.spot()) {
       // Steady machines are left to those who need them, if completion is about the same.
       tieBreak += 1;
     }
     // Where it failed before, it expects to fail again: any other machine completes it earlier.
-    double again = ledger.failedOn(job, h) ? FAILED_HERE_S : 0;
+    double again = ledger.failedOn(job, host) ? FAILED_HERE_S : 0;
     // Nobody knows yet who is to blame for those: each may cost a second run.
-    again += h.failures() * (1 + run);
+    again += host.failures() * (1 + run);
     return fetch + run + tieBreak + again;
   }
 }
--- a/src/main/java/dapplestair/placement/Estimates.java
+++ b/src/main/java/dapplestair/placement/Estimates.java
@@ -16,29 +16,30 @@
   }
 
   /** A task of this class took {@code seconds} where its owner guessed otherwise. */
-  public void observe(Submission s, double seconds) {
-    if (s.guessS() <= 0 || seconds <= 0) {
+  public void observe(Submission submission, double seconds) {
+    if (submission.guessS() <= 0 || seconds <= 0) {
       return;
     }
     // In logarithms, so that twice too long and twice too short weigh the same.
-    double ratio = Math.max(0.1, Math.min(10, seconds / s.guessS()));
-    double old = correction.getDouble(s.jobClass());
-    correction.put(s.jobClass(), old * Math.pow(ratio / old, WEIGHT));
+    double ratio = Math.max(0.1, Math.min(10, seconds / submission.guessS()));
+    double old = correction.getDouble(submission.jobClass());
+    correction.put(submission.jobClass(), old * Math.pow(ratio / old, WEIGHT));
   }
 
   /** Run time to expect on an ordinary machine. */
-  public double runS(Submission s) {
-    return s.guessS() * correction.getDouble(s.jobClass());
+  public double runS(Submission submission) {
+    return submission.guessS() * correction.getDouble(submission.jobClass());
   }
 
   /** Run time left to an attempt on its machine; what earlier attempts saved counts as done. */
-  public double leftS(Attempt a, Host h, long now) {
-    return Math.max(0, runS(a.spec()) - a.savedS()) * h.slowness() - a.ranS(now);
+  public double leftS(Attempt attempt, Host host, long now) {
+    return Math.max(0, runS(attempt.spec()) - attempt.savedS()) * host.slowness()
+        - attempt.ranS(now);
   }
 
   /** True when a task that begins on a machine now ends before that is emptied. */
-  boolean endsBefore(Submission s, Host h, long now) {
-    double ms = 1000 * (h.imageWaitS(s, now) + runS(s) * h.slowness());
-    return !s.service() && now + ms < h.leavesAt();
+  boolean endsBefore(Submission submission, Host host, long now) {
+    double ms = 1000 * (host.imageWaitS(submission, now) + runS(submission) * host.slowness());
+    return !submission.service() && now + ms < host.leavesAt();
   }
 }
--- a/src/main/java/dapplestair/placement/Evictions.java
+++ b/src/main/java/dapplestair/placement/Evictions.java
@@ -37,7 +37,7 @@
   private final WorkerDesk desk;
   private final Disruption disruption;
   private final Bound bound;
-  private final RoomJudge judge;
+  private final PlacementFilter filter;
 
   // Of this turn: teams' use beyond their guarantees, machines whose coming room is spoken for.
   private final Object2DoubleOpenHashMap<String> excess = new Object2DoubleOpenHashMap<>();
@@ -53,14 +53,14 @@
       WorkerDesk desk,
       Disruption disruption,
       Bound bound,
-      RoomJudge judge) {
+      PlacementFilter filter) {
     this.clock = clock;
     this.settings = settings;
     this.ledger = ledger;
     this.desk = desk;
     this.disruption = disruption;
     this.bound = bound;
-    this.judge = judge;
+    this.filter = filter;
   }
 
   /** A new turn of placing. */
@@ -80,14 +80,14 @@
         excess.put(team.name(), ledger.teamCpus(team.name()) - team.cpus());
       }
     }
-    for (Host h : desk.hosts()) {
-      for (Attempt a : h.attempts()) {
-        if (!a.exited()) {
-          if (lowest.above(a.spec().rank())) {
-            lowest = a.spec().rank();
+    for (Host host : desk.hosts()) {
+      for (Attempt attempt : host.attempts()) {
+        if (!attempt.exited()) {
+          if (lowest.above(attempt.spec().rank())) {
+            lowest = attempt.spec().rank();
           }
-          if (a.halting() && excess.containsKey(a.spec().team())) {
-            excess.addTo(a.spec().team(), -a.spec().cpus());
+          if (attempt.halting() && excess.containsKey(attempt.spec().team())) {
+            excess.addTo(attempt.spec().team(), -attempt.spec().cpus());
           }
         }
       }
@@ -102,17 +102,17 @@
     if (!looked) {
       look();
     }
-    Submission s = job.spec();
+    Submission submission = job.spec();
     boolean fromBorrowers =
         guaranteed
             && excess.object2DoubleEntrySet().stream()
-                .anyMatch(e -> e.getDoubleValue() > 0 && !e.getKey().equals(s.team()));
-    boolean byRank = s.rank().above(lowest);
+                .anyMatch(e -> e.getDoubleValue() > 0 && !e.getKey().equals(submission.team()));
+    boolean byRank = submission.rank().above(lowest);
     if (scans >= MOST_SCANS || !byRank && !fromBorrowers) {
       return 0;
     }
     scans++;
-    int wanted = Math.max(0, Math.min(job.waiting(), ledger.teamRoom(s, !byRank)));
+    int wanted = Math.max(0, Math.min(job.waiting(), ledger.teamRoom(submission, !byRank)));
     return take(offers(job, fromBorrowers, h -> true), wanted);
   }
 
@@ -125,13 +125,13 @@
     if (!looked) {
       look();
     }
-    Submission s = job.spec();
-    if (scans >= MOST_SCANS || !s.rank().above(lowest)) {
+    Submission submission = job.spec();
+    if (scans >= MOST_SCANS || !submission.rank().above(lowest)) {
       return 0;
     }
     scans++;
     long now = clock.now();
-    List<Offer> offers = offers(job, false, h -> h.imageWaitS(s, now) == 0);
+    List<Offer> offers = offers(job, false, h -> h.imageWaitS(submission, now) == 0);
     offers.removeIf(o -> o.victims().stream().anyMatch(a -> a.spec().saves()));
     return take(offers, job.waiting());
   }
@@ -148,17 +148,17 @@
   }
 
   private List<Offer> offers(Job job, boolean fromBorrowers, Predicate<Host> where) {
-    Submission s = job.spec();
+    Submission submission = job.spec();
     List<Offer> offers = new ArrayList<>();
-    for (Host h : desk.hosts()) {
-      if (!h.closed()
-          && !spokenFor.contains(h)
-          && !judge.keptFrom(job, h)
-          && h.allowed(s)
-          && where.test(h)
-          && desk.fresh(h)
-          && ledger.zoneAllows(job, h.zone())) {
-        Offer offer = offer(s, h, fromBorrowers);
+    for (Host host : desk.hosts()) {
+      if (!host.closed()
+          && !spokenFor.contains(host)
+          && !filter.keptFrom(job, host)
+          && host.allowed(submission)
+          && where.test(host)
+          && desk.fresh(host)
+          && ledger.zoneAllows(job, host.zone())) {
+        Offer offer = offer(submission, host, fromBorrowers);
         if (offer != null) {
           offers.add(offer);
         }
@@ -167,72 +167,74 @@
     return offers;
   }
 
-  private void stop(Attempt a) {
-    if (excess.containsKey(a.spec().team())) {
-      excess.addTo(a.spec().team(), -a.spec().cpus());
+  private void stop(Attempt attempt) {
+    if (excess.containsKey(attempt.spec().team())) {
+      excess.addTo(attempt.spec().team(), -attempt.spec().cpus());
     }
     // Rank and guarantee cannot wait (PROTOCOL, Preemption): debited, never refused.
-    disruption.must(a, a.spec().saves() ? 2 * a.spec().saveS() : 0, StopReason.ROOM_NEEDED);
+    disruption.must(
+        attempt, attempt.spec().saves() ? 2 * attempt.spec().saveS() : 0, StopReason.ROOM_NEEDED);
   }
 
-  private Offer offer(Submission s, Host h, boolean fromBorrowers) {
-    double cpus = s.cpus() - h.cpusFree();
-    double memory = s.memoryGb() - h.memoryFree();
-    double gpus = s.gpus() - h.gpusFree();
+  private Offer offer(Submission submission, Host host, boolean fromBorrowers) {
+    double cpus = submission.cpus() - host.cpusFree();
+    double memory = submission.memoryGb() - host.memoryFree();
+    double gpus = submission.gpus() - host.gpusFree();
     List<Attempt> may = new ArrayList<>();
-    for (Attempt a : h.attempts()) {
-      if (a.exited()) {
+    for (Attempt attempt : host.attempts()) {
+      if (attempt.exited()) {
         continue;
       }
-      if (a.halting()) {
+      if (attempt.halting()) {
         // Room is on its way there already; do not stop more for the same need.
-        cpus -= a.spec().cpus();
-        memory -= a.spec().memoryGb();
-        gpus -= a.spec().gpus();
-      } else if (mayStop(s, a, fromBorrowers)) {
-        may.add(a);
+        cpus -= attempt.spec().cpus();
+        memory -= attempt.spec().memoryGb();
+        gpus -= attempt.spec().gpus();
+      } else if (mayStop(submission, attempt, fromBorrowers)) {
+        may.add(attempt);
       }
     }
     may.sort(Comparator.comparingDouble(this::loss));
     List<Attempt> victims = new ArrayList<>();
     double loss = 0;
-    for (Attempt a : may) {
+    for (Attempt attempt : may) {
       if (cpus <= 1e-9 && memory <= 1e-9 && gpus <= 1e-9) {
         break;
       }
-      victims.add(a);
-      loss += loss(a);
-      cpus -= a.spec().cpus();
-      memory -= a.spec().memoryGb();
-      gpus -= a.spec().gpus();
+      victims.add(attempt);
+      loss += loss(attempt);
+      cpus -= attempt.spec().cpus();
+      memory -= attempt.spec().memoryGb();
+      gpus -= attempt.spec().gpus();
     }
     boolean enough = cpus <= 1e-9 && memory <= 1e-9 && gpus <= 1e-9;
-    return enough ? new Offer(h, victims, loss) : null;
+    return enough ? new Offer(host, victims, loss) : null;
   }
 
-  private boolean mayStop(Submission s, Attempt a, boolean fromBorrowers) {
-    Submission other = a.spec();
-    if (!Bound.critical(s) && bound.shelters(a)) {
+  private boolean mayStop(Submission submission, Attempt attempt, boolean fromBorrowers) {
+    Submission other = attempt.spec();
+    if (!Bound.critical(submission) && bound.shelters(attempt)) {
       // It has waited for long: stopped at once, it would not have begun at all.
       return false;
     }
-    if (s.rank().above(other.rank())) {
+    if (submission.rank().above(other.rank())) {
       return true;
     }
     // Borrowed room goes back to its owner, whatever the rank; replicas of services last of all.
     return fromBorrowers
-        && !other.team().equals(s.team())
-        && (!other.service() || s.service())
+        && !other.team().equals(submission.team())
+        && (!other.service() || submission.service())
         && excess.getDouble(other.team()) >= other.cpus() - 1e-9;
   }
 
   /** Work that stopping an attempt would throw away, in CPU seconds; low ranks lose first. */
-  private double loss(Attempt a) {
-    double ran = a.ranS(clock.now());
-    double lost = a.spec().saves() ? Math.min(ran - a.keptS(ran), a.spec().saveS()) : ran;
-    double rank = (Rank.values().length - a.spec().rank().ordinal()) * 1e6;
+  private double loss(Attempt attempt) {
+    double ran = attempt.ranS(clock.now());
+    double lost =
+        attempt.spec().saves() ? Math.min(ran - attempt.keptS(ran), attempt.spec().saveS()) : ran;
+    double rank = (Rank.values().length - attempt.spec().rank().ordinal()) * 1e6;
     // With one member a gang loses all of them.
-    int tasks = a.spec().gang() ? a.job().held() : 1;
-    return rank + lost * a.spec().cpus() * tasks;
+    int tasks = attempt.spec().gang() ? attempt.job().held() : 1;
+    return rank + lost * attempt.spec().cpus() * tasks;
   }
 }
--- a/src/main/java/dapplestair/placement/RoomJudge.java
+++ b/src/main/java/dapplestair/placement/PlacementFilter.java
@@ -14,7 +14,7 @@
 import java.util.stream.Collectors;
 
 /** Which room a task may take: what the job, its team, the machine and kept room say of it. */
-final class RoomJudge {
+final class PlacementFilter {
   private final Clock clock;
   private final Ledger ledger;
   private final WorkerDesk desk;
@@ -24,7 +24,7 @@
   private final Lanes lanes;
   private double serviceRoom;
 
-  RoomJudge(
+  PlacementFilter(
       Clock clock,
       Ledger ledger,
       WorkerDesk desk,
@@ -47,65 +47,72 @@
   }
 
   /** What stands against starting a task of the job on this machine now. */
-  Verdict judge(Job job, Host h, boolean explain) {
-    Submission s = job.spec();
-    boolean kept = keptFrom(job, h);
-    if (h.fits(s) && h.allowed(s) && !h.closed() && leavesRoom(s, h) && !kept) {
-      if (h.leavesAt() != Long.MAX_VALUE && !estimates.endsBefore(s, h, clock.now())) {
+  Verdict filter(Job job, Host host, boolean explain) {
+    Submission submission = job.spec();
+    boolean kept = keptFrom(job, host);
+    if (host.fits(submission)
+        && host.allowed(submission)
+        && !host.closed()
+        && leavesRoom(submission, host)
+        && !kept) {
+      if (host.leavesAt() != Long.MAX_VALUE
+          && !estimates.endsBefore(submission, host, clock.now())) {
         return Verdict.LEAVING;
       }
-      if (ledger.zoneAllows(job, h.zone())) {
+      if (ledger.zoneAllows(job, host.zone())) {
         return Verdict.FITS;
       }
-      return s.apart() && job.inZone(h.zone()) >= s.mostPerZone()
+      return submission.apart() && job.inZone(host.zone()) >= submission.mostPerZone()
           ? Verdict.SPREAD
           : Verdict.TOGETHER;
     }
     // Which obstacle it is matters only to whoever asked.
-    return explain ? obstacle(s, h, kept) : Verdict.FULL;
+    return explain ? obstacle(submission, host, kept) : Verdict.FULL;
   }
 
   /** True when this room is promised to others: to a rider, or to who has waited for long. */
-  boolean keptFrom(Job job, Host h) {
-    return lanes.keptFrom(job.spec(), h)
-        || !lanes.rides(job.spec()) && reservations.keptFrom(job, h);
+  boolean keptFrom(Job job, Host host) {
+    return lanes.keptFrom(job.spec(), host)
+        || !lanes.rides(job.spec()) && reservations.keptFrom(job, host);
   }
 
   /** The same for any machine, also those that a turn does not look at. */
-  Verdict judgeAny(Job job, Host h) {
-    return !h.closed() && !desk.fresh(h) ? Verdict.SILENT : judge(job, h, true);
+  Verdict judgeAny(Job job, Host host) {
+    return !host.closed() && !desk.fresh(host) ? Verdict.SILENT : filter(job, host, true);
   }
 
-  private static Verdict obstacle(Submission s, Host h, boolean kept) {
-    if (h.type() == null || !h.up() || !h.acknowledged()) {
-      boolean allowed = h.type() == null || h.allowed(s) || !s.spot() && h.spot();
+  private static Verdict obstacle(Submission submission, Host host, boolean kept) {
+    if (host.type() == null || !host.up() || !host.acknowledged()) {
+      boolean allowed =
+          host.type() == null || host.allowed(submission) || !submission.spot() && host.spot();
       return allowed ? Verdict.NOT_UP : Verdict.NOT_ALLOWED;
     }
-    if (!h.type().suits(s) || s.zone() != null && !s.zone().equals(h.zone())) {
+    if (!host.type().suits(submission)
+        || submission.zone() != null && !submission.zone().equals(host.zone())) {
       return Verdict.NOT_ALLOWED;
     }
-    if (!h.allowed(s)) {
+    if (!host.allowed(submission)) {
       return Verdict.SPOT;
     }
-    if (h.releasing() || h.gone()) {
+    if (host.releasing() || host.gone()) {
       return Verdict.RETURNING;
     }
-    if (h.drained()) {
+    if (host.drained()) {
       return Verdict.DRAINED;
     }
-    if (h.draining()) {
+    if (host.draining()) {
       return Verdict.FAULTY;
     }
-    if (h.recalled()) {
+    if (host.recalled()) {
       return Verdict.NOTICE;
     }
-    if (h.hasStrays()) {
+    if (host.hasStrays()) {
       return Verdict.STRAYS;
     }
-    if (h.cordoned()) {
+    if (host.cordoned()) {
       return Verdict.CORDONED;
     }
-    if (!h.fits(s)) {
+    if (!host.fits(submission)) {
       return Verdict.FULL;
     }
     return kept ? Verdict.KEPT : Verdict.HELD_FOR_SERVICES;
@@ -113,22 +120,22 @@
 
   /** How many more of the job's tasks these machines can take together. */
   int room(Job job, List<Host> machines) {
-    Submission s = job.spec();
+    Submission submission = job.spec();
     Map<String, Integer> perZone = new HashMap<>();
-    for (Host h : machines) {
-      if (ledger.mayStart(job, h) && !keptFrom(job, h)) {
-        perZone.merge(h.zone(), roomFor(h, s), Integer::sum);
+    for (Host host : machines) {
+      if (ledger.mayStart(job, host) && !keptFrom(job, host)) {
+        perZone.merge(host.zone(), roomFor(host, submission), Integer::sum);
       }
     }
     int sum = 0;
     for (Map.Entry<String, Integer> zone : perZone.entrySet()) {
-      sum += Math.min(zone.getValue(), s.mostPerZone() - job.inZone(zone.getKey()));
+      sum += Math.min(zone.getValue(), submission.mostPerZone() - job.inZone(zone.getKey()));
     }
     return sum;
   }
 
-  private static int roomFor(Host h, Submission s) {
-    return s.fitting(h.cpusFree(), h.memoryFree(), h.gpusFree());
+  private static int roomFor(Host host, Submission submission) {
+    return submission.fitting(host.cpusFree(), host.memoryFree(), host.gpusFree());
   }
 
   /**
@@ -136,9 +143,12 @@
    * once instead of after somebody else has saved and stopped; and batches leave the riders'
    * reserve.
    */
-  boolean leavesRoom(Submission s, Host h) {
-    return (s.service() || !s.spot() || h.spot() || steady.free() - s.cpus() >= serviceRoom)
-        && lanes.leavesReserve(s, h);
+  boolean leavesRoom(Submission submission, Host host) {
+    return (submission.service()
+            || !submission.spot()
+            || host.spot()
+            || steady.free() - submission.cpus() >= serviceRoom)
+        && lanes.leavesReserve(submission, host);
   }
 
   static Map<String, List<Host>> byZone(List<Host> machines) {
--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -36,11 +36,11 @@
   private final SteadyRoom steady = new SteadyRoom();
   private final Bound bound;
   private final Reservations reservations;
-  private final RoomJudge judge;
+  private final PlacementFilter filter;
   private final Earliest earliest;
   private boolean awaitsImage;
   private boolean due;
-  private Recorder recorder;
+  private DecisionRecorder recorder;
 
   /** Places what the ledger holds on what the desk knows. */
   public Placer(
@@ -65,9 +65,9 @@
     this.estimates = estimates;
     this.bound = new Bound(clock, ledger, beginWithinMs);
     this.reservations = new Reservations(ledger, desk);
-    this.judge = new RoomJudge(clock, ledger, desk, estimates, steady, reservations, lanes);
-    this.earliest = new Earliest(clock, ledger, estimates, steady, judge, reservations);
-    this.evictions = new Evictions(clock, settings, ledger, desk, disruption, bound, judge);
+    this.filter = new PlacementFilter(clock, ledger, desk, estimates, steady, reservations, lanes);
+    this.earliest = new Earliest(clock, ledger, estimates, steady, filter, reservations);
+    this.evictions = new Evictions(clock, settings, ledger, desk, disruption, bound, filter);
     this.calendars = calendars;
     this.ranking = new Ranking(clock, settings, ledger, estimates, calendars);
     this.pauseMs = settings.workers().reportMs() / 60;
@@ -97,7 +97,7 @@
     }
     boolean first = recorder == null;
     if (first) {
-      recorder = new Recorder(clock, ledger, desk, estimates, calendars);
+      recorder = new DecisionRecorder(clock, ledger, desk, estimates, calendars);
     }
     recorder.ask(ref, answer);
     if (first) {
@@ -114,7 +114,7 @@
     if (recorder != null) {
       if (ledger.armed()) {
         // Judged once more with the state in which the turn left everything.
-        recorder.answer(judge::judgeAny);
+        recorder.answer(filter::judgeAny);
       } else {
         recorder.giveUp();
       }
@@ -132,16 +132,16 @@
     List<Host> usable = new ArrayList<>();
     double cpus = 0;
     steady.clear();
-    for (Host h : desk.hosts()) {
-      if (!h.closed() && desk.fresh(h)) {
-        cpus += h.type().cpus();
-        if (h.cpusFree() >= least - 1e-9) {
-          usable.add(h);
-          steady.add(h, h.cpusFree());
+    for (Host host : desk.hosts()) {
+      if (!host.closed() && desk.fresh(host)) {
+        cpus += host.type().cpus();
+        if (host.cpusFree() >= least - 1e-9) {
+          usable.add(host);
+          steady.add(host, host.cpusFree());
         }
       }
     }
-    judge.begin(roomForServices.getAsDouble());
+    filter.begin(roomForServices.getAsDouble());
     earliest.begin();
     evictions.begin();
     reservations.begin(bound);
@@ -173,8 +173,8 @@
   }
 
   /** True for an attempt that has waited for long before it ran: it is stopped last. */
-  public boolean shelters(Attempt a) {
-    return bound.shelters(a);
+  public boolean shelters(Attempt attempt) {
+    return bound.shelters(attempt);
   }
 
   /** Who has waited for long begins before the others, with a few tasks (docs/known.md). */
@@ -233,15 +233,15 @@
   private void placeTogether(Job job, List<Host> usable, int most) {
     String best = null;
     int largest = 0;
-    for (Map.Entry<String, List<Host>> zone : RoomJudge.byZone(usable).entrySet()) {
-      int room = judge.room(job, zone.getValue());
+    for (Map.Entry<String, List<Host>> zone : PlacementFilter.byZone(usable).entrySet()) {
+      int room = filter.room(job, zone.getValue());
       if (room > largest) {
         largest = room;
         best = zone.getKey();
       }
     }
     if (best != null) {
-      placeEach(job, RoomJudge.byZone(usable).get(best), most);
+      placeEach(job, PlacementFilter.byZone(usable).get(best), most);
     }
   }
 
@@ -281,11 +281,14 @@
    * fetch here. Only for as long as the fetch would take: later, any start is better than none.
    */
   private boolean awaitsImage(Job job, Host best) {
-    Submission s = job.spec();
-    double fetchS = best.imageWaitS(s, clock.now());
+    Submission submission = job.spec();
+    double fetchS = best.imageWaitS(submission, clock.now());
     double age = (clock.wall() - job.acceptedWall()) / 1000.0;
     awaitsImage =
-        s.service() && fetchS > 0 && age < fetchS / 2 && evictions.makeRoomAtImage(job) > 0;
+        submission.service()
+            && fetchS > 0
+            && age < fetchS / 2
+            && evictions.makeRoomAtImage(job) > 0;
     return awaitsImage;
   }
 
@@ -295,7 +298,7 @@
     int left = most;
     while (step >= 0
         && left-- > 0
-        && judge.leavesRoom(job.spec(), host)
+        && filter.leavesRoom(job.spec(), host)
         && ledger.launch(job, step, host)) {
       steady.add(host, -job.spec().cpus());
       lanes.add(host, -job.spec().cpus());
@@ -314,14 +317,16 @@
 
   /** A gang starts only when all of it fits now, in one zone where its job wants that. */
   private boolean placeGang(Job job, List<Host> usable) {
-    Submission s = job.spec();
-    if (!ledger.teamAllows(s, job.waiting()) || job.held() > 0) {
+    Submission submission = job.spec();
+    if (!ledger.teamAllows(submission, job.waiting()) || job.held() > 0) {
       return false;
     }
     List<List<Host>> choices =
-        s.together() ? List.copyOf(RoomJudge.byZone(usable).values()) : List.of(usable);
+        submission.together()
+            ? List.copyOf(PlacementFilter.byZone(usable).values())
+            : List.of(usable);
     for (List<Host> machines : choices) {
-      int room = judge.room(job, machines);
+      int room = filter.room(job, machines);
       if (recorder != null) {
         recorder.gangRoom(job, room);
       }
--- a/src/main/java/dapplestair/placement/Promises.java
+++ b/src/main/java/dapplestair/placement/Promises.java
@@ -16,19 +16,20 @@
   private final Map<String, List<Settings.Objective>> byClass = new HashMap<>();
 
   Promises(List<Settings.Objective> objectives) {
-    for (Settings.Objective o : objectives) {
-      if (o.withinS() > 0 && (o.kind().equals("wait") || o.kind().equals("finished"))) {
-        byClass.computeIfAbsent(o.jobClass(), c -> new ArrayList<>()).add(o);
+    for (Settings.Objective objective : objectives) {
+      if (objective.withinS() > 0
+          && (objective.kind().equals("wait") || objective.kind().equals("finished"))) {
+        byClass.computeIfAbsent(objective.jobClass(), c -> new ArrayList<>()).add(objective);
       }
     }
   }
 
   /** How many promises to this job can no longer be kept, if all of it starts now. */
-  int broken(Submission s, double ageS, double runS) {
+  int broken(Submission submission, double ageS, double runS) {
     int broken = 0;
-    for (Settings.Objective o : byClass.getOrDefault(s.jobClass(), List.of())) {
-      double earliest = o.kind().equals("wait") ? ageS : ageS + runS;
-      if (earliest > o.withinS()) {
+    for (Settings.Objective objective : byClass.getOrDefault(submission.jobClass(), List.of())) {
+      double earliest = objective.kind().equals("wait") ? ageS : ageS + runS;
+      if (earliest > objective.withinS()) {
         broken++;
       }
     }
@@ -36,13 +37,13 @@
   }
 
   /** True when anything is promised of this job's class. */
-  boolean promised(Submission s) {
-    return byClass.containsKey(s.jobClass());
+  boolean promised(Submission submission) {
+    return byClass.containsKey(submission.jobClass());
   }
 
   /** True when none can be kept any more. */
-  boolean allBroken(Submission s, int broken) {
-    List<Settings.Objective> of = byClass.get(s.jobClass());
+  boolean allBroken(Submission submission, int broken) {
+    List<Settings.Objective> of = byClass.get(submission.jobClass());
     return of != null && broken == of.size();
   }
 }
--- a/src/main/java/dapplestair/placement/Ranking.java
+++ b/src/main/java/dapplestair/placement/Ranking.java
@@ -62,24 +62,24 @@
   }
 
   private Ranked ranked(Job job) {
-    Submission s = job.spec();
+    Submission submission = job.spec();
     double age = (clock.wall() - job.askedWall()) / 1000.0;
-    double run = estimates.runS(s);
-    int broken = promises.broken(s, age, run);
+    double run = estimates.runS(submission);
+    int broken = promises.broken(submission, age, run);
     double order;
-    if (promises.allBroken(s, broken)) {
+    if (promises.allBroken(submission, broken)) {
       // Nobody else's promise is at stake here, and the largest have to begin in time as well.
       order = ledger.served().isLarge(job) ? -LARGE_BEFORE_S - age : -age;
-    } else if (broken > 0 || promises.promised(s)) {
-      order = job.waiting() * s.cpus() * Math.max(1, run);
+    } else if (broken > 0 || promises.promised(submission)) {
+      order = job.waiting() * submission.cpus() * Math.max(1, run);
     } else {
-      order = (Double.isFinite(s.dueS()) ? s.dueS() : 10 * run + 60) - age - run;
+      order = (Double.isFinite(submission.dueS()) ? submission.dueS() : 10 * run + 60) - age - run;
     }
-    return new Ranked(job, urgency(s), !guaranteed(job), broken, order);
+    return new Ranked(job, urgency(submission), !guaranteed(job), broken, order);
   }
 
-  private static int urgency(Submission s) {
-    return 2 * s.rank().ordinal() + (s.service() ? 0 : 1);
+  private static int urgency(Submission submission) {
+    return 2 * submission.rank().ordinal() + (submission.service() ? 0 : 1);
   }
 
   /** True when one more of its tasks lies within its team's guarantee. */
--- a/src/main/java/dapplestair/placement/Reservations.java
+++ b/src/main/java/dapplestair/placement/Reservations.java
@@ -35,11 +35,11 @@
   }
 
   /** True when this machine is kept for another job, and this one has to look elsewhere. */
-  boolean keptFrom(Job job, Host h) {
+  boolean keptFrom(Job job, Host host) {
     if (kept.isEmpty() || Bound.critical(job.spec())) {
       return false;
     }
-    String owner = kept.get(h);
+    String owner = kept.get(host);
     return owner != null && !owner.equals(job.spec().ref());
   }
 
@@ -89,17 +89,17 @@
 
   /** Those that lack least, as many as the tasks take once all but services has left them. */
   private List<Host> choose(Job job, int tasks) {
-    Submission s = job.spec();
+    Submission submission = job.spec();
     TreeMap<String, List<Host>> zones = new TreeMap<>();
-    for (Host h : desk.hosts()) {
-      if (!h.closed()
-          && desk.fresh(h)
-          && !kept.containsKey(h)
-          && h.allowed(s)
-          && ledger.zoneAllows(job, h.zone())
-          && emptied(s, h) > 0) {
-        String zone = s.together() ? h.zone() : "";
-        zones.computeIfAbsent(zone, z -> new ArrayList<>()).add(h);
+    for (Host host : desk.hosts()) {
+      if (!host.closed()
+          && desk.fresh(host)
+          && !kept.containsKey(host)
+          && host.allowed(submission)
+          && ledger.zoneAllows(job, host.zone())
+          && emptied(submission, host) > 0) {
+        String zone = submission.together() ? host.zone() : "";
+        zones.computeIfAbsent(zone, z -> new ArrayList<>()).add(host);
       }
     }
     List<Host> best = List.of();
@@ -116,31 +116,34 @@
   }
 
   private static List<Host> enough(Job job, int tasks, List<Host> hosts) {
-    Submission s = job.spec();
-    hosts.sort(Comparator.comparingDouble((Host h) -> -h.cpusFree()).thenComparing(Host::id));
+    Submission submission = job.spec();
+    hosts.sort(Comparator.comparingDouble((Host host) -> -host.cpusFree()).thenComparing(Host::id));
     Map<String, Integer> perZone = new HashMap<>();
     List<Host> out = new ArrayList<>();
     int found = 0;
-    for (Host h : hosts) {
-      int left = s.mostPerZone() - job.inZone(h.zone()) - perZone.getOrDefault(h.zone(), 0);
-      int here = Math.min(emptied(s, h), left);
+    for (Host host : hosts) {
+      int left =
+          submission.mostPerZone() - job.inZone(host.zone()) - perZone.getOrDefault(host.zone(), 0);
+      int here = Math.min(emptied(submission, host), left);
       if (here > 0) {
-        out.add(h);
+        out.add(host);
         found += here;
-        perZone.merge(h.zone(), here, Integer::sum);
+        perZone.merge(host.zone(), here, Integer::sum);
       }
       if (found >= tasks) {
         return out;
       }
     }
     // A gang that fits nowhere even then waits for machines, and keeps none idle meanwhile.
-    return s.gang() ? List.of() : out;
+    return submission.gang() ? List.of() : out;
   }
 
   /** How many of its tasks a machine holds without all but its services. */
-  private static int emptied(Submission s, Host h) {
-    double share = 1 - h.serviceCpus() / h.type().cpus();
-    return s.fitting(
-        h.type().cpus() - h.serviceCpus(), h.type().memoryGb() * share, h.type().gpus());
+  private static int emptied(Submission submission, Host host) {
+    double share = 1 - host.serviceCpus() / host.type().cpus();
+    return submission.fitting(
+        host.type().cpus() - host.serviceCpus(),
+        host.type().memoryGb() * share,
+        host.type().gpus());
   }
 }
--- a/src/main/java/dapplestair/placement/Verdict.java
+++ b/src/main/java/dapplestair/placement/Verdict.java
@@ -55,7 +55,7 @@
   AWAITS_IMAGE(Scope.JOB, "room where its image is comes sooner than a fetch would end"),
   /** Borrowed or lower-ranked work is being stopped for it. */
   ROOM_ON_ITS_WAY(Scope.JOB, "other work is being stopped to make room"),
-  /** Its attempts are not over: it was withdrawn or is done. */
+  /** Its attempts are not over: it was cancelled or is done. */
   OVER(Scope.JOB, "its job is over");
 
   /** What a verdict speaks of. */
--- a/src/main/java/dapplestair/planning/Arrivals.java
+++ b/src/main/java/dapplestair/planning/Arrivals.java
@@ -20,9 +20,10 @@
     this.windowMs = windowMs;
   }
 
-  void arrived(Submission s, long now) {
-    ArrayDeque<Arrival> of = classes.computeIfAbsent(s.jobClass(), c -> new ArrayDeque<>());
-    of.addLast(new Arrival(now, s));
+  void arrived(Submission submission, long now) {
+    ArrayDeque<Arrival> of =
+        classes.computeIfAbsent(submission.jobClass(), c -> new ArrayDeque<>());
+    of.addLast(new Arrival(now, submission));
     if (of.size() > MOST_PER_CLASS) {
       of.removeFirst();
     }
--- a/src/main/java/dapplestair/planning/DemandView.java
+++ b/src/main/java/dapplestair/planning/DemandView.java
@@ -62,8 +62,8 @@
   }
 
   /** A job was accepted just now. */
-  public void arrived(Submission s) {
-    arrivals.arrived(s, clock.now());
+  public void arrived(Submission submission) {
+    arrivals.arrived(submission, clock.now());
   }
 
   /** CPUs that services are expected to ask for while a machine boots, and one replica more. */
@@ -72,10 +72,10 @@
         Math.round(1000 * types.all().stream().mapToDouble(MachineType::bootS).max().orElse(0));
     double sum = 0;
     double largest = 0;
-    for (Submission s : arrivals.expected(clock.now(), bootMs)) {
-      if (s.service()) {
-        sum += s.cpus() * s.steps();
-        largest = Math.max(largest, s.cpus());
+    for (Submission submission : arrivals.expected(clock.now(), bootMs)) {
+      if (submission.service()) {
+        sum += submission.cpus() * submission.steps();
+        largest = Math.max(largest, submission.cpus());
       }
     }
     return sum + largest;
@@ -88,14 +88,14 @@
   double pressure() {
     double bootMs = 1000 * types.all().stream().mapToDouble(MachineType::bootS).max().orElse(0);
     double waiting = 0;
-    for (Job j : ledger.jobs()) {
-      if (clock.wall() - j.acceptedWall() > bootMs) {
-        waiting += wanted(j) * j.spec().cpus();
+    for (Job job : ledger.jobs()) {
+      if (clock.wall() - job.acceptedWall() > bootMs) {
+        waiting += wanted(job) * job.spec().cpus();
       }
     }
     double held = 0;
-    for (Host h : desk.hosts()) {
-      held += h.type() == null ? 0 : h.type().cpus();
+    for (Host host : desk.hosts()) {
+      held += host.type() == null ? 0 : host.type().cpus();
     }
     return held == 0 ? 1 : waiting / held;
   }
@@ -104,9 +104,9 @@
    * Tasks to plan for. A job that fails wherever it runs is tried on what there is: no machine is
    * rented for it, except where there is none at all, and for a gang, of which no task alone tells.
    */
-  private int wanted(Job j) {
-    boolean onWhatThereIs = j.suspected() && !j.spec().gang() && !desk.hosts().isEmpty();
-    return onWhatThereIs ? 0 : j.wanted(clock.now());
+  private int wanted(Job job) {
+    boolean onWhatThereIs = job.suspected() && !job.spec().gang() && !desk.hosts().isEmpty();
+    return onWhatThereIs ? 0 : job.wanted(clock.now());
   }
 
   /** CPUs of all that waits for room. */
@@ -130,9 +130,9 @@
     double laneCpus = laneCpus(soon);
     double need = needCpus(soon);
     List<SlotState> slots = new ArrayList<>();
-    for (MachineType t : kinds) {
-      slots.add(slot(t, false, laneCpus, need));
-      slots.add(slot(t, true, laneCpus, need));
+    for (MachineType type : kinds) {
+      slots.add(slot(type, false, laneCpus, need));
+      slots.add(slot(type, true, laneCpus, need));
     }
     slots = floors.forGangs(floors.forServices(slots, soon), windowMs / 4);
     List<DryTasks> tasks = tasks(slots, soon, laneCpus, longestBootS);
@@ -151,27 +151,27 @@
     return sizes.length == 0 ? 1 : Math.max(0.25, sizes[sizes.length / 2] / 2);
   }
 
-  private SlotState slot(MachineType t, boolean spot, double laneCpus, double needCpus) {
-    Slot slot = new Slot(t.name(), spot);
+  private SlotState slot(MachineType type, boolean spot, double laneCpus, double needCpus) {
+    Slot slot = new Slot(type.name(), spot);
     List<Host> up = new ArrayList<>();
     List<double[]> lanes = new ArrayList<>();
-    int perMachine = Math.max(1, (int) Math.floor(t.cpus() / laneCpus + 1e-9));
+    int perMachine = Math.max(1, (int) Math.floor(type.cpus() / laneCpus + 1e-9));
     List<Double> booting = new ArrayList<>();
     int busy = 0;
-    for (Host h : desk.hosts()) {
-      if (!fleet.counts(h, slot)) {
+    for (Host host : desk.hosts()) {
+      if (!fleet.counts(host, slot)) {
         continue;
       }
-      if (h.up()) {
-        up.add(h);
+      if (host.up()) {
+        up.add(host);
         // Arrays that overflowed onto steady machines must not keep those for ever: such a machine
         // may be planned away, gets no new work then, and is returned once it is idle.
-        if (spot ? !h.idle() : h.serviceCpus() > 0) {
+        if (spot ? !host.idle() : host.serviceCpus() > 0) {
           busy++;
         }
       } else {
-        double age = (clock.now() - h.rentedAt()) / 1000.0;
-        booting.add(Math.max(backS(h), Math.max(1, t.bootS() - Math.max(0, age))));
+        double age = (clock.now() - host.rentedAt()) / 1000.0;
+        booting.add(Math.max(backS(host), Math.max(1, type.bootS() - Math.max(0, age))));
       }
     }
     // Busy machines come first: idle ones are those that a smaller plan gives up.
@@ -180,10 +180,10 @@
             .thenComparingDouble(Host::cpusUsed)
             .reversed());
     booting.sort(Comparator.naturalOrder());
-    double horizon = 2 * t.bootS();
-    for (Host h : up) {
-      double[] until = busyUntil(h, laneCpus, perMachine);
-      double backS = backS(h);
+    double horizon = 2 * type.bootS();
+    for (Host host : up) {
+      double[] until = busyUntil(host, laneCpus, perMachine);
+      double backS = backS(host);
       for (int i = 0; i < until.length; i++) {
         until[i] = Math.max(until[i], backS);
       }
@@ -199,39 +199,39 @@
     }
     // All that waits may be rented for at once: a bound that grows with what is held would take
     // many rounds from nothing.
-    int forAll = (int) Math.ceil(needCpus / t.cpus() / Math.max(1, t.zones().size()));
+    int forAll = (int) Math.ceil(needCpus / type.cpus() / Math.max(1, type.zones().size()));
     int most = Math.max(busy, fleet.capacity(slot, Math.max(2, forAll)));
     return new SlotState(
-        t,
+        type,
         spot,
         busy,
         most,
         new HeldLanes(lanes, horizon),
         up.size(),
-        fleet.market().price(t, spot),
+        fleet.market().price(type, spot),
         fleet.market().takeBackChance(slot, windowMs, WINDOWS));
   }
 
   /** What is silent and waited for is expected back after as long again as it has been so. */
-  private double backS(Host h) {
-    return h.zoneSilentMs() > 0 || h.hanging() ? desk.silentMs(h) / 1000.0 : 0;
+  private double backS(Host host) {
+    return host.zoneSilentMs() > 0 || host.hanging() ? desk.silentMs(host) / 1000.0 : 0;
   }
 
   /** When each lane of a machine is free, from now. */
-  private double[] busyUntil(Host h, double laneCpus, int perMachine) {
+  private double[] busyUntil(Host host, double laneCpus, int perMachine) {
     double[] until = new double[perMachine];
     int used = 0;
     double services = 0;
-    for (Attempt a : h.attempts()) {
-      if (a.exited()) {
+    for (Attempt attempt : host.attempts()) {
+      if (attempt.exited()) {
         continue;
       }
-      if (a.spec().service()) {
-        services += a.spec().cpus();
+      if (attempt.spec().service()) {
+        services += attempt.spec().cpus();
         continue;
       }
-      double left = Math.max(1, estimates.leftS(a, h, clock.now()));
-      for (long l = Math.max(1, Math.round(a.spec().cpus() / laneCpus));
+      double left = Math.max(1, estimates.leftS(attempt, host, clock.now()));
+      for (long l = Math.max(1, Math.round(attempt.spec().cpus() / laneCpus));
           l > 0 && used < perMachine;
           l--) {
         until[used++] = left;
@@ -246,11 +246,11 @@
   /** CPUs of all that waits and is expected. */
   private double needCpus(List<Submission> soon) {
     double sum = 0;
-    for (Job j : ledger.jobs()) {
-      sum += wanted(j) * j.spec().cpus();
+    for (Job job : ledger.jobs()) {
+      sum += wanted(job) * job.spec().cpus();
     }
-    for (Submission s : soon) {
-      sum += s.steps() * s.cpus();
+    for (Submission submission : soon) {
+      sum += submission.steps() * submission.cpus();
     }
     return sum;
   }
@@ -258,24 +258,26 @@
   private List<DryTasks> tasks(
       List<SlotState> slots, List<Submission> soon, double laneCpus, double aheadS) {
     List<Entries.Pending> pending = new ArrayList<>();
-    for (Job j : ledger.jobs()) {
-      int n = wanted(j);
-      if (n > 0) {
-        double age = (clock.wall() - j.acceptedWall()) / 1000.0;
-        pending.add(new Entries.Pending(j.spec(), n, slack(j.spec()) - age, 0));
+    for (Job job : ledger.jobs()) {
+      int count = wanted(job);
+      if (count > 0) {
+        double age = (clock.wall() - job.acceptedWall()) / 1000.0;
+        pending.add(new Entries.Pending(job.spec(), count, slack(job.spec()) - age, 0));
       }
     }
     for (int i = 0; i < soon.size(); i++) {
       double arrives = aheadS * (i + 0.5) / soon.size();
-      Submission s = soon.get(i);
-      pending.add(new Entries.Pending(s, s.steps(), slack(s) + arrives, arrives));
+      Submission submission = soon.get(i);
+      pending.add(
+          new Entries.Pending(
+              submission, submission.steps(), slack(submission) + arrives, arrives));
     }
     return new Entries(slots, laneCpus, aheadS, windowMs / 1000.0, estimates).of(pending);
   }
 
-  private double slack(Submission s) {
-    double run = estimates.runS(s);
-    return (Double.isFinite(s.dueS()) ? s.dueS() : 10 * run + 60) - run;
+  private double slack(Submission submission) {
+    double run = estimates.runS(submission);
+    return (Double.isFinite(submission.dueS()) ? submission.dueS() : 10 * run + 60) - run;
   }
 
   /** The operators' budget, or a ratio to what all present work costs where it is cheapest. */
@@ -285,9 +287,9 @@
     }
     double floor = slots.stream().mapToDouble(s -> s.least() * s.price()).sum();
     double demand = 0;
-    for (Job j : ledger.jobs()) {
-      if (!j.over()) {
-        demand += cheapest(slots, j.spec()) * j.spec().cpus() * (wanted(j) + j.held());
+    for (Job job : ledger.jobs()) {
+      if (!job.over()) {
+        demand += cheapest(slots, job.spec()) * job.spec().cpus() * (wanted(job) + job.held());
       }
     }
     for (Submission s : soon) {
--- a/src/main/java/dapplestair/planning/Entries.java
+++ b/src/main/java/dapplestair/planning/Entries.java
@@ -55,29 +55,29 @@
     return entries.values().stream().map(this::dryTasks).toList();
   }
 
-  private static boolean small(Submission s) {
-    return s.service() || s.steps() == 1;
+  private static boolean small(Submission submission) {
+    return submission.service() || submission.steps() == 1;
   }
 
   /** What makes small jobs alike. */
   private record Traits(
       List<String> types, boolean spot, boolean service, int lanes, int run, int image, int due) {}
 
-  private Traits traits(Pending p) {
-    Submission s = p.job();
+  private Traits traits(Pending pending) {
+    Submission submission = pending.job();
     return new Traits(
-        s.types(),
-        s.spot(),
-        s.service(),
-        lanes(s),
+        submission.types(),
+        submission.spot(),
+        submission.service(),
+        lanes(submission),
         // Within a half of each other.
-        (int) Math.round(Math.log(1 + estimates.runS(s)) / Math.log(1.5)),
-        (int) Math.round(s.imageGb()),
-        (int) Math.ceil(4 * p.arrivesS() / Math.max(1, aheadS)));
+        (int) Math.round(Math.log(1 + estimates.runS(submission)) / Math.log(1.5)),
+        (int) Math.round(submission.imageGb()),
+        (int) Math.ceil(4 * pending.arrivesS() / Math.max(1, aheadS)));
   }
 
-  private int lanes(Submission s) {
-    return (int) Math.max(1, Math.round(s.cpus() / laneCpus));
+  private int lanes(Submission submission) {
+    return (int) Math.max(1, Math.round(submission.cpus() / laneCpus));
   }
 
   /** Jobs that are one entry. */
@@ -91,29 +91,29 @@
       this.first = first;
     }
 
-    void add(Pending p) {
+    void add(Pending pending) {
       jobs++;
-      count += p.count();
-      arrivesS += p.arrivesS();
+      count += pending.count();
+      arrivesS += pending.arrivesS();
     }
   }
 
   private DryTasks dryTasks(Alike of) {
-    Submission s = of.first;
+    Submission submission = of.first;
     boolean[] allowed = new boolean[slots.size()];
     for (int i = 0; i < allowed.length; i++) {
       SlotState slot = slots.get(i);
-      allowed[i] = slot.type().suits(s) && (s.spot() || !slot.spot());
+      allowed[i] = slot.type().suits(submission) && (submission.spot() || !slot.spot());
     }
     return new DryTasks(
         // Many small jobs alike do not outvote the large ones.
         (int) Math.round(Math.sqrt(of.jobs)),
         allowed,
         of.count,
-        lanes(s),
-        s.service() ? serviceS : estimates.runS(s),
-        s.service(),
-        s.imageGb(),
+        lanes(submission),
+        submission.service() ? serviceS : estimates.runS(submission),
+        submission.service(),
+        submission.imageGb(),
         of.arrivesS / of.jobs);
   }
 }
--- a/src/main/java/dapplestair/planning/FleetProblem.java
+++ b/src/main/java/dapplestair/planning/FleetProblem.java
@@ -89,18 +89,18 @@
   double[] toward(double share) {
     double[] x = lower();
     double need = 0;
-    for (DryTasks t : tasks) {
-      need += share * t.count() * t.lanes() * laneCpus;
+    for (DryTasks dryTasks : tasks) {
+      need += share * dryTasks.count() * dryTasks.lanes() * laneCpus;
     }
     Integer[] order = new Integer[x.length];
     Arrays.setAll(order, i -> i);
     Arrays.sort(order, Comparator.comparingDouble(i -> Floors.perCpu(slots.get(i))));
     for (int i : order) {
-      SlotState s = slots.get(i);
-      double more = Math.min(s.most() - x[i], Math.ceil(need / s.type().cpus()));
+      SlotState slot = slots.get(i);
+      double more = Math.min(slot.most() - x[i], Math.ceil(need / slot.type().cpus()));
       if (more > 0) {
         x[i] += more;
-        need -= more * s.type().cpus();
+        need -= more * slot.type().cpus();
       }
     }
     return x;
@@ -118,11 +118,11 @@
     double risk = 0;
     int machines = 0;
     for (int i = 0; i < n.length; i++) {
-      SlotState s = slots.get(i);
+      SlotState slot = slots.get(i);
       machines += n[i];
-      spend += n[i] * s.price();
-      if (s.spot()) {
-        risk += n[i] * s.type().cpus() * s.takeBack();
+      spend += n[i] * slot.price();
+      if (slot.spot()) {
+        risk += n[i] * slot.type().cpus() * slot.takeBack();
       }
     }
     if (machines == 0 || spend > budget) {
@@ -141,30 +141,30 @@
   double makespan(int[] n) {
     FreeLanes[] free = new FreeLanes[n.length];
     for (int i = 0; i < n.length; i++) {
-      SlotState s = slots.get(i);
-      int perMachine = Math.max(1, (int) Math.floor(s.type().cpus() / laneCpus + 1e-9));
-      free[i] = s.held().free(n[i], perMachine, s.type().bootS());
+      SlotState slot = slots.get(i);
+      int perMachine = Math.max(1, (int) Math.floor(slot.type().cpus() / laneCpus + 1e-9));
+      free[i] = slot.held().free(n[i], perMachine, slot.type().bootS());
     }
     double sum = 0;
     int jobs = 0;
-    for (DryTasks t : tasks) {
-      sum += t.jobs() * makespan(t, n, free);
-      jobs += t.jobs();
+    for (DryTasks dryTasks : tasks) {
+      sum += dryTasks.jobs() * makespan(dryTasks, n, free);
+      jobs += dryTasks.jobs();
     }
     return jobs == 0 ? 0 : sum / jobs;
   }
 
-  private double makespan(DryTasks t, int[] n, FreeLanes[] free) {
+  private double makespan(DryTasks dryTasks, int[] n, FreeLanes[] free) {
     double longest = 0;
     double sum = 0;
-    for (int left = t.count(); left > 0; ) {
+    for (int left = dryTasks.count(); left > 0; ) {
       int best = -1;
       double bestStart = 0;
       double bestEnd = Double.POSITIVE_INFINITY;
       for (int i = 0; i < free.length; i++) {
-        if (t.allowed()[i] && free[i].total() >= t.lanes()) {
-          double start = Math.max(t.arrivesS(), free[i].start(t.lanes()));
-          double end = start + fetchS(t, slots.get(i), start) + t.runS();
+        if (dryTasks.allowed()[i] && free[i].total() >= dryTasks.lanes()) {
+          double start = Math.max(dryTasks.arrivesS(), free[i].start(dryTasks.lanes()));
+          double end = start + fetchS(dryTasks, slots.get(i), start) + dryTasks.runS();
           if (end < bestEnd) {
             best = i;
             bestStart = start;
@@ -174,20 +174,20 @@
       }
       if (best < 0) {
         // Nowhere to run under this plan: worse than any place.
-        return NOWHERE * (t.runS() + t.arrivesS() + 1);
+        return NOWHERE * (dryTasks.runS() + dryTasks.arrivesS() + 1);
       }
-      int together = Math.max(1, Math.min(left, free[best].freeBy(bestStart) / t.lanes()));
-      free[best].occupy(together * t.lanes(), bestEnd);
-      double took = bestEnd - t.arrivesS() - (t.endless() ? t.runS() : 0);
+      int together = Math.max(1, Math.min(left, free[best].freeBy(bestStart) / dryTasks.lanes()));
+      free[best].occupy(together * dryTasks.lanes(), bestEnd);
+      double took = bestEnd - dryTasks.arrivesS() - (dryTasks.endless() ? dryTasks.runS() : 0);
       longest = Math.max(longest, took);
       sum += together * took;
       left -= together;
     }
     // One job is as long as its last task; of many small ones the mean is what counts.
-    return t.jobs() == 1 ? longest : sum / t.count();
+    return dryTasks.jobs() == 1 ? longest : sum / dryTasks.count();
   }
 
-  private static double fetchS(DryTasks t, SlotState slot, double start) {
-    return start > 0 || slot.up() == 0 ? t.fetchGb() / slot.type().fetchGbPerS() : 0;
+  private static double fetchS(DryTasks dryTasks, SlotState slot, double start) {
+    return start > 0 || slot.up() == 0 ? dryTasks.fetchGb() / slot.type().fetchGbPerS() : 0;
   }
 }
--- a/src/main/java/dapplestair/planning/Floors.java
+++ b/src/main/java/dapplestair/planning/Floors.java
@@ -32,9 +32,9 @@
    */
   List<SlotState> forServices(List<SlotState> slots, List<Submission> soon) {
     double need = 0;
-    for (Job j : ledger.jobs()) {
-      if (!j.over() && !j.spec().spot()) {
-        need += j.spec().cpus() * (j.wanted(clock.now()) + j.held());
+    for (Job job : ledger.jobs()) {
+      if (!job.over() && !job.spec().spot()) {
+        need += job.spec().cpus() * (job.wanted(clock.now()) + job.held());
       }
     }
     for (Submission s : soon) {
@@ -102,11 +102,11 @@
     long now = clock.now();
     Set<String> waiting = new HashSet<>();
     double sum = 0;
-    for (Job j : ledger.jobs()) {
-      if (j.spec().service() && !j.over() && j.wanted(now) > 0) {
-        waiting.add(j.spec().ref());
-        long since = waitingSince.computeIfAbsent(j.spec().ref(), r -> now);
-        sum += now - since > bootMs ? j.wanted(now) * j.spec().cpus() : 0;
+    for (Job job : ledger.jobs()) {
+      if (job.spec().service() && !job.over() && job.wanted(now) > 0) {
+        waiting.add(job.spec().ref());
+        long since = waitingSince.computeIfAbsent(job.spec().ref(), r -> now);
+        sum += now - since > bootMs ? job.wanted(now) * job.spec().cpus() : 0;
       }
     }
     waitingSince.keySet().retainAll(waiting);
@@ -120,20 +120,21 @@
    */
   List<SlotState> forGangs(List<SlotState> slots, long afterMs) {
     List<SlotState> out = new ArrayList<>(slots);
-    for (Job j : ledger.jobs()) {
-      Submission s = j.spec();
-      if (!s.gang()
-          || j.held() > 0
-          || j.wanted(clock.now()) == 0
-          || clock.wall() - j.acceptedWall() < afterMs) {
+    for (Job job : ledger.jobs()) {
+      Submission submission = job.spec();
+      if (!submission.gang()
+          || job.held() > 0
+          || job.wanted(clock.now()) == 0
+          || clock.wall() - job.acceptedWall() < afterMs) {
         continue;
       }
-      double need = s.cpus() * j.waiting();
-      boolean zones = s.together() && s.zone() == null;
+      double need = submission.cpus() * job.waiting();
+      boolean zones = submission.together() && submission.zone() == null;
       for (int i = 0; i < out.size() && need > 0; i++) {
         SlotState slot = out.get(i);
-        if (slot.type().suits(s) && (s.spot() || !slot.spot())) {
-          double perMachine = Math.floor(slot.type().cpus() / s.cpus()) * s.cpus();
+        if (slot.type().suits(submission) && (submission.spot() || !slot.spot())) {
+          double perMachine =
+              Math.floor(slot.type().cpus() / submission.cpus()) * submission.cpus();
           int want = (int) Math.ceil(need / perMachine);
           want *= zones ? Math.max(1, slot.type().zones().size()) : 1;
           // Beside what is busy: a gang needs its room all at once.
@@ -146,12 +147,19 @@
     return out;
   }
 
-  private static SlotState withLeast(SlotState s, int least) {
+  private static SlotState withLeast(SlotState slot, int least) {
     return new SlotState(
-        s.type(), s.spot(), least, s.most(), s.held(), s.up(), s.price(), s.takeBack());
+        slot.type(),
+        slot.spot(),
+        least,
+        slot.most(),
+        slot.held(),
+        slot.up(),
+        slot.price(),
+        slot.takeBack());
   }
 
-  static double perCpu(SlotState s) {
-    return s.price() / s.type().cpus();
+  static double perCpu(SlotState slot) {
+    return slot.price() / slot.type().cpus();
   }
 }
--- a/src/main/java/dapplestair/planning/HeldLanes.java
+++ b/src/main/java/dapplestair/planning/HeldLanes.java
@@ -52,14 +52,16 @@
     return firstMachines.length - 1;
   }
 
-  /** The lanes of the first {@code n} machines, and of new ones that are up after {@code bootS}. */
-  FreeLanes free(int n, int lanesPerMachine, double bootS) {
+  /**
+   * The lanes of the first {@code count} machines, and of new ones that are up after {@code bootS}.
+   */
+  FreeLanes free(int count, int lanesPerMachine, double bootS) {
     FreeLanes out = new FreeLanes();
-    int held = Math.min(n, machines());
+    int held = Math.min(count, machines());
     for (int e = 0; e < EDGES; e++) {
       out.add(edges[e], firstMachines[held][e]);
     }
-    out.add(bootS, (n - held) * lanesPerMachine);
+    out.add(bootS, (count - held) * lanesPerMachine);
     return out;
   }
 }
--- a/src/main/java/dapplestair/planning/Nsga2.java
+++ b/src/main/java/dapplestair/planning/Nsga2.java
@@ -98,31 +98,31 @@
     }
   }
 
-  private double[] randomIn(Problem p) {
-    double[] x = new double[p.lower().length];
+  private double[] randomIn(Problem problem) {
+    double[] x = new double[problem.lower().length];
     for (int i = 0; i < x.length; i++) {
-      x[i] = p.lower()[i] + random.nextDouble() * (p.upper()[i] - p.lower()[i]);
+      x[i] = problem.lower()[i] + random.nextDouble() * (problem.upper()[i] - problem.lower()[i]);
     }
     return x;
   }
 
-  private static double[] clip(double[] x, Problem p) {
+  private static double[] clip(double[] x, Problem problem) {
     for (int i = 0; i < x.length; i++) {
-      x[i] = Math.max(p.lower()[i], Math.min(p.upper()[i], x[i]));
+      x[i] = Math.max(problem.lower()[i], Math.min(problem.upper()[i], x[i]));
     }
     return x;
   }
 
   private Individual tournament(List<Individual> from) {
-    Individual a = from.get(random.nextInt(from.size()));
+    Individual individual = from.get(random.nextInt(from.size()));
     Individual b = from.get(random.nextInt(from.size()));
-    if (a.rank != b.rank) {
-      return a.rank < b.rank ? a : b;
+    if (individual.rank != b.rank) {
+      return individual.rank < b.rank ? individual : b;
     }
-    return a.crowding >= b.crowding ? a : b;
+    return individual.crowding >= b.crowding ? individual : b;
   }
 
-  private double[][] crossover(double[] a, double[] b, Problem p) {
+  private double[][] crossover(double[] a, double[] b, Problem problem) {
     double[] c = a.clone();
     double[] d = b.clone();
     if (random.nextDouble() < CROSSOVER_CHANCE) {
@@ -136,12 +136,12 @@
         }
       }
     }
-    return new double[][] {clip(c, p), clip(d, p)};
+    return new double[][] {clip(c, problem), clip(d, problem)};
   }
 
-  private void mutate(double[] x, Problem p) {
+  private void mutate(double[] x, Problem problem) {
     for (int i = 0; i < x.length; i++) {
-      double range = p.upper()[i] - p.lower()[i];
+      double range = problem.upper()[i] - problem.lower()[i];
       if (range > 0 && random.nextDouble() < 1.0 / x.length) {
         double u = random.nextDouble();
         double power = 1 / (MUTATION_INDEX + 1);
@@ -149,7 +149,7 @@
         x[i] += delta * range;
       }
     }
-    clip(x, p);
+    clip(x, problem);
   }
 
   private List<Individual> survivors(List<Individual> all) {
@@ -159,7 +159,8 @@
         out.addAll(front);
       } else {
         List<Individual> spread = new ArrayList<>(front);
-        spread.sort(Comparator.comparingDouble((Individual i) -> i.crowding).reversed());
+        spread.sort(
+            Comparator.comparingDouble((Individual individual) -> individual.crowding).reversed());
         out.addAll(spread.subList(0, population - out.size()));
         break;
       }
@@ -173,9 +174,9 @@
     List<Individual> left = new ArrayList<>(all);
     while (!left.isEmpty()) {
       List<Individual> front = new ArrayList<>();
-      for (Individual a : left) {
-        if (left.stream().noneMatch(b -> dominates(b.costs, a.costs))) {
-          front.add(a);
+      for (Individual individual : left) {
+        if (left.stream().noneMatch(b -> dominates(b.costs, individual.costs))) {
+          front.add(individual);
         }
       }
       for (Individual i : front) {
@@ -245,9 +246,9 @@
     all.add(standing);
     Individual best = nearestOrigin(front, weights);
     double[] greatest = new double[standing.costs.length];
-    for (Individual i : all) {
+    for (Individual individual : all) {
       for (int m = 0; m < greatest.length; m++) {
-        greatest[m] = Math.max(greatest[m], i.costs[m]);
+        greatest[m] = Math.max(greatest[m], individual.costs[m]);
       }
     }
     boolean stays =
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -216,8 +216,8 @@
     double[] x = problem.lower();
     double[] upper = problem.upper();
     for (int i = 0; i < x.length; i++) {
-      FleetProblem.SlotState s = problem.slots().get(i);
-      int wanted = plan.getOrDefault(new Slot(s.type().name(), s.spot()), 0);
+      FleetProblem.SlotState slot = problem.slots().get(i);
+      int wanted = plan.getOrDefault(new Slot(slot.type().name(), slot.spot()), 0);
       x[i] = Math.max(x[i], Math.min(upper[i], wanted));
     }
     return x;
@@ -306,7 +306,7 @@
     if (rounds >= operator.returnAfterRounds() / 2) {
       fleet.cordon(slot, have - want, zoneDemand::waitsFor);
     }
-    if (rounds >= patience(slot)) {
+    if (rounds >= timeouts(slot)) {
       List<Host> idle = fleet.returnable(slot);
       idle.stream().limit(have - want).forEach(fleet::release);
     }
@@ -317,7 +317,7 @@
    * as the next one would take to boot, since until then keeping it costs less than what replaces
    * it.
    */
-  private int patience(Slot slot) {
+  private int timeouts(Slot slot) {
     double bootMs = 1000 * types.get(slot.type()).bootS();
     return Math.max(
         operator.returnAfterRounds(), (int) Math.ceil(bootMs / operator.planIntervalMs()));
--- a/src/main/java/dapplestair/planning/ZoneDemand.java
+++ b/src/main/java/dapplestair/planning/ZoneDemand.java
@@ -49,8 +49,14 @@
       this.gpus = gpus;
     }
 
-    static Room of(Host h) {
-      return new Room(h.zone(), h.type(), h.spot(), h.cpusFree(), h.memoryFree(), h.gpusFree());
+    static Room of(Host host) {
+      return new Room(
+          host.zone(),
+          host.type(),
+          host.spot(),
+          host.cpusFree(),
+          host.memoryFree(),
+          host.gpusFree());
     }
 
     static Room empty(String zone, MachineType type, boolean spot) {
@@ -58,14 +64,17 @@
     }
 
     /** Takes up to {@code most} tasks of the job; returns how many. */
-    int take(Submission s, int most) {
-      if (!zone.equals(s.zone()) || !type.suits(s) || spot && !s.spot()) {
+    int take(Submission submission, int most) {
+      if (!zone.equals(submission.zone())
+          || !type.suits(submission)
+          || spot && !submission.spot()) {
         return 0;
       }
-      int tasks = Math.min(most, s.fitting(cpus + EPSILON, memoryGb + EPSILON, gpus + EPSILON));
-      cpus -= tasks * s.cpus();
-      memoryGb -= tasks * s.memoryGb();
-      gpus -= tasks * s.gpus();
+      int tasks =
+          Math.min(most, submission.fitting(cpus + EPSILON, memoryGb + EPSILON, gpus + EPSILON));
+      cpus -= tasks * submission.cpus();
+      memoryGb -= tasks * submission.memoryGb();
+      gpus -= tasks * submission.gpus();
       return tasks;
     }
   }
@@ -132,10 +141,11 @@
 
   private List<Room> rooms() {
     List<Room> out = new ArrayList<>();
-    for (Host h : desk.hosts()) {
-      boolean ofUse = h.type() != null && fleet.counts(h, new Slot(h.type().name(), h.spot()));
-      if (ofUse && (!h.up() || !h.closed())) {
-        out.add(Room.of(h));
+    for (Host host : desk.hosts()) {
+      boolean ofUse =
+          host.type() != null && fleet.counts(host, new Slot(host.type().name(), host.spot()));
+      if (ofUse && (!host.up() || !host.closed())) {
+        out.add(Room.of(host));
       }
     }
     for (MachineType type : types.all()) {
@@ -152,15 +162,15 @@
   }
 
   /** The slot that costs least a CPU, of those in which the zone may have more; null if none. */
-  private Slot cheapest(Submission s) {
+  private Slot cheapest(Submission submission) {
     Slot best = null;
     double least = Double.POSITIVE_INFINITY;
     for (MachineType type : types.all()) {
       for (boolean spot : new boolean[] {true, false}) {
         Slot slot = new Slot(type.name(), spot);
         double perCpu = fleet.market().price(type, spot) / type.cpus();
-        boolean allowed = type.suits(s) && (s.spot() || !spot);
-        if (allowed && perCpu < least && fleet.mayRentIn(slot, s.zone())) {
+        boolean allowed = type.suits(submission) && (submission.spot() || !spot);
+        if (allowed && perCpu < least && fleet.mayRentIn(slot, submission.zone())) {
           best = slot;
           least = perCpu;
         }
@@ -170,16 +180,16 @@
   }
 
   /** What machines would do for so many tasks; they are room for the jobs looked at next. */
-  private Shortage shortage(Submission s, Slot slot, int tasks, List<Room> rooms) {
+  private Shortage shortage(Submission submission, Slot slot, int tasks, List<Room> rooms) {
     MachineType type = types.get(slot.type());
     int machines = 0;
     for (int left = tasks; left > 0; machines++) {
-      Room room = Room.empty(s.zone(), type, slot.spot());
-      left -= Math.max(1, room.take(s, left));
+      Room room = Room.empty(submission.zone(), type, slot.spot());
+      left -= Math.max(1, room.take(submission, left));
       rooms.add(room);
     }
-    long since = lackingSince.computeIfAbsent(s.ref(), r -> clock.now());
+    long since = lackingSince.computeIfAbsent(submission.ref(), r -> clock.now());
     boolean overdue = clock.now() - since > 1000 * type.bootS();
-    return new Shortage(slot, s.zone(), machines, overdue);
+    return new Shortage(slot, submission.zone(), machines, overdue);
   }
 }
--- a/src/main/java/dapplestair/replacement/Machines.java
+++ b/src/main/java/dapplestair/replacement/Machines.java
@@ -27,26 +27,31 @@
     this.disruption = disruption;
   }
 
-  static Slot slot(Host h) {
-    return new Slot(h.type().name(), h.spot());
+  static Slot slot(Host host) {
+    return new Slot(host.type().name(), host.spot());
   }
 
-  private long rentedWall(Host h) {
-    return h.rentedAt() == Long.MAX_VALUE
+  private long rentedWall(Host host) {
+    return host.rentedAt() == Long.MAX_VALUE
         ? Long.MAX_VALUE
-        : clock.wall() - (clock.now() - h.rentedAt());
+        : clock.wall() - (clock.now() - host.rentedAt());
   }
 
-  private boolean covers(Selection s, Host h) {
-    return h.type() != null && s.covers(h.id(), h.zone(), h.type().name(), h.spot(), rentedWall(h));
+  private boolean covers(Selection selection, Host host) {
+    return host.type() != null
+        && selection.covers(
+            host.id(), host.zone(), host.type().name(), host.spot(), rentedWall(host));
   }
 
   /** Machines that such an order is about if it is given now. */
   List<Host> selected(Selection selection) {
     List<Host> out = new ArrayList<>();
-    for (Host h : desk.hosts()) {
-      if (!h.gone() && !h.releasing() && rentedWall(h) <= clock.wall() && covers(selection, h)) {
-        out.add(h);
+    for (Host host : desk.hosts()) {
+      if (!host.gone()
+          && !host.releasing()
+          && rentedWall(host) <= clock.wall()
+          && covers(selection, host)) {
+        out.add(host);
       }
     }
     return out;
@@ -55,9 +60,9 @@
   /** Machines that are still to be replaced, also those on their way back to the cloud. */
   List<Host> old(Order order) {
     List<Host> out = new ArrayList<>();
-    for (Host h : desk.hosts()) {
-      if (!h.gone() && rentedWall(h) < order.atWall() && covers(order.selection(), h)) {
-        out.add(h);
+    for (Host host : desk.hosts()) {
+      if (!host.gone() && rentedWall(host) < order.atWall() && covers(order.selection(), host)) {
+        out.add(host);
       }
     }
     return out;
@@ -67,16 +72,16 @@
    * Machines rented since the order was given, and since then, that are of the kinds it is about.
    */
   List<Host> fresh(Order order, long since) {
-    Selection s = order.selection();
+    Selection selection = order.selection();
     List<Host> out = new ArrayList<>();
-    for (Host h : desk.hosts()) {
-      if (!h.gone()
-          && h.type() != null
-          && rentedWall(h) >= Math.max(order.atWall(), since)
-          && rentedWall(h) != Long.MAX_VALUE
-          && (s.type() == null || s.type().equals(h.type().name()))
-          && (s.spot() == null || s.spot() == h.spot())) {
-        out.add(h);
+    for (Host host : desk.hosts()) {
+      if (!host.gone()
+          && host.type() != null
+          && rentedWall(host) >= Math.max(order.atWall(), since)
+          && rentedWall(host) != Long.MAX_VALUE
+          && (selection.type() == null || selection.type().equals(host.type().name()))
+          && (selection.spot() == null || selection.spot() == host.spot())) {
+        out.add(host);
       }
     }
     return out;
@@ -86,9 +91,9 @@
   List<Host> left(Set<String> batch) {
     List<Host> out = new ArrayList<>();
     for (String id : batch) {
-      Host h = desk.known(id);
-      if (h != null && !h.gone()) {
-        out.add(h);
+      Host host = desk.known(id);
+      if (host != null && !host.gone()) {
+        out.add(host);
       }
     }
     return out;
@@ -138,7 +143,10 @@
     return out;
   }
 
-  private double loss(Host h) {
-    return h.attempts().stream().filter(a -> !a.exited()).mapToDouble(disruption::lossCpuS).sum();
+  private double loss(Host host) {
+    return host.attempts().stream()
+        .filter(a -> !a.exited())
+        .mapToDouble(disruption::lossCpuS)
+        .sum();
   }
 }
--- a/src/main/java/dapplestair/replacement/Order.java
+++ b/src/main/java/dapplestair/replacement/Order.java
@@ -33,7 +33,7 @@
     double deadlineS,
     double slower) {
   ObjectNode toJson() {
-    ObjectNode o =
+    ObjectNode object =
         Json.object()
             .put("by", by)
             .put("at", atWall)
@@ -45,33 +45,33 @@
             .put("watchS", watchS)
             .put("deadlineS", deadlineS)
             .put("slower", slower);
-    o.set("select", selection.toJson());
-    return o;
+    object.set("select", selection.toJson());
+    return object;
   }
 
-  static Order parse(JsonNode n) {
+  static Order parse(JsonNode node) {
     return new Order(
-        String.valueOf(Json.text(n, "by")),
-        Json.number(n, "at", 0),
-        String.valueOf(Json.text(n, "why")),
-        Selection.parse(n.path("select")),
-        (int) Json.number(n, "total", 0),
-        (int) Json.number(n, "step", 1),
-        Json.decimal(n, "stepRatio", 0),
-        (int) Json.number(n, "beyond", 0),
-        Json.decimal(n, "watchS", 0),
-        Json.decimal(n, "deadlineS", 0),
-        Json.decimal(n, "slower", 2));
+        String.valueOf(Json.text(node, "by")),
+        Json.number(node, "at", 0),
+        String.valueOf(Json.text(node, "why")),
+        Selection.parse(node.path("select")),
+        (int) Json.number(node, "total", 0),
+        (int) Json.number(node, "step", 1),
+        Json.decimal(node, "stepRatio", 0),
+        (int) Json.number(node, "beyond", 0),
+        Json.decimal(node, "watchS", 0),
+        Json.decimal(node, "deadlineS", 0),
+        Json.decimal(node, "slower", 2));
   }
 
   /** True when somebody ordered the same, whenever that was. */
-  public boolean sameAs(Order o) {
-    return selection.sameAs(o.selection, atWall - o.atWall)
-        && stepRatio == o.stepRatio
-        && (stepRatio > 0 || step == o.step)
-        && beyond == o.beyond
-        && watchS == o.watchS
-        && deadlineS == o.deadlineS
-        && slower == o.slower;
+  public boolean sameAs(Order order) {
+    return selection.sameAs(order.selection, atWall - order.atWall)
+        && stepRatio == order.stepRatio
+        && (stepRatio > 0 || step == order.step)
+        && beyond == order.beyond
+        && watchS == order.watchS
+        && deadlineS == order.deadlineS
+        && slower == order.slower;
   }
 }
--- a/src/main/java/dapplestair/replacement/Progress.java
+++ b/src/main/java/dapplestair/replacement/Progress.java
@@ -75,24 +75,25 @@
   }
 
   void write(ObjectNode to) {
-    ObjectNode o = to.putObject("progress");
-    o.put("phase", phase.name())
+    ObjectNode object = to.putObject("progress");
+    object
+        .put("phase", phase.name())
         .put("steps", steps)
         .put("at", stepWall)
         .put("since", judgedWall)
         .put("beyond", beyond);
-    ArrayNode names = o.putArray("batch");
+    ArrayNode names = object.putArray("batch");
     batch.forEach(names::add);
     if (paused != null) {
-      o.put("paused", paused).put("byWord", byWord);
+      object.put("paused", paused).put("byWord", byWord);
     }
     if (remark != null) {
-      o.put("remark", remark);
+      object.put("remark", remark);
     }
   }
 
-  static Progress read(JsonNode n) {
-    JsonNode p = n.path("progress");
+  static Progress read(JsonNode node) {
+    JsonNode p = node.path("progress");
     if (!p.isObject()) {
       return BEGIN;
     }
@@ -111,9 +112,9 @@
   }
 
   private static Phase phase(String name) {
-    for (Phase p : Phase.values()) {
-      if (p.name().equals(name)) {
-        return p;
+    for (Phase phase : Phase.values()) {
+      if (phase.name().equals(name)) {
+        return phase;
       }
     }
     return Phase.CHOOSE;
--- a/src/main/java/dapplestair/replacement/Replacements.java
+++ b/src/main/java/dapplestair/replacement/Replacements.java
@@ -30,7 +30,7 @@
 
 /**
  * Carries orders to replace machines on, a step at a time: new machines first, then the old are
- * emptied through the door for disruption and returned, then the step is watched. Where an order
+ * emptied through the gate for disruption and returned, then the step is watched. Where an order
  * stands is on record before anything is done of it, so any leader goes on from there.
  */
 public final class Replacements implements AutoCloseable {
@@ -81,7 +81,7 @@
             drains,
             events,
             machines,
-            new Judge(desk, disruption, machines),
+            new StepHealthCheck(desk, disruption, machines),
             room,
             orders,
             this::extra,
@@ -138,9 +138,9 @@
     if (now - due > reportMs / 2) {
       lagUntil = now + 2 * reportMs;
     }
-    for (Running r : List.copyOf(orders.values())) {
-      if (!r.writing && state.unreachableMs() == 0) {
-        steps.look(r, now < lagUntil);
+    for (Running running : List.copyOf(orders.values())) {
+      if (!running.writing && state.unreachableMs() == 0) {
+        steps.look(running, now < lagUntil);
       }
     }
     markLeaving();
@@ -154,11 +154,11 @@
       return;
     }
     Set<Host> now = new HashSet<>();
-    for (Running r : orders.values()) {
-      if (r.active() && r.progress.phase() == Phase.RAISE) {
-        for (Host h : machines.left(r.progress.batch())) {
+    for (Running running : orders.values()) {
+      if (running.active() && running.progress.phase() == Phase.RAISE) {
+        for (Host h : machines.left(running.progress.batch())) {
           long bootMs = Math.round(1000 * types.bootS(h.type()));
-          h.setLeavesAt(clock.now() - (clock.wall() - r.progress.stepWall()) + bootMs);
+          h.setLeavesAt(clock.now() - (clock.wall() - running.progress.stepWall()) + bootMs);
           now.add(h);
         }
       }
@@ -176,15 +176,17 @@
   }
 
   /** The order under which a machine is emptied now, or null. */
-  private Drain drain(Host h) {
-    for (Running r : orders.values()) {
-      if (r.active() && r.progress.phase() == Phase.EMPTY && r.progress.batch().contains(h.id())) {
+  private Drain drain(Host host) {
+    for (Running running : orders.values()) {
+      if (running.active()
+          && running.progress.phase() == Phase.EMPTY
+          && running.progress.batch().contains(host.id())) {
         return new Drain(
-            r.order.by(),
-            r.progress.stepWall(),
-            "replacement " + r.name,
+            running.order.by(),
+            running.progress.stepWall(),
+            "replacement " + running.name,
             true,
-            r.order.deadlineS());
+            running.order.deadlineS());
       }
     }
     return null;
@@ -197,20 +199,20 @@
    */
   public int extra(Slot slot) {
     int extra = 0;
-    for (Running r : orders.values()) {
-      if (r.progress.phase() == Phase.CHOOSE || r.progress.phase() == Phase.DONE) {
+    for (Running running : orders.values()) {
+      if (running.progress.phase() == Phase.CHOOSE || running.progress.phase() == Phase.DONE) {
         continue;
       }
-      Map<Slot, Integer> left = Machines.bySlot(machines.left(r.progress.batch()));
+      Map<Slot, Integer> left = Machines.bySlot(machines.left(running.progress.batch()));
       int mine = left.getOrDefault(slot, 0);
       // Where a replica has no place to go, all that may be beyond is: the next comes in the zone
       // that has fewest.
       int beyond =
-          mine > 0 && r.cramped
-              ? room.affords(Map.of(slot, r.order.beyond()), r.order.beyond())
-              : room.share(left, slot, r.progress.beyond());
+          mine > 0 && running.cramped
+              ? room.affords(Map.of(slot, running.order.beyond()), running.order.beyond())
+              : room.share(left, slot, running.progress.beyond());
       // While it pauses the old are back in use, and the new are kept for when it goes on.
-      extra += r.active() && r.progress.phase() == Phase.EMPTY ? beyond - mine : beyond;
+      extra += running.active() && running.progress.phase() == Phase.EMPTY ? beyond - mine : beyond;
     }
     return extra;
   }
@@ -247,49 +249,53 @@
 
   /** One order, or null. */
   public View view(String name) {
-    Running r = orders.get(name);
-    return r == null ? null : view(r);
+    Running running = orders.get(name);
+    return running == null ? null : view(running);
   }
 
-  private View view(Running r) {
-    int left = r.progress.phase() == Phase.DONE ? 0 : machines.old(r.order).size();
-    int done = r.order.total() - left;
-    double elapsedS = (clock.wall() - r.order.atWall()) / 1000.0;
+  private View view(Running running) {
+    int left = running.progress.phase() == Phase.DONE ? 0 : machines.old(running.order).size();
+    int done = running.order.total() - left;
+    double elapsedS = (clock.wall() - running.order.atWall()) / 1000.0;
     double endS =
-        left == 0 ? 0 : done <= 0 || r.progress.paused() != null ? -1 : elapsedS / done * left;
+        left == 0
+            ? 0
+            : done <= 0 || running.progress.paused() != null ? -1 : elapsedS / done * left;
     return new View(
-        r.name,
-        r.order,
-        phase(r.progress),
-        r.progress.steps(),
-        new TreeSet<>(r.progress.batch()),
+        running.name,
+        running.order,
+        phase(running.progress),
+        running.progress.steps(),
+        new TreeSet<>(running.progress.batch()),
         left,
-        r.progress.paused(),
-        r.progress.byWord(),
-        r.progress.remark(),
+        running.progress.paused(),
+        running.progress.byWord(),
+        running.progress.remark(),
         endS);
   }
 
-  private String phase(Progress p) {
-    boolean watched = p.phase() == Phase.EMPTY && machines.left(p.batch()).isEmpty();
-    return watched ? "watch" : p.phase().name().toLowerCase(java.util.Locale.ROOT);
+  private String phase(Progress progress) {
+    boolean watched = progress.phase() == Phase.EMPTY && machines.left(progress.batch()).isEmpty();
+    return watched ? "watch" : progress.phase().name().toLowerCase(java.util.Locale.ROOT);
   }
 
   /** The recorded form of a new order. */
   public static ObjectNode begun(Order order) {
-    ObjectNode o = order.toJson();
-    Progress.BEGIN.write(o);
-    return o;
+    ObjectNode object = order.toJson();
+    Progress.BEGIN.write(object);
+    return object;
   }
 
   /** The recorded form of an order that pauses by an operator's word, or goes on; null: no such. */
   public ObjectNode told(String name, String pause) {
-    Running r = orders.get(name);
-    if (r == null) {
+    Running running = orders.get(name);
+    if (running == null) {
       return null;
     }
-    return r.record(
-        pause != null ? r.progress.pause(pause, true) : r.progress.resume(clock.wall()));
+    return running.record(
+        pause != null
+            ? running.progress.pause(pause, true)
+            : running.progress.resume(clock.wall()));
   }
 
   @Override
--- a/src/main/java/dapplestair/replacement/Room.java
+++ b/src/main/java/dapplestair/replacement/Room.java
@@ -38,27 +38,27 @@
     if (Double.isNaN(left)) {
       return beyond;
     }
-    int n = 0;
-    for (Map.Entry<Slot, Integer> e : batch.entrySet()) {
-      MachineType t = types.get(e.getKey().type());
-      double price = t == null ? Double.POSITIVE_INFINITY : t.price(e.getKey().spot());
-      for (int i = share(batch, e.getKey(), beyond); i > 0 && left >= price; i--) {
+    int count = 0;
+    for (Map.Entry<Slot, Integer> entry : batch.entrySet()) {
+      MachineType type = types.get(entry.getKey().type());
+      double price = type == null ? Double.POSITIVE_INFINITY : type.price(entry.getKey().spot());
+      for (int i = share(batch, entry.getKey(), beyond); i > 0 && left >= price; i--) {
         left -= price;
-        n++;
+        count++;
       }
     }
-    return n;
+    return count;
   }
 
   /** How many of {@code beyond} fall to one kind: in order, as many as there are old ones of it. */
   int share(Map<Slot, Integer> batch, Slot slot, int beyond) {
     int rest = beyond;
-    for (Map.Entry<Slot, Integer> e : batch.entrySet()) {
-      int n = Math.min(rest, e.getValue());
-      if (e.getKey().equals(slot)) {
-        return n;
+    for (Map.Entry<Slot, Integer> entry : batch.entrySet()) {
+      int count = Math.min(rest, entry.getValue());
+      if (entry.getKey().equals(slot)) {
+        return count;
       }
-      rest -= n;
+      rest -= count;
     }
     return 0;
   }
@@ -72,14 +72,14 @@
       return false;
     }
     Slot slot = Machines.slot(stuck);
-    for (Host h : desk.hosts()) {
-      if (h.up()
-          && h.idle()
-          && fleet.counts(h, slot)
-          && desk.fresh(h)
-          && !stuck.zone().equals(h.zone())
+    for (Host host : desk.hosts()) {
+      if (host.up()
+          && host.idle()
+          && fleet.counts(host, slot)
+          && desk.fresh(host)
+          && !stuck.zone().equals(host.zone())
           && fleet.rentIn(slot, stuck.zone())) {
-        return fleet.release(h);
+        return fleet.release(host);
       }
     }
     return false;
@@ -98,8 +98,8 @@
     }
     for (Slot slot : batch.keySet()) {
       int up = 0;
-      for (Host h : desk.hosts()) {
-        up += fleet.counts(h, slot) && h.acknowledged() && desk.fresh(h) ? 1 : 0;
+      for (Host host : desk.hosts()) {
+        up += fleet.counts(host, slot) && host.acknowledged() && desk.fresh(host) ? 1 : 0;
       }
       if (up < plan.counts().getOrDefault(slot, 0) + extra.applyAsInt(slot)) {
         return false;
--- a/src/main/java/dapplestair/replacement/Running.java
+++ b/src/main/java/dapplestair/replacement/Running.java
@@ -33,10 +33,10 @@
     this.stamp = stamp;
   }
 
-  ObjectNode record(Progress p) {
-    ObjectNode o = order.toJson();
-    p.write(o);
-    return o;
+  ObjectNode record(Progress progress) {
+    ObjectNode object = order.toJson();
+    progress.write(object);
+    return object;
   }
 
   boolean active() {
--- a/src/main/java/dapplestair/replacement/Selection.java
+++ b/src/main/java/dapplestair/replacement/Selection.java
@@ -28,46 +28,46 @@
   }
 
   /** True when another one, given so much earlier, means the same machines, by their age then. */
-  boolean sameAs(Selection o, long laterMs) {
+  boolean sameAs(Selection selection, long laterMs) {
     boolean sameAge =
-        beforeWall == 0 || o.beforeWall == 0
-            ? beforeWall == o.beforeWall
-            : beforeWall - o.beforeWall == laterMs;
+        beforeWall == 0 || selection.beforeWall == 0
+            ? beforeWall == selection.beforeWall
+            : beforeWall - selection.beforeWall == laterMs;
     return sameAge
-        && Objects.equals(zone, o.zone)
-        && Objects.equals(type, o.type)
-        && Objects.equals(spot, o.spot)
-        && names.equals(o.names);
+        && Objects.equals(zone, selection.zone)
+        && Objects.equals(type, selection.type)
+        && Objects.equals(spot, selection.spot)
+        && names.equals(selection.names);
   }
 
   ObjectNode toJson() {
-    ObjectNode o = Json.object();
+    ObjectNode object = Json.object();
     if (zone != null) {
-      o.put("zone", zone);
+      object.put("zone", zone);
     }
     if (type != null) {
-      o.put("type", type);
+      object.put("type", type);
     }
     if (spot != null) {
-      o.put("spot", spot);
+      object.put("spot", spot);
     }
     if (beforeWall != 0) {
-      o.put("before", beforeWall);
+      object.put("before", beforeWall);
     }
     if (!names.isEmpty()) {
-      names.forEach(o.putArray("names")::add);
+      names.forEach(object.putArray("names")::add);
     }
-    return o;
+    return object;
   }
 
-  static Selection parse(JsonNode n) {
+  static Selection parse(JsonNode node) {
     Set<String> names = new TreeSet<>();
-    n.path("names").forEach(x -> names.add(x.asText()));
+    node.path("names").forEach(x -> names.add(x.asText()));
     return new Selection(
-        Json.text(n, "zone"),
-        Json.text(n, "type"),
-        n.has("spot") ? Json.flag(n, "spot") : null,
-        Json.number(n, "before", 0),
+        Json.text(node, "zone"),
+        Json.text(node, "type"),
+        node.has("spot") ? Json.flag(node, "spot") : null,
+        Json.number(node, "before", 0),
         names);
   }
 }
--- a/src/main/java/dapplestair/replacement/Judge.java
+++ b/src/main/java/dapplestair/replacement/StepHealthCheck.java
@@ -1,14 +1,14 @@
 package dapplestair.replacement;
 
+import dapplestair.disruption.BudgetStatus;
 import dapplestair.disruption.Disruption;
-import dapplestair.disruption.Standing;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import java.util.List;
 import java.util.Map;
 
 /** Whether a step goes well, and whose fault it is if it does not. */
-final class Judge {
+final class StepHealthCheck {
   // Of so few completions a machine's speed says little.
   private static final int ENOUGH = 2;
 
@@ -16,7 +16,7 @@
   private final Disruption disruption;
   private final Machines machines;
 
-  Judge(WorkerDesk desk, Disruption disruption, Machines machines) {
+  StepHealthCheck(WorkerDesk desk, Disruption disruption, Machines machines) {
     this.desk = desk;
     this.disruption = disruption;
     this.machines = machines;
@@ -27,9 +27,9 @@
     if (lagging) {
       return "the leader's own loop lags behind";
     }
-    for (Host h : desk.hosts()) {
-      if (h.zoneSilentMs() > 0) {
-        return "zone " + h.zone() + " is silent";
+    for (Host host : desk.hosts()) {
+      if (host.zoneSilentMs() > 0) {
+        return "zone " + host.zone() + " is silent";
       }
     }
     return null;
@@ -37,10 +37,11 @@
 
   /** Replicas that are out, for whatever reason, by team; or null. */
   String replicasOut() {
-    for (Map.Entry<String, Standing> e : disruption.standings().entrySet()) {
+    for (Map.Entry<String, BudgetStatus> entry : disruption.statuses().entrySet()) {
       // Below half of its budget the next step may go on; what it moves is asked for anyway.
-      if (2L * e.getValue().out() > e.getValue().allowed()) {
-        return "%d replicas of team %s are not back".formatted(e.getValue().out(), e.getKey());
+      if (2L * entry.getValue().out() > entry.getValue().allowed()) {
+        return "%d replicas of team %s are not back"
+            .formatted(entry.getValue().out(), entry.getKey());
       }
     }
     return null;
--- a/src/main/java/dapplestair/replacement/Steps.java
+++ b/src/main/java/dapplestair/replacement/Steps.java
@@ -41,7 +41,7 @@
   private final Drains drains;
   private final Events events;
   private final Machines machines;
-  private final Judge judge;
+  private final StepHealthCheck healthCheck;
   private final Room room;
   private final Map<String, Running> orders;
   private final ToIntFunction<Slot> extra;
@@ -59,7 +59,7 @@
       Drains drains,
       Events events,
       Machines machines,
-      Judge judge,
+      StepHealthCheck healthCheck,
       Room room,
       Map<String, Running> orders,
       ToIntFunction<Slot> extra,
@@ -72,7 +72,7 @@
     this.drains = drains;
     this.events = events;
     this.machines = machines;
-    this.judge = judge;
+    this.healthCheck = healthCheck;
     this.room = room;
     this.orders = orders;
     this.extra = extra;
@@ -86,25 +86,28 @@
   }
 
   /** Carries an order on as far as it can go now; nothing of it may be under way. */
-  void look(Running r, boolean lagging) {
+  void look(Running running, boolean lagging) {
     lags = lagging;
-    if (r.progress.paused() != null) {
-      resumeIfWell(r);
+    if (running.progress.paused() != null) {
+      resumeIfWell(running);
       return;
     }
-    if (r.progress.phase() == Phase.DONE) {
+    if (running.progress.phase() == Phase.DONE) {
       return;
     }
-    String wrong = judge.outside(lagging);
-    String fault = wrong == null ? judge.newMachines(r.order, r.progress.judgedWall()) : null;
+    String wrong = healthCheck.outside(lagging);
+    String fault =
+        wrong == null
+            ? healthCheck.newMachines(running.order, running.progress.judgedWall())
+            : null;
     if (wrong != null || fault != null) {
-      pause(r, wrong != null ? wrong : fault, fault != null);
+      pause(running, wrong != null ? wrong : fault, fault != null);
       return;
     }
-    switch (r.progress.phase()) {
-      case CHOOSE -> choose(r);
-      case RAISE -> raise(r);
-      case EMPTY -> empty(r);
+    switch (running.progress.phase()) {
+      case CHOOSE -> choose(running);
+      case RAISE -> raise(running);
+      case EMPTY -> empty(running);
       default -> {}
     }
   }
@@ -117,58 +120,58 @@
     return clock.now() - leadingSince > room.longestListLag();
   }
 
-  private void choose(Running r) {
+  private void choose(Running running) {
     if (!knowsAll()) {
       return;
     }
-    List<Host> old = machines.old(r.order);
+    List<Host> old = machines.old(running.order);
     if (old.isEmpty()) {
-      write(r, r.progress.done(clock.wall()));
+      write(running, running.progress.done(clock.wall()));
       return;
     }
-    int most = Math.min(MOST_AT_ONCE, r.order.step());
-    Set<String> taken = taken(r);
-    Set<String> batch = machines.next(old, taken, r.progress.batch(), most);
+    int most = Math.min(MOST_AT_ONCE, running.order.step());
+    Set<String> taken = taken(running);
+    Set<String> batch = machines.next(old, taken, running.progress.batch(), most);
     if (batch.isEmpty()) {
       return;
     }
     List<Host> hosts = machines.left(batch);
-    int beyond = room.affords(Machines.bySlot(hosts), r.order.beyond());
+    int beyond = room.affords(Machines.bySlot(hosts), running.order.beyond());
     Phase phase = beyond > 0 ? Phase.RAISE : Phase.EMPTY;
-    Progress next = r.progress.step(phase, batch, beyond, clock.wall());
-    if (r.order.beyond() > 0 && beyond == 0) {
+    Progress next = running.progress.step(phase, batch, beyond, clock.wall());
+    if (running.order.beyond() > 0 && beyond == 0) {
       next = next.remark("the plan's budget pays for no machine beyond: none beyond in this step");
     }
-    write(r, next);
+    write(running, next);
   }
 
   /** Machines of the steps of other orders. */
-  private Set<String> taken(Running r) {
+  private Set<String> taken(Running running) {
     Set<String> taken = new HashSet<>();
     orders.values().stream()
-        .filter(o -> o != r && o.progress.phase() != Phase.DONE)
+        .filter(o -> o != running && o.progress.phase() != Phase.DONE)
         .forEach(o -> taken.addAll(o.progress.batch()));
     return taken;
   }
 
   /** Waits for new machines; without any to have it goes on machine by machine. */
-  private void raise(Running r) {
-    List<Host> left = machines.left(r.progress.batch());
+  private void raise(Running running) {
+    List<Host> left = machines.left(running.progress.batch());
     if (left.isEmpty() || room.ready(Machines.bySlot(left), extra)) {
-      write(r, r.progress.in(Phase.EMPTY, clock.wall()));
+      write(running, running.progress.in(Phase.EMPTY, clock.wall()));
       return;
     }
-    long since = clock.wall() - r.progress.stepWall();
+    long since = clock.wall() - running.progress.stepWall();
     double bootS = left.stream().mapToDouble(h -> types.bootS(h.type())).max().orElse(60);
     if (since < BOOT_OVERDUE * 1000 * bootS) {
       return;
     }
-    List<Host> fresh = machines.fresh(r.order, r.progress.judgedWall());
+    List<Host> fresh = machines.fresh(running.order, running.progress.judgedWall());
     int up = (int) fresh.stream().filter(Host::up).count();
     if (up == 0 && !fresh.isEmpty()) {
       // They are there, and not one of them boots: that is their fault, not the cloud's.
       if (since > 2 * BOOT_OVERDUE * 1000 * bootS) {
-        pause(r, "new machines do not come up", true);
+        pause(running, "new machines do not come up", true);
       }
       return;
     }
@@ -177,39 +180,40 @@
       String why =
           "the cloud gave %d machines beyond for %d: %d at a time"
               .formatted(up, left.size(), fewer.size());
-      write(r, r.progress.only(fewer, clock.wall(), why));
+      write(running, running.progress.only(fewer, clock.wall(), why));
     }
   }
 
-  private void empty(Running r) {
-    List<Host> left = machines.left(r.progress.batch());
+  private void empty(Running running) {
+    List<Host> left = machines.left(running.progress.batch());
     if (!left.isEmpty() || !knowsAll()) {
-      r.emptiedAt = 0;
-      remarkIfStuck(r, left);
+      running.emptiedAt = 0;
+      remarkIfStuck(running, left);
       return;
     }
     long now = clock.now();
-    if (r.emptiedAt == 0) {
-      r.emptiedAt = now;
-      r.cramped = false;
-      r.badSince = 0;
-      r.passed.clear();
+    if (running.emptiedAt == 0) {
+      running.emptiedAt = now;
+      running.cramped = false;
+      running.badSince = 0;
+      running.passed.clear();
     }
-    if (now - r.emptiedAt < 1000 * r.order.watchS()) {
+    if (now - running.emptiedAt < 1000 * running.order.watchS()) {
       return;
     }
-    String out = judge.replicasOut();
+    String out = healthCheck.replicasOut();
     if (out == null) {
-      choose(r);
-    } else if (now - r.emptiedAt > 1000 * r.order.watchS() + settings.workers().leaseMs()) {
-      pause(r, out, false);
+      choose(running);
+    } else if (now - running.emptiedAt
+        > 1000 * running.order.watchS() + settings.workers().leaseMs()) {
+      pause(running, out, false);
     }
   }
 
   /**
    * What stands still for longer than a lease says why, on record; seldom enough to cost little.
    */
-  private void remarkIfStuck(Running r, List<Host> left) {
+  private void remarkIfStuck(Running running, List<Host> left) {
     long now = clock.now();
     String why = null;
     for (Host h : left) {
@@ -220,50 +224,51 @@
       }
     }
     if (why == null) {
-      r.badSince = 0;
+      running.badSince = 0;
       return;
     }
     boolean noRoom = left.stream().anyMatch(h -> drains.progress(h).noPlace());
-    if (r.badSince == 0) {
-      r.badSince = now;
+    if (running.badSince == 0) {
+      running.badSince = now;
     }
-    r.cramped |= noRoom && now - r.badSince > settings.workers().reportMs();
-    swapIfCramped(r, left, now);
-    if (r.writing) {
+    running.cramped |= noRoom && now - running.badSince > settings.workers().reportMs();
+    swapIfCramped(running, left, now);
+    if (running.writing) {
       return;
     }
-    if (noRoom && left.size() > 1 && now - r.badSince > 2 * settings.workers().reportMs()) {
+    if (noRoom && left.size() > 1 && now - running.badSince > 2 * settings.workers().reportMs()) {
       // The others go back into use, and their room with them.
       String only = machines.next(left, Set.of(), Set.of(), 1).stream().findFirst().orElse(null);
       if (only != null) {
-        r.badSince = 0;
+        running.badSince = 0;
         String said = "no room for what runs on " + left.size() + " machines: one by one";
-        write(r, r.progress.only(Set.of(only), r.progress.stepWall(), said));
+        write(running, running.progress.only(Set.of(only), running.progress.stepWall(), said));
       }
-    } else if (now - r.badSince > settings.workers().leaseMs() && !why.equals(r.bad)) {
-      r.bad = why;
-      r.badSince = now;
-      write(r, r.progress.remark(why));
+    } else if (now - running.badSince > settings.workers().leaseMs() && !why.equals(running.bad)) {
+      running.bad = why;
+      running.badSince = now;
+      write(running, running.progress.remark(why));
     }
   }
 
   /**
    * Once for each time that a machine may take to come: an empty one for one where it is needed.
    */
-  private void swapIfCramped(Running r, List<Host> left, long now) {
-    if (!r.cramped) {
-      r.swappedAt = 0;
+  private void swapIfCramped(Running running, List<Host> left, long now) {
+    if (!running.cramped) {
+      running.swappedAt = 0;
       return;
     }
     Host stuck = left.get(0);
-    if (r.swappedAt == 0) {
-      r.swappedAt = now;
-    } else if (now - r.swappedAt > BOOT_OVERDUE * 1000 * types.bootS(stuck.type())) {
+    if (running.swappedAt == 0) {
+      running.swappedAt = now;
+    } else if (now - running.swappedAt > BOOT_OVERDUE * 1000 * types.bootS(stuck.type())) {
       if (room.swap(stuck)) {
-        LOG.info("replacement {}: an empty machine is given for one in {}", r.name, stuck.zone());
-        r.swappedAt = now;
+        LOG.info(
+            "replacement {}: an empty machine is given for one in {}", running.name, stuck.zone());
+        running.swappedAt = now;
       } else if (left.size() == 1) {
-        passOver(r, stuck);
+        passOver(running, stuck);
       }
     }
   }
@@ -273,65 +278,73 @@
    * here forbid: another old one goes first, whose replicas may take that room and what is free
    * here. Without this an order for a full fleet stood still for ever (ReplacementTest).
    */
-  private void passOver(Running r, Host stuck) {
-    Set<String> taken = taken(r);
-    r.passed.add(stuck.id());
-    taken.addAll(r.passed);
-    Set<String> other = machines.next(machines.old(r.order), taken, Set.of(), 1);
+  private void passOver(Running running, Host stuck) {
+    Set<String> taken = taken(running);
+    running.passed.add(stuck.id());
+    taken.addAll(running.passed);
+    Set<String> other = machines.next(machines.old(running.order), taken, Set.of(), 1);
     if (other.isEmpty()) {
       // All have had their turn: they have another one.
-      r.passed.clear();
+      running.passed.clear();
       return;
     }
-    r.cramped = false;
-    r.swappedAt = 0;
-    r.badSince = 0;
+    running.cramped = false;
+    running.swappedAt = 0;
+    running.badSince = 0;
     String said = "no room for what is left on " + stuck.id() + ": another one first";
-    write(r, r.progress.only(other, clock.wall(), said));
+    write(running, running.progress.only(other, clock.wall(), said));
   }
 
-  private void pause(Running r, String why, boolean untilTold) {
-    LOG.info("replacement {} pauses: {}", r.name, why);
-    write(r, r.progress.pause(why, untilTold), () -> note(r.name, "paused", why));
+  private void pause(Running running, String why, boolean untilTold) {
+    LOG.info("replacement {} pauses: {}", running.name, why);
+    write(running, running.progress.pause(why, untilTold), () -> note(running.name, "paused", why));
   }
 
-  private void resumeIfWell(Running r) {
+  private void resumeIfWell(Running running) {
     boolean well =
-        !r.progress.byWord() && judge.outside(lags) == null && judge.replicasOut() == null;
+        !running.progress.byWord()
+            && healthCheck.outside(lags) == null
+            && healthCheck.replicasOut() == null;
     if (!well) {
-      r.goodSince = 0;
-    } else if (r.goodSince == 0) {
-      r.goodSince = clock.now();
-    } else if (clock.now() - r.goodSince > 2 * settings.workers().reportMs()) {
-      write(r, r.progress.resume(clock.wall()), () -> note(r.name, "resumed", null));
+      running.goodSince = 0;
+    } else if (running.goodSince == 0) {
+      running.goodSince = clock.now();
+    } else if (clock.now() - running.goodSince > 2 * settings.workers().reportMs()) {
+      write(
+          running,
+          running.progress.resume(clock.wall()),
+          () -> note(running.name, "resumed", null));
     }
   }
 
-  private void write(Running r, Progress next) {
-    write(r, next, () -> {});
+  private void write(Running running, Progress next) {
+    write(running, next, () -> {});
   }
 
   /** On record first; nothing of it is done before. */
-  private void write(Running r, Progress next, Runnable then) {
-    r.writing = true;
-    String key = Keys.REPLACE + r.name;
+  private void write(Running running, Progress next, Runnable then) {
+    running.writing = true;
+    String key = Keys.REPLACE + running.name;
     writer.put(
         key,
-        r.stamp,
-        r.record(next),
+        running.stamp,
+        running.record(next),
         Priority.BOOKKEEPING,
         outcome -> {
-          Running now = orders.get(r.name);
+          Running now = orders.get(running.name);
           if (now != null) {
             now.writing = false;
           }
-          if (outcome instanceof Outcome.Applied a) {
-            if (now != null && now.stamp < a.stamp()) {
-              now.stamp = a.stamp();
+          if (outcome instanceof Outcome.Applied applied) {
+            if (now != null && now.stamp < applied.stamp()) {
+              now.stamp = applied.stamp();
               now.progress = next;
             }
             changed.run();
-            note(r.name, next.phase().name().toLowerCase(java.util.Locale.ROOT), next.remark());
+            note(
+                running.name,
+                next.phase().name().toLowerCase(java.util.Locale.ROOT),
+                next.remark());
             then.run();
           } else {
             leadership.deposedBy(outcome);
--- a/src/main/java/dapplestair/settings/BudgetsLoader.java
+++ b/src/main/java/dapplestair/settings/BudgetsLoader.java
@@ -17,38 +17,43 @@
   static Budgets read(Path path, List<dapplestair.settings.proto.Budget> list)
       throws SettingsException {
     Budget others = Budgets.USUAL.others();
-    for (dapplestair.settings.proto.Budget b : list) {
-      if (b.getTeam().isEmpty()) {
+    for (dapplestair.settings.proto.Budget budget : list) {
+      if (budget.getTeam().isEmpty()) {
         if (others != Budgets.USUAL.others()) {
           throw new SettingsException(path + ": disruption.team = \"\": given twice");
         }
-        others = budget(path, b, others);
+        others = budget(path, budget, others);
       }
     }
     Map<String, Budget> teams = new HashMap<>();
-    for (dapplestair.settings.proto.Budget b : list) {
-      if (!b.getTeam().isEmpty() && teams.put(b.getTeam(), budget(path, b, others)) != null) {
+    for (dapplestair.settings.proto.Budget budget : list) {
+      if (!budget.getTeam().isEmpty()
+          && teams.put(budget.getTeam(), budget(path, budget, others)) != null) {
         throw new SettingsException(
-            path + ": disruption.team = \"" + b.getTeam() + "\": given twice");
+            path + ": disruption.team = \"" + budget.getTeam() + "\": given twice");
       }
     }
     return new Budgets(Map.copyOf(teams), others);
   }
 
   /** What a team does not say holds as for all others. */
-  private static Budget budget(Path path, dapplestair.settings.proto.Budget b, Budget d)
+  private static Budget budget(Path path, dapplestair.settings.proto.Budget budget, Budget d)
       throws SettingsException {
     return new Budget(
-        b.hasReplicas() ? count(path, "replicas", b.getReplicas()) : d.replicas(),
-        b.hasReplicasRatio()
-            ? ratio(path, "replicas_ratio", b.getReplicasRatio())
+        budget.hasReplicas() ? count(path, "replicas", budget.getReplicas()) : d.replicas(),
+        budget.hasReplicasRatio()
+            ? ratio(path, "replicas_ratio", budget.getReplicasRatio())
             : d.replicasRatio(),
-        b.hasJobReplicas() ? count(path, "job_replicas", b.getJobReplicas()) : d.jobReplicas(),
-        b.hasJobRatio() ? ratio(path, "job_ratio", b.getJobRatio()) : d.jobRatio(),
-        b.hasArrayTasks() ? count(path, "array_tasks", b.getArrayTasks()) : d.arrayTasks(),
-        b.hasLostCpuSPerHour()
+        budget.hasJobReplicas()
+            ? count(path, "job_replicas", budget.getJobReplicas())
+            : d.jobReplicas(),
+        budget.hasJobRatio() ? ratio(path, "job_ratio", budget.getJobRatio()) : d.jobRatio(),
+        budget.hasArrayTasks()
+            ? count(path, "array_tasks", budget.getArrayTasks())
+            : d.arrayTasks(),
+        budget.hasLostCpuSPerHour()
             ? OperatorLoader.within(
-                path, "disruption.lost_cpu_s_per_hour", b.getLostCpuSPerHour(), 0, MOST_CPU_S)
+                path, "disruption.lost_cpu_s_per_hour", budget.getLostCpuSPerHour(), 0, MOST_CPU_S)
             : d.lostCpuS());
   }
 
--- a/src/main/java/dapplestair/settings/CalendarsLoader.java
+++ b/src/main/java/dapplestair/settings/CalendarsLoader.java
@@ -23,19 +23,19 @@
     Set<String> names = new HashSet<>();
     Set<String> classes = new HashSet<>();
     for (dapplestair.settings.proto.Calendar in : list) {
-      RunCalendar c = calendar(path, in);
-      if (!names.add(c.name())) {
-        throw wrong(path, "name", c.name(), "given twice");
+      RunCalendar calendar = calendar(path, in);
+      if (!names.add(calendar.name())) {
+        throw wrong(path, "name", calendar.name(), "given twice");
       }
-      for (String run : c.runs()) {
+      for (String run : calendar.runs()) {
         if (!classes.add(run)) {
           throw wrong(path, "runs", run, "is on two calendars");
         }
-        if (c.deliveries().contains(run)) {
+        if (calendar.deliveries().contains(run)) {
           throw wrong(path, "runs", run, "would wait for itself");
         }
       }
-      out.add(c);
+      out.add(calendar);
     }
     return List.copyOf(out);
   }
@@ -90,9 +90,9 @@
   /** A team that the platform does not know is a slip, not a wish. */
   public static void check(Path path, List<RunCalendar> calendars, Settings settings)
       throws SettingsException {
-    for (RunCalendar c : calendars) {
-      if (c.team() != null && !settings.teams().containsKey(c.team())) {
-        throw wrong(path, "team", c.team(), "no such team in the settings");
+    for (RunCalendar calendar : calendars) {
+      if (calendar.team() != null && !settings.teams().containsKey(calendar.team())) {
+        throw wrong(path, "team", calendar.team(), "no such team in the settings");
       }
     }
   }
--- a/src/main/java/dapplestair/settings/LanesLoader.java
+++ b/src/main/java/dapplestair/settings/LanesLoader.java
@@ -78,9 +78,9 @@
       boolean more = true;
       while (more) {
         more = false;
-        for (Lane l : lanes) {
-          if (l.riders().stream().anyMatch(below::contains)) {
-            more |= below.addAll(l.over());
+        for (Lane lane : lanes) {
+          if (lane.riders().stream().anyMatch(below::contains)) {
+            more |= below.addAll(lane.over());
           }
         }
       }
--- a/src/main/java/dapplestair/settings/OperatorLoader.java
+++ b/src/main/java/dapplestair/settings/OperatorLoader.java
@@ -21,41 +21,41 @@
     } catch (IOException e) {
       throw new SettingsException(path + ": cannot be read");
     }
-    Operator d = Operator.defaults();
+    Operator operator = Operator.defaults();
     return new Operator(
         in.hasPlanIntervalS()
             ? Math.round(1000 * within(path, "plan_interval_s", in.getPlanIntervalS(), 0.5, 3600))
-            : d.planIntervalMs(),
+            : operator.planIntervalMs(),
         in.hasPopulation()
             ? (int) within(path, "population", in.getPopulation(), 4, 1000)
-            : d.population(),
+            : operator.population(),
         in.hasEvaluations()
             ? (int) within(path, "evaluations", in.getEvaluations(), 4, 100_000)
-            : d.evaluations(),
+            : operator.evaluations(),
         in.hasBudgetPerHour()
             ? within(path, "budget_per_hour", in.getBudgetPerHour(), 0.001, 1e9)
-            : d.budgetPerHour(),
+            : operator.budgetPerHour(),
         in.hasBudgetRatio()
             ? within(path, "budget_ratio", in.getBudgetRatio(), 1, 100)
-            : d.budgetRatio(),
+            : operator.budgetRatio(),
         in.hasReturnAfterRounds()
             ? (int) within(path, "return_after_rounds", in.getReturnAfterRounds(), 1, 1000)
-            : d.returnAfterRounds(),
+            : operator.returnAfterRounds(),
         in.hasMakespanWeight()
             ? within(path, "makespan_weight", in.getMakespanWeight(), 0, 100)
-            : d.makespanWeight(),
+            : operator.makespanWeight(),
         in.hasSpendWeight()
             ? within(path, "spend_weight", in.getSpendWeight(), 0, 100)
-            : d.spendWeight(),
+            : operator.spendWeight(),
         in.hasRiskWeight()
             ? within(path, "risk_weight", in.getRiskWeight(), 0, 100)
-            : d.riskWeight(),
+            : operator.riskWeight(),
         in.hasBeginWithinS()
             ? Math.round(1000 * within(path, "begin_within_s", in.getBeginWithinS(), 10, 86_400))
-            : d.beginWithinMs(),
+            : operator.beginWithinMs(),
         in.hasRelayAbove()
             ? within(path, "relay_above", in.getRelayAbove(), 0, 100)
-            : d.relayAbove(),
+            : operator.relayAbove(),
         LanesLoader.read(path, in.getLaneList()),
         CalendarsLoader.read(path, in.getCalendarList()),
         BudgetsLoader.read(path, in.getDisruptionList()),
@@ -97,10 +97,10 @@
   }
 
   /** True for 127.0.0.0/8 and ::1; names are not looked up, except the usual one. */
-  static boolean loopback(Settings.Address a) {
-    return a.host().equals("localhost")
-        || InetAddresses.isInetAddress(a.host())
-            && InetAddresses.forString(a.host()).isLoopbackAddress();
+  static boolean loopback(Settings.Address address) {
+    return address.host().equals("localhost")
+        || InetAddresses.isInetAddress(address.host())
+            && InetAddresses.forString(address.host()).isLoopbackAddress();
   }
 
   /** A file named in the operators' file: relative to where that lies. */
--- a/src/main/java/dapplestair/settings/RunCalendar.java
+++ b/src/main/java/dapplestair/settings/RunCalendar.java
@@ -33,13 +33,14 @@
     long cutOffMs) {
 
   /** True for a job that this calendar releases. */
-  public boolean isRun(Submission s) {
-    return runs.contains(s.jobClass()) && (team == null || team.equals(s.team()));
+  public boolean isRun(Submission submission) {
+    return runs.contains(submission.jobClass()) && (team == null || team.equals(submission.team()));
   }
 
   /** True for a job that is a delivery once it is done. */
-  public boolean isDelivery(Submission s) {
-    return deliveries.contains(s.jobClass()) && (team == null || team.equals(s.team()));
+  public boolean isDelivery(Submission submission) {
+    return deliveries.contains(submission.jobClass())
+        && (team == null || team.equals(submission.team()));
   }
 
   /** The start of the cycle to which a moment belongs, both in milliseconds of the time of day. */
--- a/src/main/java/dapplestair/settings/SettingsLoader.java
+++ b/src/main/java/dapplestair/settings/SettingsLoader.java
@@ -48,11 +48,11 @@
     JsonNode settings = table(root, "settings", "");
     List<Settings.Peer> peers = new ArrayList<>();
     int i = 0;
-    for (JsonNode p : root.path("peers")) {
+    for (JsonNode node : root.path("peers")) {
       String at = "peers[" + i++ + "].";
       peers.add(
           new Settings.Peer(
-              text(p, "member", at), text(p, "zone", at), address(p, "endpoint", at)));
+              text(node, "member", at), text(node, "zone", at), address(node, "endpoint", at)));
     }
     List<String> zones = new ArrayList<>();
     for (JsonNode z : settings.path("zones")) {
@@ -81,77 +81,77 @@
   private Map<String, Settings.Team> teams(JsonNode settings) throws SettingsException {
     Map<String, Settings.Team> teams = new LinkedHashMap<>();
     int i = 0;
-    for (JsonNode t : settings.path("teams")) {
+    for (JsonNode node : settings.path("teams")) {
       String at = "settings.teams[" + i++ + "].";
-      String name = text(t, "name", at);
+      String name = text(node, "name", at);
       teams.put(
           name,
           new Settings.Team(
               name,
-              amount(t, "cpus", at),
-              amount(t, "cpus_max", at),
-              amount(t, "gpus", at),
-              amount(t, "gpus_max", at)));
+              amount(node, "cpus", at),
+              amount(node, "cpus_max", at),
+              amount(node, "gpus", at),
+              amount(node, "gpus_max", at)));
     }
     return Map.copyOf(teams);
   }
 
   private List<Settings.Objective> objectives(JsonNode settings) {
     List<Settings.Objective> out = new ArrayList<>();
-    for (JsonNode o : settings.path("objectives")) {
+    for (JsonNode node : settings.path("objectives")) {
       // Kinds may be added by the platform: what is not understood is passed over.
       out.add(
           new Settings.Objective(
-              o.path("kind").asText(""),
-              o.path("class").asText(""),
-              o.path("within_s").asDouble(0),
-              o.path("share").asDouble(0)));
+              node.path("kind").asText(""),
+              node.path("class").asText(""),
+              node.path("within_s").asDouble(0),
+              node.path("share").asDouble(0)));
     }
     return List.copyOf(out);
   }
 
-  private Settings.Workers workers(JsonNode w) throws SettingsException {
+  private Settings.Workers workers(JsonNode node) throws SettingsException {
     String at = "settings.workers.";
     return new Settings.Workers(
-        millis(w, "report_s", at), millis(w, "lease_s", at), millis(w, "cancel_s", at));
+        millis(node, "report_s", at), millis(node, "lease_s", at), millis(node, "cancel_s", at));
   }
 
-  private Settings.State state(JsonNode s) throws SettingsException {
+  private Settings.State state(JsonNode node) throws SettingsException {
     String at = "settings.state.";
     return new Settings.State(
-        positive(s, "rps", at),
-        positive(s, "write_rps", at),
-        (int) (positive(s, "value_kb", at) * 1024),
-        (int) positive(s, "txn_ops", at));
+        positive(node, "rps", at),
+        positive(node, "write_rps", at),
+        (int) (positive(node, "value_kb", at) * 1024),
+        (int) positive(node, "txn_ops", at));
   }
 
-  private Settings.Cloud cloud(JsonNode c) throws SettingsException {
+  private Settings.Cloud cloud(JsonNode node) throws SettingsException {
     String at = "settings.cloud.";
-    return new Settings.Cloud(positive(c, "rps", at), millis(c, "list_lag_s", at));
+    return new Settings.Cloud(positive(node, "rps", at), millis(node, "list_lag_s", at));
   }
 
-  private Settings.Resources resources(JsonNode r) throws SettingsException {
+  private Settings.Resources resources(JsonNode node) throws SettingsException {
     String at = "settings.resources.";
     return new Settings.Resources(
-        positive(r, "cpu", at),
-        positive(r, "ram_mb", at),
-        (int) positive(r, "max_connections", at));
+        positive(node, "cpu", at),
+        positive(node, "ram_mb", at),
+        (int) positive(node, "max_connections", at));
   }
 
   private JsonNode table(JsonNode parent, String field, String at) throws SettingsException {
-    JsonNode v = parent.path(field);
-    if (!v.isObject()) {
-      throw bad(at + field, v, "a table");
+    JsonNode node = parent.path(field);
+    if (!node.isObject()) {
+      throw bad(at + field, node, "a table");
     }
-    return v;
+    return node;
   }
 
   private String text(JsonNode parent, String field, String at) throws SettingsException {
-    JsonNode v = parent.path(field);
-    if (!v.isTextual() || v.textValue().isEmpty()) {
-      throw bad(at + field, v, "a text");
+    JsonNode node = parent.path(field);
+    if (!node.isTextual() || node.textValue().isEmpty()) {
+      throw bad(at + field, node, "a text");
     }
-    return v.textValue();
+    return node.textValue();
   }
 
   private Address address(JsonNode parent, String field, String at) throws SettingsException {
@@ -163,22 +163,22 @@
   }
 
   private double amount(JsonNode parent, String field, String at) throws SettingsException {
-    JsonNode v = parent.path(field);
-    if (v.isMissingNode()) {
+    JsonNode node = parent.path(field);
+    if (node.isMissingNode()) {
       return 0;
     }
-    if (!v.isNumber() || !Double.isFinite(v.doubleValue()) || v.doubleValue() < 0) {
-      throw bad(at + field, v, "a number of at least 0");
+    if (!node.isNumber() || !Double.isFinite(node.doubleValue()) || node.doubleValue() < 0) {
+      throw bad(at + field, node, "a number of at least 0");
     }
-    return v.doubleValue();
+    return node.doubleValue();
   }
 
   private double positive(JsonNode parent, String field, String at) throws SettingsException {
-    JsonNode v = parent.path(field);
-    if (!v.isNumber() || !Double.isFinite(v.doubleValue()) || v.doubleValue() <= 0) {
-      throw bad(at + field, v, "a number above 0");
+    JsonNode node = parent.path(field);
+    if (!node.isNumber() || !Double.isFinite(node.doubleValue()) || node.doubleValue() <= 0) {
+      throw bad(at + field, node, "a number above 0");
     }
-    return v.doubleValue();
+    return node.doubleValue();
   }
 
   private long millis(JsonNode parent, String field, String at) throws SettingsException {
--- a/src/main/java/dapplestair/silence/Account.java
+++ b/src/main/java/dapplestair/silence/Account.java
@@ -46,12 +46,12 @@
     out.writeVarInt(Math.min(MOST_ENTRIES, ages.size()), true);
     Names names = new Names();
     int left = MOST_ENTRIES;
-    for (Map.Entry<String, Long> e : new TreeMap<>(ages).entrySet()) {
+    for (Map.Entry<String, Long> entry : new TreeMap<>(ages).entrySet()) {
       if (left-- == 0) {
         return;
       }
-      names.write(out, e.getKey());
-      out.writeVarLong(Math.max(0, e.getValue()), true);
+      names.write(out, entry.getKey());
+      out.writeVarLong(Math.max(0, entry.getValue()), true);
     }
   }
 
@@ -69,13 +69,13 @@
   }
 
   private static Map<String, Long> read(Input in) {
-    int n = in.readVarInt(true);
-    if (n < 0 || n > MOST_ENTRIES) {
-      throw new IllegalArgumentException("too many entries: " + n);
+    int count = in.readVarInt(true);
+    if (count < 0 || count > MOST_ENTRIES) {
+      throw new IllegalArgumentException("too many entries: " + count);
     }
     Map<String, Long> out = new TreeMap<>();
     Names names = new Names();
-    for (int i = 0; i < n; i++) {
+    for (int i = 0; i < count; i++) {
       String name = names.read(in);
       long ago = in.readVarLong(true);
       if (ago < 0) {
--- a/src/main/java/dapplestair/silence/Patience.java
+++ b/src/main/java/dapplestair/silence/SilenceTimeouts.java
@@ -6,7 +6,7 @@
  * How long a silent machine is waited for, as a decision with its costs (docs/silence.md). Nothing
  * here is a proof: what is given up is returned to the cloud, and the cloud's answer proves.
  */
-public final class Patience {
+public final class SilenceTimeouts {
   // Clocks drift by less than this, and a report is heard later than it was sent.
   private static final double DRIFT = 1.01;
 
@@ -16,7 +16,7 @@
   private final Settings settings;
 
   /** Ratios to these settings. */
-  public Patience(Settings settings) {
+  public SilenceTimeouts(Settings settings) {
     this.settings = settings;
   }
 
--- a/src/main/java/dapplestair/state/CommitQueue.java
+++ b/src/main/java/dapplestair/state/CommitQueue.java
@@ -90,11 +90,11 @@
   /** Puts sent since last asked, by priority. */
   String putsSent() {
     StringBuilder out = new StringBuilder();
-    for (Priority p : Priority.values()) {
+    for (Priority priority : Priority.values()) {
       out.append(out.length() == 0 ? "" : ", ")
-          .append(puts[p.ordinal()])
+          .append(puts[priority.ordinal()])
           .append(' ')
-          .append(p.name().toLowerCase(Locale.ROOT));
+          .append(priority.name().toLowerCase(Locale.ROOT));
     }
     Arrays.fill(puts, 0);
     return out.toString();
@@ -128,29 +128,30 @@
     for (Priority priority : Priority.values()) {
       ArrayDeque<Queued> queue = queues.get(priority.ordinal());
       while (!queue.isEmpty()) {
-        Queued q = queue.peek();
-        if (q.commit.settled()) {
+        Queued queued = queue.peek();
+        if (queued.commit.settled()) {
           queue.poll();
           continue;
         }
-        if (clock.now() > q.deadline) {
+        if (clock.now() > queued.deadline) {
           queue.poll();
-          q.commit.notSent();
+          queued.commit.notSent();
           continue;
         }
         if (inFlight >= MOST_IN_FLIGHT) {
           return;
         }
-        long wait = Math.max(writes.waitMs(q.size), requests.waitMs(1));
+        long wait = Math.max(writes.waitMs(queued.size), requests.waitMs(1));
         if (wait > 0) {
           pumpLater(wait);
           return;
         }
         queue.poll();
-        Txn txn = q.txn.get();
+        Txn txn = queued.txn.get();
         if (txn != null) {
           count(txn, priority);
-          Queued built = new Queued(txn.size(), () -> txn, q.deadline, q.repeated, q.commit);
+          Queued built =
+              new Queued(txn.size(), () -> txn, queued.deadline, queued.repeated, queued.commit);
           send(built, txn, priority);
         }
       }
@@ -222,15 +223,15 @@
     }
   }
 
-  private void send(Queued q, Txn txn, Priority priority) {
+  private void send(Queued queued, Txn txn, Priority priority) {
     inFlight++;
-    q.commit.sent();
-    Copy copy = new Copy(q, priority);
+    queued.commit.sent();
+    Copy copy = new Copy(queued, priority);
     // A candidate that does not know of its win would have nobody lead for as long as its hold
     // lasts, and no copy of it can be refused by another one: it waits for its answer.
     boolean waits = priority == Priority.ELECTION;
     long lateMs = answerTimeout.ms();
-    long repeatUntil = q.repeated ? q.deadline : clock.now() + longestMs;
+    long repeatUntil = queued.repeated ? queued.deadline : clock.now() + longestMs;
     if (!waits && lateMs < longestMs) {
       copy.timer = timers.after(lateMs, () -> copy.late(repeatUntil));
     }
--- a/src/main/java/dapplestair/state/Keys.java
+++ b/src/main/java/dapplestair/state/Keys.java
@@ -26,8 +26,8 @@
   /** Prefix of attempts. */
   public static final String RUN = LIVE + "run/";
 
-  /** Prefix of sheets, each with attempts of many jobs. */
-  public static final String SHEET = LIVE + "sheet/";
+  /** Prefix of launch batches, each with attempts of many jobs. */
+  public static final String LAUNCH_BATCH = LIVE + "sheet/";
 
   /** Prefix of rentals. */
   public static final String RENTAL = LIVE + "rental/";
@@ -76,9 +76,9 @@
     return RUN + ref + "/" + chunk;
   }
 
-  /** One sheet; the term makes its name the leader's own. */
-  public static String sheet(long term, long number) {
-    return SHEET + term + "-" + number;
+  /** One launch batch; the term makes its name the leader's own. */
+  public static String launchBatch(long term, long number) {
+    return LAUNCH_BATCH + term + "-" + number;
   }
 
   /** One rental. */
--- a/src/main/java/dapplestair/state/Replica.java
+++ b/src/main/java/dapplestair/state/Replica.java
@@ -231,15 +231,15 @@
       return false;
     }
     int gen = generation;
-    for (JsonNode n : body.path("news")) {
+    for (JsonNode node : body.path("news")) {
       // A change can make this controller lead no more and the replica begin again: what follows
       // must not be applied to the emptied replica, nor a barrier pass on it.
       if (gen != generation) {
         return false;
       }
-      long stamp = Json.number(n, "stamp", 0);
-      String removed = Json.text(n, "remove");
-      String key = removed != null ? removed : Json.text(n, "put");
+      long stamp = Json.number(node, "stamp", 0);
+      String removed = Json.text(node, "remove");
+      String key = removed != null ? removed : Json.text(node, "put");
       // Two streams (follower and barrier) may bring the same change, or an older one late.
       if (key == null || stamp <= position) {
         continue;
@@ -250,7 +250,7 @@
         }
       } else {
         stamps.put(key, stamp);
-        listener.put(key, n.get("value"), stamp);
+        listener.put(key, node.get("value"), stamp);
       }
     }
     if (gen != generation) {
--- a/src/main/java/dapplestair/state/Txn.java
+++ b/src/main/java/dapplestair/state/Txn.java
@@ -24,9 +24,9 @@
 
   /** Writes a value that lasts as long as the hold. */
   public Txn put(String key, JsonNode value, long hold) {
-    ObjectNode w = writes.addObject().put("put", key);
-    w.set("value", value);
-    w.put("hold", hold);
+    ObjectNode object = writes.addObject().put("put", key);
+    object.set("value", value);
+    object.put("hold", hold);
     return this;
   }
 
--- a/src/main/java/dapplestair/submissions/JobFinder.java
+++ b/src/main/java/dapplestair/submissions/JobFinder.java
@@ -28,7 +28,7 @@
     this.ledger = ledger;
   }
 
-  /** A job is over for good; {@code done} or withdrawn. */
+  /** A job is over for good; {@code done} or cancelled. */
   void ended(String ref, boolean done) {
     over.put(ref, done);
   }
@@ -38,7 +38,7 @@
     return over.containsKey(ref);
   }
 
-  /** True when a job that is over is done, false when it was withdrawn. */
+  /** True when a job that is over is done, false when it was cancelled. */
   boolean done(String ref) {
     return over.get(ref);
   }
--- a/src/main/java/dapplestair/submissions/PutOff.java
+++ b/src/main/java/dapplestair/submissions/RetryAdvice.java
@@ -3,7 +3,7 @@
 import dapplestair.ports.Clock;
 
 /** When those that were put off are told to come back: the later the more there are. */
-final class PutOff {
+final class RetryAdvice {
   private static final long WINDOW_MS = 1000;
 
   // Users repeat a submission for 60 seconds: several more tries must fit in.
@@ -14,7 +14,7 @@
   private int now;
   private int before;
 
-  PutOff(Clock clock) {
+  RetryAdvice(Clock clock) {
     this.clock = clock;
     since = clock.now();
   }
--- a/src/main/java/dapplestair/submissions/SubmissionDesk.java
+++ b/src/main/java/dapplestair/submissions/SubmissionDesk.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.cancellations.Cancellations;
 import dapplestair.json.Json;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
@@ -16,7 +17,6 @@
 import dapplestair.state.StateClient;
 import dapplestair.state.StateClient.Priority;
 import dapplestair.state.Txn;
-import dapplestair.withdrawals.Withdrawals;
 import dapplestair.work.Rank;
 import dapplestair.work.Submission;
 import java.util.function.Consumer;
@@ -38,11 +38,11 @@
   private final Replica replica;
   private final Ledger ledger;
   private final MachineTypes types;
-  private final Withdrawals withdrawals;
+  private final Cancellations cancellations;
   private final RequestRelay relay;
   private final Metrics metrics;
   private final long patienceMs;
-  private final PutOff putOff;
+  private final RetryAdvice retryAdvice;
   private final Unanswered unanswered;
   private final FirstAttempts firstAttempts;
   private final JobFinder finder;
@@ -56,7 +56,7 @@
       Replica replica,
       Ledger ledger,
       MachineTypes types,
-      Withdrawals withdrawals,
+      Cancellations cancellations,
       RequestRelay relay,
       Metrics metrics) {
     this.clock = clock;
@@ -65,17 +65,17 @@
     this.replica = replica;
     this.ledger = ledger;
     this.types = types;
-    this.withdrawals = withdrawals;
+    this.cancellations = cancellations;
     this.relay = relay;
     this.metrics = metrics;
     this.patienceMs = settings.workers().reportMs();
     this.finder = new JobFinder(state, replica, ledger);
-    this.putOff = new PutOff(clock);
+    this.retryAdvice = new RetryAdvice(clock);
     this.firstAttempts = new FirstAttempts(clock);
     this.unanswered = new Unanswered(clock, settings.workers().leaseMs());
   }
 
-  /** A job is over for good; {@code done} or withdrawn. */
+  /** A job is over for good; {@code done} or cancelled. */
   public void ended(String ref, boolean done) {
     finder.ended(ref, done);
   }
@@ -89,74 +89,76 @@
    * Has a served peer answer while this controller cannot, unless the job is known to be over,
    * which any controller may say at any time.
    */
-  private boolean passedOn(Exchange x, String ref) {
+  private boolean passedOn(Exchange exchange, String ref) {
     boolean served = replica.ready() && types.known() && state.reachable();
-    return !served && !finder.over(ref) && relay.pass(x, answer -> relayed(x, ref, answer));
+    return !served
+        && !finder.over(ref)
+        && relay.pass(exchange, answer -> relayed(exchange, ref, answer));
   }
 
-  private void relayed(Exchange x, String ref, RelayCodec.Answer answer) {
+  private void relayed(Exchange exchange, String ref, RelayCodec.Answer answer) {
     if (answer == null) {
       unanswered.inVain(ref);
-      busy(x);
+      busy(exchange);
       return;
     }
     if (answer.status() != 503) {
       unanswered.answered(ref);
     }
-    x.reply(answer.status(), answer.body(), answer.retryAfterS());
+    exchange.reply(answer.status(), answer.body(), answer.retryAfterS());
   }
 
   // ---- POST /submissions ----
 
   /** A user submits. */
-  public void submit(Exchange x) {
-    Submission s;
+  public void submit(Exchange exchange) {
+    Submission submission;
     try {
-      JsonNode body = Json.parse(x.body());
+      JsonNode body = Json.parse(exchange.body());
       if (body.isMissingNode()) {
-        error(x, 400, "the body is not JSON");
+        error(exchange, 400, "the body is not JSON");
         return;
       }
       String ref = Json.text(body, "ref");
       if (ref != null && Submission.validRef(ref)) {
         // A known job is answered with its state, whatever else the retry holds.
         if (finder.over(ref)) {
-          over(x, 200, ref, finder.done(ref));
+          over(exchange, 200, ref, finder.done(ref));
           return;
         }
-        if (passedOn(x, ref)) {
+        if (passedOn(exchange, ref)) {
           return;
         }
         if (ledger.live(ref)) {
-          look(x, ref);
+          look(exchange, ref);
           return;
         }
       }
-      s = Submission.parse(body);
+      submission = Submission.parse(body);
     } catch (Submission.Malformed e) {
-      refuseUnlessKnown(x, 400, e.getMessage());
+      refuseUnlessKnown(exchange, 400, e.getMessage());
       return;
     }
     if (!replica.ready() || !types.known() || !state.reachable() || pending > MOST_PENDING) {
-      turnAway(x, s, 1);
+      turnAway(exchange, submission, 1);
       return;
     }
-    String impossible = impossible(s);
+    String impossible = impossible(submission);
     if (impossible != null) {
-      refuseUnlessKnown(x, 422, impossible);
+      refuseUnlessKnown(exchange, 422, impossible);
       return;
     }
-    if (s.rank() == Rank.LOW && pending >= mostPendingLow()) {
+    if (submission.rank() == Rank.LOW && pending >= mostPendingLow()) {
       // A swarm of the lowest rank is put off before anybody else waits behind it.
-      turnAway(x, s, putOff.retryAfterS(state.putsAllowed()));
+      turnAway(exchange, submission, retryAdvice.retryAfterS(state.putsAllowed()));
       return;
     }
-    accept(x, s, clock.now() + patienceMs, clock.now());
+    accept(exchange, submission, clock.now() + patienceMs, clock.now());
   }
 
-  private void turnAway(Exchange x, Submission s, int afterS) {
-    firstAttempts.turnedAway(s.ref());
-    busy(x, afterS);
+  private void turnAway(Exchange exchange, Submission submission, int afterS) {
+    firstAttempts.turnedAway(submission.ref());
+    busy(exchange, afterS);
   }
 
   /** As many as this controller's puts take within a small part of what a user waits. */
@@ -165,24 +167,29 @@
   }
 
   /** A repeated submission of an accepted job is never told 400 or 422. */
-  private void refuseUnlessKnown(Exchange x, int status, String why) {
+  private void refuseUnlessKnown(Exchange exchange, int status, String why) {
     LOG.debug("{}: {}", status, why);
-    String ref = Json.text(Json.parse(x.body()), "ref");
+    String ref = Json.text(Json.parse(exchange.body()), "ref");
     if (ref == null || !Submission.validRef(ref)) {
-      error(x, status, why);
+      error(exchange, status, why);
       return;
     }
-    tell(x, ref, () -> error(x, status, why), found -> answer(x, 200, ref, found));
+    tell(
+        exchange,
+        ref,
+        () -> error(exchange, status, why),
+        found -> answer(exchange, 200, ref, found));
   }
 
   /** Finds a job and goes on as it turns out; 503 when that cannot be told now. */
-  private void tell(Exchange x, String ref, Runnable absent, Consumer<JobFinder.Found> present) {
+  private void tell(
+      Exchange exchange, String ref, Runnable absent, Consumer<JobFinder.Found> present) {
     finder.find(
         ref,
         (known, found) -> {
           if (!known) {
             unanswered.inVain(ref);
-            busy(x);
+            busy(exchange);
             return;
           }
           unanswered.answered(ref);
@@ -194,30 +201,32 @@
         });
   }
 
-  private String impossible(Submission s) {
-    Settings.Team team = settings.teams().get(s.team());
+  private String impossible(Submission submission) {
+    Settings.Team team = settings.teams().get(submission.team());
     if (team == null) {
-      return "owner: unknown team " + s.team();
+      return "owner: unknown team " + submission.team();
     }
-    if (team.cpusMax() > 0 && s.cpus() * s.atOnce() > team.cpusMax() + 1e-6) {
+    if (team.cpusMax() > 0 && submission.cpus() * submission.atOnce() > team.cpusMax() + 1e-6) {
       return "vcpus: more than the team's limit of " + team.cpusMax();
     }
-    if (team.gpusMax() > 0 && s.gpus() * s.atOnce() > team.gpusMax() + 1e-6) {
+    if (team.gpusMax() > 0 && submission.gpus() * submission.atOnce() > team.gpusMax() + 1e-6) {
       return "accelerators: more than the team's limit of " + team.gpusMax();
     }
-    if (!types.anySuits(s)) {
+    if (!types.anySuits(submission)) {
       return "no allowed machine type in an allowed zone holds a task of this size";
     }
     return null;
   }
 
-  private void accept(Exchange x, Submission s, long deadline, long began) {
+  private void accept(Exchange exchange, Submission submission, long deadline, long began) {
     pending++;
     Txn txn =
         new Txn()
-            .when(Keys.job(s.ref()), 0)
-            .when(Keys.over(s.ref()), 0)
-            .put(Keys.job(s.ref()), ledger.record(s, firstAttempts.at(s.ref())));
+            .when(Keys.job(submission.ref()), 0)
+            .when(Keys.over(submission.ref()), 0)
+            .put(
+                Keys.job(submission.ref()),
+                ledger.record(submission, firstAttempts.at(submission.ref())));
     state.commit(
         txn,
         Priority.USER,
@@ -225,17 +234,17 @@
         outcome -> {
           pending--;
           if (outcome instanceof Outcome.Applied) {
-            firstAttempts.accepted(s.ref());
+            firstAttempts.accepted(submission.ref());
             metrics.accepted(clock.now() - began);
-            status(x, 201, s.ref(), "queued", null);
+            status(exchange, 201, submission.ref(), "queued", null);
           } else if (outcome instanceof Outcome.Conflict) {
-            look(x, s.ref());
+            look(exchange, submission.ref());
           } else if (outcome instanceof Outcome.Unknown && clock.now() < deadline) {
             // The same conditions again: if the lost one was applied after all, this one is
             // refused and the job is found; both can never be.
-            accept(x, s, deadline, began);
+            accept(exchange, submission, deadline, began);
           } else {
-            turnAway(x, s, 1);
+            turnAway(exchange, submission, 1);
           }
         });
   }
@@ -243,49 +252,53 @@
   // ---- GET /submissions/{id} ----
 
   /** A user polls. */
-  public void poll(Exchange x, String ref) {
-    if (!passedOn(x, ref)) {
-      look(x, ref);
+  public void poll(Exchange exchange, String ref) {
+    if (!passedOn(exchange, ref)) {
+      look(exchange, ref);
     }
   }
 
-  private void look(Exchange x, String ref) {
-    tell(x, ref, () -> error(x, 404, "no such job"), found -> answer(x, 200, ref, found));
+  private void look(Exchange exchange, String ref) {
+    tell(
+        exchange,
+        ref,
+        () -> error(exchange, 404, "no such job"),
+        found -> answer(exchange, 200, ref, found));
   }
 
-  private void answer(Exchange x, int status, String ref, JobFinder.Found found) {
+  private void answer(Exchange exchange, int status, String ref, JobFinder.Found found) {
     if (found.job() == null) {
-      over(x, status, ref, found.done());
+      over(exchange, status, ref, found.done());
       return;
     }
     int[] counts = ledger.counts(found.job());
-    status(x, status, ref, counts[1] > 0 ? "running" : "queued", counts);
+    status(exchange, status, ref, counts[1] > 0 ? "running" : "queued", counts);
   }
 
   // ---- POST /submissions/{id}/withdraw ----
 
-  /** A user withdraws. */
-  public void withdraw(Exchange x, String ref) {
-    if (!passedOn(x, ref)) {
-      withdraw(x, ref, clock.now() + patienceMs);
+  /** A user cancels. */
+  public void cancel(Exchange exchange, String ref) {
+    if (!passedOn(exchange, ref)) {
+      cancel(exchange, ref, clock.now() + patienceMs);
     }
   }
 
-  private void withdraw(Exchange x, String ref, long deadline) {
+  private void cancel(Exchange exchange, String ref, long deadline) {
     tell(
-        x,
+        exchange,
         ref,
-        () -> error(x, 404, "no such job"),
+        () -> error(exchange, 404, "no such job"),
         found -> {
           if (found.job() == null) {
-            answer(x, 200, ref, found);
+            answer(exchange, 200, ref, found);
           } else {
-            abort(x, found.job(), deadline);
+            abort(exchange, found.job(), deadline);
           }
         });
   }
 
-  private void abort(Exchange x, Job job, long deadline) {
+  private void abort(Exchange exchange, Job job, long deadline) {
     String ref = job.spec().ref();
     ObjectNode value = ledger.overRecord(job, "aborted");
     Txn txn =
@@ -301,52 +314,53 @@
           if (outcome instanceof Outcome.Applied) {
             // Where its tasks are is on record by now, and whoever tells the user has read it: what
             // is told to the others is all there is. If that fails the user is told nothing yet.
-            replica.barrier(passed -> withdrawn(x, ref, passed));
+            replica.barrier(passed -> cancelled(exchange, ref, passed));
           } else if (outcome instanceof Outcome.Refused || clock.now() >= deadline) {
-            busy(x);
+            busy(exchange);
           } else {
-            // Done meanwhile, withdrawn elsewhere, or unanswered: look again.
-            withdraw(x, ref, deadline);
+            // Done meanwhile, cancelled elsewhere, or unanswered: look again.
+            cancel(exchange, ref, deadline);
           }
         });
   }
 
-  private void withdrawn(Exchange x, String ref, boolean passed) {
+  private void cancelled(Exchange exchange, String ref, boolean passed) {
     if (passed) {
       ended(ref, false);
-      over(x, 200, ref, false);
+      over(exchange, 200, ref, false);
     } else {
-      busy(x);
+      busy(exchange);
     }
   }
 
-  /** A final state. That a job is withdrawn is told to the other controllers before its user. */
-  private void over(Exchange x, int status, String ref, boolean done) {
+  /** A final state. That a job is cancelled is told to the other controllers before its user. */
+  private void over(Exchange exchange, int status, String ref, boolean done) {
     if (done) {
-      status(x, status, ref, "done", null);
+      status(exchange, status, ref, "done", null);
     } else {
-      withdrawals.confirm(ref, () -> status(x, status, ref, "aborted", null));
+      cancellations.confirm(ref, () -> status(exchange, status, ref, "aborted", null));
     }
   }
 
-  private static void status(Exchange x, int status, String ref, String word, int[] counts) {
-    ObjectNode o = Json.object().put("ref", ref).put("status", word);
+  private static void status(Exchange exchange, int status, String ref, String word, int[] counts) {
+    ObjectNode object = Json.object().put("ref", ref).put("status", word);
     if (counts != null) {
-      o.put("done", counts[0]).put("running", counts[1]);
+      object.put("done", counts[0]).put("running", counts[1]);
     }
-    x.reply(status, Json.bytes(o), 0);
+    exchange.reply(status, Json.bytes(object), 0);
   }
 
-  private static void error(Exchange x, int status, String why) {
-    x.reply(status, Json.bytes(Json.object().put("error", why)), 0);
+  private static void error(Exchange exchange, int status, String why) {
+    exchange.reply(status, Json.bytes(Json.object().put("error", why)), 0);
   }
 
-  private void busy(Exchange x) {
-    busy(x, 1);
+  private void busy(Exchange exchange) {
+    busy(exchange, 1);
   }
 
-  private void busy(Exchange x, int afterS) {
+  private void busy(Exchange exchange, int afterS) {
     metrics.shed();
-    x.reply(503, Json.bytes(Json.object().put("error", "cannot tell now, ask again")), afterS);
+    exchange.reply(
+        503, Json.bytes(Json.object().put("error", "cannot tell now, ask again")), afterS);
   }
 }
--- a/src/main/java/dapplestair/submissions/package-info.java
+++ b/src/main/java/dapplestair/submissions/package-info.java
@@ -1,2 +1,2 @@
-/** What users ask: submitting, polling and withdrawing jobs, on any controller. */
+/** What users ask: submitting, polling and cancelling jobs, on any controller. */
 package dapplestair.submissions;
--- a/src/main/java/dapplestair/weights/Weights.java
+++ b/src/main/java/dapplestair/weights/Weights.java
@@ -109,11 +109,11 @@
 
   /** Machines become known one after the other, for a while after a leader's beginning. */
   private void hint() {
-    for (Holders h : records.values()) {
-      for (String id : h.machines()) {
+    for (Holders holders : records.values()) {
+      for (String id : holders.machines()) {
         Host host = desk.known(id);
         if (host != null) {
-          host.images().hinted(h.image(), h.gb());
+          host.images().hinted(holders.image(), holders.gb());
         }
       }
     }
@@ -152,15 +152,15 @@
   private Map<String, Holders> now() {
     Map<String, Holders> out = new TreeMap<>();
     long at = clock.now();
-    for (Host h : desk.hosts()) {
-      if (h.up() && !h.gone() && !h.releasing()) {
-        h.images()
+    for (Host host : desk.hosts()) {
+      if (host.up() && !host.gone() && !host.releasing()) {
+        host.images()
             .ready(at)
             .forEach(
                 (image, gb) ->
                     out.computeIfAbsent(key(image), k -> new Holders(image, gb, new TreeSet<>()))
                         .machines()
-                        .add(h.id()));
+                        .add(host.id()));
       }
     }
     return out;
--- a/src/main/java/dapplestair/withdrawals/package-info.java
+++ /dev/null
@@ -1,4 +0,0 @@
-/**
- * Withdrawals that were confirmed to users: who knows of them, who ends them, who may not renew.
- */
-package dapplestair.withdrawals;
--- a/src/main/java/dapplestair/work/Order.java
+++ b/src/main/java/dapplestair/work/Order.java
@@ -58,7 +58,7 @@
     return message(token, orders).put("tenure", session);
   }
 
-  private static ObjectNode base(String verb, Order o) {
-    return Json.object().put("verb", verb).put("step", o.key()).put("try", o.attempt());
+  private static ObjectNode base(String verb, Order order) {
+    return Json.object().put("verb", verb).put("step", order.key()).put("try", order.attempt());
   }
 }
--- a/src/main/java/dapplestair/work/Rank.java
+++ b/src/main/java/dapplestair/work/Rank.java
@@ -13,9 +13,9 @@
 
   /** The rank of this word, or null. */
   public static Rank of(String wire) {
-    for (Rank r : values()) {
-      if (r.wire().equals(wire)) {
-        return r;
+    for (Rank rank : values()) {
+      if (rank.wire().equals(wire)) {
+        return rank;
       }
     }
     return null;
--- a/src/main/java/dapplestair/work/Report.java
+++ b/src/main/java/dapplestair/work/Report.java
@@ -47,13 +47,13 @@
   }
 
   /** Reads a report, or gives null when it makes no sense. */
-  public static Report parse(JsonNode n) {
-    String host = Json.text(n, "host");
-    String type = Json.text(n, "hull");
-    String zone = Json.text(n, "basin");
-    String endpoint = Json.text(n, "endpoint");
-    long session = Json.number(n, "tenure", -1);
-    long tick = Json.number(n, "tick", -1);
+  public static Report parse(JsonNode node) {
+    String host = Json.text(node, "host");
+    String type = Json.text(node, "hull");
+    String zone = Json.text(node, "basin");
+    String endpoint = Json.text(node, "endpoint");
+    long session = Json.number(node, "tenure", -1);
+    long tick = Json.number(node, "tick", -1);
     if (host == null
         || type == null
         || zone == null
@@ -61,11 +61,11 @@
         || session < 0
         || tick < 0
         || !addressLike(endpoint)
-        || !n.path("steps").isArray()) {
+        || !node.path("steps").isArray()) {
       return null;
     }
     List<Task> tasks = new ArrayList<>();
-    for (JsonNode t : n.get("steps")) {
+    for (JsonNode t : node.get("steps")) {
       Task task = task(t);
       if (task == null) {
         return null;
@@ -77,18 +77,18 @@
         endpoint,
         type,
         zone,
-        Json.flag(n, "loaners"),
+        Json.flag(node, "loaners"),
         session,
         tick,
-        Json.number(n, "baton", 0),
-        Json.decimal(n, "recallS", Double.NaN),
+        Json.number(node, "baton", 0),
+        Json.decimal(node, "recallS", Double.NaN),
         tasks);
   }
 
-  private static Task task(JsonNode t) {
-    String key = Json.text(t, "step");
-    long attempt = Json.number(t, "try", -1);
-    String status = Json.text(t, "status");
+  private static Task task(JsonNode node) {
+    String key = Json.text(node, "step");
+    long attempt = Json.number(node, "try", -1);
+    String status = Json.text(node, "status");
     if (key == null || attempt < 0 || status == null) {
       return null;
     }
@@ -97,9 +97,13 @@
       case "running" -> new Task(key, attempt, Status.RUNNING);
       case "flushing" -> new Task(key, attempt, Status.FLUSHING);
       case "exited" -> {
-        String cause = Json.text(t, "cause");
+        String cause = Json.text(node, "cause");
         yield new Task(
-            key, attempt, Status.EXITED, cause == null ? "stopped" : cause, Json.flag(t, "stored"));
+            key,
+            attempt,
+            Status.EXITED,
+            cause == null ? "stopped" : cause,
+            Json.flag(node, "stored"));
       }
       // A state that we do not know of still occupies the machine.
       default -> new Task(key, attempt, Status.RUNNING);
--- a/src/main/java/dapplestair/work/Shape.java
+++ b/src/main/java/dapplestair/work/Shape.java
@@ -6,7 +6,7 @@
   ARRAY("sweep"),
   /** Tasks that run to completion side by side, none before all are there. */
   GANG("gang"),
-  /** Replicas that run until the job is withdrawn. */
+  /** Replicas that run until the job is cancelled. */
   SERVICE("daemon");
 
   private final String wire;
@@ -16,9 +16,9 @@
   }
 
   static Shape of(String wire) {
-    for (Shape s : values()) {
-      if (s.wire.equals(wire)) {
-        return s;
+    for (Shape shape : values()) {
+      if (shape.wire.equals(wire)) {
+        return shape;
       }
     }
     return null;
--- a/src/main/java/dapplestair/work/Submission.java
+++ b/src/main/java/dapplestair/work/Submission.java
@@ -50,7 +50,7 @@
     }
   }
 
-  /** True when its tasks run until it is withdrawn. */
+  /** True when its tasks run until it is cancelled. */
   public boolean service() {
     return shape == Shape.SERVICE;
   }
@@ -147,7 +147,7 @@
 
   /** The form kept in the state service, which {@link #parse} reads back. */
   public ObjectNode toJson() {
-    ObjectNode o =
+    ObjectNode object =
         Json.object()
             .put("ref", ref)
             .put("jobclass", jobClass)
@@ -161,30 +161,31 @@
             .put("bundle", image)
             .put("imageGb", imageGb);
     if (types != null) {
-      types.forEach(o.putArray("hulls")::add);
+      types.forEach(object.putArray("hulls")::add);
     }
     if (zone != null) {
-      o.put("basin", zone);
+      object.put("basin", zone);
     }
-    o.put("together", together)
+    object
+        .put("together", together)
         .put("apart", apart)
         .put("loaners", spot)
         .put("guessS", guessS)
         .put("snapshotEveryS", saveEveryS)
         .put("snapshotS", saveS);
     if (Double.isFinite(dueS)) {
-      o.put("dueS", dueS);
+      object.put("dueS", dueS);
     }
-    return o;
+    return object;
   }
 
-  private static List<String> types(JsonNode v) throws Malformed {
-    if (v.isNull() || v.isMissingNode()) {
+  private static List<String> types(JsonNode node) throws Malformed {
+    if (node.isNull() || node.isMissingNode()) {
       return null;
     }
     List<String> out = new ArrayList<>();
-    if (v.isArray()) {
-      for (JsonNode t : v) {
+    if (node.isArray()) {
+      for (JsonNode t : node) {
         if (!t.isTextual()) {
           throw new Malformed("hulls: must hold names");
         }
@@ -204,22 +205,22 @@
   }
 
   private static String optionalText(JsonNode body, String field) throws Malformed {
-    JsonNode v = body.path(field);
-    if (v.isNull() || v.isMissingNode()) {
+    JsonNode node = body.path(field);
+    if (node.isNull() || node.isMissingNode()) {
       return null;
     }
-    if (!v.isTextual() || v.textValue().length() > 200) {
+    if (!node.isTextual() || node.textValue().length() > 200) {
       throw new Malformed(field + ": must be a text of at most 200 characters");
     }
-    return v.textValue();
+    return node.textValue();
   }
 
   private static double amount(JsonNode body, String field) throws Malformed {
-    JsonNode v = body.path(field);
-    if (v.isNull() || v.isMissingNode()) {
+    JsonNode node = body.path(field);
+    if (node.isNull() || node.isMissingNode()) {
       throw new Malformed(field + ": missing");
     }
-    double d = v.isNumber() ? v.doubleValue() : Double.NaN;
+    double d = node.isNumber() ? node.doubleValue() : Double.NaN;
     if (!Double.isFinite(d) || d < 0 || d > 1e9) {
       throw new Malformed(field + ": must be a number from 0 to 1e9");
     }
@@ -227,11 +228,11 @@
   }
 
   private static boolean flag(JsonNode body, String field) throws Malformed {
-    JsonNode v = body.path(field);
-    if (!v.isBoolean()) {
+    JsonNode node = body.path(field);
+    if (!node.isBoolean()) {
       throw new Malformed(field + ": must be true or false");
     }
-    return v.booleanValue();
+    return node.booleanValue();
   }
 
   /** How many of its tasks so much room is for. */
--- a/src/main/java/dapplestair/workers/Courier.java
+++ b/src/main/java/dapplestair/workers/CommandSender.java
@@ -1,6 +1,7 @@
 package dapplestair.workers;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.cancellations.Cancellations;
 import dapplestair.json.Json;
 import dapplestair.leadership.FencingToken;
 import dapplestair.leadership.Leadership;
@@ -10,7 +11,6 @@
 import dapplestair.ports.Timers;
 import dapplestair.relay.Relay;
 import dapplestair.settings.Settings;
-import dapplestair.withdrawals.Withdrawals;
 import dapplestair.work.Order;
 import dapplestair.work.Report;
 import java.util.ArrayList;
@@ -20,7 +20,7 @@
 import java.util.Set;
 
 /** Brings orders to machines, one message at a time to each, and fences off what got no answer. */
-final class Courier {
+final class CommandSender {
   /** Told of what machines answer. */
   interface Listener {
     /** A machine's report after its orders. */
@@ -37,7 +37,7 @@
   private final Timers timers;
   private final Relay relay;
   private final Leadership leadership;
-  private final Withdrawals withdrawals;
+  private final Cancellations cancellations;
   private final Roster roster;
   private final Listener listener;
   private final long reportMs;
@@ -45,20 +45,20 @@
   private final Set<String> flushing = new HashSet<>();
   private boolean leading;
 
-  Courier(
+  CommandSender(
       Clock clock,
       Timers timers,
       Relay relay,
       Settings settings,
       Leadership leadership,
-      Withdrawals withdrawals,
+      Cancellations cancellations,
       Roster roster,
       Listener listener) {
     this.clock = clock;
     this.timers = timers;
     this.relay = relay;
     this.leadership = leadership;
-    this.withdrawals = withdrawals;
+    this.cancellations = cancellations;
     this.roster = roster;
     this.listener = listener;
     this.reportMs = settings.workers().reportMs();
@@ -157,33 +157,33 @@
   private void take(Host host, List<Order> orders, List<Attempt> launches) {
     Iterator<Order> it = host.outbox.values().iterator();
     while (it.hasNext() && orders.size() < MOST_ORDERS) {
-      Order o = it.next();
-      if (o instanceof Order.Launch && !mayLaunch(host)) {
+      Order order = it.next();
+      if (order instanceof Order.Launch && !mayLaunch(host)) {
         continue;
       }
       it.remove();
-      if (o instanceof Order.Launch) {
-        Attempt a = Fencing.due(host, o);
-        if (a == null) {
+      if (order instanceof Order.Launch) {
+        Attempt attempt = Fencing.due(host, order);
+        if (attempt == null) {
           continue;
         }
-        launches.add(a);
+        launches.add(attempt);
       }
-      orders.add(o);
+      orders.add(order);
     }
   }
 
   /**
-   * A launch of a job that was withdrawn without this leader's knowledge must not leave for long
+   * A launch of a job that was cancelled without this leader's knowledge must not leave for long
    * after that, nor under a token above all that another controller raises to keep it out: see
-   * package withdrawals.
+   * package cancellations.
    */
   private boolean mayLaunch(Host host) {
     long shown =
         FencingToken.term(host.tokenSeen) == leadership.term()
             ? FencingToken.fence(host.tokenSeen)
             : 0;
-    return withdrawals.mayLaunch() && host.fence - shown < FencingToken.MOST_AHEAD;
+    return cancellations.mayLaunch() && host.fence - shown < FencingToken.MOST_AHEAD;
   }
 
   private void answered(Host host, List<Order> orders, List<Attempt> launches, HttpReply reply) {
@@ -191,9 +191,9 @@
     if (executed || reply.status() == 409) {
       host.failedCalls = 0;
       Fencing.answered(launches);
-      Report r = Report.parse(Json.parse(reply.body()));
-      if (r != null && r.host().equals(host.id())) {
-        listener.report(host, r);
+      Report report = Report.parse(Json.parse(reply.body()));
+      if (report != null && report.host().equals(host.id())) {
+        listener.report(host, report);
       }
       if (!executed) {
         requeue(host, orders);
@@ -223,9 +223,9 @@
 
   /** Stops may be repeated; a launch never is, nor a clear whose launch may still be on its way. */
   private static void requeue(Host host, List<Order> orders) {
-    for (Order o : orders) {
-      if (o instanceof Order.Halt h) {
-        host.outbox.putIfAbsent(h.id(), h);
+    for (Order order : orders) {
+      if (order instanceof Order.Halt halt) {
+        host.outbox.putIfAbsent(halt.id(), halt);
       }
     }
   }
--- a/src/main/java/dapplestair/workers/Fencing.java
+++ b/src/main/java/dapplestair/workers/Fencing.java
@@ -14,15 +14,15 @@
 
   /** The attempt that this launch is still due for, or null. */
   static Attempt due(Host host, Order launch) {
-    Attempt a = host.attempt(launch.key());
+    Attempt attempt = host.attempt(launch.key());
     // Dropped meanwhile, or planned for a session that has ended.
     boolean due =
-        a != null
-            && a.number() == launch.attempt()
-            && !a.sent()
-            && !a.job().over()
-            && a.session() == host.session;
-    return due ? a : null;
+        attempt != null
+            && attempt.number() == launch.attempt()
+            && !attempt.sent()
+            && !attempt.job().over()
+            && attempt.session() == host.session;
+    return due ? attempt : null;
   }
 
   /** A message with these orders is about to leave; its token is read after this. */
