--- a/src/main/java/dapplestair/workers/LeaseRenewal.java
+++ b/src/main/java/dapplestair/workers/LeaseRenewal.java
@@ -1,12 +1,12 @@
 package dapplestair.workers;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.cancellations.Cancellations;
+import dapplestair.cancellations.KnownCancellations;
 import dapplestair.leadership.FencingToken;
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Ledger;
 import dapplestair.ports.Clock;
-import dapplestair.withdrawals.KnownWithdrawals;
-import dapplestair.withdrawals.Withdrawals;
 import dapplestair.work.Latest;
 import dapplestair.work.Order;
 import dapplestair.work.Report;
@@ -14,10 +14,10 @@
 import java.util.Map;
 
 /**
- * The answers that keep a worker's lease. A lease is kept only by one who knows of every withdrawal
- * that is old enough to matter, and the same answer ends all withdrawn tasks there and keeps out
- * what was launched of them and is still on its way. So no withdrawn task outlives the lease that
- * somebody who did not know renewed last (docs/withdrawals.md).
+ * The answers that keep a worker's lease. A lease is kept only by one who knows of every
+ * cancellation that is old enough to matter, and the same answer ends all cancelled tasks there and
+ * keeps out what was launched of them and is still on its way. So no cancelled task outlives the
+ * lease that somebody who did not know renewed last (docs/cancellations.md).
  */
 final class LeaseRenewal {
   // A line of an answer may take 64 KiB: some 100 bytes for each.
@@ -28,88 +28,89 @@
   private record Raised(long token, long at) {}
 
   private final Clock clock;
-  private final Courier courier;
+  private final CommandSender commandSender;
   private final Ledger ledger;
-  private final Withdrawals withdrawals;
+  private final Cancellations cancellations;
   private final Map<String, Raised> raised = new Latest<>(MOST_KEPT);
 
-  LeaseRenewal(Clock clock, Courier courier, Ledger ledger, Withdrawals withdrawals) {
+  LeaseRenewal(
+      Clock clock, CommandSender commandSender, Ledger ledger, Cancellations cancellations) {
     this.clock = clock;
-    this.courier = courier;
+    this.commandSender = commandSender;
     this.ledger = ledger;
-    this.withdrawals = withdrawals;
+    this.cancellations = cancellations;
   }
 
   /**
    * A leader's answer, or null when it may not keep the lease. All its own attempts there count,
    * not only those in the report: one may have been launched since that was sent.
    */
-  ObjectNode byLeader(Host host, Report r) {
-    if (!withdrawals.mayRenew()) {
+  ObjectNode byLeader(Host host, Report report) {
+    if (!cancellations.mayRenew()) {
       return null;
     }
     Map<String, Order> halts = new LinkedHashMap<>();
     boolean launchOpen = false;
-    for (Attempt a : host.attempts()) {
-      if (a.job().over() && a.sent() && !a.exited()) {
-        add(halts, a.key(), a.number());
-        launchOpen |= a.launchOpen();
+    for (Attempt attempt : host.attempts()) {
+      if (attempt.job().over() && attempt.sent() && !attempt.exited()) {
+        add(halts, attempt.key(), attempt.number());
+        launchOpen |= attempt.launchOpen();
       }
     }
-    for (Report.Task t : r.tasks()) {
-      boolean over = withdrawals.knows(t.ref()) || !ledger.live(t.ref());
-      if (t.status() != Report.Status.EXITED && over) {
-        add(halts, t.key(), t.attempt());
+    for (Report.Task task : report.tasks()) {
+      boolean over = cancellations.knows(task.ref()) || !ledger.live(task.ref());
+      if (task.status() != Report.Status.EXITED && over) {
+        add(halts, task.key(), task.attempt());
       }
     }
     if (launchOpen) {
       // The launch is under way: after this answer it is executed no more.
       host.fence++;
     }
-    return answer(courier.token(host), halts);
+    return answer(commandSender.token(host), halts);
   }
 
   /**
    * The answer of a controller that does not lead, under the worker's own token; null when it may
-   * not keep the lease. It must tell of each task whether its job is withdrawn: of a job that it
+   * not keep the lease. It must tell of each task whether its job is cancelled: of a job that it
    * does not know it cannot, since it may have begun after that job was over.
    */
-  ObjectNode byOther(Report r) {
-    if (!withdrawals.mayRenew()) {
+  ObjectNode byOther(Report report) {
+    if (!cancellations.mayRenew()) {
       return null;
     }
     Map<String, Order> halts = new LinkedHashMap<>();
-    for (Report.Task t : r.tasks()) {
-      if (t.status() == Report.Status.EXITED) {
+    for (Report.Task task : report.tasks()) {
+      if (task.status() == Report.Status.EXITED) {
         continue;
       }
-      if (withdrawals.knows(t.ref())) {
-        add(halts, t.key(), t.attempt());
-      } else if (!ledger.live(t.ref())) {
+      if (cancellations.knows(task.ref())) {
+        add(halts, task.key(), task.attempt());
+      } else if (!ledger.live(task.ref())) {
         return null;
       }
     }
-    for (KnownWithdrawals.Task t : withdrawals.on(r.host(), r.session())) {
-      add(halts, t.place().key(t.ref()), t.place().number());
+    for (KnownCancellations.Task task : cancellations.on(report.host(), report.session())) {
+      add(halts, task.place().key(task.ref()), task.place().number());
     }
-    long token = raisedFor(r);
+    long token = raisedFor(report);
     return token < 0 ? null : answer(token, halts);
   }
 
   /**
    * The worker's own token, or one raised above any that a launch on its way can carry, once after
-   * each withdrawal: when no such launch can be sent any more, and not before.
+   * each cancellation: when no such launch can be sent any more, and not before.
    */
-  private long raisedFor(Report r) {
-    Raised last = raised.get(r.host());
-    long needed = withdrawals.newestAt() + withdrawals.launchMs();
-    boolean shown = last != null && last.at() > needed && r.token() >= last.token();
-    if (shown || clock.now() - withdrawals.newestAt() > withdrawals.keptMs()) {
-      return r.token();
+  private long raisedFor(Report report) {
+    Raised last = raised.get(report.host());
+    long needed = cancellations.newestAt() + cancellations.launchMs();
+    boolean shown = last != null && last.at() > needed && report.token() >= last.token();
+    if (shown || clock.now() - cancellations.newestAt() > cancellations.keptMs()) {
+      return report.token();
     }
-    long token = FencingToken.raisedByOther(r.token());
-    raised.remove(r.host());
-    raised.put(r.host(), new Raised(token, clock.now()));
+    long token = FencingToken.raisedByOther(report.token());
+    raised.remove(report.host());
+    raised.put(report.host(), new Raised(token, clock.now()));
     return token;
   }
 
--- a/src/main/java/dapplestair/workers/Hearing.java
+++ b/src/main/java/dapplestair/workers/LivenessTracker.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 
 /** Who was heard when, and whether silence means anything. */
-final class Hearing {
+final class LivenessTracker {
   // Reports are up to a quarter late; two calls without an answer come on top.
   private static final double OVERDUE = 1.35;
   private static final double SILENT = 1.9;
@@ -40,7 +40,7 @@
   private long turnDue;
   private long judgeAgainAt;
 
-  Hearing(Clock clock, Settings settings, Roster roster) {
+  LivenessTracker(Clock clock, Settings settings, Roster roster) {
     this.clock = clock;
     this.roster = roster;
     this.reportMs = settings.workers().reportMs();
@@ -70,9 +70,9 @@
     }
     turnDue = now + everyMs;
     perZone.clear();
-    for (Host h : roster.all()) {
-      if (h.up()) {
-        perZone.add(h.zone());
+    for (Host host : roster.all()) {
+      if (host.up()) {
+        perZone.add(host.zone());
       }
     }
     findSilentZones(now);
@@ -92,11 +92,11 @@
    */
   private void findSilentZones(long now) {
     Map<String, Heard> heard = new HashMap<>();
-    for (Host h : roster.all()) {
-      if (h.expectedUp() && h.zone() != null && !ghost(h)) {
-        Heard z = heard.computeIfAbsent(h.zone(), k -> new Heard());
+    for (Host host : roster.all()) {
+      if (host.expectedUp() && host.zone() != null && !ghost(host)) {
+        Heard z = heard.computeIfAbsent(host.zone(), k -> new Heard());
         z.machines++;
-        z.last = Math.max(z.last, signOfZone(h));
+        z.last = Math.max(z.last, signOfZone(host));
       }
     }
     // A zone whose machines have all been given up stays silent until one is heard there: what is
@@ -112,23 +112,23 @@
         });
     boolean anyHeard = false;
     long newest = heard.values().stream().mapToLong(z -> z.last).max().orElse(now);
-    for (Map.Entry<String, Heard> e : heard.entrySet()) {
-      Heard z = e.getValue();
-      long last = Math.max(z.last, accounts.zoneHeardAt(e.getKey()));
+    for (Map.Entry<String, Heard> entry : heard.entrySet()) {
+      Heard z = entry.getValue();
+      long last = Math.max(z.last, accounts.zoneHeardAt(entry.getKey()));
       long gap = zones.gapMs(z.machines);
       boolean noticedBefore = succeeded() && accounts.at() - last > gap;
       if (now - last <= gap) {
         anyHeard = true;
       } else if (z.machines > 1 && newest - last > gap && (now > judgeAgainAt || noticedBefore)) {
-        silentZones.put(e.getKey(), last);
+        silentZones.put(entry.getKey(), last);
       }
     }
     if (!anyHeard) {
       silentZones.clear();
     }
-    for (Host h : roster.all()) {
-      Long last = h.zone() == null ? null : silentZones.get(h.zone());
-      h.setZoneSilentMs(last == null ? 0 : now - last);
+    for (Host host : roster.all()) {
+      Long last = host.zone() == null ? null : silentZones.get(host.zone());
+      host.setZoneSilentMs(last == null ? 0 : now - last);
     }
   }
 
@@ -178,9 +178,9 @@
     }
     boolean sure = leading && now > judgeAgainAt;
     if (sure) {
-      for (Host h : roster.all()) {
-        if (h.expectedUp() && now - lastHeard(h) > OVERDUE * reportMs) {
-          late.put(h.id(), now - lastHeard(h));
+      for (Host host : roster.all()) {
+        if (host.expectedUp() && now - lastHeard(host) > OVERDUE * reportMs) {
+          late.put(host.id(), now - lastHeard(host));
         }
       }
     }
@@ -322,11 +322,11 @@
   boolean nobody() {
     long now = clock.now();
     boolean any = false;
-    for (Host h : roster.all()) {
-      if (now - h.reportedAt < SILENT * reportMs) {
+    for (Host host : roster.all()) {
+      if (now - host.reportedAt < SILENT * reportMs) {
         return false;
       }
-      any |= h.up();
+      any |= host.up();
     }
     return any && now > judgeAgainAt && now - leadingSince > 3 * reportMs;
   }
--- a/src/main/java/dapplestair/workers/SentOn.java
+++ b/src/main/java/dapplestair/workers/RecentRedirects.java
@@ -9,7 +9,7 @@
  * the answer, or was not taken there; an older report than the last is a copy that comes late.
  * Neither says that anybody reaches its zone.
  */
-final class SentOn {
+final class RecentRedirects {
   private static final int MOST_KEPT = 4000;
 
   private record Last(long session, long tick, long at) {}
@@ -18,18 +18,18 @@
   private final long keptMs;
   private final RecentMap<String, Last> workers;
 
-  SentOn(Clock clock, long keptMs) {
+  RecentRedirects(Clock clock, long keptMs) {
     this.clock = clock;
     this.keptMs = keptMs;
     this.workers = new RecentMap<>(clock, keptMs, MOST_KEPT, Last::at);
   }
 
   /** Notes a report that is not taken here; true when its worker was sent on within a lease. */
-  boolean again(Report r) {
+  boolean again(Report report) {
     long now = clock.now();
-    Last last = workers.remove(r.host());
-    boolean newer = last == null || r.after(last.session(), last.tick());
-    workers.put(r.host(), newer ? new Last(r.session(), r.tick(), now) : last);
+    Last last = workers.remove(report.host());
+    boolean newer = last == null || report.after(last.session(), last.tick());
+    workers.put(report.host(), newer ? new Last(report.session(), report.tick(), now) : last);
     return last != null && (!newer || now - last.at() <= keptMs);
   }
 }
--- a/src/main/java/dapplestair/workers/ReportApplier.java
+++ b/src/main/java/dapplestair/workers/ReportApplier.java
@@ -21,8 +21,8 @@
   private final Leadership leadership;
   private final MachineTypes types;
   private final Ledger ledger;
-  private final Hearing hearing;
-  private final Courier courier;
+  private final LivenessTracker liveness;
+  private final CommandSender commandSender;
   private final WorkerDesk.Listener listener;
   private final BooleanSupplier leading;
 
@@ -32,16 +32,16 @@
       Leadership leadership,
       MachineTypes types,
       Ledger ledger,
-      Hearing hearing,
-      Courier courier,
+      LivenessTracker liveness,
+      CommandSender commandSender,
       WorkerDesk.Listener listener,
       BooleanSupplier leading) {
     this.clock = clock;
     this.leadership = leadership;
     this.types = types;
     this.ledger = ledger;
-    this.hearing = hearing;
-    this.courier = courier;
+    this.liveness = liveness;
+    this.commandSender = commandSender;
     this.listener = listener;
     this.leading = leading;
   }
@@ -52,33 +52,33 @@
    * no sign of life, neither of the machine nor of its zone: it may be deaf, or the report a copy
    * that comes late. Facts in it are facts all the same, and proofs have their own conditions.
    */
-  void apply(Host host, Report r, boolean answer) {
-    leadership.termShown(FencingToken.term(r.token()));
+  void apply(Host host, Report report, boolean answer) {
+    leadership.termShown(FencingToken.term(report.token()));
     if (!leading.getAsBoolean() || !leadership.leading()) {
       return;
     }
-    Fencing.shown(host, leadership.term(), r.token());
-    if (!r.after(host.session, host.tick) || host.gone()) {
+    Fencing.shown(host, leadership.term(), report.token());
+    if (!report.after(host.session, host.tick) || host.gone()) {
       return;
     }
     boolean first = !host.up() || !host.acknowledged;
-    host.session = r.session();
-    host.tick = r.tick();
-    host.tokenSeen = r.token();
+    host.session = report.session();
+    host.tick = report.tick();
+    host.tokenSeen = report.token();
     long challenge = Math.max(host.challenge, FencingToken.of(leadership.term(), 0));
-    boolean reached = answer || r.token() >= challenge;
+    boolean reached = answer || report.token() >= challenge;
     if (reached) {
-      hearing.reached(host, r.zone(), !answer);
+      liveness.reached(host, report.zone(), !answer);
     }
-    host.describe(r.endpoint(), types.get(r.type()), r.zone(), r.spot());
-    if (!host.acknowledged && r.token() >= FencingToken.of(leadership.term(), 0)) {
+    host.describe(report.endpoint(), types.get(report.type()), report.zone(), report.spot());
+    if (!host.acknowledged && report.token() >= FencingToken.of(leadership.term(), 0)) {
       host.acknowledged = true;
     }
     boolean recalledBefore = host.recalled();
     if (reached || !host.recalled()) {
-      host.recallAt = recallAt(r);
+      host.recallAt = recallAt(report);
     }
-    List<Report.Task> strays = ledger.report(host, r);
+    List<Report.Task> strays = ledger.report(host, report);
     host.strays = 0;
     if (host.acknowledged) {
       strays.forEach(t -> stray(host, t));
@@ -86,30 +86,31 @@
     if (host.failedCalls > 0 && !host.calling) {
       // Heard again: it is used as soon as it answers, not when its turn to be asked comes.
       host.callAgainAt = clock.now();
-      courier.probe(host);
+      commandSender.probe(host);
     }
     if (first || recalledBefore != host.recalled()) {
       listener.hostChanged(host);
     }
     if (!host.acknowledged) {
-      courier.probe(host);
+      commandSender.probe(host);
     }
   }
 
-  private long recallAt(Report r) {
-    return Double.isNaN(r.recallS())
+  private long recallAt(Report report) {
+    return Double.isNaN(report.recallS())
         ? Long.MAX_VALUE
-        : clock.now() + Math.round(Math.min(LONGEST_RECALL_S, Math.max(0, r.recallS())) * 1000);
+        : clock.now()
+            + Math.round(Math.min(LONGEST_RECALL_S, Math.max(0, report.recallS())) * 1000);
   }
 
   /** A task that no attempt accounts for: it is stopped and taken out of the reports. */
-  private void stray(Host host, Report.Task t) {
-    if (t.status() == Report.Status.EXITED) {
-      courier.queue(host.id(), new Order.Clear(t.key(), t.attempt()));
+  private void stray(Host host, Report.Task task) {
+    if (task.status() == Report.Status.EXITED) {
+      commandSender.queue(host.id(), new Order.Clear(task.key(), task.attempt()));
     } else {
       host.strays++;
-      LOG.warn("{} try {} on {} is unaccounted for", t.key(), t.attempt(), host.id());
-      courier.queue(host.id(), new Order.Halt(t.key(), t.attempt(), 0));
+      LOG.warn("{} try {} on {} is unaccounted for", task.key(), task.attempt(), host.id());
+      commandSender.queue(host.id(), new Order.Halt(task.key(), task.attempt(), 0));
     }
   }
 }
--- a/src/main/java/dapplestair/workers/ReportHandler.java
+++ b/src/main/java/dapplestair/workers/ReportHandler.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.cancellations.Cancellations;
 import dapplestair.json.Json;
 import dapplestair.leadership.FencingToken;
 import dapplestair.leadership.Leadership;
@@ -14,7 +15,6 @@
 import dapplestair.relay.RelayedReport;
 import dapplestair.settings.Settings;
 import dapplestair.state.StateClient;
-import dapplestair.withdrawals.Withdrawals;
 import dapplestair.work.Report;
 import java.util.function.BooleanSupplier;
 
@@ -31,10 +31,10 @@
   private final Leadership leadership;
   private final Peers peers;
   private final StateClient state;
-  private final Withdrawals withdrawals;
+  private final Cancellations cancellations;
   private final Roster roster;
-  private final Hearing hearing;
-  private final SentOn sentOn;
+  private final LivenessTracker liveness;
+  private final RecentRedirects redirects;
   private final LeaseRenewal renewal;
   private final ReportApplier applier;
   private final Relay relay;
@@ -51,9 +51,9 @@
       Leadership leadership,
       Peers peers,
       StateClient state,
-      Withdrawals withdrawals,
+      Cancellations cancellations,
       Roster roster,
-      Hearing hearing,
+      LivenessTracker liveness,
       LeaseRenewal renewal,
       ReportApplier applier,
       Relay relay,
@@ -63,10 +63,10 @@
     this.leadership = leadership;
     this.peers = peers;
     this.state = state;
-    this.withdrawals = withdrawals;
+    this.cancellations = cancellations;
     this.roster = roster;
-    this.hearing = hearing;
-    this.sentOn = new SentOn(clock, settings.workers().leaseMs());
+    this.liveness = liveness;
+    this.redirects = new RecentRedirects(clock, settings.workers().leaseMs());
     this.renewal = renewal;
     this.applier = applier;
     this.relay = relay;
@@ -82,38 +82,38 @@
   /** Answers a worker's report. */
   void beat(Exchange exchange) {
     JsonNode body = Json.parse(exchange.body());
-    Report r = Report.parse(body);
-    if (r == null) {
+    Report report = Report.parse(body);
+    if (report == null) {
       exchange.reply(BAD_REQUEST, Json.bytes(Json.object().put("error", "not a report")), 0);
       return;
     }
     // A higher token means that somebody else leads by now. To be looked at before any 200: a
     // worker that has to drop a 200 stays here while its lease runs out.
-    leadership.termShown(FencingToken.term(r.token()));
-    withdrawals.addressed(r.host(), r.endpoint());
+    leadership.termShown(FencingToken.term(report.token()));
+    cancellations.addressed(report.host(), report.endpoint());
     beats++;
     if (!leading.getAsBoolean() || !leadership.leading()) {
-      if (!relay.take(exchange, r, () -> redirect(exchange, r))) {
-        redirect(exchange, r);
+      if (!relay.take(exchange, report, () -> redirect(exchange, report))) {
+        redirect(exchange, report);
       }
       return;
     }
-    String elsewhere = relay.elsewhere(exchange, r);
+    String elsewhere = relay.elsewhere(exchange, report);
     if (elsewhere != null) {
       sendTo(exchange, elsewhere);
       return;
     }
-    if (roster.isGone(r.host())) {
-      if (roster.sentSince(r)) {
-        hearing.heard(r.zone(), true);
+    if (roster.isGone(report.host())) {
+      if (roster.sentSince(report)) {
+        liveness.heard(report.zone(), true);
       }
       keep(exchange, null);
       return;
     }
-    Host host = roster.host(r.host());
+    Host host = roster.host(report.host());
     host.relay = RelayedReport.relayOf(exchange);
-    applier.apply(host, r, false);
-    keep(exchange, leading.getAsBoolean() ? renewal.byLeader(host, r) : null);
+    applier.apply(host, report, false);
+    keep(exchange, leading.getAsBoolean() ? renewal.byLeader(host, report) : null);
   }
 
   /** Keeps the worker's lease, or sends it on to somebody who may. */
@@ -129,17 +129,17 @@
    * Shows the way to the leader. In a zone that is cut off, or while nobody can lead, there is none
    * to be reached, and the worker's tasks would end with its lease for nothing: then its own token
    * is good, which any controller may show as long as it knows of no higher term. Nobody takes the
-   * end of a lease for a proof of absence, so this starts no task twice. A withdrawn task must not
+   * end of a lease for a proof of absence, so this starts no task twice. A cancelled task must not
    * live by it: {@link LeaseRenewal} sees to that.
    */
-  private void redirect(Exchange exchange, Report r) {
-    boolean again = sentOn.again(r);
-    String steward = leadership.leader();
-    boolean known = steward != null && !steward.equals(settings.member());
+  private void redirect(Exchange exchange, Report report) {
+    boolean again = redirects.again(report);
+    String leader = leadership.leader();
+    boolean known = leader != null && !leader.equals(settings.member());
     // One that comes back from a living leader was not taken there. In an outage of all the reason
     // may be that this leader may not keep leases any more, since it does not hear all others.
     boolean notTaken = again && !peers.anyServed();
-    boolean alone = !state.reachable() && (notTaken || !(known && peers.alive(steward)));
+    boolean alone = !state.reachable() && (notTaken || !(known && peers.alive(leader)));
     if (alone && !again && (leadership.succeeded() || relay.on())) {
       // Somebody leads whom we cannot ask, and reaches this worker: it had better report there.
       // Where reports are relayed, a relay that is cut off cannot tell whether somebody does.
@@ -147,11 +147,11 @@
       keep(exchange, null);
       return;
     }
-    if (alone && FencingToken.term(r.token()) >= leadership.termSeen()) {
-      keep(exchange, renewal.byOther(r));
+    if (alone && FencingToken.term(report.token()) >= leadership.termSeen()) {
+      keep(exchange, renewal.byOther(report));
       return;
     }
-    sendTo(exchange, known ? steward : null);
+    sendTo(exchange, known ? leader : null);
   }
 
   /** Sends a worker on to another controller, or to any if {@code member} is null. */
--- a/src/main/java/dapplestair/workers/Roster.java
+++ b/src/main/java/dapplestair/workers/Roster.java
@@ -54,11 +54,11 @@
    * True when a machine that is gone sent this report after the newest one that was heard of it: a
    * cut has held it back, and is over. A copy of a report that was heard is not newer.
    */
-  boolean sentSince(Report r) {
-    Gone last = gone.get(r.host());
-    boolean newer = r.after(last.session(), last.tick());
+  boolean sentSince(Report report) {
+    Gone last = gone.get(report.host());
+    boolean newer = report.after(last.session(), last.tick());
     if (newer) {
-      gone.replace(r.host(), new Gone(last.at(), r.session(), r.tick()));
+      gone.replace(report.host(), new Gone(last.at(), report.session(), report.tick()));
     }
     // Without one that was heard nobody can tell.
     return newer && last.tick() >= 0;
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -1,5 +1,6 @@
 package dapplestair.workers;
 
+import dapplestair.cancellations.Cancellations;
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Ledger;
@@ -13,7 +14,6 @@
 import dapplestair.settings.Settings;
 import dapplestair.silence.Account;
 import dapplestair.state.StateClient;
-import dapplestair.withdrawals.Withdrawals;
 import dapplestair.work.Order;
 import dapplestair.work.Report;
 import java.util.Collection;
@@ -40,8 +40,8 @@
   private final Listener listener;
   private final long reportMs;
   private final Roster roster;
-  private final Hearing hearing;
-  private final Courier courier;
+  private final LivenessTracker liveness;
+  private final CommandSender commandSender;
   private final ReportApplier applier;
   private final ReportHandler reports;
   private final Peers peers;
@@ -60,7 +60,7 @@
       StateClient state,
       MachineTypes types,
       Ledger ledger,
-      Withdrawals withdrawals,
+      Cancellations cancellations,
       Listener listener) {
     this.clock = clock;
     this.timers = timers;
@@ -70,12 +70,13 @@
     this.listener = listener;
     this.reportMs = settings.workers().reportMs();
     this.roster = new Roster(clock);
-    this.hearing = new Hearing(clock, settings, roster);
-    this.courier =
-        new Courier(clock, timers, relay, settings, leadership, withdrawals, roster, new Answers());
+    this.liveness = new LivenessTracker(clock, settings, roster);
+    this.commandSender =
+        new CommandSender(
+            clock, timers, relay, settings, leadership, cancellations, roster, new Answers());
     this.applier =
         new ReportApplier(
-            clock, leadership, types, ledger, hearing, courier, listener, this::isLeading);
+            clock, leadership, types, ledger, liveness, commandSender, listener, this::isLeading);
     this.reports =
         new ReportHandler(
             clock,
@@ -84,10 +85,10 @@
             leadership,
             peers,
             state,
-            withdrawals,
+            cancellations,
             roster,
-            hearing,
-            new LeaseRenewal(clock, courier, ledger, withdrawals),
+            liveness,
+            new LeaseRenewal(clock, commandSender, ledger, cancellations),
             applier,
             relay,
             this::isLeading);
@@ -103,12 +104,12 @@
   private void heardByOthers(byte[] body) {
     Account account = Account.decode(body);
     if (account != null) {
-      hearing.said(account);
+      liveness.said(account);
     }
   }
 
   private void share() {
-    Account account = hearing.account(leading && leadership.leading(), leadership.term());
+    Account account = liveness.account(leading && leadership.leading(), leadership.term());
     if (account.term() > 0 || !account.zones().isEmpty()) {
       peers.state(HEARD, account.encode());
     }
@@ -150,7 +151,7 @@
 
   /** True when it has reported lately enough to be worth giving work to. */
   public boolean fresh(Host host) {
-    return hearing.fresh(host);
+    return liveness.fresh(host);
   }
 
   /**
@@ -158,7 +159,7 @@
    * should have been, too.
    */
   public boolean zoneHeard(Host silent) {
-    return hearing.zoneHeard(silent);
+    return liveness.zoneHeard(silent);
   }
 
   /**
@@ -166,27 +167,27 @@
    * record. That is hearsay here; returning the machine once more proves it again.
    */
   public boolean saidGone(Host host) {
-    return hearing.saidGone(host);
+    return liveness.saidGone(host);
   }
 
   /** How long nothing was heard of any machine in this zone while others were; 0 if any was. */
   public long zoneSilentMs(String zone) {
-    return hearing.zoneSilentMs(zone);
+    return liveness.zoneSilentMs(zone);
   }
 
   /** True when this leader reached one of the zone's machines lately. */
   public boolean zoneHeardNow(String zone) {
-    return hearing.zoneHeardNow(zone);
+    return liveness.zoneHeardNow(zone);
   }
 
   /** True when some worker has reported by itself lately. */
   public boolean anyReports() {
-    return hearing.anyReports();
+    return liveness.anyReports();
   }
 
   /** How long nothing was heard of it. */
   public long silentMs(Host host) {
-    return hearing.silentMs(host);
+    return liveness.silentMs(host);
   }
 
   // ---- leading ----
@@ -194,11 +195,11 @@
   /** Begins to command: every known machine is shown the new token at once. */
   public void lead() {
     leading = true;
-    courier.lead();
-    for (Host h : roster.all()) {
-      reach(h);
+    commandSender.lead();
+    for (Host host : roster.all()) {
+      reach(host);
     }
-    hearing.lead();
+    liveness.lead();
     tick();
   }
 
@@ -206,34 +207,34 @@
   public void clear() {
     leading = false;
     timer.cancel();
-    courier.clear();
+    commandSender.clear();
     roster.clear();
-    hearing.clear();
+    liveness.clear();
   }
 
   /** Shows the token to a machine, and learns what is on it. */
   public void reach(Host host) {
     if (host.endpoint != null && !host.gone()) {
-      courier.probe(host);
+      commandSender.probe(host);
     }
   }
 
   private void tick() {
     long now = clock.now();
-    hearing.turn(reportMs / 8);
-    for (Host h : List.copyOf(roster.all())) {
-      h.setOutOfReach(hearing.silent(h));
-      h.setMute(hearing.mute(h));
-      repeatHalts(h, now);
+    liveness.turn(reportMs / 8);
+    for (Host host : List.copyOf(roster.all())) {
+      host.setOutOfReach(liveness.silent(host));
+      host.setMute(liveness.mute(host));
+      repeatHalts(host, now);
       // A machine that misses its report is asked at once.
-      boolean unknown = !h.acknowledged && h.endpoint != null;
-      if (hearing.overdue(h) || (unknown && h.expectedUp())) {
-        courier.probe(h);
+      boolean unknown = !host.acknowledged && host.endpoint != null;
+      if (liveness.overdue(host) || (unknown && host.expectedUp())) {
+        commandSender.probe(host);
       } else {
-        courier.send(h);
+        commandSender.send(host);
       }
     }
-    if (hearing.nobody() && peers.othersHear()) {
+    if (liveness.nobody() && peers.othersHear()) {
       // Cut off from the workers alone: their leases would run out while this controller leads.
       leadership.resign("the workers are heard by others only");
       return;
@@ -241,10 +242,10 @@
     timer = timers.after(reportMs / 8, this::tick);
   }
 
-  private void repeatHalts(Host h, long now) {
-    for (Attempt a : h.attempts()) {
-      if (a.halting() && !a.exited() && now - a.lastHaltAt() > reportMs / 2) {
-        halt(a, a.job().over() ? 0 : a.windDownS());
+  private void repeatHalts(Host host, long now) {
+    for (Attempt attempt : host.attempts()) {
+      if (attempt.halting() && !attempt.exited() && now - attempt.lastHaltAt() > reportMs / 2) {
+        halt(attempt, attempt.job().over() ? 0 : attempt.windDownS());
       }
     }
   }
@@ -252,19 +253,19 @@
   // ---- orders ----
 
   /** Sends a launch. */
-  public void launch(Attempt a) {
-    courier.queue(a.host(), new Order.Launch(a.key(), a.number()));
+  public void launch(Attempt attempt) {
+    commandSender.queue(attempt.host(), new Order.Launch(attempt.key(), attempt.number()));
   }
 
   /** Sends a stop. */
-  public void halt(Attempt a, double windDownS) {
-    a.haltSent(clock.now(), windDownS);
-    courier.queue(a.host(), new Order.Halt(a.key(), a.number(), windDownS));
+  public void halt(Attempt attempt, double windDownS) {
+    attempt.haltSent(clock.now(), windDownS);
+    commandSender.queue(attempt.host(), new Order.Halt(attempt.key(), attempt.number(), windDownS));
   }
 
   /** Takes an exited attempt out of a machine's reports. */
   public void clear(String hostId, String key, long number) {
-    courier.queue(hostId, new Order.Clear(key, number));
+    commandSender.queue(hostId, new Order.Clear(key, number));
   }
 
   // ---- reports ----
@@ -284,7 +285,7 @@
   }
 
   /** What machines answer to orders is worth as much as what they report by themselves. */
-  private final class Answers implements Courier.Listener {
+  private final class Answers implements CommandSender.Listener {
     @Override
     public void report(Host host, Report report) {
       applier.apply(host, report, true);
--- a/src/main/java/dapplestair/zones/ZoneLife.java
+++ b/src/main/java/dapplestair/zones/ZoneLife.java
@@ -54,16 +54,16 @@
         .put("cutAt", cutWall);
   }
 
-  static ZoneLife parse(JsonNode n) {
+  static ZoneLife parse(JsonNode node) {
     State state = State.STEADY;
     for (State s : State.values()) {
-      state = s.name().equals(Json.text(n, "state")) ? s : state;
+      state = s.name().equals(Json.text(node, "state")) ? s : state;
     }
     return new ZoneLife(
         state,
-        Json.number(n, "since", 0),
-        String.valueOf(Json.text(n, "by")),
-        (int) Json.number(n, "cuts", 0),
-        Json.number(n, "cutAt", 0));
+        Json.number(node, "since", 0),
+        String.valueOf(Json.text(node, "by")),
+        (int) Json.number(node, "cuts", 0),
+        Json.number(node, "cutAt", 0));
   }
 }
--- a/src/main/java/dapplestair/zones/Zones.java
+++ b/src/main/java/dapplestair/zones/Zones.java
@@ -8,7 +8,7 @@
 import dapplestair.ports.Clock;
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
-import dapplestair.silence.Patience;
+import dapplestair.silence.SilenceTimeouts;
 import dapplestair.state.Keys;
 import dapplestair.state.Outcome;
 import dapplestair.state.Replica;
@@ -51,7 +51,7 @@
   private final Replica replica;
   private final Leadership leadership;
   private final WorkerDesk desk;
-  private final Patience patience;
+  private final SilenceTimeouts timeouts;
   private final Events events;
   private final Map<String, ZoneLife> lives = new TreeMap<>();
   private final Set<String> writing = new HashSet<>();
@@ -78,7 +78,7 @@
     this.leadership = leadership;
     this.desk = desk;
     this.events = events;
-    patience = new Patience(settings);
+    timeouts = new SilenceTimeouts(settings);
   }
 
   // ---- what the replica says ----
@@ -128,9 +128,9 @@
   private Set<String> known() {
     Set<String> out = new TreeSet<>(settings.zones());
     out.addAll(lives.keySet());
-    for (Host h : desk.hosts()) {
-      if (h.zone() != null) {
-        out.add(h.zone());
+    for (Host host : desk.hosts()) {
+      if (host.zone() != null) {
+        out.add(host.zone());
       }
     }
     return out;
@@ -143,7 +143,7 @@
     switch (life.state()) {
       case STEADY -> cutIfSilent(zone, life, silentMs);
       case CUT -> {
-        if (silentMs > patience.lostAfterMs(zone)) {
+        if (silentMs > timeouts.lostAfterMs(zone)) {
           write(zone, life.to(State.LOST, wall, me));
         } else {
           returnIfHeard(zone, life, silentMs);
@@ -162,7 +162,7 @@
   }
 
   private void cutIfSilent(String zone, ZoneLife life, long silentMs) {
-    if (silentMs >= patience.prepareAfterMs()) {
+    if (silentMs >= timeouts.prepareAfterMs()) {
       long wall = clock.wall() - silentMs;
       write(zone, life.cut(wall, settings.member(), MEMORY_LEASES * settings.workers().leaseMs()));
     }
--- a/src/test/java/dapplestair/withdrawals/KnownToTest.java
+++ b/src/test/java/dapplestair/cancellations/KnownToTest.java
@@ -1,4 +1,4 @@
-package dapplestair.withdrawals;
+package dapplestair.cancellations;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,7 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** Up to when a controller knows all, case by case (docs/withdrawals.md). */
+/** Up to when a controller knows all, case by case (docs/cancellations.md). */
 class KnownToTest {
   private long now = 100_000;
   private long records = KnownTo.NEVER;
@@ -82,8 +82,8 @@
   @Test
   void theWindowLeavesALeaseAndASixteenth() {
     assertEquals(
-        66_000 - 36_000 - 2250, Withdrawals.windowMs(new Settings.Workers(6000, 36_000, 66_000)));
+        66_000 - 36_000 - 2250, Cancellations.windowMs(new Settings.Workers(6000, 36_000, 66_000)));
     assertEquals(
-        12_000, Withdrawals.windowMs(new Settings.Workers(6000, 36_000, 30_000)), "the least");
+        12_000, Cancellations.windowMs(new Settings.Workers(6000, 36_000, 30_000)), "the least");
   }
 }
--- a/src/test/java/dapplestair/ledger/SheetTest.java
+++ b/src/test/java/dapplestair/ledger/LaunchBatchTest.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-class SheetTest {
+class LaunchBatchTest {
   private static Job job(int i) throws Submission.Malformed {
     Submission s =
         Submission.parse(
@@ -41,18 +41,18 @@
   void whatFitsFitsAndComesBack() throws Submission.Malformed {
     int bytes = 8192;
     List<Attempt> attempts = new ArrayList<>();
-    for (int i = 0; i < Sheet.capacity(bytes); i++) {
+    for (int i = 0; i < LaunchBatch.capacity(bytes); i++) {
       String host = String.format("n-%06d", 700 + i);
       attempts.add(new Attempt(job(i), i % 12, 1 + i, host, "florianopolis-" + i % 3, 3, 0));
     }
-    var value = Sheet.write(attempts);
+    var value = LaunchBatch.write(attempts);
     assertTrue(Json.bytes(value).length <= bytes, Json.bytes(value).length + " bytes");
-    List<Sheet.Entry> read = Sheet.read(Json.parse(Json.bytes(value)));
+    List<LaunchBatch.Entry> read = LaunchBatch.read(Json.parse(Json.bytes(value)));
     assertEquals(attempts.size(), read.size());
     for (int i = 0; i < read.size(); i++) {
       Attempt a = attempts.get(i);
       assertEquals(
-          new Sheet.Entry(a.spec().ref(), a.step, a.number, a.host, a.zone, a.session),
+          new LaunchBatch.Entry(a.spec().ref(), a.step, a.number, a.host, a.zone, a.session),
           read.get(i));
     }
   }
--- a/src/test/java/dapplestair/submissions/PutOffTest.java
+++ b/src/test/java/dapplestair/submissions/RetryAdviceTest.java
@@ -6,7 +6,7 @@
 import dapplestair.ports.Clock;
 import org.junit.jupiter.api.Test;
 
-class PutOffTest {
+class RetryAdviceTest {
   private static final class Hand implements Clock {
     long now;
 
@@ -25,7 +25,7 @@
   @Test
   void manyComeBackLater() {
     Hand clock = new Hand();
-    PutOff off = new PutOff(clock);
+    RetryAdvice off = new RetryAdvice(clock);
     assertEquals(1, off.retryAfterS(6));
     int last = 0;
     for (int i = 0; i < 300; i++) {
--- a/src/test/java/dapplestair/workers/CancellationCosts.java
+++ b/src/test/java/dapplestair/workers/CancellationCosts.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.management.ThreadMXBean;
+import dapplestair.cancellations.Cancellation;
+import dapplestair.cancellations.Cancellations;
 import dapplestair.cloud.CloudClient;
 import dapplestair.json.Json;
 import dapplestair.leadership.Leadership;
@@ -21,8 +23,6 @@
 import dapplestair.relay.Relay;
 import dapplestair.settings.Settings;
 import dapplestair.state.StateClient;
-import dapplestair.withdrawals.Withdrawal;
-import dapplestair.withdrawals.Withdrawals;
 import dapplestair.work.Report;
 import dapplestair.work.Submission;
 import java.lang.management.ManagementFactory;
@@ -127,9 +127,9 @@
     final String name;
     final Peers peers;
     final Ledger ledger;
-    final Withdrawals cancellations;
+    final Cancellations cancellations;
     final LeaseRenewal renewal;
-    final Map<String, List<Withdrawal.Place>> places = new HashMap<>();
+    final Map<String, List<Cancellation.TaskLocation>> places = new HashMap<>();
     PeerNetwork.Listener listener;
     long messages;
     long bytes;
@@ -156,7 +156,7 @@
       Leadership leadership = new Leadership(time, this, random, settings, state, peers, roles);
       ledger = new Ledger(time, this, settings, state, leadership, false, noHooks());
       cancellations =
-          new Withdrawals(
+          new Cancellations(
               time,
               this,
               nobody,
@@ -166,8 +166,8 @@
               leadership,
               time::now,
               new Places());
-      Courier courier =
-          new Courier(
+      CommandSender commandSender =
+          new CommandSender(
               time,
               this,
               new Relay(time, this, nobody, settings, 1, leadership, peers),
@@ -176,7 +176,7 @@
               cancellations,
               new Roster(time),
               null);
-      renewal = new LeaseRenewal(time, courier, ledger, cancellations);
+      renewal = new LeaseRenewal(time, commandSender, ledger, cancellations);
     }
 
     void begin() {
@@ -219,12 +219,12 @@
       members.keySet().stream().filter(m -> !m.equals(name)).forEach(listener::up);
     }
 
-    private final class Places implements Withdrawals.Listener {
+    private final class Places implements Cancellations.Listener {
       @Override
-      public void withdrawn(String ref) {}
+      public void cancelled(String ref) {}
 
       @Override
-      public List<Withdrawal.Place> places(String ref) {
+      public List<Cancellation.TaskLocation> places(String ref) {
         return places.getOrDefault(ref, List.of());
       }
 
@@ -382,9 +382,9 @@
 
   /** Tells a user that a job is cancelled whose tasks go on. */
   private void cancel(Member teller, String ref, int job) {
-    List<Withdrawal.Place> places = new ArrayList<>();
+    List<Cancellation.TaskLocation> places = new ArrayList<>();
     for (int step = 0; step < TASKS_PER_CANCELLED; step++) {
-      places.add(new Withdrawal.Place("n-" + machine(job, step), 1, step, 1));
+      places.add(new Cancellation.TaskLocation("n-" + machine(job, step), 1, step, 1));
     }
     teller.places.put(ref, places);
     teller.cancellations.confirm(ref, () -> {});
--- a/src/test/java/dapplestair/world/AcceptanceTest.java
+++ b/src/test/java/dapplestair/world/AcceptanceTest.java
@@ -60,7 +60,7 @@
     w.state.refuse("node-" + refused.index, true);
     // The time in which nobody leads is not what is looked at here.
     w.run(2 * World.REPORT_MS);
-    w.users.withdrawAt(cancelled, refused);
+    w.users.cancelAt(cancelled, refused);
     double soon = soonAccepted(w);
     assertTrue(soon >= 0.95, "accepted within a second: " + soon);
     assertTrue(cancelled.aborted, "the cancellation was not confirmed");
--- a/src/test/java/dapplestair/world/AllAwayTest.java
+++ b/src/test/java/dapplestair/world/AllAwayTest.java
@@ -93,14 +93,14 @@
     List<Users.Told> jobs = begun(w);
     List<Users.Told> cancelled = jobs.subList(0, jobs.size() / 2);
     if (cancelledMs >= 0) {
-      cancelled.forEach(w.users::withdraw);
+      cancelled.forEach(w.users::cancel);
       w.run(cancelledMs);
     }
     int byLease = w.cloud.killedByLease();
     away(w, how, spreadMs);
     if (cancelledMs < 0) {
       w.run(-cancelledMs);
-      cancelled.forEach(w.users::withdraw);
+      cancelled.forEach(w.users::cancel);
     }
     w.run(AWAY_MS + spreadMs);
     assertTrue(w.cloud.killedByLease() > byLease, "no lease ran out");
--- a/src/test/java/dapplestair/world/AnswerOrder.java
+++ b/src/test/java/dapplestair/world/AnswerOrder.java
@@ -17,7 +17,7 @@
  */
 final class AnswerOrder implements Network.Tap {
   private static final String SUBMISSIONS = "/submissions";
-  private static final String WITHDRAW = "/withdraw";
+  private static final String CANCEL = "/withdraw";
 
   /** What users have been answered about one job so far. */
   private record Known(boolean accepted, String end) {
@@ -28,14 +28,15 @@
     }
   }
 
-  private record Question(String ref, String method, boolean withdrawal, JsonNode job, Known then) {
+  private record Question(
+      String ref, String method, boolean cancellation, JsonNode job, Known then) {
     boolean submission() {
-      return method.equals("POST") && !withdrawal;
+      return method.equals("POST") && !cancellation;
     }
 
     @Override
     public String toString() {
-      return (withdrawal ? "withdrawing " : submission() ? "submitting " : "asking for ") + ref;
+      return (cancellation ? "cancelling " : submission() ? "submitting " : "asking for ") + ref;
     }
   }
 
@@ -61,13 +62,14 @@
       return done;
     }
     JsonNode job = Json.parse(body == null ? new byte[0] : body);
-    boolean withdrawal = path.endsWith(WITHDRAW);
+    boolean cancellation = path.endsWith(CANCEL);
     String ref =
         path.equals(SUBMISSIONS)
             ? job.path("ref").asText()
             : path.substring(
-                SUBMISSIONS.length() + 1, path.length() - (withdrawal ? WITHDRAW.length() : 0));
-    Question q = new Question(ref, method, withdrawal, job, known.getOrDefault(ref, Known.NOTHING));
+                SUBMISSIONS.length() + 1, path.length() - (cancellation ? CANCEL.length() : 0));
+    Question q =
+        new Question(ref, method, cancellation, job, known.getOrDefault(ref, Known.NOTHING));
     if (q.submission() && OddJob.faultOf(job, world) == null) {
       acceptable.add(ref);
     }
@@ -107,7 +109,7 @@
       world.checker.broken("went_back: " + q + " again gets 201");
     }
     if (q.then.end != null && !q.then.end.equals(state)) {
-      String what = q.withdrawal && q.then.done() ? "withdrawn though done: " : "went_back: ";
+      String what = q.cancellation && q.then.done() ? "cancelled though done: " : "went_back: ";
       world.checker.broken(what + q + ", known to be " + q.then.end + ", gets " + state);
     }
     note(q, state.equals("done") || state.equals("aborted") ? state : null);
--- a/src/test/java/dapplestair/world/CancelTimes.java
+++ b/src/test/java/dapplestair/world/CancelTimes.java
@@ -6,7 +6,7 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * How long a withdrawn job's tasks live after its user was told: {@code CancelTimes SEEDS} plays so
+ * How long a cancelled job's tasks live after its user was told: {@code CancelTimes SEEDS} plays so
  * many seeds of each trouble and prints median, 99 of 100 and the longest.
  */
 final class CancelTimes {
@@ -54,19 +54,19 @@
     for (int i = 0; i < seeds; i++) {
       GapTest.Day d = new GapTest.Day(8700 + i);
       before.accept(d);
-      d.withdraw(d.second);
+      d.cancel(d.second);
       after.accept(d);
       Map<Users.Told, Long> goneAt = new HashMap<>();
       long end = d.w.sim.now() + World.CANCEL_MS;
-      while (d.w.sim.now() < end && goneAt.size() < d.withdrawn.size()) {
-        for (Users.Told t : d.withdrawn) {
+      while (d.w.sim.now() < end && goneAt.size() < d.cancelled.size()) {
+        for (Users.Told t : d.cancelled) {
           if (d.running(t) == 0) {
             goneAt.putIfAbsent(t, d.w.sim.now());
           }
         }
         d.w.run(STEP_MS);
       }
-      for (Users.Told t : d.withdrawn) {
+      for (Users.Told t : d.cancelled) {
         ms.recordValue(Math.max(0, goneAt.getOrDefault(t, end) - t.abortedAt));
       }
     }
--- a/src/test/java/dapplestair/world/Checker.java
+++ b/src/test/java/dapplestair/world/Checker.java
@@ -2,7 +2,7 @@
 
 import dapplestair.emulator.EmulatedTask;
 import dapplestair.emulator.EmulatedWorker;
-import dapplestair.emulator.Witness;
+import dapplestair.emulator.TaskObserver;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -16,11 +16,11 @@
 import java.util.function.ToIntFunction;
 
 /** The rules of the protocol, checked on the world itself, knowing nothing of the product. */
-final class Checker implements Witness {
+final class Checker implements TaskObserver {
   private final World world;
   private final Set<String> completed = new HashSet<>();
   // In the order in which their users were told.
-  private final ArrayDeque<Users.Told> withdrawn = new ArrayDeque<>();
+  private final ArrayDeque<Users.Told> cancelled = new ArrayDeque<>();
   int started;
   final Map<String, Integer> startsOn = new HashMap<>();
 
@@ -153,8 +153,8 @@
 
   /** After each step. What starts later than a job's last moment is caught by its start. */
   void check() {
-    while (!withdrawn.isEmpty() && withdrawn.peek().abortedAt + World.CANCEL_MS < world.sim.now()) {
-      gone(withdrawn.poll());
+    while (!cancelled.isEmpty() && cancelled.peek().abortedAt + World.CANCEL_MS < world.sim.now()) {
+      gone(cancelled.poll());
     }
     if (world.state.violation() != null) {
       broken(world.state.violation());
@@ -178,7 +178,7 @@
   @Override
   public void stopped(EmulatedWorker w, EmulatedTask task) {
     Users.Told job = world.users.told.get(ref(task.key()));
-    if (job == null || job.withdrawAsked) {
+    if (job == null || job.cancelAsked) {
       return;
     }
     job.taskStopped(task.key(), world.sim.now());
@@ -193,7 +193,7 @@
     if (!out.add(task.key())) {
       return;
     }
-    out.removeIf(key -> world.users.told.get(ref(key)).withdrawAsked);
+    out.removeIf(key -> world.users.told.get(ref(key)).cancelAsked);
     mostStopped.merge(job.team, out.size(), Math::max);
     long ofJob = out.stream().filter(key -> ref(key).equals(job.ref)).count();
     if (budget != null && (out.size() > budget.applyAsInt(job.team) || ofJob > jobBudget)) {
@@ -224,7 +224,7 @@
       }
       accepted++;
       started += job.started ? 1 : 0;
-      // What its user has withdrawn need not complete.
+      // What its user has cancelled need not complete.
       due += job.service || job.aborted ? 0 : 1;
       done += job.done ? 1 : 0;
     }
@@ -256,7 +256,7 @@
   Map<String, List<Users.Told>> largest() {
     Map<String, List<Users.Told>> out = new TreeMap<>();
     for (Users.Told job : world.users.told.values()) {
-      if (job.accepted && (!job.withdrawAsked || job.begunAt() >= 0)) {
+      if (job.accepted && (!job.cancelAsked || job.begunAt() >= 0)) {
         out.computeIfAbsent(job.jobClass, k -> new ArrayList<>()).add(job);
       }
     }
@@ -310,13 +310,13 @@
       broken("went_back: " + job.ref + " is called " + status);
     }
     if (status.equals("aborted")) {
-      if (!job.withdrawAsked) {
+      if (!job.cancelAsked) {
         broken("went_back: " + job.ref + " is called aborted, but nobody asked");
       }
       if (!job.aborted) {
         job.aborted = true;
         job.abortedAt = world.sim.now();
-        withdrawn.add(job);
+        cancelled.add(job);
       }
     }
     if (status.equals("done")) {
--- a/src/test/java/dapplestair/world/CloseAnswersTest.java
+++ b/src/test/java/dapplestair/world/CloseAnswersTest.java
@@ -119,8 +119,8 @@
       boolean cancelled = ref.hashCode() % 2 == 0;
       if (cancelled || !state.equals("accepted")) {
         // At once, at two controllers; one that is done must be answered done.
-        w.users.withdrawAt(job, w.nodes.get(0));
-        w.sim.after(moveMs, () -> w.users.withdrawAt(job, w.nodes.get(1)));
+        w.users.cancelAt(job, w.nodes.get(0));
+        w.sim.after(moveMs, () -> w.users.cancelAt(job, w.nodes.get(1)));
       }
     }
   }
--- a/src/test/java/dapplestair/world/GapTest.java
+++ b/src/test/java/dapplestair/world/GapTest.java
@@ -13,10 +13,10 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * The state service refuses the leader alone, another controller confirms withdrawals, then it is
+ * The state service refuses the leader alone, another controller confirms cancellations, then it is
  * out for all for longer than {@code cancel_s} while the workers report to the old leader. That the
  * tasks are gone in time is checked by the checker's {@code ran_cancelled}, from the user's answer
- * on (docs/withdrawals.md).
+ * on (docs/cancellations.md).
  */
 class GapTest {
   private static final int MOST_WAITS = 30;
@@ -27,7 +27,7 @@
     final World.Node old;
     final World.Node second;
     final World.Node third;
-    final List<Users.Told> withdrawn = new ArrayList<>();
+    final List<Users.Told> cancelled = new ArrayList<>();
     final List<Users.Told> kept = new ArrayList<>();
 
     Day(long seed) {
@@ -42,7 +42,7 @@
       second = w.nodes.get((old.index + 1) % 3);
       third = w.nodes.get((old.index + 2) % 3);
       for (int i = 0; i < 2; i++) {
-        List<Users.Told> to = i == 0 ? withdrawn : kept;
+        List<Users.Told> to = i == 0 ? cancelled : kept;
         // First, so that it makes its room before the others have theirs.
         to.add(w.users.service("one", 3));
         w.run(4000);
@@ -56,11 +56,11 @@
         to.add(w.users.array("one", "high", 1, 150));
       }
       w.run(12_000);
-      for (int i = 0; i < MOST_WAITS && withdrawn.stream().anyMatch(t -> running(t) == 0); i++) {
+      for (int i = 0; i < MOST_WAITS && cancelled.stream().anyMatch(t -> running(t) == 0); i++) {
         // A gang whose member had to go begins anew as a whole.
         w.run(1000);
       }
-      withdrawn.forEach(t -> assertTrue(running(t) > 0, t.ref + " does not run"));
+      cancelled.forEach(t -> assertTrue(running(t) > 0, t.ref + " does not run"));
     }
 
     long running(Users.Told job) {
@@ -88,7 +88,7 @@
     }
 
     private boolean toBeCancelled(EmulatedTask t) {
-      return t.onMachine() && withdrawn.stream().anyMatch(j -> t.key().startsWith(j.ref + "/"));
+      return t.onMachine() && cancelled.stream().anyMatch(j -> t.key().startsWith(j.ref + "/"));
     }
 
     /** A part of all machines hang past their lease, with what runs on them. */
@@ -126,33 +126,33 @@
       }
     }
 
-    void withdraw(World.Node at) {
-      for (int i = 0; i < 55 && withdrawn.stream().anyMatch(t -> !t.aborted); i++) {
+    void cancel(World.Node at) {
+      for (int i = 0; i < 55 && cancelled.stream().anyMatch(t -> !t.aborted); i++) {
         if (i % 20 == 0) {
-          withdrawn.stream().filter(t -> !t.aborted).forEach(t -> w.users.withdrawAt(t, at));
+          cancelled.stream().filter(t -> !t.aborted).forEach(t -> w.users.cancelAt(t, at));
         }
         w.run(20);
       }
-      withdrawn.forEach(
+      cancelled.forEach(
           t ->
               assertTrue(
                   t.aborted,
                   t.ref + " accepted " + t.accepted + " is not confirmed before the outage"));
     }
 
-    /** The outage, for twice as long as withdrawn work may live; then all calms down. */
+    /** The outage, for twice as long as cancelled work may live; then all calms down. */
     void outage(Consumer<Day> meanwhile) {
       w.state.fail();
       meanwhile.accept(this);
       w.run(World.CANCEL_MS);
-      assertEquals(0, running(withdrawn), "withdrawn tasks");
+      assertEquals(0, running(cancelled), "cancelled tasks");
       w.run(World.CANCEL_MS);
       w.state.refuse("node-" + old.index, false);
       w.state.recover();
       healLinks();
       // What was lost with a lease begins again, a gang as a whole.
       w.run(160_000);
-      assertEquals(0, running(withdrawn), "withdrawn tasks");
+      assertEquals(0, running(cancelled), "cancelled tasks");
       SeededDaysTest.settle(w);
     }
   }
@@ -188,7 +188,7 @@
     Day d = new Day(seed);
     refuse(d);
     d.links(links, true);
-    d.withdraw(d.second);
+    d.cancel(d.second);
     assertEquals(d.old, d.w.leader());
     d.outage(
         x -> {
@@ -224,7 +224,7 @@
     d.w.run(4000);
     World.Node leader = d.w.leader();
     assertTrue(leader != null && leader != d.old, "nobody else leads");
-    d.withdraw(leader);
+    d.cancel(leader);
     d.outage(
         x -> {
           if (ends >= 0) {
@@ -249,10 +249,10 @@
   void whoConfirmsTells(long seed) {
     Day d = new Day(seed);
     refuse(d);
-    d.withdraw(d.second);
+    d.cancel(d.second);
     d.w.state.fail();
     d.w.run(World.REPORT_MS);
-    assertEquals(0, d.running(d.withdrawn), "withdrawn tasks");
+    assertEquals(0, d.running(d.cancelled), "cancelled tasks");
   }
 
   /** The second layer: nobody can be told, so who confirmed ends the tasks on their machines. */
@@ -262,13 +262,13 @@
     Day d = new Day(seed);
     refuse(d);
     d.links(links, true);
-    d.withdraw(d.second);
+    d.cancel(d.second);
     d.w.state.fail();
     d.w.run(World.CANCEL_MS / 2);
-    assertEquals(0, d.running(d.withdrawn), "withdrawn tasks");
+    assertEquals(0, d.running(d.cancelled), "cancelled tasks");
   }
 
-  /** Launches are on the wire while their jobs are withdrawn, and arrive any time later. */
+  /** Launches are on the wire while their jobs are cancelled, and arrive any time later. */
   @ParameterizedTest(name = "seed {0}, arriving after {1} ms, links {2}")
   @CsvSource({
     "8031,1000,whole",
@@ -286,30 +286,30 @@
     List<String> machines =
         d.w.cloud.machines().stream().filter(m -> !m.gone()).map(m -> m.endpoint()).toList();
     machines.forEach(m -> d.w.net.cut("node-" + d.old.index, m, true));
-    // As many as a follower's puts take in the time; the others are withdrawn in the end.
-    List<Users.Told> later = List.copyOf(d.withdrawn);
-    d.withdrawn.clear();
+    // As many as a follower's puts take in the time; the others are cancelled in the end.
+    List<Users.Told> later = List.copyOf(d.cancelled);
+    d.cancelled.clear();
     for (int i = 0; i < 4; i++) {
-      d.withdrawn.add(d.w.users.array("one", "high", 4, 150));
+      d.cancelled.add(d.w.users.array("one", "high", 4, 150));
     }
     d.w.run(1200);
     refuse(d);
     d.links(links, false);
-    d.withdraw(d.second);
-    d.w.sim.after(5 * World.CANCEL_MS / 2, () -> later.forEach(d.w.users::withdraw));
+    d.cancel(d.second);
+    d.w.sim.after(5 * World.CANCEL_MS / 2, () -> later.forEach(d.w.users::cancel));
     d.outage(
         x ->
             d.w.sim.after(
                 arriveMs, () -> machines.forEach(m -> d.w.net.heal("node-" + d.old.index, m))));
   }
 
-  /** Some machines with withdrawn work hear nothing, or hang, or both, in turn. */
+  /** Some machines with cancelled work hear nothing, or hang, or both, in turn. */
   @ParameterizedTest(name = "seed {0}, {1}")
   @CsvSource({"8041,deaf", "8042,deaf", "8043,hang", "8044,hang", "8045,both", "8046,both"})
   void machinesThatDoNotObey(long seed, String how) {
     Day d = new Day(seed);
     refuse(d);
-    d.withdraw(d.second);
+    d.cancel(d.second);
     int i = 0;
     for (EmulatedWorker m : d.w.cloud.machines()) {
       if (!m.gone() && m.tasks().stream().anyMatch(EmulatedTask::onMachine) && i++ % 2 == 0) {
@@ -330,7 +330,7 @@
     Day d = new Day(seed);
     d.w.net.cut("node-" + d.old.index, "state:1", hold);
     d.w.run(200);
-    d.withdraw(d.second);
+    d.cancel(d.second);
     d.outage(
         x -> d.w.sim.after(World.CANCEL_MS, () -> d.w.net.heal("node-" + d.old.index, "state:1")));
   }
@@ -341,7 +341,7 @@
   void allEnd(long seed, long after) {
     Day d = new Day(seed);
     refuse(d);
-    d.withdraw(d.second);
+    d.cancel(d.second);
     d.outage(x -> d.w.sim.after(after, () -> d.w.nodes.forEach(n -> n.crash(700))));
   }
 
@@ -354,9 +354,9 @@
     int byRelease = d.w.cloud.killedByRelease();
     if (refused) {
       refuse(d);
-      d.withdraw(d.second);
+      d.cancel(d.second);
     }
-    List<Users.Told> others = refused ? d.kept : d.withdrawn;
+    List<Users.Told> others = refused ? d.kept : d.cancelled;
     long before = d.running(others);
     d.w.state.fail();
     d.w.run(2 * World.CANCEL_MS);
@@ -377,7 +377,7 @@
     new Troubles(d.w).alone(d.old, false, 2 * World.CANCEL_MS);
     new Troubles(d.w).alone(d.second, false, 2 * World.CANCEL_MS);
     d.w.run(World.CANCEL_MS * 11 / 10);
-    assertEquals(0, d.running(d.withdrawn) + d.running(d.kept), "tasks on kept leases");
+    assertEquals(0, d.running(d.cancelled) + d.running(d.kept), "tasks on kept leases");
     d.w.state.recover();
     d.w.run(World.CANCEL_MS);
     SeededDaysTest.settle(d.w);
--- a/src/test/java/dapplestair/world/GuestsTest.java
+++ b/src/test/java/dapplestair/world/GuestsTest.java
@@ -10,7 +10,10 @@
 
 /** Guests without a guarantee: swarms of single tasks and arrays of very many small ones. */
 class GuestsTest {
-  /** Its acceptance, its end, the job's key, and shares of two more: of its launch, of a sheet. */
+  /**
+   * Its acceptance, its end, the job's key, and shares of two more: of its launch, of a launch
+   * batch.
+   */
   private static final double MOST_PUTS_PER_SINGLE = 3.6;
 
   private static World begun(long seed) {
@@ -46,7 +49,7 @@
     swarm.forEach(j -> assertTrue(j.done, j.ref + " is not done"));
     double each = (w.state.puts() - before) / 300.0;
     assertTrue(each <= MOST_PUTS_PER_SINGLE, each + " puts for each job");
-    assertEquals(List.of(), w.state.keys("live/sheet/"), "sheets once all is over");
+    assertEquals(List.of(), w.state.keys("live/sheet/"), "launch batches once all is over");
     w.checker.checkServed();
   }
 
@@ -67,7 +70,7 @@
     others.forEach(j -> assertTrue(j.accepted, j.ref + " is not accepted"));
   }
 
-  /** Leaders end while only sheets know of hundreds of tasks, of which some are over. */
+  /** Leaders end while only launch batches know of hundreds of tasks, of which some are over. */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {4011, 4012, 4013, 4014, 4015, 4016, 4017, 4018})
   void aSwarmOutlivesItsLeaders(long seed) {
@@ -81,16 +84,16 @@
         w.leader().crash(w.sim.between(1000, 4000));
       }
       for (int k = 0; k < 10 && k < swarm.size(); k++) {
-        w.users.withdraw(swarm.get((int) w.sim.between(0, swarm.size() - 1)));
+        w.users.cancel(swarm.get((int) w.sim.between(0, swarm.size() - 1)));
       }
     }
     w.run(70_000);
     swarm.forEach(j -> assertTrue(j.done || j.aborted, j.ref + " is not over"));
-    assertEquals(List.of(), w.state.keys("live/sheet/"), "sheets once all is over");
+    assertEquals(List.of(), w.state.keys("live/sheet/"), "launch batches once all is over");
     w.checker.checkServed();
   }
 
-  /** Machines end and a worker's lease runs out while only sheets know what runs there. */
+  /** Machines end and a worker's lease runs out while only launch batches know what runs there. */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {4021, 4022, 4024, 4025})
   void aSwarmOutlivesItsMachines(long seed) {
@@ -106,10 +109,10 @@
         .forEach(m -> m.hang(World.LEASE_MS + 2000));
     w.run(120_000);
     swarm.forEach(j -> assertTrue(j.done, j.ref + " is not done"));
-    assertEquals(List.of(), w.state.keys("live/sheet/"), "sheets once all is over");
+    assertEquals(List.of(), w.state.keys("live/sheet/"), "launch batches once all is over");
   }
 
-  /** Thousands of tasks of seconds: withdrawn in the middle, and with all controllers ending. */
+  /** Thousands of tasks of seconds: cancelled in the middle, and with all controllers ending. */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {4031, 4032})
   void anArrayOfVeryManyTasks(long seed) {
@@ -125,10 +128,10 @@
     assertTrue(other.done, "the other team's array is not done");
     w.nodes.forEach(n -> n.crash(2000));
     w.run(20_000);
-    w.users.withdraw(of[1]);
+    w.users.cancel(of[1]);
     w.run(300_000);
     assertTrue(of[0].done, "not done, " + of[0].starts + " starts");
-    assertTrue(of[1].done || of[1].aborted, "neither done nor withdrawn");
+    assertTrue(of[1].done || of[1].aborted, "neither done nor cancelled");
     assertTrue(of[0].starts < 2 * 2500, of[0].starts + " starts of 2,500 tasks");
   }
 }
--- a/src/test/java/dapplestair/world/HandoverTest.java
+++ b/src/test/java/dapplestair/world/HandoverTest.java
@@ -57,19 +57,19 @@
       // Tasks last a tenth more or less than their users guess, and begin about a second later.
       ending.add(w.users.array("one", "high", 1 + i % 3, 5));
     }
-    w.sim.after(at - 400 - w.sim.now(), () -> launch(w, d.withdrawn));
+    w.sim.after(at - 400 - w.sim.now(), () -> launch(w, d.cancelled));
     w.sim.after(at - w.sim.now(), () -> change.happen(w));
     w.sim.after(
         at + cancelledMs - w.sim.now(),
         () -> {
-          d.withdrawn.forEach(w.users::withdraw);
-          ending.forEach(w.users::withdraw);
+          d.cancelled.forEach(w.users::cancel);
+          ending.forEach(w.users::cancel);
         });
     w.run(30_000);
-    d.withdrawn.forEach(t -> assertTrue(t.aborted, t.ref + " is not cancelled"));
+    d.cancelled.forEach(t -> assertTrue(t.aborted, t.ref + " is not cancelled"));
     ending.forEach(t -> assertTrue(t.aborted || t.done, t.ref + " is neither done nor cancelled"));
     w.run(World.CANCEL_MS);
-    assertEquals(0, d.running(d.withdrawn), "cancelled tasks");
+    assertEquals(0, d.running(d.cancelled), "cancelled tasks");
     w.run(60_000);
     SeededDaysTest.settle(w);
     return w;
@@ -86,7 +86,7 @@
     World w = d.w;
     d.stallEveryThird();
     d.old.crash(9000);
-    d.withdrawn.forEach(t -> w.users.withdrawAt(t, d.second));
+    d.cancelled.forEach(t -> w.users.cancelAt(t, d.second));
     w.run(150);
     while (w.leader() == null || w.leader() == d.old) {
       w.run(1);
--- a/src/test/java/dapplestair/world/IdleCapacity.java
+++ b/src/test/java/dapplestair/world/IdleCapacity.java
@@ -134,7 +134,7 @@
 
   /** True when it has a task that neither has completed nor is on a machine; of a gang all. */
   private boolean waits(Users.Told job, Occupancy occupied) {
-    if (!job.accepted || job.withdrawAsked || job.done || job.body.has("mistakenSteps")) {
+    if (!job.accepted || job.cancelAsked || job.done || job.body.has("mistakenSteps")) {
       return false;
     }
     if (gang(job) && occupied.jobByZone.containsKey(job.ref)) {
--- a/src/test/java/dapplestair/world/LastEndTest.java
+++ b/src/test/java/dapplestair/world/LastEndTest.java
@@ -49,7 +49,7 @@
     Day(long seed, Step step, long moveMs) {
       w = new World(seed);
       w.net.loss = 0;
-      w.users.withdrawnArrays = 0;
+      w.users.cancelledArrays = 0;
       looks = new CloseLooks(w);
       this.step = step;
       this.moveMs = moveMs;
@@ -76,7 +76,7 @@
       if (last && step == Step.TASK_EXITS) {
         w.sim.after(moveMs, () -> meet(job));
       } else if (last && step == Step.CANCELLATION_IS_SENT) {
-        w.users.withdrawAt(job, w.nodes.get((w.leader().index + 1) % 3));
+        w.users.cancelAt(job, w.nodes.get((w.leader().index + 1) % 3));
       }
     }
 
@@ -109,7 +109,7 @@
       }
       for (World.Node n : w.nodes) {
         if (kind == 2 || (n.index == leader) == (kind == 0)) {
-          w.users.withdrawAt(job, n);
+          w.users.cancelAt(job, n);
           looks.ask(job, n);
           looks.repeat(job, n);
         }
--- a/src/test/java/dapplestair/world/LateCommandsTest.java
+++ b/src/test/java/dapplestair/world/LateCommandsTest.java
@@ -23,7 +23,7 @@
   private static World begun(long seed) {
     World w = new World(seed, new World.Size(6, 24, 700, 6));
     w.net.loss = 0;
-    w.users.withdrawnArrays = 0.4;
+    w.users.cancelledArrays = 0.4;
     w.run(20_000);
     return w;
   }
@@ -64,10 +64,10 @@
   }
 
   /** A third of what runs, or is about to, is cancelled through the new leader. */
-  private static void withdrawSome(World w) {
+  private static void cancelSome(World w) {
     for (Users.Told t : new ArrayList<>(w.users.told.values())) {
-      if (t.accepted && !t.done && !t.withdrawAsked && w.sim.chance(0.33)) {
-        w.users.withdraw(t);
+      if (t.accepted && !t.done && !t.cancelAsked && w.sim.chance(0.33)) {
+        w.users.cancel(t);
       }
     }
   }
@@ -122,7 +122,7 @@
       }
       end(w, old, how);
       w.run(2500);
-      withdrawSome(w);
+      cancelSome(w);
       w.run(heldMs + 12_000);
       w.net.commandHeldMs = r -> 0;
     }
@@ -147,7 +147,7 @@
         w.run(w.sim.between(2500, 5000));
         assertNotEquals(old, w.leader(), "it still leads");
       }
-      withdrawSome(w);
+      cancelSome(w);
       w.net.lateCommands = 0;
       w.run(World.LEASE_MS);
     }
@@ -191,7 +191,7 @@
     w.net.lateCommands = share;
     for (int i = 0; i < 6; i++) {
       w.run(10_000);
-      withdrawSome(w);
+      cancelSome(w);
     }
     w.net.lateCommands = 0;
     assertTrue(w.net.lateRefused.get() > 0, "none came late");
--- a/src/test/java/dapplestair/world/LeaseAnswersTest.java
+++ b/src/test/java/dapplestair/world/LeaseAnswersTest.java
@@ -8,7 +8,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.emulator.EmulatedWorker;
-import dapplestair.emulator.Place;
+import dapplestair.emulator.RequestHandler;
 import dapplestair.json.Json;
 import dapplestair.leadership.FencingToken;
 import dapplestair.ports.HttpReply;
@@ -23,7 +23,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Guards of the proof in docs/withdrawals.md that other layers hide on a whole day: each is shown
+ * Guards of the proof in docs/cancellations.md that other layers hide on a whole day: each is shown
  * by the answer that one controller gives to one report, or by the moment of one message.
  */
 class LeaseAnswersTest {
@@ -80,7 +80,7 @@
     Set<String> keys = halts(reply);
     keys.removeIf(
         k ->
-            Stream.concat(d.withdrawn.stream(), d.kept.stream())
+            Stream.concat(d.cancelled.stream(), d.kept.stream())
                 .noneMatch(job -> k.startsWith(job.ref + "/")));
     return keys;
   }
@@ -102,7 +102,7 @@
     return d.w.cloud.machines().stream()
         .filter(m -> !m.gone() && m.booted())
         .map(Reporter::new)
-        .filter(r -> !of(d.withdrawn, r.tasks()).isEmpty() && !of(d.kept, r.tasks()).isEmpty())
+        .filter(r -> !of(d.cancelled, r.tasks()).isEmpty() && !of(d.kept, r.tasks()).isEmpty())
         .findFirst()
         .orElseThrow();
   }
@@ -111,7 +111,7 @@
   private static Reporter toldFollower(GapTest.Day d) {
     Reporter r = mixed(d);
     GapTest.refuse(d);
-    d.withdraw(d.second);
+    d.cancel(d.second);
     d.w.state.fail();
     // Its own reports must not meet those of the test, and who asks here is told here once more.
     d.w.net.cut(World.client(d.third.index), r.machine.endpoint(), false);
@@ -127,7 +127,7 @@
   void aFollowersAnswerHaltsCancelledTasks(long seed) {
     GapTest.Day d = new GapTest.Day(seed);
     Reporter r = toldFollower(d);
-    Set<String> cancelled = of(d.withdrawn, r.tasks());
+    Set<String> cancelled = of(d.cancelled, r.tasks());
     HttpReply answer = r.to(d.third, r.tasks(), r.token());
     token(answer);
     assertEquals(cancelled, halts(d, answer));
@@ -135,7 +135,7 @@
     answer = r.to(d.third, Json.object().putArray("steps"), r.token());
     token(answer);
     assertEquals(cancelled, halts(d, answer), "tasks that the report lacks");
-    String key = d.withdrawn.get(0).ref + "/0";
+    String key = d.cancelled.get(0).ref + "/0";
     ArrayNode unrecorded = Json.object().putArray("steps");
     unrecorded.addObject().put("step", key).put("try", 99).put("status", "fetching");
     answer = r.to(d.third, unrecorded, r.token());
@@ -178,7 +178,7 @@
     Users.Told job = d.w.users.array("one", "high", 4, 150);
     waitUntil(d, () -> !hostsOnRecord(d, job).isEmpty());
     List<Reporter> reporters = hostsOnRecord(d, job).stream().map(Reporter::new).toList();
-    d.w.users.withdrawAt(job, d.second);
+    d.w.users.cancelAt(job, d.second);
     waitUntil(d, () -> job.aborted);
     for (Reporter r : reporters) {
       HttpReply answer = r.to(d.old, r.tasks(), r.token());
@@ -229,7 +229,7 @@
     waitUntil(d, () -> !hostsOnRecord(d, job).isEmpty());
     GapTest.refuse(d);
     d.links("refused", true);
-    d.w.users.withdrawAt(job, d.second);
+    d.w.users.cancelAt(job, d.second);
     waitUntil(d, () -> job.aborted);
     d.second.crash(3 * World.CANCEL_MS);
     d.w.state.fail();
@@ -240,7 +240,7 @@
     assertEquals(0, job.starts, "late launches");
   }
 
-  private static Place refusing(String node, boolean[] refusing, Place machine) {
+  private static RequestHandler refusing(String node, boolean[] refusing, RequestHandler machine) {
     return (from, method, path, body, reply) -> {
       if (refusing[0] && from.equals(node)) {
         reply.accept(HttpReply.of(HttpReply.NOT_SENT));
@@ -251,13 +251,13 @@
   }
 
   /** Holds back streams of changes, and the transaction of a cancellation, on its way. */
-  private static final class HeldState implements Place {
-    private final Place state;
+  private static final class HeldState implements RequestHandler {
+    private final RequestHandler state;
     private final Set<String> blind = new HashSet<>();
     private final List<Runnable> waiting = new ArrayList<>();
     private Runnable cancellation;
 
-    HeldState(Place state) {
+    HeldState(RequestHandler state) {
       this.state = state;
     }
 
@@ -306,7 +306,7 @@
     state.blind.add("node-" + d.old.index);
     Users.Told job = d.w.users.array("one", "high", 4, 150);
     waitUntil(d, () -> job.accepted);
-    d.w.users.withdrawAt(job, d.second);
+    d.w.users.cancelAt(job, d.second);
     waitUntil(d, () -> state.cancellation != null);
     // The leader learns of the job only now, and launches it, while the canceller sees nothing.
     state.letSee("node-" + d.old.index);
--- a/src/test/java/dapplestair/world/LimitsTest.java
+++ b/src/test/java/dapplestair/world/LimitsTest.java
@@ -52,14 +52,14 @@
 
     /** Users go on until they are told. */
     void cancel() {
-      day.withdrawn.forEach(w.users::withdraw);
+      day.cancelled.forEach(w.users::cancel);
     }
 
     /** The spell is over: what was cancelled is gone, and all else ends. */
     void settle() {
-      day.withdrawn.forEach(t -> assertTrue(t.aborted || !t.accepted, t.ref + " is not cancelled"));
+      day.cancelled.forEach(t -> assertTrue(t.aborted || !t.accepted, t.ref + " is not cancelled"));
       w.run(World.CANCEL_MS);
-      assertEquals(0, day.running(day.withdrawn), "cancelled tasks");
+      assertEquals(0, day.running(day.cancelled), "cancelled tasks");
       w.run(30_000);
       SeededDaysTest.settle(w);
     }
--- a/src/test/java/dapplestair/world/LostAnswersTest.java
+++ b/src/test/java/dapplestair/world/LostAnswersTest.java
@@ -35,7 +35,7 @@
     CANCELLATION(Commits.ends("aborted")),
     DONE(Commits.ends("done")),
     ATTEMPTS(Commits.puts("live/run/")),
-    SHEET(Commits.puts("live/sheet/")),
+    LAUNCH_BATCH(Commits.puts("live/sheet/")),
     CLEARING(Commits.removes("live/run/").or(Commits.removes("live/sheet/"))),
     RENTAL(Commits.puts("live/rental/")),
     RENTAL_ENDED(Commits.removes("live/rental/")),
@@ -94,7 +94,7 @@
   private static void lookAt(World w, CloseLooks looks, Users.Told job) {
     looks.around(job);
     if (w.sim.chance(0.3)) {
-      w.nodes.forEach(n -> w.sim.after(w.sim.between(0, 30), () -> w.users.withdrawAt(job, n)));
+      w.nodes.forEach(n -> w.sim.after(w.sim.between(0, 30), () -> w.users.cancelAt(job, n)));
     }
   }
 
@@ -131,9 +131,9 @@
     "9210,ATTEMPTS,HEARS_NO_NEWS",
     "9211,ATTEMPTS,ENDS_AT_ONCE",
     "9212,ATTEMPTS,ENDS_LATER",
-    "9214,SHEET,HEARS_NO_NEWS",
-    "9215,SHEET,ENDS_AT_ONCE",
-    "9217,SHEET,ENDS_LATER",
+    "9214,LAUNCH_BATCH,HEARS_NO_NEWS",
+    "9215,LAUNCH_BATCH,ENDS_AT_ONCE",
+    "9217,LAUNCH_BATCH,ENDS_LATER",
     "9218,CLEARING,ENDS_AT_ONCE",
     "9219,RENTAL,GOES_ON",
     "9220,RENTAL,ENDS_AT_ONCE",
@@ -148,7 +148,7 @@
   })
   void onlyTheAnswerIsLost(long seed, Put put, Sender sender) {
     World w = new World(seed);
-    w.users.withdrawnArrays = 0.4;
+    w.users.cancelledArrays = 0.4;
     // Types are recorded and machines rented at the beginning.
     w.run(put == Put.RENTAL || put == Put.PLAN_OR_TYPES ? 0 : 15_000);
     long until = w.sim.now() + FOR_MS;
@@ -165,7 +165,7 @@
     w.net.commits.lostAnswers = 0;
     SeededDaysTest.settle(w);
     assertTrue(w.net.commits.lost > 0, "no answer was lost");
-    assertEquals(List.of(), w.state.keys("live/sheet/"), "sheets once all is over");
+    assertEquals(List.of(), w.state.keys("live/sheet/"), "launch batches once all is over");
   }
 
   /** Nobody is stopped for a claim that may not be on record, and no rider waits for ever. */
--- a/src/test/java/dapplestair/world/ManyLeadersTest.java
+++ b/src/test/java/dapplestair/world/ManyLeadersTest.java
@@ -71,7 +71,7 @@
   /**
    * All machines of a zone hang past their lease. Behind a cut it would look the same, so leaders
    * wait, each for less than the time allowed for cancelled work: together they may not. Jobs of
-   * one task are on a sheet, which does not say since when they are over.
+   * one task are on a launch batch, which does not say since when they are over.
    */
   @ParameterizedTest(name = "seed {0}, zone {1}, the leader changes every {2} ms, of one task {3}")
   @CsvSource({
@@ -86,19 +86,19 @@
     GapTest.Day d = ofOneTask ? new GapTest.Day(seed) : new LimitsTest.FullDay(seed).day;
     World w = d.w;
     if (ofOneTask) {
-      d.withdrawn.clear();
+      d.cancelled.clear();
       for (int i = 0; i < 24; i++) {
-        d.withdrawn.add(w.users.array("one", "high", 1, 150));
+        d.cancelled.add(w.users.array("one", "high", 1, 150));
       }
       w.run(6000);
-      assertTrue(d.running(d.withdrawn) > 12, "hardly a job of one task runs");
+      assertTrue(d.running(d.cancelled) > 12, "hardly a job of one task runs");
     }
     for (EmulatedWorker m : List.copyOf(w.cloud.machines())) {
       if (!m.gone() && m.zone().equals(zone)) {
         m.stall(World.CANCEL_MS * 3 / 2);
       }
     }
-    d.withdrawn.forEach(w.users::withdraw);
+    d.cancelled.forEach(w.users::cancel);
     long end = w.sim.now() + World.CANCEL_MS * 3 / 2;
     for (int i = 0; w.sim.now() < end; i++) {
       (i % 2 == 0 ? LeaderChange.PLANNED : LeaderChange.CRASH).happen(w);
@@ -114,11 +114,11 @@
   void whoToldEndsInAnOutage(long seed, long endsMs) {
     GapTest.Day d = new GapTest.Day(seed);
     World w = d.w;
-    d.withdrawn.forEach(t -> w.users.withdrawAt(t, d.old));
+    d.cancelled.forEach(t -> w.users.cancelAt(t, d.old));
     d.stallEveryThird();
     w.run(500);
-    d.withdraw(d.old);
-    assertTrue(d.running(d.withdrawn) > 0, "everything stops at once");
+    d.cancel(d.old);
+    assertTrue(d.running(d.cancelled) > 0, "everything stops at once");
     w.state.fail();
     w.sim.after(endsMs, () -> d.old.crash(4000));
     w.run(World.CANCEL_MS * 3 / 2);
@@ -130,13 +130,13 @@
   /** Something small that is just being launched. */
   private static void cancelOne(LimitsTest.FullDay f) {
     Users.Told job = f.w.users.array("two", "high", 2, 20);
-    f.day.withdrawn.add(job);
+    f.day.cancelled.add(job);
     cancelOnceAccepted(f.w, job);
   }
 
   static void cancelOnceAccepted(World w, Users.Told job) {
     if (job.accepted) {
-      w.users.withdraw(job);
+      w.users.cancel(job);
     } else {
       w.sim.after(100, () -> cancelOnceAccepted(w, job));
     }
@@ -148,7 +148,7 @@
   void allEndInTurnInsideAnOutage(long seed, long outMs, long backMs) {
     GapTest.Day d = new GapTest.Day(seed);
     World w = d.w;
-    d.withdrawn.forEach(w.users::withdraw);
+    d.cancelled.forEach(w.users::cancel);
     w.run(w.sim.between(50, 400));
     w.state.fail();
     w.sim.after(outMs, w.state::recover);
@@ -157,9 +157,9 @@
       w.sim.after(i * outMs / CHANGES, () -> node.crash(backMs));
     }
     w.run(outMs + 30_000);
-    d.withdrawn.forEach(t -> assertTrue(t.aborted, t.ref + " is not cancelled"));
+    d.cancelled.forEach(t -> assertTrue(t.aborted, t.ref + " is not cancelled"));
     w.run(World.CANCEL_MS);
-    assertEquals(0, d.running(List.copyOf(d.withdrawn)), "cancelled tasks");
+    assertEquals(0, d.running(List.copyOf(d.cancelled)), "cancelled tasks");
     w.run(90_000);
     SeededDaysTest.settle(w);
   }
--- a/src/test/java/dapplestair/world/MeetingsTest.java
+++ b/src/test/java/dapplestair/world/MeetingsTest.java
@@ -11,7 +11,7 @@
 
 /**
  * Two and three troubles that meet, placed at the steps of a change of leader, while jobs of one to
- * three tasks are withdrawn by the dozen (docs/meetings.md). More seeds than here are played with
+ * three tasks are cancelled by the dozen (docs/meetings.md). More seeds than here are played with
  * {@link Meetings}.
  */
 class MeetingsTest {
@@ -43,7 +43,7 @@
 
   static void play(World w, long seed, Consumer<Troubles> trouble) {
     try {
-      w.users.withdrawnArrays = 0.5;
+      w.users.cancelledArrays = 0.5;
       Troubles troubles = new Troubles(w);
       w.run(15_000);
       for (int i = 0; i < ROUNDS; i++) {
@@ -53,7 +53,7 @@
           w.run(step(w));
           trouble.accept(troubles);
         }
-        withdrawSome(w);
+        cancelSome(w);
         w.run(w.sim.between(8000, 40_000));
       }
       w.run(Troubles.LONGEST_MS);
@@ -80,7 +80,7 @@
       case 2 -> w.nodes.forEach(n -> n.crash(w.sim.between(60, 4000)));
       case 3 -> troubles.alone(leader, w.sim.chance(0.5), ms);
       case 4 -> {
-        // It alone is refused, and then all of them are, for longer than withdrawn work may live.
+        // It alone is refused, and then all of them are, for longer than cancelled work may live.
         w.state.refuse(name, true);
         w.sim.after(w.sim.between(200, 4000), w.state::fail);
         long out = w.sim.chance(0.3) ? World.CANCEL_MS * 5 / 4 : ms;
@@ -111,10 +111,10 @@
   }
 
   /** A third of what its users still wait for. */
-  private static void withdrawSome(World w) {
+  private static void cancelSome(World w) {
     for (Users.Told t : new ArrayList<>(w.users.told.values())) {
-      if (t.accepted && !t.done && !t.withdrawAsked && w.sim.chance(0.33)) {
-        w.users.withdraw(t);
+      if (t.accepted && !t.done && !t.cancelAsked && w.sim.chance(0.33)) {
+        w.users.cancel(t);
       }
     }
     assertTrue(w.users.told.size() > 5, "hardly any jobs");
--- a/src/test/java/dapplestair/world/MuteMachinesTest.java
+++ b/src/test/java/dapplestair/world/MuteMachinesTest.java
@@ -56,7 +56,7 @@
     w.users.told.values().stream()
         .filter(t -> mute.tasks().stream().anyMatch(k -> k.key().startsWith(t.ref + "/")))
         .limit(1)
-        .forEach(w.users::withdraw);
+        .forEach(w.users::cancel);
     w.users.array("two", "standard", 60, 15);
     if (second >= 0) {
       w.sim.after(1000L * second, () -> w.leader().crash(2000));
@@ -154,7 +154,7 @@
   @CsvSource({"5241,0.3,0", "5242,0.5,0.3", "5243,0.7,0.2", "5244,1,0", "5245,1,0.3"})
   void shares(long seed, double share, double late) {
     World w = new World(seed, new World.Size(6, 24, 1000, 6));
-    w.users.withdrawnArrays = 0.4;
+    w.users.cancelledArrays = 0.4;
     w.run(20_000);
     for (int i = 0; i < 3; i++) {
       w.net.lateCommands = late;
--- a/src/test/java/dapplestair/world/Network.java
+++ b/src/test/java/dapplestair/world/Network.java
@@ -1,7 +1,7 @@
 package dapplestair.world;
 
 import com.google.common.collect.Streams;
-import dapplestair.emulator.Place;
+import dapplestair.emulator.RequestHandler;
 import dapplestair.json.Json;
 import dapplestair.ports.HttpReply;
 import java.util.ArrayList;
@@ -47,7 +47,7 @@
   static final long MOST_HELD_MS = 16_000;
 
   private final Sim sim;
-  private final Map<String, Place> places = new HashMap<>();
+  private final Map<String, RequestHandler> places = new HashMap<>();
   private final Map<Pair, List<Runnable>> held = new HashMap<>();
   private final Set<Pair> dropping = new HashSet<>();
 
@@ -106,7 +106,7 @@
     commits = new Commits(sim);
   }
 
-  void place(String name, Place place) {
+  void place(String name, RequestHandler place) {
     places.put(name, place);
   }
 
@@ -219,7 +219,7 @@
     }
     boolean lateByChance = lateWrites > 0 && path.equals("/commit") && sim.chance(lateWrites);
     if (lateByChance || lateWrite.test(request)) {
-      Place store = places.get(to);
+      RequestHandler store = places.get(to);
       sim.after(sim.between(2000, 12_000), () -> store.request(from, method, path, body, r -> {}));
       return;
     }
@@ -232,7 +232,7 @@
         from,
         to,
         () -> {
-          Place p = places.get(to);
+          RequestHandler p = places.get(to);
           if (p == null) {
             carry(to, from, () -> once.accept(HttpReply.of(HttpReply.NOT_SENT)));
           } else {
@@ -257,7 +257,7 @@
 
   /** Hands a request to a place now; its sender does not hear the answer. */
   void late(Request request, String where) {
-    Place p = places.get(where);
+    RequestHandler p = places.get(where);
     if (p != null && !off.contains(where)) {
       p.request(
           request.from,
@@ -275,7 +275,7 @@
     sim.after(
         sim.between(1000, copyLateMs),
         () -> {
-          Place p = places.get(where);
+          RequestHandler p = places.get(where);
           if (p != null && !off.contains(where)) {
             p.request(from, method, path, body, r -> {});
           }
--- a/src/test/java/dapplestair/world/OddRequestsTest.java
+++ b/src/test/java/dapplestair/world/OddRequestsTest.java
@@ -31,7 +31,7 @@
     int made;
     int refused;
     int repeated;
-    int withdrawnDone;
+    int cancelledDone;
 
     Requests(World w) {
       this.w = w;
@@ -66,8 +66,8 @@
       some(t -> t.done)
           .forEach(
               t -> {
-                withdrawnDone++;
-                w.users.withdrawAt(t, someNode());
+                cancelledDone++;
+                w.users.cancelAt(t, someNode());
               });
     }
 
@@ -120,6 +120,6 @@
     SeededDaysTest.settle(w);
     assertTrue(requests.refused > 40, requests.refused + " odd jobs were refused");
     assertTrue(requests.repeated > 40, requests.repeated + " repetitions were answered 200");
-    assertTrue(requests.withdrawnDone > 20, requests.withdrawnDone + " done jobs were cancelled");
+    assertTrue(requests.cancelledDone > 20, requests.cancelledDone + " done jobs were cancelled");
   }
 }
--- a/src/test/java/dapplestair/world/OverloadTest.java
+++ b/src/test/java/dapplestair/world/OverloadTest.java
@@ -71,7 +71,7 @@
     SeededDaysTest.settle(w);
     for (Users.Told job : urgent) {
       assertTrue(
-          !job.accepted || job.withdrawAsked || waitedMs(job) <= URGENT_MS,
+          !job.accepted || job.cancelAsked || waitedMs(job) <= URGENT_MS,
           () -> job.ref + " waited for " + waitedMs(job) + " ms");
     }
   }
@@ -88,8 +88,8 @@
 
   private static void cancelSome(World w) {
     for (Users.Told job : List.copyOf(w.users.told.values())) {
-      if (job.accepted && !job.done && !job.withdrawAsked && w.sim.chance(0.2)) {
-        w.users.withdraw(job);
+      if (job.accepted && !job.done && !job.cancelAsked && w.sim.chance(0.2)) {
+        w.users.cancel(job);
       }
     }
   }
--- a/src/test/java/dapplestair/world/RefusedThenOutTest.java
+++ b/src/test/java/dapplestair/world/RefusedThenOutTest.java
@@ -20,12 +20,12 @@
   }
 
   private static void cancel(GapTest.Day d, Asked asked) {
-    for (Users.Told job : d.withdrawn) {
+    for (Users.Told job : d.cancelled) {
       switch (asked) {
-        case LEADER -> d.w.users.withdrawAt(job, d.old);
-        case OTHER -> d.w.users.withdrawAt(job, d.second);
-        case ANY -> d.w.users.withdraw(job);
-        default -> d.w.nodes.forEach(n -> d.w.users.withdrawAt(job, n));
+        case LEADER -> d.w.users.cancelAt(job, d.old);
+        case OTHER -> d.w.users.cancelAt(job, d.second);
+        case ANY -> d.w.users.cancel(job);
+        default -> d.w.nodes.forEach(n -> d.w.users.cancelAt(job, n));
       }
     }
   }
@@ -68,17 +68,17 @@
     w.sim.after(100 + askedMs, () -> cancel(d, asked));
     w.run(at + outMs - w.sim.now());
     if (asked != Asked.LEADER && askedMs <= 700) {
-      assertTrue(d.withdrawn.stream().anyMatch(t -> t.aborted), "nothing is confirmed in time");
+      assertTrue(d.cancelled.stream().anyMatch(t -> t.aborted), "nothing is confirmed in time");
     }
     w.state.fail();
     w.run(2 * World.CANCEL_MS);
     w.state.refuse("node-" + d.old.index, false);
     w.state.recover();
     d.healLinks();
-    d.withdrawn.forEach(w.users::withdraw);
+    d.cancelled.forEach(w.users::cancel);
     w.run(160_000);
-    d.withdrawn.forEach(t -> assertTrue(t.aborted, t.ref + " is not cancelled"));
-    assertEquals(0, d.running(d.withdrawn), "cancelled tasks");
+    d.cancelled.forEach(t -> assertTrue(t.aborted, t.ref + " is not cancelled"));
+    assertEquals(0, d.running(d.cancelled), "cancelled tasks");
     SeededDaysTest.settle(w);
     return w;
   }
--- a/src/test/java/dapplestair/world/RelayTest.java
+++ b/src/test/java/dapplestair/world/RelayTest.java
@@ -181,7 +181,7 @@
     d.w.run(World.REPORT_MS / 2);
     relay.freeze(ms);
     d.w.run(World.REPORT_MS / 2);
-    jobs.forEach(d.w.users::withdraw);
+    jobs.forEach(d.w.users::cancel);
     d.w.run(200);
     leader.crash(3000);
     d.w.run(ms + World.CANCEL_MS);
--- a/src/test/java/dapplestair/world/SeededDaysTest.java
+++ b/src/test/java/dapplestair/world/SeededDaysTest.java
@@ -53,7 +53,7 @@
     world.run(60_000);
     // Of a job accepted just before the cut the zone's controller may not know, and then it keeps
     // no
-    // lease of a machine that runs it (docs/withdrawals.md).
+    // lease of a machine that runs it (docs/cancellations.md).
     world.users.pausedUntil = world.sim.now() + 2000;
     world.run(2000);
     World.Node follower = world.nodes.get((world.leader().index + 1) % 3);
--- a/src/test/java/dapplestair/world/SilenceTest.java
+++ b/src/test/java/dapplestair/world/SilenceTest.java
@@ -199,12 +199,12 @@
   }
 
   /**
-   * Many machines end at once, their replicas start again under sheets, and the leader ends before
-   * the services' own records know of them: the next one must not start them a second time.
+   * Many machines end at once, their replicas start again under launch batches, and the leader ends
+   * before the services' own records know of them: the next one must not start them a second time.
    */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {901, 902, 904, 905, 907, 908})
-  void aLeaderEndsWhileOnlySheetsKnow(long seed) {
+  void aLeaderEndsWhileOnlyLaunchBatchesKnow(long seed) {
     World world = begun(seed);
     int stood = 0;
     for (int round = 0; round < 3; round++) {
@@ -219,7 +219,8 @@
       stood += world.state.keys("live/sheet/").size();
       // Its launches are on their way, the services' own records are not yet written.
       world.run(world.sim.between(30, 90));
-      // Half of the machines cannot be asked for a while: only the sheets tell what runs there.
+      // Half of the machines cannot be asked for a while: only the launch batches tell what runs
+      // there.
       List<EmulatedWorker> cut =
           world.cloud.machines().stream().filter(m -> world.sim.chance(0.5)).toList();
       cut.forEach(m -> link(world, m, true));
@@ -230,9 +231,9 @@
       cut.forEach(m -> link(world, m, false));
       world.run(45_000);
     }
-    assertTrue(stood > 0, "no sheet was ever written");
+    assertTrue(stood > 0, "no launch batch was ever written");
     assertEquals(REPLICAS, replicas(world, m -> true), "replicas once all is over");
-    assertEquals(List.of(), world.state.keys("live/sheet/"), "sheets once all is over");
+    assertEquals(List.of(), world.state.keys("live/sheet/"), "launch batches once all is over");
   }
 
   private static void link(World world, EmulatedWorker m, boolean cut) {
--- a/src/test/java/dapplestair/world/SilentControllersTest.java
+++ b/src/test/java/dapplestair/world/SilentControllersTest.java
@@ -153,7 +153,7 @@
     w.run(LONG_MS);
     untilReplicas(w, 30_000, "the last one returned");
     assertTrue(wrong.finalState() == null, "the wrong job is called " + wrong.finalState());
-    w.users.withdraw(wrong);
+    w.users.cancel(wrong);
     settled(w, jobs);
   }
 
--- a/src/test/java/dapplestair/world/SingleTaskJobsTest.java
+++ b/src/test/java/dapplestair/world/SingleTaskJobsTest.java
@@ -37,14 +37,14 @@
       w.answers.firstHeard =
           (ref, state) -> {
             if (state.equals("accepted") && cancelledAtOnce.contains(ref)) {
-              w.users.withdraw(w.users.told.get(ref));
+              w.users.cancel(w.users.told.get(ref));
             }
           };
       w.checker.alsoCompleted =
           task -> {
             String ref = task.substring(0, task.indexOf('/'));
             if (cancelledAtEnd.contains(ref)) {
-              w.users.withdraw(w.users.told.get(ref));
+              w.users.cancel(w.users.told.get(ref));
             }
           };
     }
@@ -60,7 +60,7 @@
       jobs.add(job);
       switch ((int) w.sim.between(0, 11)) {
         case 0 -> cancelledAtOnce.add(job.ref);
-        case 1 -> w.sim.after(w.sim.between(1000, 20_000), () -> w.users.withdraw(job));
+        case 1 -> w.sim.after(w.sim.between(1000, 20_000), () -> w.users.cancel(job));
         case 2 -> cancelledAtEnd.add(job.ref);
         default -> {}
       }
@@ -96,9 +96,9 @@
     }
     w.run(100_000);
     s.jobs.forEach(j -> assertTrue(!j.accepted || j.done || j.aborted, j.ref + " is not over"));
-    long cancelled = s.jobs.stream().filter(j -> j.withdrawAsked).count();
+    long cancelled = s.jobs.stream().filter(j -> j.cancelAsked).count();
     assertTrue(cancelled > JOBS / 6, cancelled + " of " + JOBS + " were cancelled");
-    assertEquals(List.of(), w.state.keys("live/sheet/"), "sheets once all is over");
+    assertEquals(List.of(), w.state.keys("live/sheet/"), "launch batches once all is over");
     assertEquals(List.of(), w.state.keys("live/run/"), "attempts once all is over");
     if (others > 0) {
       assertTrue(w.state.tooMany() > 20, w.state.tooMany() + " transactions got 429");
--- a/src/test/java/dapplestair/world/Users.java
+++ b/src/test/java/dapplestair/world/Users.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
-/** Users who submit, poll and withdraw, repeat what failed, and remember what they were told. */
+/** Users who submit, poll and cancel, repeat what failed, and remember what they were told. */
 final class Users {
   /** A job with all that any user was told of it. */
   static final class Told {
@@ -28,7 +28,7 @@
     int starts;
     boolean done;
     boolean aborted;
-    boolean withdrawAsked;
+    boolean cancelAsked;
     long abortedAt;
     long lastAnswer;
 
@@ -115,8 +115,8 @@
   /** No random jobs are submitted before. */
   long pausedUntil;
 
-  /** Share of arrays that are withdrawn within seconds. */
-  double withdrawnArrays = 0.15;
+  /** Share of arrays that are cancelled within seconds. */
+  double cancelledArrays = 0.15;
 
   /**
    * By the operators' letter, no job may go without an answer for longer once troubles are over.
@@ -181,8 +181,8 @@
     Told t = new Told(b);
     told.put(t.ref, t);
     submit(t, world.sim.now() + 60_000);
-    if (service || world.sim.chance(withdrawnArrays)) {
-      world.sim.after(world.sim.between(500, service ? 60_000 : 8_000), () -> withdraw(t));
+    if (service || world.sim.chance(cancelledArrays)) {
+      world.sim.after(world.sim.between(500, service ? 60_000 : 8_000), () -> cancel(t));
     }
   }
 
@@ -296,13 +296,13 @@
         });
   }
 
-  /** Withdraws through one controller, once; what it answers counts like any other answer. */
-  void withdrawAt(Told t, World.Node node) {
-    withdrawAt(t, World.client(node.index), () -> {});
+  /** Cancels through one controller, once; what it answers counts like any other answer. */
+  void cancelAt(Told t, World.Node node) {
+    cancelAt(t, World.client(node.index), () -> {});
   }
 
-  private void withdrawAt(Told t, String client, Runnable otherwise) {
-    t.withdrawAsked = true;
+  private void cancelAt(Told t, String client, Runnable otherwise) {
+    t.cancelAsked = true;
     String before = t.finalState();
     world.net.call(
         "users",
@@ -315,25 +315,25 @@
           if (r.status() == 200) {
             heard(t, before, r);
           } else if (r.status() == 404) {
-            world.checker.broken("forgotten: withdrawing " + t.ref + " gets 404");
+            world.checker.broken("forgotten: cancelling " + t.ref + " gets 404");
           } else {
             otherwise.run();
           }
         });
   }
 
-  void withdraw(Told t) {
+  void cancel(Told t) {
     if (!t.accepted) {
       world.sim.after(
           1000,
           () -> {
             if (!quiet || t.accepted) {
-              withdraw(t);
+              cancel(t);
             }
           });
       return;
     }
-    withdrawAt(t, someNode(), () -> world.sim.after(1000, () -> withdraw(t)));
+    cancelAt(t, someNode(), () -> world.sim.after(1000, () -> cancel(t)));
   }
 
   private void askForUnknown() {
--- a/src/test/java/dapplestair/world/WeightsTest.java
+++ b/src/test/java/dapplestair/world/WeightsTest.java
@@ -38,7 +38,7 @@
     Users.Told model = model(w, 6);
     w.run(60_000);
     assertTrue(model.starts >= 6, "the model does not run");
-    w.users.withdraw(model);
+    w.users.cancel(model);
     w.run(10_000);
     return w;
   }
--- a/src/test/java/dapplestair/world/World.java
+++ b/src/test/java/dapplestair/world/World.java
@@ -5,7 +5,7 @@
 import dapplestair.emulator.EmulatedCloud;
 import dapplestair.emulator.EmulatedState;
 import dapplestair.emulator.EmulatedWorker;
-import dapplestair.emulator.Place;
+import dapplestair.emulator.RequestHandler;
 import dapplestair.emulator.Shape;
 import dapplestair.emulator.Surroundings;
 import dapplestair.node.Controller;
@@ -331,7 +331,7 @@
     }
 
     @Override
-    public void open(String name, Place place, Consumer<String> opened) {
+    public void open(String name, RequestHandler place, Consumer<String> opened) {
       net.place(address(name), place);
       opened.accept(address(name));
     }
@@ -367,7 +367,7 @@
   }
 
   /** A controller's machine: its process may end and begin again. */
-  final class Node implements Place {
+  final class Node implements RequestHandler {
     final int index;
     final Settings settings;
     private Life life;
--- a/src/test/java/dapplestair/world/WrongJobsTest.java
+++ b/src/test/java/dapplestair/world/WrongJobsTest.java
@@ -76,10 +76,10 @@
       assertTrue(j.accepted && j.finalState() == null, j.ref + " is called " + j.finalState());
       // One wave, of which what failed first may have begun again, and then one task at a time.
       assertTrue(j.starts <= 2 * STEPS, j.ref + " was started " + j.starts + " times");
-      w.users.withdraw(j);
+      w.users.cancel(j);
     }
     w.run(World.CANCEL_MS);
-    wrong.forEach(j -> assertTrue(j.aborted, j.ref + " is not withdrawn"));
+    wrong.forEach(j -> assertTrue(j.aborted, j.ref + " is not cancelled"));
   }
 
   /** Nothing is rented for a job that fails wherever it runs, nor does it hold what is there. */
--- a/src/test/java/dapplestair/world/ZoneBoundTest.java
+++ b/src/test/java/dapplestair/world/ZoneBoundTest.java
@@ -110,7 +110,7 @@
           });
       if (leaderEndsMs >= 0) {
         w.run(leaderEndsMs);
-        w.users.withdraw(jobs.get(round));
+        w.users.cancel(jobs.get(round));
         if (w.leader() != null) {
           w.leader().crash(w.sim.between(100, 4000));
         }
@@ -152,7 +152,7 @@
     long cutMs = World.LEASE_MS * tenths / 10;
     w.cutZone(zone, seed % 2 == 0, cutMs);
     w.run(cancelMs);
-    jobs.subList(0, 3).forEach(w.users::withdraw);
+    jobs.subList(0, 3).forEach(w.users::cancel);
     w.run(cutMs);
     bound(w, zone);
     SeededDaysTest.settle(w);
