--- a/src/main/java/dapplestair/disruption/Disruption.java
+++ b/src/main/java/dapplestair/disruption/Disruption.java
@@ -11,6 +11,7 @@
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -31,8 +32,8 @@
 
   // Of this look: how each team and job stands.
   private final Map<String, Sum> teams = new HashMap<>();
-  private final Map<Job, Integer> missing = new HashMap<>();
-  private final Map<Job, Refusal> refusals = new HashMap<>();
+  private final Map<Job, Integer> missing = new LinkedHashMap<>();
+  private final Map<Job, Refusal> refusals = new LinkedHashMap<>();
   private long lookedAt = Long.MIN_VALUE;
   private long granted;
   private long forced;
--- a/src/main/java/dapplestair/drain/Drains.java
+++ b/src/main/java/dapplestair/drain/Drains.java
@@ -15,8 +15,8 @@
 import dapplestair.state.Wishes;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
-import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -192,7 +192,7 @@
     if (!any() && !emptying.any()) {
       return;
     }
-    Map<Host, Drain> drained = new HashMap<>();
+    Map<Host, Drain> drained = new LinkedHashMap<>();
     for (Host h : desk.hosts()) {
       Drain drain = of(h);
       h.setDrained(drain != null);
--- a/src/main/java/dapplestair/drain/Emptying.java
+++ b/src/main/java/dapplestair/drain/Emptying.java
@@ -13,8 +13,8 @@
 import dapplestair.workers.WorkerDesk;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -42,12 +42,12 @@
   private final WorkerDesk desk;
   private final Fleet fleet;
   private final Disruption disruption;
-  private final Set<Host> under = new HashSet<>();
+  private final Set<Host> under = new LinkedHashSet<>();
 
   // Room that this step has given to replicas on their way, by machine.
-  private final Map<Host, List<Submission>> promised = new HashMap<>();
-  private final Map<Host, String> standing = new HashMap<>();
-  private final Set<Host> placeless = new HashSet<>();
+  private final Map<Host, List<Submission>> promised = new LinkedHashMap<>();
+  private final Map<Host, String> standing = new LinkedHashMap<>();
+  private final Set<Host> placeless = new LinkedHashSet<>();
 
   /** Works on what the leader knows. */
   public Emptying(Clock clock, WorkerDesk desk, Fleet fleet, Disruption disruption) {
--- a/src/main/java/dapplestair/lane/Lanes.java
+++ b/src/main/java/dapplestair/lane/Lanes.java
@@ -20,8 +20,8 @@
 import dapplestair.workers.WorkerDesk;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -54,7 +54,7 @@
 
   // By lane, while leading.
   private final Map<String, List<OpenClaim>> open = new TreeMap<>();
-  private final Set<Host> claimed = new HashSet<>();
+  private final Set<Host> claimed = new LinkedHashSet<>();
   private final ReserveRoom reserve = new ReserveRoom();
   private Runnable changed = () -> {};
   private Cancellable timer = () -> {};
--- a/src/main/java/dapplestair/ledger/ChunkWriter.java
+++ b/src/main/java/dapplestair/ledger/ChunkWriter.java
@@ -5,7 +5,7 @@
 import dapplestair.state.StateClient.Priority;
 import dapplestair.state.Txn;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 
@@ -36,7 +36,7 @@
 
   private final LedgerContext context;
   private final double bookkeepingPerS;
-  private final Set<Chunk> gathering = new HashSet<>();
+  private final Set<Chunk> gathering = new LinkedHashSet<>();
   private final LaunchBatches launchBatches;
   private Listener listener;
 
--- a/src/main/java/dapplestair/ledger/Evidence.java
+++ b/src/main/java/dapplestair/ledger/Evidence.java
@@ -2,7 +2,7 @@
 
 import dapplestair.work.Report;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import org.slf4j.Logger;
@@ -29,7 +29,7 @@
   /** Applies a machine's newest report. Returns tasks in it that no attempt accounts for. */
   List<Report.Task> report(Machine host, Report report) {
     List<Report.Task> strays = new ArrayList<>();
-    Set<Attempt> seen = new HashSet<>();
+    Set<Attempt> seen = new LinkedHashSet<>();
     for (Report.Task task : report.tasks()) {
       Attempt attempt = host.attempt(task.key());
       if (attempt == null
--- a/src/main/java/dapplestair/ledger/LaunchBatch.java
+++ b/src/main/java/dapplestair/ledger/LaunchBatch.java
@@ -8,7 +8,7 @@
 import dapplestair.work.Shape;
 import dapplestair.work.Submission;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -29,7 +29,7 @@
   boolean removing;
 
   /** Chunks whose own records do not know of this launch batch's entries yet. */
-  final Set<Chunk> claims = new HashSet<>();
+  final Set<Chunk> claims = new LinkedHashSet<>();
 
   LaunchBatch(String key) {
     this.key = key;
--- a/src/main/java/dapplestair/ledger/Takeover.java
+++ b/src/main/java/dapplestair/ledger/Takeover.java
@@ -6,7 +6,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -167,7 +166,7 @@
    * leader.
    */
   private void dropClaimsOfForgottenJobs() {
-    Set<Chunk> present = new HashSet<>();
+    Set<Chunk> present = new LinkedHashSet<>();
     jobs.values().forEach(job -> present.addAll(job.chunks.values()));
     claims.values().forEach(chunks -> chunks.retainAll(present));
   }
--- a/src/main/java/dapplestair/placement/Evictions.java
+++ b/src/main/java/dapplestair/placement/Evictions.java
@@ -14,7 +14,7 @@
 import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -41,7 +41,7 @@
 
   // Of this turn: teams' use beyond their guarantees, machines whose coming room is spoken for.
   private final Object2DoubleOpenHashMap<String> excess = new Object2DoubleOpenHashMap<>();
-  private final Set<Host> spokenFor = new HashSet<>();
+  private final Set<Host> spokenFor = new LinkedHashSet<>();
   private int scans;
   private boolean looked;
   private Rank lowest;
--- a/src/main/java/dapplestair/placement/Reservations.java
+++ b/src/main/java/dapplestair/placement/Reservations.java
@@ -27,7 +27,7 @@
   private final Ledger ledger;
   private final WorkerDesk desk;
   private final Map<String, List<Host>> byJob = new LinkedHashMap<>();
-  private final Map<Host, String> kept = new HashMap<>();
+  private final Map<Host, String> kept = new LinkedHashMap<>();
 
   Reservations(Ledger ledger, WorkerDesk desk) {
     this.ledger = ledger;
--- a/src/main/java/dapplestair/replacement/Replacements.java
+++ b/src/main/java/dapplestair/replacement/Replacements.java
@@ -19,7 +19,7 @@
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import java.util.Collection;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -45,7 +45,7 @@
   private final Room room;
   private final Steps steps;
   private final Map<String, Running> orders = new TreeMap<>();
-  private final Set<Host> leaving = new HashSet<>();
+  private final Set<Host> leaving = new LinkedHashSet<>();
   private boolean leading;
   private long due;
   private long lagUntil = Long.MIN_VALUE / 2;
@@ -153,7 +153,7 @@
     if (orders.isEmpty() && leaving.isEmpty()) {
       return;
     }
-    Set<Host> now = new HashSet<>();
+    Set<Host> now = new LinkedHashSet<>();
     for (Running running : orders.values()) {
       if (running.active() && running.progress.phase() == Phase.RAISE) {
         for (Host h : machines.left(running.progress.batch())) {
