A plan that nobody would take does not set the scale of makespans

Cause: each cost is divided by its greatest value on the front; the slowest plan there holds one machine and takes 13,725 s, so 40 machines (358 s) were as near the origin as 375 (53 s). Plans of over eight times the fastest's makespan are dropped first.

--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -40,12 +40,6 @@
   // Of what waits; where the search begins, so that the front spans the same costs each time.
   private static final double[] SHARES = {0.25, 0.5, 0.75, 1};
 
-  // How much nearer a plan must be than the one that stands.
-  private static final double INERTIA = 0.05;
-
-  // With as much waiting as the fleet can hold, more weight would change nothing.
-  private static final double MOST_PRESSURE = 1;
-
   private final Clock clock;
   private final Timers timers;
   private final Background background;
@@ -186,9 +180,9 @@
     int planned = generation;
     boolean only = extra;
     extra = false;
-    double pressure = Math.min(MOST_PRESSURE, demand.pressure());
+    PlanChoice choice = new PlanChoice(operator, demand.pressure());
     background.compute(
-        () -> best(search, problem, seeds, last, pressure),
+        () -> best(search, problem, seeds, last, choice),
         chosen -> {
           if (planned == generation && leadership.leading()) {
             apply(problem, chosen, only);
@@ -230,29 +224,27 @@
 
   private record Chosen(int[] counts, double[] costs, int front) {}
 
-  private Chosen best(
-      Nsga2 search, FleetProblem problem, List<double[]> seeds, double[] last, double pressure) {
+  private static Chosen best(
+      Nsga2 search, FleetProblem problem, List<double[]> seeds, double[] last, PlanChoice choice) {
     List<Nsga2.Individual> front = search.search(problem, seeds);
     if (front.isEmpty()) {
       double[] unknown = {Double.NaN, Double.NaN, Double.NaN};
       return new Chosen(FleetProblem.counts(problem.lower()), unknown, 0);
     }
-    Nsga2.Individual nearest = chosen(front, standing(problem, last), pressure);
-    return new Chosen(FleetProblem.counts(nearest.variables()), nearest.costs(), front.size());
-  }
-
-  /**
-   * The more work waits, the more its makespan weighs. With one weight for all times, a fleet that
-   * is lean enough in calm hours lags behind a burst, and one that keeps up with bursts idles.
-   */
-  private Nsga2.Individual chosen(
-      List<Nsga2.Individual> front, Nsga2.Individual standing, double pressure) {
-    double[] weights = {
-      operator.makespanWeight() * (1 + 2 * pressure), operator.spendWeight(), operator.riskWeight()
-    };
-    return standing == null
-        ? Nsga2.nearestOrigin(front, weights)
-        : Nsga2.nearestOrigin(front, standing, INERTIA, weights);
+    Nsga2.Individual nearest = choice.of(front, standing(problem, last));
+    int[] counts = FleetProblem.counts(nearest.variables());
+    if (LOG.isDebugEnabled()) {
+      LOG.debug(
+          "search: counts {} between {} and {}, makespan {} s of {} to {} s on a front of {}",
+          counts,
+          problem.lower(),
+          problem.upper(),
+          Math.round(nearest.costs()[0]),
+          Math.round(front.stream().mapToDouble(i -> i.costs()[0]).min().orElse(0)),
+          Math.round(front.stream().mapToDouble(i -> i.costs()[0]).max().orElse(0)),
+          front.size());
+    }
+    return new Chosen(counts, nearest.costs(), front.size());
   }
 
   private void apply(FleetProblem problem, Chosen chosen, boolean extraRound) {
--- /dev/null
+++ b/src/test/java/dapplestair/planning/PlanChoiceTest.java
@@ -0,0 +1,86 @@
+package dapplestair.planning;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dapplestair.settings.Operator;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The front of the first plan after a burst from a cold start, as logged on seed 5016 of {@code
+ * BurstTest}: machines held, makespan in seconds, spend per hour.
+ */
+class PlanChoiceTest {
+  private static final double[][] LOGGED = {
+    {1, 13725, 0.4},
+    {2, 6867, 0.8},
+    {5, 2749, 2.0},
+    {14, 998, 5.6},
+    {40, 358, 16.0},
+    {114, 138, 45.6},
+    {188, 89, 75.2},
+    {289, 71, 115.6},
+    {375, 53, 150.0},
+    {453, 47, 181.2},
+    {601, 41, 240.4},
+    {750, 35, 300.0}
+  };
+
+  private static Nsga2.Individual plan(double[] logged) {
+    return new Nsga2.Individual(new double[] {logged[0]}, new double[] {logged[1], logged[2], 0});
+  }
+
+  private static List<Nsga2.Individual> front(int from) {
+    List<Nsga2.Individual> out = new ArrayList<>();
+    for (int i = from; i < LOGGED.length; i++) {
+      out.add(plan(LOGGED[i]));
+    }
+    return out;
+  }
+
+  private static double machines(Nsga2.Individual plan) {
+    return plan.variables()[0];
+  }
+
+  private final PlanChoice choice = new PlanChoice(Operator.defaults(), 0);
+
+  @Test
+  void aBurstIsNotAnsweredByDozensOfMachines() {
+    assertTrue(machines(choice.of(front(0), null)) >= 375 / 2.0);
+  }
+
+  /** Nobody would take them, so whether the search found them must not matter. */
+  @Test
+  void theSlowestPlansDoNotMoveTheChoice() {
+    double without = machines(choice.of(front(5), null));
+    for (int from = 0; from < 5; from++) {
+      assertEquals(without, machines(choice.of(front(from), null)), "from plan " + from);
+    }
+  }
+
+  /** The plan that stands is no longer in time when a burst arrives. */
+  @Test
+  void aPlanThatIsTooSlowDoesNotStand() {
+    Nsga2.Individual tooSlow = plan(LOGGED[4]);
+    assertTrue(machines(choice.of(front(0), tooSlow)) > machines(tooSlow));
+  }
+
+  @Test
+  void aPlanAboutAsNearStands() {
+    Nsga2.Individual nearest = choice.of(front(0), null);
+    Nsga2.Individual standing =
+        new Nsga2.Individual(new double[] {machines(nearest) + 1}, nearest.costs().clone());
+    assertSame(standing, choice.of(front(0), standing));
+  }
+
+  /** With nothing to place, all makespans are zero, and the cheapest plan is taken. */
+  @Test
+  void withoutWorkTheCheapestIsTaken() {
+    List<Nsga2.Individual> idle =
+        List.of(plan(new double[] {3, 0, 1.2}), plan(new double[] {1, 0, 0.4}));
+    assertEquals(1, machines(choice.of(idle, null)));
+  }
+}
