What a zone was only asked for does not count as granted when it refuses

Cause: the capacity noted at a refusal held the machines that other rentals of that zone had asked for.

--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -92,6 +92,7 @@
             types,
             events,
             5 * settings.workers().reportMs(),
+            capacity::given,
             capacity::holding,
             capacity::staying);
     supply.closeZones(z -> desk.zoneSilentMs(z) > 0);
--- a/src/main/java/dapplestair/fleet/FleetCapacity.java
+++ b/src/main/java/dapplestair/fleet/FleetCapacity.java
@@ -79,13 +79,18 @@
   }
 
   int holding(CapacityPool pool) {
+    return given(pool) + rentals.pending(pool);
+  }
+
+  /** The same without what is asked for. */
+  int given(CapacityPool pool) {
     int count = 0;
     for (Host host : desk.hosts()) {
       if (counts(host, pool.slot()) && pool.zone().equals(host.zone())) {
         count++;
       }
     }
-    return count + rentals.pending(pool);
+    return count;
   }
 
   /**
--- a/src/main/java/dapplestair/fleet/Supply.java
+++ b/src/main/java/dapplestair/fleet/Supply.java
@@ -24,24 +24,33 @@
   private final MachineTypes types;
   private final Events events;
   private final long refusalMs;
+  private final ToIntFunction<CapacityPool> given;
   private final ToIntFunction<CapacityPool> holding;
   private final ToIntFunction<CapacityPool> staying;
   private final Map<CapacityPool, Long> refusedUntil = new HashMap<>();
   private final Map<CapacityPool, Integer> granted = new HashMap<>();
   private Predicate<String> closed = z -> false;
 
-  /** A refusal is believed for {@code refusalMs}. */
+  /**
+   * A refusal is believed for {@code refusalMs}.
+   *
+   * @param given machines that the cloud has given and that are still held
+   * @param holding the same and what is asked for
+   * @param staying the same without machines that are about to be replaced
+   */
   Supply(
       Clock clock,
       MachineTypes types,
       Events events,
       long refusalMs,
+      ToIntFunction<CapacityPool> given,
       ToIntFunction<CapacityPool> holding,
       ToIntFunction<CapacityPool> staying) {
     this.clock = clock;
     this.types = types;
     this.events = events;
     this.refusalMs = refusalMs;
+    this.given = given;
     this.holding = holding;
     this.staying = staying;
   }
@@ -58,7 +67,10 @@
       events.note(Events.Kind.REFUSED, pool::describe);
     }
     refusedUntil.put(pool, clock.now() + refusalMs);
-    granted.put(pool, holding.applyAsInt(pool));
+    // What other rentals there have asked for is not granted: a plan that counts on it wants
+    // nothing
+    // of another kind instead.
+    granted.put(pool, given.applyAsInt(pool));
     return news;
   }
 
@@ -99,7 +111,8 @@
         sum +=
             open(capacityPool)
                 ? holding.applyAsInt(capacityPool) + otherwise
-                : granted.getOrDefault(capacityPool, 0);
+                // An answer that was on its way then may have shown more.
+                : Math.max(granted.getOrDefault(capacityPool, 0), given.applyAsInt(capacityPool));
       }
     }
     return sum;
