Blame: what jobs that are done have proved stays, verdicts that are taken back restore evidence, fast failures attract no tasks

Causes: a job that was done took its evidence with it; a verdict on a job cleared the machines for good, also when it was taken back; a machine that fails within a second is the one with free room.

--- /dev/null
+++ b/src/main/java/dapplestair/blame/FailureRecords.java
@@ -0,0 +1,224 @@
+package dapplestair.blame;
+
+import dapplestair.ledger.Attempt;
+import dapplestair.ledger.Job;
+import dapplestair.ledger.Ledger;
+import dapplestair.ports.Clock;
+import dapplestair.workers.Host;
+import dapplestair.workers.Probation;
+import dapplestair.workers.WorkerDesk;
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/** Which tasks of which jobs failed on which machines, and what that says of either side. */
+final class FailureRecords {
+  private static final int MOST_SAME_JOB = 4;
+
+  // A machine on which so many jobs failed, and none completed since, is tried by one task at a
+  // time, whoever is to blame. A healthy one hardly ever gets two wrong jobs in a row.
+  private static final int PROBATION_JOBS = 2;
+  private static final int PROBATION_REPORTS = 10;
+
+  private final Clock clock;
+  private final long reportMs;
+  private final Ledger ledger;
+  private final WorkerDesk desk;
+  private final Map<String, JobCase> jobs = new HashMap<>();
+  private final Map<String, MachineCase> machines = new HashMap<>();
+
+  FailureRecords(Clock clock, long reportMs, Ledger ledger, WorkerDesk desk) {
+    this.clock = clock;
+    this.reportMs = reportMs;
+    this.ledger = ledger;
+    this.desk = desk;
+  }
+
+  void clear() {
+    jobs.clear();
+    machines.clear();
+  }
+
+  /** What is held against a job, or null. */
+  JobCase of(String ref) {
+    return jobs.get(ref);
+  }
+
+  /** Forgets machines that are gone. */
+  void forgetGone() {
+    machines.keySet().removeIf(id -> desk.known(id) == null);
+  }
+
+  /** A task failed by itself. */
+  JobCase failed(Attempt attempt, Host host) {
+    String ref = attempt.job().spec().ref();
+    JobCase jobCase = jobs.computeIfAbsent(ref, r -> new JobCase());
+    jobCase.failed(host.id(), attempt.ranBeforeExitS());
+    MachineCase machineCase =
+        machines.computeIfAbsent(host.id(), h -> new MachineCase(clock.now()));
+    machineCase.failed(ref, attempt.step());
+    countFailures(host.id());
+    if (machineCase.jobs() >= PROBATION_JOBS) {
+      long until = clock.now() + PROBATION_REPORTS * reportMs;
+      host.setProbation(new Probation(machineCase.since, until));
+    }
+    return jobCase;
+  }
+
+  /** A task completed: a machine on which it began after the first failure is cleared. */
+  void completed(Attempt attempt, Host host) {
+    MachineCase machineCase = machines.get(host.id());
+    if (machineCase != null && attempt.plannedAt() > machineCase.since) {
+      machines.remove(host.id());
+      countFailures(host.id());
+      host.setProbation(Probation.NONE);
+    }
+  }
+
+  /**
+   * A job is over: nothing is held against it. Those of its steps that failed on a machine and have
+   * completed elsewhere still say of that machine what they said before.
+   */
+  void over(String ref) {
+    JobCase jobCase = jobs.get(ref);
+    if (jobCase == null) {
+      return;
+    }
+    Job job = ledger.job(ref);
+    boolean witness = job != null && !job.suspected();
+    for (String id : jobCase.failedOn.keySet()) {
+      MachineCase machineCase = machines.get(id);
+      IntOpenHashSet steps = machineCase == null ? null : machineCase.failed.remove(ref);
+      if (steps == null) {
+        continue;
+      }
+      int completed = witness ? completedElsewhere(job, steps) : 0;
+      if (completed > 0) {
+        machineCase.settle(says(id, jobCase, job.doneCount(), completed), completed);
+      }
+      if (machineCase.empty()) {
+        machines.remove(id);
+      }
+      countFailures(id);
+    }
+    jobs.remove(ref);
+  }
+
+  private static int completedElsewhere(Job job, IntOpenHashSet steps) {
+    return (int) steps.intStream().filter(job::done).count();
+  }
+
+  /** The verdict on a job has changed: its failures are explained, or no longer. */
+  void verdictChanged(JobCase jobCase) {
+    jobCase.failedOn.keySet().forEach(this::countFailures);
+  }
+
+  private void countFailures(String id) {
+    Host host = desk.known(id);
+    MachineCase machineCase = machines.get(id);
+    if (host != null) {
+      host.setFailures(machineCase == null ? 0 : machineCase.unexplained(this::explains));
+    }
+  }
+
+  /** True when this job is wrong by the verdict of now, which explains its failures anywhere. */
+  private boolean explains(String ref) {
+    Job job = ledger.job(ref);
+    return job != null && job.suspected();
+  }
+
+  /** Tells of each job of which something failed on a machine that turned out to be faulty. */
+  void explainedBy(String id, BiConsumer<Job, IntOpenHashSet> each) {
+    machines
+        .get(id)
+        .failed
+        .forEach(
+            (ref, steps) -> {
+              Job job = ledger.job(ref);
+              JobCase jobCase = jobs.get(ref);
+              if (job != null && jobCase != null && !job.suspected()) {
+                jobCase.failedOn.removeInt(id);
+                each.accept(job, steps);
+              }
+            });
+  }
+
+  // ---- what it says ----
+
+  /** Log odds that a job is wrong. */
+  double jobOdds(Job job, JobCase jobCase) {
+    long now = clock.now();
+    long works = working(job, jobCase, null);
+    long outlived =
+        ledger.attempts(job).stream().filter(a -> a.ranS(now) > jobCase.longestS).count() - works;
+    double sum =
+        Odds.logit(Odds.JOB_WRONG) + Odds.completions(job.doneCount() + job.worked() + works);
+    for (String id : jobCase.failedOn.keySet()) {
+      sum += Odds.failureUnless(machineOdds(id, job.spec().ref(), false));
+    }
+    return sum + Odds.outlived(outlived / (double) jobCase.failures);
+  }
+
+  /** Tasks that live on, on other machines than this one. */
+  long working(Job job, JobCase jobCase, String butOn) {
+    long now = clock.now();
+    return ledger.attempts(job).stream()
+        .filter(a -> a.ranS(now) > worksAfterS(jobCase) && !a.host().equals(butOn))
+        .count();
+  }
+
+  /** Services never complete: a task that outlives by far what failed says as much. */
+  private double worksAfterS(JobCase jobCase) {
+    return Math.max(reportMs / 1000.0, jobCase == null ? 0 : 2 * jobCase.longestS);
+  }
+
+  /** Log odds that a machine is faulty, by what completed elsewhere. */
+  double machineOdds(String id) {
+    return machineOdds(id, null, true);
+  }
+
+  /**
+   * Log odds that a machine is faulty, by other jobs than {@code except}; with {@code knownGood}
+   * only by steps that have completed elsewhere, which is what it takes to empty a machine: a job
+   * of which some tasks alone are wrong would have it emptied otherwise.
+   */
+  private double machineOdds(String id, String except, boolean knownGood) {
+    double sum = Odds.logit(Odds.MACHINE_FAULTY);
+    MachineCase machineCase = machines.get(id);
+    if (machineCase == null) {
+      return sum;
+    }
+    sum += machineCase.settledOdds();
+    for (Map.Entry<String, IntOpenHashSet> entry : machineCase.failed.entrySet()) {
+      Job job = ledger.job(entry.getKey());
+      JobCase jobCase = jobs.get(entry.getKey());
+      if (!entry.getKey().equals(except) && job != null && jobCase != null && !job.suspected()) {
+        sum += says(id, job, jobCase, entry.getValue(), knownGood);
+      }
+    }
+    return sum;
+  }
+
+  private double says(
+      String id, Job job, JobCase jobCase, IntOpenHashSet failedHere, boolean knownGood) {
+    // Replicas are alike, and never complete: others that live on elsewhere say as much.
+    boolean service = job.spec().service();
+    long good = service ? working(job, jobCase, id) + job.worked() : job.doneCount();
+    int steps = failedHere.size();
+    if (knownGood && service) {
+      // The same replica that fails here again and again says as much as another one.
+      steps = good > 0 ? jobCase.failedOn.getInt(id) : 0;
+    } else if (knownGood) {
+      steps = completedElsewhere(job, failedHere);
+    }
+    return steps == 0 ? 0 : says(id, jobCase, good, steps);
+  }
+
+  /** What so many steps of one job that failed on a machine say against it. */
+  private static double says(String id, JobCase jobCase, long good, int steps) {
+    double one = Odds.failure(Odds.rate(jobCase.elsewhere(id), good));
+    // More tasks of one job say less than those of another job.
+    return one * (1 + (Math.min(MOST_SAME_JOB, steps) - 1) / 2.0);
+  }
+}
--- a/src/main/java/dapplestair/ledger/Evidence.java
+++ b/src/main/java/dapplestair/ledger/Evidence.java
@@ -97,7 +97,7 @@
       return;
     }
     if (cause.equals("error")) {
-      attempt.job.failedOn.addTo(host.id(), 1);
+      attempt.job.failedOn.put(host.id(), context.clock.now());
       context.hooks.failed(attempt, host);
     } else if (cause.equals("unknown") || cause.equals("busy")) {
       holdBack(attempt.job, context.settings.workers().reportMs() / 3);
--- a/src/main/java/dapplestair/ledger/Job.java
+++ b/src/main/java/dapplestair/ledger/Job.java
@@ -6,6 +6,7 @@
 import it.unimi.dsi.fastutil.ints.Int2ObjectAVLTreeMap;
 import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 
 /** A job that is not over, or whose attempts are not all gone. */
 public final class Job {
@@ -45,8 +46,8 @@
   // Progress that checkpoints keep, as far as this leader has seen it: for estimates only.
   private final Int2DoubleOpenHashMap saved = new Int2DoubleOpenHashMap();
 
-  // Failures count by machine, so that one faulty machine does not make a job look wrong.
-  final Object2IntOpenHashMap<String> failedOn = new Object2IntOpenHashMap<>();
+  // When a task of it last failed there, by machine, steady time.
+  final Object2LongOpenHashMap<String> failedOn = new Object2LongOpenHashMap<>();
   long heldBackUntil;
 
   // It failed wherever it ran: one task at a time, after so many that failed (package blame).
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -329,6 +329,11 @@
     return job.failedOn.containsKey(host.id());
   }
 
+  /** True when one did within the last {@code withinMs}. */
+  public boolean failedOn(Job job, Machine host, long withinMs) {
+    return failedOn(job, host) && context.clock.now() - job.failedOn.getLong(host.id()) <= withinMs;
+  }
+
   /** A step has failed: it waits if it did before, for longer each time. */
   public void failedStep(Attempt attempt, long firstMs, long mostMs) {
     evidence.failedStep(attempt, firstMs, mostMs);
@@ -369,7 +374,6 @@
     job.suspected = false;
     job.probesFailed = 0;
     job.heldBackUntil = 0;
-    job.failedOn.clear();
     context.hooks.changed();
   }
 }
--- a/src/main/java/dapplestair/placement/Earliest.java
+++ b/src/main/java/dapplestair/placement/Earliest.java
@@ -6,12 +6,18 @@
 import dapplestair.work.Submission;
 import dapplestair.workers.Host;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 
 /** Where a task completes earliest, its image's fetch included. */
 final class Earliest {
   private static final double FAILED_HERE_S = 1e4;
 
+  // What stands against this job there, and not against others of its size.
+  private static final Set<Verdict> ROOM_FOR_OTHERS =
+      EnumSet.of(Verdict.SPREAD, Verdict.TOGETHER, Verdict.FAILED_HERE);
+
   private final Clock clock;
   private final Ledger ledger;
   private final Estimates estimates;
@@ -61,7 +67,7 @@
           bestScore = score;
           best = host;
         }
-      } else if (verdict == Verdict.SPREAD || verdict == Verdict.TOGETHER) {
+      } else if (ROOM_FOR_OTHERS.contains(verdict)) {
         room = true;
       }
     }
--- a/src/main/java/dapplestair/placement/PlacementFilter.java
+++ b/src/main/java/dapplestair/placement/PlacementFilter.java
@@ -15,6 +15,10 @@
 
 /** Which room a task may take: what the job, its team, the machine and kept room say of it. */
 final class PlacementFilter {
+  // For so long a job stays away from a machine on which one of its tasks failed. By then either
+  // side is judged, or other room is free; if not, nothing waits for longer.
+  private static final int AVOIDED_REPORTS = 10;
+
   private final Clock clock;
   private final Ledger ledger;
   private final WorkerDesk desk;
@@ -22,10 +26,12 @@
   private final SteadyRoom steady;
   private final Reservations reservations;
   private final Lanes lanes;
+  private final long avoidedMs;
   private double serviceRoom;
 
   PlacementFilter(
       Clock clock,
+      long reportMs,
       Ledger ledger,
       WorkerDesk desk,
       Estimates estimates,
@@ -33,6 +39,7 @@
       Reservations reservations,
       Lanes lanes) {
     this.clock = clock;
+    this.avoidedMs = AVOIDED_REPORTS * reportMs;
     this.ledger = ledger;
     this.desk = desk;
     this.estimates = estimates;
@@ -55,6 +62,12 @@
         && !host.closed()
         && leavesRoom(submission, host)
         && !kept) {
+      if (failedHere(job, host)) {
+        return Verdict.FAILED_HERE;
+      }
+      if (host.probed(clock.now())) {
+        return Verdict.PROBATION;
+      }
       if (host.leavesAt() != Long.MAX_VALUE
           && !estimates.endsBefore(submission, host, clock.now())) {
         return Verdict.LEAVING;
@@ -70,6 +83,15 @@
     return explain ? obstacle(submission, host, kept) : Verdict.FULL;
   }
 
+  /**
+   * True when a task of the job failed there a moment ago. A machine that fails what it starts is
+   * the one that has room again first, so the others of the job would run into it one after the
+   * other. A job that fails wherever it runs is tried by one task at a time anyway.
+   */
+  private boolean failedHere(Job job, Host host) {
+    return !job.suspected() && ledger.failedOn(job, host, avoidedMs);
+  }
+
   /** True when this room is promised to others: to a rider, or to who has waited for long. */
   boolean keptFrom(Job job, Host host) {
     return lanes.keptFrom(job.spec(), host)
@@ -123,7 +145,7 @@
     Submission submission = job.spec();
     Map<String, Integer> perZone = new HashMap<>();
     for (Host host : machines) {
-      if (ledger.mayStart(job, host) && !keptFrom(job, host)) {
+      if (ledger.mayStart(job, host) && !keptFrom(job, host) && !failedHere(job, host)) {
         perZone.merge(host.zone(), roomFor(host, submission), Integer::sum);
       }
     }
@@ -134,8 +156,13 @@
     return sum;
   }
 
-  private static int roomFor(Host host, Submission submission) {
-    return submission.fitting(host.cpusFree(), host.memoryFree(), host.gpusFree());
+  private int roomFor(Host host, Submission submission) {
+    long now = clock.now();
+    int fitting = submission.fitting(host.cpusFree(), host.memoryFree(), host.gpusFree());
+    if (!host.onProbation(now)) {
+      return fitting;
+    }
+    return host.probed(now) ? 0 : Math.min(1, fitting);
   }
 
   /**
--- a/src/main/java/dapplestair/placement/Placer.java
+++ b/src/main/java/dapplestair/placement/Placer.java
@@ -65,7 +65,16 @@
     this.estimates = estimates;
     this.bound = new Bound(clock, ledger, beginWithinMs);
     this.reservations = new Reservations(ledger, desk);
-    this.filter = new PlacementFilter(clock, ledger, desk, estimates, steady, reservations, lanes);
+    this.filter =
+        new PlacementFilter(
+            clock,
+            settings.workers().reportMs(),
+            ledger,
+            desk,
+            estimates,
+            steady,
+            reservations,
+            lanes);
     this.earliest = new Earliest(clock, ledger, estimates, steady, filter, reservations);
     this.evictions = new Evictions(clock, settings, ledger, desk, disruption, bound, filter);
     this.calendars = calendars;
@@ -303,7 +312,7 @@
       steady.add(host, -job.spec().cpus());
       lanes.add(host, -job.spec().cpus());
       step = job.nextFree(step + 1);
-      if (probes(job)) {
+      if (probes(job) || host.onProbation(clock.now())) {
         break;
       }
     }
--- a/src/main/java/dapplestair/placement/Verdict.java
+++ b/src/main/java/dapplestair/placement/Verdict.java
@@ -28,6 +28,10 @@
   NOTICE(Scope.MACHINE, "the cloud is about to take it"),
   /** Something unexplained runs there. */
   STRAYS(Scope.MACHINE, "runs something that no record explains"),
+  /** A task of the job failed there a moment ago. */
+  FAILED_HERE(Scope.MACHINE, "a task of the job failed there a moment ago"),
+  /** Tasks of several jobs failed there: one task at a time. */
+  PROBATION(Scope.MACHINE, "tasks of several jobs failed there: it is tried by one at a time"),
   /** Room kept for replicas. */
   HELD_FOR_SERVICES(Scope.MACHINE, "its room is held for services"),
   /** Room kept for a job that has waited for long. */
--- a/src/main/java/dapplestair/workers/Host.java
+++ b/src/main/java/dapplestair/workers/Host.java
@@ -63,6 +63,7 @@
   private long zoneSilentMs;
 
   private int completed;
+  private Probation probation = Probation.NONE;
   private int failures;
   private double slowness = 1;
 
@@ -300,6 +301,22 @@
     failures = count;
   }
 
+  /** See package blame. */
+  public void setProbation(Probation value) {
+    probation = value;
+  }
+
+  /** True when it gets one task at a time. */
+  public boolean onProbation(long now) {
+    return now < probation.until();
+  }
+
+  /** True when it gets one task at a time, and has it. */
+  public boolean probed(long now) {
+    return onProbation(now)
+        && attempts().stream().anyMatch(a -> !a.exited() && a.plannedAt() > probation.since());
+  }
+
   /** Run time here over the run time expected, smoothed. */
   public double slowness() {
     return slowness;
