A lost zone without machines gets one, so that it is heard when it is back

Cause: all its machines had been given up, nothing is rented in a lost zone, and so nobody was there to be heard; it was taken for back by time, counted from anew by each leader.

--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -277,6 +277,19 @@
     }
   }
 
+  /**
+   * Rents one machine in this zone though it may be closed, of the kind that costs least; false
+   * when none is to be had there now.
+   */
+  public boolean rentAnyIn(String zone) {
+    CapacityPool cheapest = leading ? supply.cheapestIn(zone, market) : null;
+    if (cheapest == null || rentals.pending(cheapest) > 0) {
+      return false;
+    }
+    rentals.begin(cheapest, 1);
+    return true;
+  }
+
   /** True when the cloud may have more there, and something may be rented there. */
   public boolean mayRentIn(Slot slot, String zone) {
     return supply.mayRent(new CapacityPool(slot, zone));
--- a/src/main/java/dapplestair/fleet/Supply.java
+++ b/src/main/java/dapplestair/fleet/Supply.java
@@ -118,6 +118,23 @@
     return sum;
   }
 
+  /** What costs least of all that the cloud may have in this zone, or null. */
+  CapacityPool cheapestIn(String zone, Market market) {
+    CapacityPool cheapest = null;
+    double least = Double.POSITIVE_INFINITY;
+    for (MachineType type : types.all()) {
+      for (boolean spot : new boolean[] {true, false}) {
+        CapacityPool pool = new CapacityPool(new Slot(type.name(), spot), zone);
+        double price = market.price(type, spot);
+        if (type.zones().contains(zone) && open(pool) && price < least) {
+          cheapest = pool;
+          least = price;
+        }
+      }
+    }
+    return cheapest;
+  }
+
   /** Spreads {@code count} more of a type over the zones that still have some, the fewest first. */
   Map<CapacityPool, Integer> spread(Slot slot, MachineType type, int count) {
     Map<CapacityPool, Integer> share = new LinkedHashMap<>();
--- a/src/main/java/dapplestair/node/OperationDuties.java
+++ b/src/main/java/dapplestair/node/OperationDuties.java
@@ -58,8 +58,9 @@
             core.replica,
             core.leadership,
             core.workers,
+            z -> !drains.zones().containsKey(z) && scheduling.fleet.rentAnyIn(z),
             core.events);
-    scheduling.fleet.closeZones(z -> drains.zones().containsKey(z) || zones.heldDown(z));
+    scheduling.fleet.closeZones(z -> drains.zones().containsKey(z) || zones.closed(z));
   }
 
   @Override
--- a/src/main/java/dapplestair/workers/LivenessTracker.java
+++ b/src/main/java/dapplestair/workers/LivenessTracker.java
@@ -142,6 +142,12 @@
         && (host.rentedAt() == Long.MAX_VALUE || succeeded() && accounts.saidGone(host.id()));
   }
 
+  /** True when a machine is held in this zone, heard or not. */
+  boolean anyLeftIn(String zone) {
+    return roster.all().stream()
+        .anyMatch(h -> zone.equals(h.zone()) && !h.releasing() && !ghost(h) && !saidGone(h));
+  }
+
   /** True when the leader before knew for certain that this machine is gone. */
   boolean saidGone(Host host) {
     return !host.up() && succeeded() && accounts.saidGone(host.id());
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -175,6 +175,11 @@
     return liveness.zoneSilentMs(zone);
   }
 
+  /** True when a machine is held in this zone, heard or not. */
+  public boolean anyLeftIn(String zone) {
+    return liveness.anyLeftIn(zone);
+  }
+
   /** True when this leader reached one of the zone's machines lately. */
   public boolean zoneHeardNow(String zone) {
     return liveness.zoneHeardNow(zone);
--- a/src/main/java/dapplestair/zones/Zones.java
+++ b/src/main/java/dapplestair/zones/Zones.java
@@ -23,6 +23,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -52,6 +53,7 @@
   private final Leadership leadership;
   private final WorkerDesk desk;
   private final SilenceTimeouts timeouts;
+  private final ZoneProbes probes;
   private final Events events;
   private final Map<String, ZoneLife> lives = new TreeMap<>();
   private final Set<String> writing = new HashSet<>();
@@ -59,7 +61,10 @@
   private boolean leading;
   private Cancellable timer = () -> {};
 
-  /** All zones are steady until something else is on record. */
+  /**
+   * All zones are steady until something else is on record. {@code rentOne} rents one machine in a
+   * zone, closed or not; false when none is to be had there.
+   */
   public Zones(
       Clock clock,
       Timers timers,
@@ -68,6 +73,7 @@
       Replica replica,
       Leadership leadership,
       WorkerDesk desk,
+      Predicate<String> rentOne,
       Events events) {
     this.clock = clock;
     this.timers = timers;
@@ -79,6 +85,7 @@
     this.desk = desk;
     this.events = events;
     timeouts = new SilenceTimeouts(settings);
+    probes = new ZoneProbes(clock, settings, timeouts, rentOne);
   }
 
   // ---- what the replica says ----
@@ -101,6 +108,7 @@
     lives.clear();
     writing.clear();
     triedAt.clear();
+    probes.clear();
   }
 
   // ---- leading ----
@@ -169,13 +177,20 @@
   }
 
   /**
-   * To a new leader no zone is silent before it could judge; so it needs to be heard. One without
-   * any machine left cannot be heard: after a while it is tried again.
+   * To a new leader no zone is silent before it could judge; so it needs to be heard. Where no
+   * machine is left, one is rented that can be; if none is to be had, the zone is taken for back
+   * after a while.
    */
   private void returnIfHeard(String zone, ZoneLife life, long silentMs) {
     long now = clock.now();
     boolean heard = silentMs == 0 && desk.zoneHeardNow(zone);
-    boolean empty = silentMs == 0 && desk.hosts().stream().noneMatch(h -> zone.equals(h.zone()));
+    boolean none = !desk.anyLeftIn(zone);
+    if (none) {
+      probes.emptied(zone, life);
+    } else if (heard) {
+      probes.heard(zone);
+    }
+    boolean empty = silentMs == 0 && none;
     if (!empty) {
       triedAt.remove(zone);
     }
@@ -239,10 +254,14 @@
         : Math.max(0, heldMs(life) - (clock.wall() - life.sinceWall())) / 1000.0;
   }
 
-  /** True while nothing is to be rented there: it has flapped, and is not steady yet. */
-  public boolean heldDown(String zone) {
+  /**
+   * True while nothing is to be rented there: nobody there is heard, or it has flapped and is not
+   * steady yet.
+   */
+  public boolean closed(String zone) {
     ZoneLife life = life(zone);
-    return leading && life.cuts() > 1 && life.state() != State.STEADY;
+    boolean away = life.state() == State.CUT || life.state() == State.LOST;
+    return leading && (away || life.cuts() > 1 && life.state() != State.STEADY);
   }
 
   @Override
