--- a/src/test/java/dapplestair/KnownRed.java
+++ b/src/test/java/dapplestair/KnownRed.java
@@ -4,73 +4,112 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.extension.AfterAllCallback;
+import org.junit.jupiter.api.extension.AfterTestExecutionCallback;
 import org.junit.jupiter.api.extension.ExtensionContext;
 import org.junit.jupiter.api.extension.TestExecutionExceptionHandler;
 import org.opentest4j.TestAbortedException;
 
 /**
- * Passes over the tests that KNOWN-RED.txt lists, and over no others: one that fails is printed and
- * counted as skipped. A line is {@code CLASS.METHOD[NAME & NAME] | cause | issue}, where each name
- * is that of one invocation as JUnit displays it.
+ * Passes over the failures that KNOWN-RED.txt lists, and over no others: each is printed and
+ * counted as skipped. An entry whose test passes is printed at the end of the run, and one that
+ * names no invocation of its test fails the test's class.
  */
-public final class KnownRed implements TestExecutionExceptionHandler {
+public final class KnownRed
+    implements TestExecutionExceptionHandler, AfterTestExecutionCallback, AfterAllCallback {
   /** The list, at the root of the repository. */
   static final Path FILE = Path.of("KNOWN-RED.txt");
 
-  /** One line of the list. */
-  record Entry(String className, String method, List<String> names, String cause, String issue) {
-    boolean covers(ExtensionContext context) {
-      return context.getRequiredTestClass().getName().equals(className)
-          && context.getRequiredTestMethod().getName().equals(method)
-          && names.contains(context.getDisplayName());
-    }
-  }
+  private static final ExtensionContext.Namespace NAMESPACE =
+      ExtensionContext.Namespace.create(KnownRed.class);
 
-  /** Reads the list; a line of another form is an error. */
-  static List<Entry> entries() {
-    List<Entry> out = new ArrayList<>();
+  static List<KnownRedEntry> entries() {
     if (!Files.exists(FILE)) {
-      return out;
+      return List.of();
     }
     try {
-      for (String line : Files.readAllLines(FILE)) {
-        out.add(entry(line));
-      }
+      return Files.readAllLines(FILE).stream().map(KnownRedEntry::parse).toList();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
-    return out;
   }
 
-  private static Entry entry(String line) {
-    String[] parts = line.split(" \\| ");
-    int names = line.indexOf('[');
-    if (parts.length != 3 || names < 0 || !parts[0].endsWith("]")) {
-      throw new IllegalStateException(FILE + ": not TEST[NAME] | cause | issue: " + line);
+  /** What this process has played of the listed tests; prints those that passed when it ends. */
+  private static final class Played implements ExtensionContext.Store.CloseableResource {
+    final Set<String> methods = new LinkedHashSet<>();
+    final Set<String> invocations = new LinkedHashSet<>();
+    final Set<String> passed = new LinkedHashSet<>();
+
+    @Override
+    public void close() {
+      passed.forEach(
+          test -> System.out.printf("KNOWN RED PASSES: %s is still in %s%n", test, FILE));
+    }
+  }
+
+  private static Played played(ExtensionContext context) {
+    return context
+        .getRoot()
+        .getStore(NAMESPACE)
+        .getOrComputeIfAbsent(Played.class, k -> new Played(), Played.class);
+  }
+
+  private static String test(String className, String method, String name) {
+    return className + "." + method + "[" + name + "]";
+  }
+
+  private static KnownRedEntry entryOf(ExtensionContext context) {
+    for (KnownRedEntry entry : entries()) {
+      if (entry.covers(
+          context.getRequiredTestClass().getName(),
+          context.getRequiredTestMethod().getName(),
+          context.getDisplayName())) {
+        return entry;
+      }
     }
-    String test = line.substring(0, names);
-    int dot = test.lastIndexOf('.');
-    return new Entry(
-        test.substring(0, dot),
-        test.substring(dot + 1),
-        List.of(parts[0].substring(names + 1, parts[0].length() - 1).split(" & ")),
-        parts[1],
-        parts[2]);
+    return null;
   }
 
   @Override
   public void handleTestExecutionException(ExtensionContext context, Throwable failure)
       throws Throwable {
-    for (Entry entry : entries()) {
-      if (entry.covers(context)) {
-        System.out.printf(
-            "KNOWN RED %s.%s[%s]: %s%n",
-            entry.className, entry.method, context.getDisplayName(), failure.getMessage());
-        throw new TestAbortedException("known red: " + entry.cause, failure);
+    KnownRedEntry entry = entryOf(context);
+    if (entry == null || !entry.covers(failure)) {
+      throw failure;
+    }
+    System.out.printf(
+        "KNOWN RED %s: %s%n",
+        test(entry.className(), entry.method(), context.getDisplayName()), failure.getMessage());
+    throw new TestAbortedException("known red: " + entry.seen(), failure);
+  }
+
+  @Override
+  public void afterTestExecution(ExtensionContext context) {
+    Played played = played(context);
+    String className = context.getRequiredTestClass().getName();
+    String method = context.getRequiredTestMethod().getName();
+    String name = context.getDisplayName();
+    played.methods.add(className + "." + method);
+    played.invocations.add(test(className, method, name));
+    if (entryOf(context) != null && context.getExecutionException().isEmpty()) {
+      played.passed.add(test(className, method, name));
+    }
+  }
+
+  @Override
+  public void afterAll(ExtensionContext context) {
+    Played played = played(context);
+    for (KnownRedEntry entry : entries()) {
+      for (String name : entry.names()) {
+        boolean ran = played.methods.contains(entry.className() + "." + entry.method());
+        String test = test(entry.className(), entry.method(), name);
+        if (ran && !played.invocations.contains(test)) {
+          throw new IllegalStateException(FILE + " names no invocation of its test: " + test);
+        }
       }
     }
-    throw failure;
   }
 }
