--- a/src/test/java/dapplestair/world/SeededDaysTest.java
+++ b/src/test/java/dapplestair/world/SeededDaysTest.java
@@ -70,6 +70,21 @@
     settle(world);
   }
 
+  /** The same without a pause of arrivals, as the check stood before (seed 402: KNOWN-RED.txt). */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {401, 402, 403, 404})
+  void aZoneCutOffAtAnyMomentKeepsItsWork(long seed) {
+    World world = new World(seed);
+    world.net.loss = 0;
+    world.run(60_000);
+    World.Node follower = world.nodes.get((world.leader().index + 1) % 3);
+    String zone = follower.settings.zone();
+    world.cutOff(follower, m -> m.zone().equals(zone), false, World.LEASE_MS * 4 / 3);
+    world.run(2 * World.LEASE_MS);
+    assertEquals(0, world.cloud.killedByLease(), "tasks killed by the end of a lease");
+    settle(world);
+  }
+
   /**
    * When a whole zone falls silent, its machines are not returned one by one, nor once it is back.
    */
