--- a/src/test/java/dapplestair/world/ManyLeadersTest.java
+++ b/src/test/java/dapplestair/world/ManyLeadersTest.java
@@ -127,6 +127,31 @@
     SeededDaysTest.settle(w);
   }
 
+  /*
+   * Nobody is left who remembers what was cancelled, nor can it be read. Machines that report get no
+   * lease from such controllers, so that whatever runs there ends; one that hangs past its lease has
+   * to be returned by somebody, and nobody knows that.
+   */
+
+  /** All controllers end in the outage, and are back at once, while machines hang. */
+  @ParameterizedTest(name = "seed {0}, end after {1} ms")
+  @CsvSource({"12201,100", "12202,3000", "12203,15000"})
+  void allEndInAnOutageWhileMachinesHang(long seed, long endMs) {
+    GapTest.Day d = new GapTest.Day(seed);
+    World w = d.w;
+    d.cancelled.forEach(t -> w.users.cancelAt(t, d.old));
+    d.stallEveryThird();
+    w.run(500);
+    d.cancel(d.old);
+    assertTrue(d.running(d.cancelled) > 0, "everything stops at once");
+    w.state.fail();
+    w.nodes.forEach(n -> w.sim.after(endMs, () -> n.crash(1000)));
+    w.run(World.CANCEL_MS * 3 / 2);
+    w.state.recover();
+    w.run(90_000);
+    SeededDaysTest.settle(w);
+  }
+
   /** Something small that is just being launched. */
   private static void cancelOne(LimitsTest.FullDay f) {
     Users.Told job = f.w.users.array("two", "high", 2, 20);
