Machines that are silent while no controller has any record are returned

Cause: nobody is left who remembers what was cancelled, and it cannot be read; leases end, but such machines have to be returned.

--- a/src/main/java/dapplestair/cancellations/Cancellations.java
+++ b/src/main/java/dapplestair/cancellations/Cancellations.java
@@ -58,6 +58,7 @@
   private final KnownTo knownTo;
   private final LogExchange logs;
   private final Enforcer enforcer;
+  private final ForgottenMachines forgotten;
   private final OpenCancellations open;
   private final long process;
   private final long reportMs;
@@ -99,6 +100,9 @@
         new LogExchange(
             clock, timers, settings, peers, leadership, process, known, knownTo, this::learn);
     this.enforcer = new Enforcer(clock, timers, http, cloud, settings, open, launchMs());
+    this.forgotten =
+        new ForgottenMachines(
+            clock, timers, cloud, settings, peers, () -> stateAsOf.getAsLong() <= KnownTo.NEVER);
   }
 
   /**
@@ -131,6 +135,7 @@
     }
     peers.questions().answer(TELL, this::hear);
     logs.start();
+    forgotten.start();
     look();
   }
 
@@ -351,12 +356,14 @@
         enforcer.enforce();
       }
     }
+    forgotten.look();
     looking = timers.after(reportMs / 2, this::look);
   }
 
   /** Machines of which a report came here, with their addresses. */
   public void addressed(String host, String endpoint) {
     enforcer.addressed(host, endpoint);
+    forgotten.heard(host);
   }
 
   @Override
