Claims of a lane: the record is read back when an answer is lost

Cause: each further write goes by a stamp that the replica still holds, and is refused for as long as no changes are heard.

--- a/src/main/java/dapplestair/lane/ClaimWriter.java
+++ b/src/main/java/dapplestair/lane/ClaimWriter.java
@@ -1,5 +1,6 @@
 package dapplestair.lane;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.json.Json;
@@ -35,6 +36,7 @@
 
   private final Timers timers;
   private final Settings settings;
+  private final StateClient state;
   private final GuardedWriter writer;
   private final Replica replica;
   private final Leadership leadership;
@@ -45,6 +47,7 @@
 
   // Of the last put that was answered: a copy of an earlier one, come late, is refused.
   private final Map<String, Long> stamps = new HashMap<>();
+  private int generation;
 
   ClaimWriter(
       Timers timers,
@@ -55,6 +58,7 @@
       Source source) {
     this.timers = timers;
     this.settings = settings;
+    this.state = state;
     this.writer = new GuardedWriter(state, leadership, settings.workers().reportMs());
     this.replica = replica;
     this.leadership = leadership;
@@ -64,11 +68,13 @@
   /** Answers to earlier writes count no more. */
   void lead() {
     writer.reset();
+    generation++;
   }
 
   /** Forgets all that is under way. */
   void clear() {
     writer.reset();
+    generation++;
     writing.clear();
     stamps.clear();
   }
@@ -102,22 +108,55 @@
     if (leadership.deposedBy(outcome)) {
       return;
     }
-    boolean changed = Boolean.TRUE.equals(writing.remove(lane));
     if (outcome instanceof Outcome.Applied applied) {
-      stamps.put(lane, claims.isEmpty() ? 0 : applied.stamp());
-      claims.forEach(OpenClaim::setRecorded);
-      source.written(lane, claims);
-      if (changed) {
-        rewriteAfter(lane, 0);
-      }
+      onRecord(lane, claims, claims.isEmpty() ? 0 : applied.stamp());
     } else {
-      // Without an answer it may be on record or not: nobody is stopped before it surely is, and
-      // the replica tells on what the next one goes.
-      stamps.remove(lane);
-      rewriteAfter(lane, settings.workers().reportMs() / RETRIES_PER_REPORT);
+      readBack(lane, claims);
     }
   }
 
+  private void onRecord(String lane, List<OpenClaim> claims, long stamp) {
+    boolean changed = Boolean.TRUE.equals(writing.remove(lane));
+    stamps.put(lane, stamp);
+    claims.forEach(OpenClaim::setRecorded);
+    source.written(lane, claims);
+    if (changed) {
+      rewriteAfter(lane, 0);
+    }
+  }
+
+  /**
+   * Without an answer it may be on record or not, and nobody is stopped before it surely is. The
+   * record itself tells; the replica may hear nothing of it for as long, and each write that goes
+   * by what the replica holds is refused meanwhile.
+   */
+  private void readBack(String lane, List<OpenClaim> claims) {
+    int readIn = generation;
+    state.get(
+        Keys.LANE + lane,
+        read -> {
+          if (readIn != generation) {
+            return;
+          }
+          if (read.known() && !claims.isEmpty() && isRecord(claims, read.value())) {
+            onRecord(lane, claims, read.stamp());
+            return;
+          }
+          writing.remove(lane);
+          if (read.known()) {
+            stamps.put(lane, read.stamp());
+          } else {
+            stamps.remove(lane);
+          }
+          rewriteAfter(lane, settings.workers().reportMs() / RETRIES_PER_REPORT);
+        });
+  }
+
+  /** Compared as text: what was read holds its numbers in the smallest type. */
+  private static boolean isRecord(List<OpenClaim> claims, JsonNode value) {
+    return value != null && toJson(claims).toString().equals(value.toString());
+  }
+
   private void rewriteAfter(String lane, long ms) {
     timers.after(
         ms,
