--- a/src/main/java/dapplestair/ledger/Evidence.java
+++ b/src/main/java/dapplestair/ledger/Evidence.java
@@ -77,6 +77,12 @@
       if (task.status() == Report.Status.RUNNING) {
         if (!attempt.job.begun && !attempt.adopted) {
           attempt.job.begunAfterMs = context.clock.wall() - attempt.job.askedWall();
+          LOG.debug(
+              "{} of {} tasks begins {} ms after it was asked for, {} ms after it was accepted",
+              attempt.job.spec().ref(),
+              attempt.spec().steps(),
+              attempt.job.begunAfterMs,
+              context.clock.wall() - attempt.job.acceptedWall());
         }
         attempt.job.begun = true;
         attempt.began = true;
