--- a/src/test/java/dapplestair/world/ManyLeadersTest.java
+++ b/src/test/java/dapplestair/world/ManyLeadersTest.java
@@ -108,18 +108,24 @@
     SeededDaysTest.settle(w);
   }
 
+  /** Users are told while machines hang, and an outage begins. */
+  private static GapTest.Day cancelledOnHangingMachines(long seed) {
+    GapTest.Day d = new GapTest.Day(seed);
+    d.cancelled.forEach(t -> d.w.users.cancelAt(t, d.old));
+    d.stallEveryThird();
+    d.w.run(500);
+    d.cancel(d.old);
+    assertTrue(d.running(d.cancelled) > 0, "everything stops at once");
+    d.w.state.fail();
+    return d;
+  }
+
   /** Whoever told the users ends in the outage: the others look after what does not stop. */
   @ParameterizedTest(name = "seed {0}, ends after {1} ms")
   @CsvSource({"12101,100", "12102,3000", "12103,15000"})
   void whoToldEndsInAnOutage(long seed, long endsMs) {
-    GapTest.Day d = new GapTest.Day(seed);
+    GapTest.Day d = cancelledOnHangingMachines(seed);
     World w = d.w;
-    d.cancelled.forEach(t -> w.users.cancelAt(t, d.old));
-    d.stallEveryThird();
-    w.run(500);
-    d.cancel(d.old);
-    assertTrue(d.running(d.cancelled) > 0, "everything stops at once");
-    w.state.fail();
     w.sim.after(endsMs, () -> d.old.crash(4000));
     w.run(World.CANCEL_MS * 3 / 2);
     w.state.recover();
@@ -137,14 +143,8 @@
   @ParameterizedTest(name = "seed {0}, end after {1} ms")
   @CsvSource({"12201,100", "12202,3000", "12203,15000"})
   void allEndInAnOutageWhileMachinesHang(long seed, long endMs) {
-    GapTest.Day d = new GapTest.Day(seed);
+    GapTest.Day d = cancelledOnHangingMachines(seed);
     World w = d.w;
-    d.cancelled.forEach(t -> w.users.cancelAt(t, d.old));
-    d.stallEveryThird();
-    w.run(500);
-    d.cancel(d.old);
-    assertTrue(d.running(d.cancelled) > 0, "everything stops at once");
-    w.state.fail();
     w.nodes.forEach(n -> w.sim.after(endMs, () -> n.crash(1000)));
     w.run(World.CANCEL_MS * 3 / 2);
     w.state.recover();
--- a/src/test/java/dapplestair/world/SeededDaysTest.java
+++ b/src/test/java/dapplestair/world/SeededDaysTest.java
@@ -64,10 +64,7 @@
             .mapToLong(m -> m.tasks().stream().filter(EmulatedTask::onMachine).count())
             .sum();
     assertTrue(tasks > 0, "nothing runs in the zone");
-    world.cutOff(follower, m -> m.zone().equals(zone), false, World.LEASE_MS * 4 / 3);
-    world.run(2 * World.LEASE_MS);
-    assertEquals(0, world.cloud.killedByLease(), "tasks killed by the end of a lease");
-    settle(world);
+    cutOffForLongerThanALease(world);
   }
 
   /** The same without a pause of arrivals, as the check stood before (seed 402: KNOWN-RED.txt). */
@@ -77,6 +74,10 @@
     World world = new World(seed);
     world.net.loss = 0;
     world.run(60_000);
+    cutOffForLongerThanALease(world);
+  }
+
+  private static void cutOffForLongerThanALease(World world) {
     World.Node follower = world.nodes.get((world.leader().index + 1) % 3);
     String zone = follower.settings.zone();
     world.cutOff(follower, m -> m.zone().equals(zone), false, World.LEASE_MS * 4 / 3);
