--- a/src/test/java/dapplestair/world/BurstTest.java
+++ b/src/test/java/dapplestair/world/BurstTest.java
@@ -31,9 +31,7 @@
   @ValueSource(longs = {5011, 5013, 5016})
   void aRefusalIsKnownAtOnce(long seed) {
     World w = world(seed);
-    for (int i = 0; i < 5; i++) {
-      w.users.changed("guest", 600, 30, b -> b.put("rank", "high"));
-    }
+    burst(w);
     // The plans of two intervals; a refusal is believed for five reports, fifteen seconds.
     w.run(8000);
     assertTrue(rented(w) >= 290, rented(w) + " of the 360 machines that the cloud has");
--- a/src/test/java/dapplestair/world/WrongJobsTest.java
+++ b/src/test/java/dapplestair/world/WrongJobsTest.java
@@ -288,18 +288,6 @@
    *   that failed there keep it from being filled at once by the next.
    */
 
-  private static World withOneSick(long seed, List<EmulatedWorker> sick) {
-    World w = begun(seed);
-    EmulatedWorker m =
-        w.cloud.machines().stream()
-            .filter(k -> k.booted() && !k.gone() && k.tasks().isEmpty())
-            .findFirst()
-            .orElseThrow();
-    m.sicken();
-    sick.add(m);
-    return w;
-  }
-
   /** Seeds on which one of the three causes, or two of them, kept a machine from being blamed. */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {2048, 2055, 2061, 2064, 2080, 2086, 2106, 2111, 2125, 2143, 2165})
@@ -311,9 +299,14 @@
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {2311, 2312, 2313, 2314, 2315, 2316})
   void aJobDoesNotStartAgainWhereItFailed(long seed) {
-    List<EmulatedWorker> sick = new ArrayList<>();
-    World w = withOneSick(seed, sick);
-    String id = sick.get(0).id();
+    World w = begun(seed);
+    EmulatedWorker sick =
+        w.cloud.machines().stream()
+            .filter(m -> m.booted() && !m.gone() && m.tasks().isEmpty())
+            .findFirst()
+            .orElseThrow();
+    sick.sicken();
+    String id = sick.id();
     int before = w.checker.startsOn.getOrDefault(id, 0);
     w.cloud.setDown(true);
     w.users.changed("one", 600, 9, b -> b.put("mistakenSteps", 600));
