Checker: a task that completes while it saves has begun

Now the start of a task that completes counts. The bound and who is looked at stay; a start that was taken back and did not complete is none, as before (JobBeginTest, of whose three tests the second fails without this).

--- a/src/test/java/dapplestair/world/Checker.java
+++ b/src/test/java/dapplestair/world/Checker.java
@@ -64,6 +64,7 @@
   @Override
   public void completed(String key) {
     completed.add(key);
+    world.users.told.get(ref(key)).taskCompleted(key);
     alsoCompleted.accept(key);
   }
 
--- a/src/test/java/dapplestair/world/Users.java
+++ b/src/test/java/dapplestair/world/Users.java
@@ -40,6 +40,9 @@
 
     // Starts that may yet turn out to be none, by task; empty once one has counted.
     private final Map<String, Long> youngStarts = new HashMap<>();
+
+    // Starts that were stopped by command so soon that they are none, unless the task completes.
+    private final Map<String, Long> stoppedStarts = new HashMap<>();
     private long begunAt = -1;
 
     void taskStarted(String key, long now) {
@@ -52,8 +55,18 @@
     /** A start that is stopped by command within 30 s is none. */
     void taskStopped(String key, long now) {
       settled(now);
-      if (begunAt < 0) {
-        youngStarts.remove(key);
+      Long startedAt = begunAt < 0 ? youngStarts.remove(key) : null;
+      if (startedAt != null) {
+        stoppedStarts.put(key, startedAt);
+      }
+    }
+
+    /** A task that completes while it saves has begun: nobody starts it again. */
+    void taskCompleted(String key) {
+      Long startedAt = stoppedStarts.get(key);
+      if (begunAt < 0 && startedAt != null) {
+        begunAt = startedAt;
+        youngStarts.clear();
       }
     }
 
