Leases behind a cut are kept for jobs newer than the records read there

Callers saw: tasks of a zone that is cut off are killed by the end of a lease, those of the new job and all others on the same machines. Cause: the controller behind the cut answers 503 to reports that name a job which is on none of its records, since such a job may have been over before it began to read. It can't tell jobs that are newer than its records from those. Mend: the leader tells its followers of each job it reads, with the revision of the job's record (package accepted). A revision above the position of a follower's replica proves that the job was accepted after all that the replica holds, so a cancellation of it was told after that moment, too: known-to covers it as it covers jobs on record (docs/cancellations.md). Jobs of which nobody spoke keep no lease, as before.

--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -138,6 +138,7 @@
     core.workers.start();
     core.peers.start();
     core.cancellations.start();
+    core.accepted.start();
     core.requestRelay.start(router::handleUser);
     core.leadership.start(core.replica);
     loopMonitor.start();
--- a/src/main/java/dapplestair/node/CoreDuties.java
+++ b/src/main/java/dapplestair/node/CoreDuties.java
@@ -1,5 +1,6 @@
 package dapplestair.node;
 
+import dapplestair.accepted.AcceptedJobs;
 import dapplestair.cancellations.Cancellations;
 import dapplestair.cloud.CloudClient;
 import dapplestair.events.EventLog;
@@ -38,6 +39,7 @@
   final LedgerHooks hooks;
   final Ledger ledger;
   final Cancellations cancellations;
+  final AcceptedJobs accepted;
   final Relay relay;
   final WorkerDesk workers;
 
@@ -92,6 +94,8 @@
             leadership,
             this::recordsAsOf,
             listeners.cancellations);
+    accepted =
+        new AcceptedJobs(timers, settings, peers, leadership::leading, this::recordsPosition);
     relay =
         new Relay(
             clock, timers, outside.http(), settings, operator.relayAbove(), leadership, peers);
@@ -107,6 +111,7 @@
             types,
             ledger,
             cancellations,
+            accepted::unread,
             listeners.workers);
     log = logsEvents ? new EventLog(clock) : null;
     events = logsEvents ? log : Events.OFF;
@@ -121,6 +126,10 @@
     return replica.asOf();
   }
 
+  private long recordsPosition() {
+    return replica.position();
+  }
+
   @Override
   public void close() {
     workers.close();
--- a/src/main/java/dapplestair/node/Records.java
+++ b/src/main/java/dapplestair/node/Records.java
@@ -1,6 +1,7 @@
 package dapplestair.node;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.accepted.AcceptedJobs;
 import dapplestair.admin.AdminDesk;
 import dapplestair.calendar.Calendars;
 import dapplestair.cancellations.Cancellations;
@@ -30,6 +31,7 @@
   private final Calendars calendars;
   private final Weights weights;
   private final Cancellations cancellations;
+  private final AcceptedJobs accepted;
   private final Placer placer;
   private final AdminDesk admin;
 
@@ -39,6 +41,7 @@
     this.leadership = core.leadership;
     this.ledger = core.ledger;
     this.cancellations = core.cancellations;
+    this.accepted = core.accepted;
     this.fleet = scheduling.fleet;
     this.lostWork = scheduling.lostWork;
     this.lanes = scheduling.lanes;
@@ -69,6 +72,7 @@
       ledger.launchBatchPut(key, value, stamp);
     } else if (key.startsWith(Keys.JOB)) {
       ledger.jobPut(key.substring(Keys.JOB.length()), value, stamp);
+      accepted.read(key.substring(Keys.JOB.length()), stamp);
       if (admin != null) {
         admin.jobPut(key.substring(Keys.JOB.length()));
       }
--- a/src/main/java/dapplestair/node/RoleChanges.java
+++ b/src/main/java/dapplestair/node/RoleChanges.java
@@ -31,6 +31,7 @@
     core.state.leading(true);
     scheduling.fleet.lead();
     core.ledger.lead(term);
+    core.accepted.lead();
     scheduling.disruption.lead();
     core.workers.lead();
     // Before anything is placed: room that was freed for a rider is its own.
--- a/src/main/java/dapplestair/workers/LeaseRenewal.java
+++ b/src/main/java/dapplestair/workers/LeaseRenewal.java
@@ -12,6 +12,9 @@
 import dapplestair.work.Report;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Predicate;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The answers that keep a worker's lease. A lease is kept only by one who knows of every
@@ -20,6 +23,8 @@
  * lease that somebody who did not know renewed last (docs/cancellations.md).
  */
 final class LeaseRenewal {
+  private static final Logger LOG = LoggerFactory.getLogger(LeaseRenewal.class);
+
   // A line of an answer may take 64 KiB: some 100 bytes for each.
   private static final int MOST_HALTS = 500;
   private static final int MOST_KEPT = 4000;
@@ -31,14 +36,21 @@
   private final CommandSender commandSender;
   private final Ledger ledger;
   private final Cancellations cancellations;
+  private final Predicate<String> acceptedSinceRead;
   private final Map<String, Raised> raised = new Latest<>(MOST_KEPT);
 
+  /** {@code acceptedSinceRead} tells of a job that it is newer than all records read here. */
   LeaseRenewal(
-      Clock clock, CommandSender commandSender, Ledger ledger, Cancellations cancellations) {
+      Clock clock,
+      CommandSender commandSender,
+      Ledger ledger,
+      Cancellations cancellations,
+      Predicate<String> acceptedSinceRead) {
     this.clock = clock;
     this.commandSender = commandSender;
     this.ledger = ledger;
     this.cancellations = cancellations;
+    this.acceptedSinceRead = acceptedSinceRead;
   }
 
   /**
@@ -72,8 +84,9 @@
 
   /**
    * The answer of a controller that does not lead, under the worker's own token; null when it may
-   * not keep the lease. It must tell of each task whether its job is cancelled: of a job that it
-   * does not know it cannot, since it may have begun after that job was over.
+   * not keep the lease. It must tell of each task whether its job is cancelled: of a job that is on
+   * none of its records it cannot, since it may have begun after that job was over, unless the
+   * leader said that the job was accepted after the records were read.
    */
   ObjectNode byOther(Report report) {
     if (!cancellations.mayRenew()) {
@@ -86,7 +99,8 @@
       }
       if (cancellations.knows(task.ref())) {
         add(halts, task.key(), task.attempt());
-      } else if (!ledger.live(task.ref())) {
+      } else if (!ledger.live(task.ref()) && !acceptedSinceRead.test(task.ref())) {
+        LOG.debug("no lease for {}: {} is on no record here", report.host(), task.ref());
         return null;
       }
     }
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -18,6 +18,7 @@
 import dapplestair.work.Report;
 import java.util.Collection;
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * All machines with their workers: which there are, how long each has been silent, and, at the
@@ -49,7 +50,10 @@
   private Cancellable sharing = () -> {};
   private boolean leading;
 
-  /** A desk without machines. */
+  /**
+   * A desk without machines; {@code acceptedSinceRead} tells of a job that it is newer than all
+   * records read here.
+   */
   public WorkerDesk(
       Clock clock,
       Timers timers,
@@ -61,6 +65,7 @@
       MachineTypes types,
       Ledger ledger,
       Cancellations cancellations,
+      Predicate<String> acceptedSinceRead,
       Listener listener) {
     this.clock = clock;
     this.timers = timers;
@@ -88,7 +93,7 @@
             cancellations,
             roster,
             liveness,
-            new LeaseRenewal(clock, commandSender, ledger, cancellations),
+            new LeaseRenewal(clock, commandSender, ledger, cancellations, acceptedSinceRead),
             applier,
             relay,
             this::isLeading);
--- a/src/test/java/dapplestair/workers/CancellationCosts.java
+++ b/src/test/java/dapplestair/workers/CancellationCosts.java
@@ -176,7 +176,7 @@
               cancellations,
               new Roster(time),
               null);
-      renewal = new LeaseRenewal(time, commandSender, ledger, cancellations);
+      renewal = new LeaseRenewal(time, commandSender, ledger, cancellations, job -> false);
     }
 
     void begin() {
--- /dev/null
+++ b/src/test/java/dapplestair/world/UnreadJobsTest.java
@@ -0,0 +1,89 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dapplestair.emulator.EmulatedTask;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * A controller behind a cut keeps the leases of its zone's workers, also where they run jobs whose
+ * records it could not read before the cut.
+ */
+class UnreadJobsTest {
+  private static final int JOBS = 6;
+  private static final double RUN_S = 60;
+
+  private static World begun(long seed) {
+    World w = new World(seed);
+    w.net.loss = 0;
+    w.users.cancelledArrays = 0;
+    w.run(60_000);
+    return w;
+  }
+
+  /** How many tasks of these jobs are on machines of a zone. */
+  private static long running(World w, String zone, List<Users.Told> jobs) {
+    return w.cloud.machines().stream()
+        .filter(m -> !m.gone() && m.zone().equals(zone))
+        .flatMap(m -> m.tasks().stream())
+        .filter(EmulatedTask::onMachine)
+        .filter(t -> jobs.stream().anyMatch(j -> t.key().startsWith(j.ref + "/")))
+        .count();
+  }
+
+  /** Jobs of the follower's zone that are accepted while it does not hear the state service. */
+  private static List<Users.Told> unreadJobs(World w, World.Node follower, long unreadMs) {
+    w.net.cut("node-" + follower.index, "state:1", false);
+    List<Users.Told> jobs = new ArrayList<>();
+    for (int i = 0; i < JOBS; i++) {
+      jobs.add(w.users.changed("two", 2, RUN_S, b -> b.put("basin", follower.settings.zone())));
+    }
+    w.run(unreadMs);
+    return jobs;
+  }
+
+  /** Guards against leases given up for jobs accepted shortly before a cut. */
+  @ParameterizedTest(name = "seed {0}, records unread for {1} ms before the cut")
+  @CsvSource({"13001,200", "13002,500", "13003,1000", "13004,2000", "13005,4000", "13006,8000"})
+  void jobsNotReadBeforeACutKeepTheirLeases(long seed, long unreadMs) {
+    World w = begun(seed);
+    World.Node follower = w.nodes.get((w.leader().index + 1) % 3);
+    String zone = follower.settings.zone();
+    List<Users.Told> jobs = unreadJobs(w, follower, unreadMs);
+    w.cutOff(follower, m -> m.zone().equals(zone), false, World.LEASE_MS * 4 / 3);
+    long unread = running(w, zone, jobs);
+    w.run(2 * World.LEASE_MS);
+    w.net.heal("node-" + follower.index, "state:1");
+    assertEquals(0, w.cloud.killedByLease(), "tasks killed by the end of a lease");
+    SeededDaysTest.settle(w);
+    assertTrue(unreadMs < 1000 || unread > 0, "none of the jobs runs in the zone");
+  }
+
+  /** Guards against leases kept for too long for jobs that are cancelled outside the cut. */
+  @ParameterizedTest(name = "seed {0}, cancelled {1} ms after the cut began")
+  @CsvSource({"13011,0", "13012,400", "13013,3000", "13014,17000", "13015,30000"})
+  void unreadJobsCancelledOutsideACutEndInTime(long seed, long cancelledMs) {
+    World w = begun(seed);
+    World.Node follower = w.nodes.get((w.leader().index + 1) % 3);
+    List<Users.Told> jobs = unreadJobs(w, follower, World.REPORT_MS);
+    String zone = follower.settings.zone();
+    long cutMs = 2 * World.CANCEL_MS;
+    w.cutOff(follower, m -> m.zone().equals(zone), false, cutMs);
+    w.run(cancelledMs);
+    assertTrue(running(w, zone, jobs) > 0, "none of the jobs runs in the zone");
+    // The follower could accept none, and its users try again elsewhere.
+    jobs.removeIf(job -> !job.accepted);
+    jobs.forEach(job -> w.users.cancelAt(job, w.leader()));
+    w.run(World.REPORT_MS);
+    jobs.forEach(job -> assertTrue(job.aborted, job.ref + " is not cancelled"));
+    w.run(World.CANCEL_MS);
+    assertEquals(0, running(w, zone, jobs), "cancelled tasks");
+    w.run(cutMs - cancelledMs);
+    w.net.heal("node-" + follower.index, "state:1");
+    SeededDaysTest.settle(w);
+  }
+}
