A former leader keeps leases for the jobs that it held, until it has read the records again

Callers saw: all tasks in a zone are killed when the zone is cut off shortly after its controller lost the lead to another one. Cause: a deposed leader empties its ledger and its replica and lists anew; while the state service does not serve it no job is on its records, and reports that name an unknown job get 503. Evidence: the debug line of LeaseRenewal for every job of the zone; known-to is new enough all the while. Mend: the jobs that the replica held when it forgot them were not over at its last read, which is all that known-to needs; they keep their leases until the listing tells what became of them.

--- a/src/main/java/dapplestair/node/CoreDuties.java
+++ b/src/main/java/dapplestair/node/CoreDuties.java
@@ -111,7 +111,7 @@
             types,
             ledger,
             cancellations,
-            accepted::unread,
+            this::notOverWhenRead,
             listeners.workers);
     log = logsEvents ? new EventLog(clock) : null;
     events = logsEvents ? log : Events.OFF;
@@ -130,6 +130,11 @@
     return replica.position();
   }
 
+  /** A job that is not in the ledger was not over when the records were last read. */
+  private boolean notOverWhenRead(String job) {
+    return accepted.unread(job) || replica.heldBefore(job);
+  }
+
   @Override
   public void close() {
     workers.close();
--- a/src/main/java/dapplestair/state/Replica.java
+++ b/src/main/java/dapplestair/state/Replica.java
@@ -83,6 +83,14 @@
     reload();
   }
 
+  /**
+   * True when a job was held as not over when everything was forgotten, and the listing that tells
+   * what became of it has not been read yet.
+   */
+  public boolean heldBefore(String job) {
+    return jobsBefore.contains(Keys.job(job));
+  }
+
   /** True once complete. */
   public boolean ready() {
     return ready;
--- a/src/main/java/dapplestair/workers/LeaseRenewal.java
+++ b/src/main/java/dapplestair/workers/LeaseRenewal.java
@@ -36,21 +36,24 @@
   private final CommandSender commandSender;
   private final Ledger ledger;
   private final Cancellations cancellations;
-  private final Predicate<String> acceptedSinceRead;
+  private final Predicate<String> notOverWhenRead;
   private final Map<String, Raised> raised = new Latest<>(MOST_KEPT);
 
-  /** {@code acceptedSinceRead} tells of a job that it is newer than all records read here. */
+  /**
+   * {@code notOverWhenRead} tells of a job that is not in the ledger that it was not over when the
+   * records were last read here.
+   */
   LeaseRenewal(
       Clock clock,
       CommandSender commandSender,
       Ledger ledger,
       Cancellations cancellations,
-      Predicate<String> acceptedSinceRead) {
+      Predicate<String> notOverWhenRead) {
     this.clock = clock;
     this.commandSender = commandSender;
     this.ledger = ledger;
     this.cancellations = cancellations;
-    this.acceptedSinceRead = acceptedSinceRead;
+    this.notOverWhenRead = notOverWhenRead;
   }
 
   /**
@@ -85,8 +88,8 @@
   /**
    * The answer of a controller that does not lead, under the worker's own token; null when it may
    * not keep the lease. It must tell of each task whether its job is cancelled: of a job that is on
-   * none of its records it cannot, since it may have begun after that job was over, unless the
-   * leader said that the job was accepted after the records were read.
+   * none of its records it cannot, since it may have begun after that job was over, unless it is
+   * known that the job was not over when the records were read.
    */
   ObjectNode byOther(Report report) {
     if (!cancellations.mayRenew()) {
@@ -99,7 +102,7 @@
       }
       if (cancellations.knows(task.ref())) {
         add(halts, task.key(), task.attempt());
-      } else if (!ledger.live(task.ref()) && !acceptedSinceRead.test(task.ref())) {
+      } else if (!ledger.live(task.ref()) && !notOverWhenRead.test(task.ref())) {
         LOG.debug("no lease for {}: {} is on no record here", report.host(), task.ref());
         return null;
       }
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -51,8 +51,8 @@
   private boolean leading;
 
   /**
-   * A desk without machines; {@code acceptedSinceRead} tells of a job that it is newer than all
-   * records read here.
+   * A desk without machines; {@code notOverWhenRead} tells of a job that is not in the ledger that
+   * it was not over when the records were last read.
    */
   public WorkerDesk(
       Clock clock,
@@ -65,7 +65,7 @@
       MachineTypes types,
       Ledger ledger,
       Cancellations cancellations,
-      Predicate<String> acceptedSinceRead,
+      Predicate<String> notOverWhenRead,
       Listener listener) {
     this.clock = clock;
     this.timers = timers;
@@ -93,7 +93,7 @@
             cancellations,
             roster,
             liveness,
-            new LeaseRenewal(clock, commandSender, ledger, cancellations, acceptedSinceRead),
+            new LeaseRenewal(clock, commandSender, ledger, cancellations, notOverWhenRead),
             applier,
             relay,
             this::isLeading);
--- a/src/test/java/dapplestair/world/UnreadJobsTest.java
+++ b/src/test/java/dapplestair/world/UnreadJobsTest.java
@@ -86,4 +86,23 @@
     w.net.heal("node-" + follower.index, "state:1");
     SeededDaysTest.settle(w);
   }
+
+  /** Guards against leases given up by a former leader that could not read the records again. */
+  @ParameterizedTest(name = "seed {0}, deposed {1} ms before the cut")
+  @CsvSource({"13021,400", "13022,1000", "13023,2000", "13024,4000"})
+  void aFormerLeaderBehindACutKeepsItsLeases(long seed, long deposedMs) {
+    World w = begun(seed);
+    World.Node former = w.leader();
+    String zone = former.settings.zone();
+    w.net.cut("node-" + former.index, "state:1", false);
+    while (w.leader() == null || w.leader() == former) {
+      w.run(100);
+    }
+    w.run(deposedMs);
+    w.cutOff(former, m -> m.zone().equals(zone), false, World.LEASE_MS * 4 / 3);
+    w.run(2 * World.LEASE_MS);
+    w.net.heal("node-" + former.index, "state:1");
+    assertEquals(0, w.cloud.killedByLease(), "tasks killed by the end of a lease");
+    SeededDaysTest.settle(w);
+  }
 }
