Machines that nobody remembers are returned also when a controller is away or most of them hang

Callers saw: a job that its user was told is cancelled goes on running on a machine that hangs past its lease, beyond cancel_s. Cause: ForgottenMachines waited for the word of every peer, and returned nothing while more machines were silent than heard. Mend: a peer that is neither heard nor answers is passed over; any number of silent machines is returned while some machine is heard. A zone of which neither machines nor controller are heard, and whose controller does not refuse, is left alone: it is cut off, and its controller may know.

--- a/src/main/java/dapplestair/cancellations/ForgottenMachines.java
+++ b/src/main/java/dapplestair/cancellations/ForgottenMachines.java
@@ -9,8 +9,10 @@
 import dapplestair.settings.Settings;
 import dapplestair.work.Latest;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -19,8 +21,8 @@
  * When all controllers have ended in an outage of the state service, nobody remembers what was
  * cancelled, nor can it be read. No lease is kept then, so that what runs on machines that are
  * heard ends; a machine that hangs past its lease has to be returned. Machines that are silent
- * while most others are heard are returned by the controllers together, without knowing what runs
- * there: its lease is over anyway.
+ * while others are heard are returned by the controllers together, without knowing what runs there:
+ * its lease is over anyway.
  */
 final class ForgottenMachines {
   private static final Logger LOG = LoggerFactory.getLogger(ForgottenMachines.class);
@@ -35,7 +37,36 @@
   private static final int SILENT_PER_LEASE = 2;
   private static final int MOST_HEARD = 8000;
   private static final int MOST_LISTED = 500;
-  private static final int MOST_RETURNED_AT_ONCE = 50;
+  private static final int MOST_RETURNED_AT_ONCE = 100;
+
+  /** A machine that may run something and is silent. */
+  private record Silent(String host, String zone) {}
+
+  /** What one turn finds out. */
+  private static final class Survey {
+    /** Zones of controllers that are neither heard nor refuse connections. */
+    final Set<String> unansweredZones = new HashSet<>();
+
+    /** Zones of which a machine is heard. */
+    final Set<String> heardZones = new HashSet<>();
+
+    final List<Silent> silent = new ArrayList<>();
+
+    /**
+     * Machines that are silent while others are heard. A zone of which nothing is heard, neither
+     * machines nor its controller, is cut off: that controller may know what was cancelled.
+     */
+    List<String> forgotten() {
+      if (heardZones.isEmpty()) {
+        // It is rather we who are cut off.
+        return List.of();
+      }
+      return silent.stream()
+          .filter(m -> heardZones.contains(m.zone()) || !unansweredZones.contains(m.zone()))
+          .map(Silent::host)
+          .toList();
+    }
+  }
 
   private final Clock clock;
   private final Timers timers;
@@ -87,7 +118,7 @@
     }
     if (!busy && clock.now() - startedAt >= silentMs()) {
       busy = true;
-      askPeers(0);
+      askPeers(0, new Survey());
     }
   }
 
@@ -95,26 +126,36 @@
     return settings.workers().leaseMs() / SILENT_PER_LEASE;
   }
 
-  /** All of them must say so: one that has records, or does not answer, may keep leases. */
-  private void askPeers(int next) {
+  /**
+   * None of them may say that it has records: it looks after what it knows. One that is away, or
+   * cut off, cannot be asked, and need not remember either.
+   */
+  private void askPeers(int next, Survey survey) {
     if (next == settings.peers().size()) {
-      list(null, new ArrayList<>(), 0);
+      list(null, survey);
       return;
     }
+    Settings.Peer peer = settings.peers().get(next);
     peers
         .questions()
         .ask(
-            settings.peers().get(next).member(),
+            peer.member(),
             RECORDLESS,
             new byte[0],
             settings.workers().reportMs() / 4,
-            reply -> {
-              if (reply != null && reply.length == 1 && reply[0] == YES) {
-                askPeers(next + 1);
-              } else {
-                rest();
-              }
-            });
+            reply -> answered(peer, next, survey, reply));
+  }
+
+  private void answered(Settings.Peer peer, int index, Survey survey, byte[] reply) {
+    boolean answers = reply != null && reply.length == 1;
+    if (answers ? reply[0] != YES : peers.alive(peer.member())) {
+      rest();
+      return;
+    }
+    if (!answers && !peers.seemsEnded(peer.member())) {
+      survey.unansweredZones.add(peer.zone());
+    }
+    askPeers(index + 1, survey);
   }
 
   /** The next turn comes after a while: the leader to be needs nearly all of the cloud's calls. */
@@ -122,7 +163,7 @@
     timers.after(Math.round(4000 / settings.cloud().rps()), () -> busy = false);
   }
 
-  private void list(String from, List<String> silent, int heard) {
+  private void list(String from, Survey survey) {
     cloud.lookUp(
         from,
         MOST_LISTED,
@@ -132,24 +173,28 @@
             rest();
             return;
           }
-          int heardSoFar = heard;
           String last = from;
           for (JsonNode node : page.path("hosts")) {
             last = Json.text(node, "ref");
-            if (isHeard(last)) {
-              heardSoFar++;
-            } else if (ranBefore(node)) {
-              silent.add(last);
-            }
+            enter(survey, last, node);
           }
           if (page.path("more").asBoolean()) {
-            list(last, silent, heardSoFar);
+            list(last, survey);
           } else {
-            conclude(silent, heardSoFar);
+            release(survey.forgotten());
           }
         });
   }
 
+  private void enter(Survey survey, String host, JsonNode node) {
+    String zone = Json.text(node, "basin");
+    if (isHeard(host)) {
+      survey.heardZones.add(zone);
+    } else if (ranBefore(node)) {
+      survey.silent.add(new Silent(host, zone));
+    }
+  }
+
   private boolean isHeard(String host) {
     Long at = heardAt.get(host);
     return at != null && clock.now() - at < silentMs();
@@ -161,14 +206,14 @@
     return "running".equals(Json.text(node, "status")) && ageMs > clock.now() - startedAt;
   }
 
-  private void conclude(List<String> silent, int heard) {
-    if (silent.isEmpty() || silent.size() > heard) {
-      // When most are silent it is rather we who are cut off.
+  private void release(List<String> hosts) {
+    if (hosts.isEmpty() || !recordless.getAsBoolean()) {
       rest();
       return;
     }
-    List<String> some = silent.subList(0, Math.min(MOST_RETURNED_AT_ONCE, silent.size()));
+    int count = Math.min(MOST_RETURNED_AT_ONCE, hosts.size());
+    List<String> some = hosts.subList(0, count);
     LOG.warn("no controller has records, and {} are silent: returning them", some);
-    cloud.enforceRelease(some, reply -> rest());
+    cloud.enforceRelease(some, reply -> release(hosts.subList(count, hosts.size())));
   }
 }
--- a/src/test/java/dapplestair/world/ManyLeadersTest.java
+++ b/src/test/java/dapplestair/world/ManyLeadersTest.java
@@ -109,7 +109,7 @@
   }
 
   /** Users are told while machines hang, and an outage begins. */
-  private static GapTest.Day cancelledOnHangingMachines(long seed) {
+  static GapTest.Day cancelledOnHangingMachines(long seed) {
     GapTest.Day d = new GapTest.Day(seed);
     d.cancelled.forEach(t -> d.w.users.cancelAt(t, d.old));
     d.stallEveryThird();
