--- a/src/main/java/dapplestair/fleet/MachineHealthMonitor.java
+++ b/src/main/java/dapplestair/fleet/MachineHealthMonitor.java
@@ -154,6 +154,17 @@
       releases.add(host);
     } else if (host.outOfReach() && givenUp(host)) {
       LOG.info("{} is silent: returning it", host.id());
+      LOG.debug(
+          "{} in {}: silent for {} ms, its zone for {} ms, hangs {}, mute {}, "
+              + "{} attempts, CPUs of replicas {}",
+          host.id(),
+          host.zone(),
+          desk.silentMs(host),
+          host.zoneSilentMs(),
+          host.hanging(),
+          host.mute(),
+          host.attempts().size(),
+          host.serviceCpus());
       lost(host, "silent");
       market.noteTaken(host);
       giveUp(host);
--- a/src/main/java/dapplestair/ledger/Evidence.java
+++ b/src/main/java/dapplestair/ledger/Evidence.java
@@ -84,6 +84,14 @@
               attempt.job.begunAfterMs,
               context.clock.wall() - attempt.job.acceptedWall());
         }
+        if (!attempt.began && !attempt.adopted) {
+          LOG.debug(
+              "{} try {} starts on {} {} ms after its job was asked for",
+              attempt.key(),
+              attempt.number(),
+              host.id(),
+              context.clock.wall() - attempt.job.askedWall());
+        }
         attempt.job.begun = true;
         attempt.began = true;
         attempt.job.chunkOf(attempt.step).resumed(attempt.step);
