Jobs not in the ledger keep leases only while no living peer is served

Callers saw: replicas of more machines than a budget allows are stopped while a leader changes over a slow state service. Cause: a former leader that could not read the records kept its workers' leases while the new leader was up and served; to that one they were silent, and it returned their machines. Mend: it keeps them only when no living peer is served, which is what being behind a cut looks like from inside.

--- a/src/main/java/dapplestair/node/CoreDuties.java
+++ b/src/main/java/dapplestair/node/CoreDuties.java
@@ -130,9 +130,13 @@
     return replica.position();
   }
 
-  /** A job that is not in the ledger was not over when the records were last read. */
+  /**
+   * A job that is not in the ledger was not over when the records were last read. It matters behind
+   * a cut only: while a peer is served, workers with such jobs are better off with a controller
+   * that can read of them, and its leader would take them for silent if they stayed here.
+   */
   private boolean notOverWhenRead(String job) {
-    return accepted.unread(job) || replica.heldBefore(job);
+    return !peers.anyServed() && (accepted.unread(job) || replica.heldBefore(job));
   }
 
   @Override
