Calendars: what is held no more is placed, whatever ended the hold

Callers saw: a run does not begin after its cycle is released, nor after its cut-off. Cause: only the answer to the put of a release had jobs placed; with that answer lost the release comes by the stream of changes, which told nobody, and a hold that ends by the clock told nobody either. Evidence: the record says released, complete, 2.5 s after the cycle began; the run has no start 30 s later. Mend: the tick places when a run that was held is held no more.

--- a/src/main/java/dapplestair/calendar/Calendars.java
+++ b/src/main/java/dapplestair/calendar/Calendars.java
@@ -58,6 +58,10 @@
   private final Map<String, Map<Long, Set<String>>> marks = new HashMap<>();
 
   private final Set<String> writing = new HashSet<>();
+
+  /** Runs that were held at the last tick, by reference. */
+  private Set<String> heldBefore = Set.of();
+
   private Runnable changed = () -> {};
   private DoubleSupplier bootS = () -> 0;
   private Cancellable timer = () -> {};
@@ -118,6 +122,7 @@
     cycles.clear();
     marks.clear();
     writing.clear();
+    heldBefore = Set.of();
   }
 
   // ---- leading ----
@@ -239,14 +244,28 @@
     }
   }
 
-  /** What is held is planned for only from when its machines have to be asked for. */
+  /**
+   * What is held is planned for only from when its machines have to be asked for. What is held no
+   * more is placed now, whatever ended it: an answer, the record of a release whose answer was
+   * lost, or the clock.
+   */
   private void rest() {
+    Set<String> held = new HashSet<>();
     for (Job job : ledger.jobs()) {
       RunCalendar calendar = of(job.spec());
       if (calendar != null) {
-        ledger.rest(job, holds(job) && !soon(calendar, job));
+        boolean holds = holds(job);
+        ledger.rest(job, holds && !soon(calendar, job));
+        if (holds) {
+          held.add(job.spec().ref());
+        }
       }
     }
+    boolean released = !held.containsAll(heldBefore);
+    heldBefore = held;
+    if (released) {
+      changed.run();
+    }
   }
 
   /** True from a boot before the usual release on. */
--- a/src/test/java/dapplestair/world/CalendarTest.java
+++ b/src/test/java/dapplestair/world/CalendarTest.java
@@ -22,11 +22,11 @@
  */
 class CalendarTest {
   private static final long PERIOD_MS = 60_000;
-  private static final long CUT_OFF_MS = 30_000;
-  private static final int COMPLETE = 4;
+  static final long CUT_OFF_MS = 30_000;
+  static final int COMPLETE = 4;
 
   // A tick, the put, a turn of placing, a launch.
-  private static final long STEPS_MS = 2500;
+  static final long STEPS_MS = 2500;
 
   private static final RunCalendar BASIN =
       new RunCalendar(
@@ -47,7 +47,7 @@
   }
 
   /** At the beginning of a cycle. */
-  private static World begun(long seed) {
+  static World begun(long seed) {
     World w = new World(seed, World.Size.MIDDLE);
     w.net.loss = 0;
     w.users.quiet = true;
@@ -65,7 +65,7 @@
     w.run(BASIN.next(BASIN.cycle(wall(w))) - wall(w) + 200);
   }
 
-  private static Users.Told model(World w) {
+  static Users.Told model(World w) {
     return w.users.changed("one", 10, 8, b -> b.put("jobclass", "model").put("rank", "high"));
   }
 
@@ -73,7 +73,7 @@
     return w.users.changed("one", 1, 1, b -> b.put("jobclass", "gauge").put("rank", "standard"));
   }
 
-  private static JsonNode record(World w) {
+  static JsonNode record(World w) {
     return w.state.value("live/calendar/basin");
   }
 
@@ -81,7 +81,7 @@
     return w.state.keys("live/calendar/basin/").size();
   }
 
-  private static void deliver(World w, int gauges) {
+  static void deliver(World w, int gauges) {
     List<Users.Told> sent = new ArrayList<>();
     for (int i = 0; i < gauges; i++) {
       sent.add(gauge(w));
@@ -92,7 +92,7 @@
     }
   }
 
-  private static void untilBegun(World w, Users.Told job, long ms) {
+  static void untilBegun(World w, Users.Told job, long ms) {
     long until = w.sim.now() + ms;
     while (!job.started && w.sim.now() < until) {
       w.run(50);
--- a/src/test/java/dapplestair/world/LostAnswersTest.java
+++ b/src/test/java/dapplestair/world/LostAnswersTest.java
@@ -68,7 +68,7 @@
 
   private static final long NO_NEWS_MS = 5000;
 
-  private static void loseAnswers(World w, Predicate<JsonNode> writes, Sender sender) {
+  static void loseAnswers(World w, Predicate<JsonNode> writes, Sender sender) {
     CloseLooks looks = new CloseLooks(w);
     long[] crashAgainAt = {0};
     w.net.commits.lostAnswersOf = writes;
--- /dev/null
+++ b/src/test/java/dapplestair/world/LostOrdersTest.java
@@ -0,0 +1,80 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dapplestair.json.Json;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * As {@link LostAnswersTest}, for what operators, budgets and calendars put on record: only the
+ * answer is lost, and the sender goes on, hears no news, or ends.
+ */
+class LostOrdersTest {
+  private static final long FOR_MS = 30_000;
+  private static final long LONG_MS = 150_000;
+  private static final long REPLACED_MS = 900_000;
+
+  private static void begin(World w, Predicate<JsonNode> writes, LostAnswersTest.Sender sender) {
+    LostAnswersTest.loseAnswers(w, writes, sender);
+  }
+
+  private static void end(World w) {
+    assertTrue(w.net.commits.lost > 0, "no answer was lost");
+    w.net.commits.lostAnswers = 0;
+  }
+
+  /** Guards against drains that are forgotten, or never end, for want of an answer. */
+  @ParameterizedTest(name = "seed {0}, its sender: {1}")
+  @CsvSource({"13101,GOES_ON", "13102,HEARS_NO_NEWS", "13103,ENDS_AT_ONCE", "13104,ENDS_LATER"})
+  void drainsWithoutAnswer(long seed, LostAnswersTest.Sender sender) {
+    World w = DisruptionTest.begun(seed, 2, 3);
+    int replicas = DisruptionTest.replicas(w);
+    begin(w, Commits.puts("live/drain").or(Commits.removes("live/drain")), sender);
+    OperatorsTest.order(w, "/v1/zones/c/drain", Json.object().put("why", "power"));
+    w.run(FOR_MS);
+    w.run(LONG_MS);
+    assertEquals(0, DisruptionTest.tasksIn(w, "c"), "tasks left in the zone");
+    OperatorsTest.order(w, "/v1/zones/c/undrain", null);
+    w.run(FOR_MS);
+    end(w);
+    w.run(FOR_MS);
+    assertEquals(0, w.state.keys("live/drain").size(), "drains on record");
+    assertEquals(replicas, DisruptionTest.replicas(w), "replicas in the end");
+  }
+
+  /** Guards against replacements that stand still, or begin again, for want of an answer. */
+  @ParameterizedTest(name = "seed {0}, its sender: {1}")
+  @CsvSource({"13111,GOES_ON", "13112,HEARS_NO_NEWS", "13113,ENDS_AT_ONCE", "13114,ENDS_LATER"})
+  void replacementsWithoutAnswer(long seed, LostAnswersTest.Sender sender) {
+    World w = DisruptionTest.begun(seed, 2, 3);
+    Set<String> before = ReplacementTest.machines(w);
+    int replicas = DisruptionTest.replicas(w);
+    begin(w, Commits.puts("live/replace/"), sender);
+    OperatorsTest.order(w, "/v1/replacements/night/start", ReplacementTest.all(3, 3));
+    w.run(2 * FOR_MS);
+    end(w);
+    ReplacementTest.untilDone(w, REPLACED_MS);
+    ReplacementTest.assertReplaced(w, before, replicas);
+  }
+
+  /** Guards against runs held past their cut-off, and marks that count twice. */
+  @ParameterizedTest(name = "seed {0}, its sender: {1}")
+  @CsvSource({"13122,GOES_ON", "13116,HEARS_NO_NEWS", "13110,ENDS_AT_ONCE", "13134,ENDS_LATER"})
+  void calendarMarksWithoutAnswer(long seed, LostAnswersTest.Sender sender) {
+    World w = CalendarTest.begun(seed);
+    Users.Told model = CalendarTest.model(w);
+    begin(w, Commits.puts("live/calendar/"), sender);
+    CalendarTest.deliver(w, CalendarTest.COMPLETE);
+    CalendarTest.untilBegun(w, model, CalendarTest.CUT_OFF_MS + CalendarTest.STEPS_MS);
+    end(w);
+    w.run(FOR_MS);
+    int delivered = CalendarTest.record(w).path("delivered").asInt();
+    assertTrue(delivered <= CalendarTest.COMPLETE, delivered + " deliveries are on record");
+    assertTrue(model.done, "it is not done");
+  }
+}
--- a/src/test/java/dapplestair/world/ReplacementTest.java
+++ b/src/test/java/dapplestair/world/ReplacementTest.java
@@ -61,7 +61,7 @@
     }
   }
 
-  private static void assertReplaced(World w, Set<String> before, int replicas) {
+  static void assertReplaced(World w, Set<String> before, int replicas) {
     Set<String> left = machines(w);
     left.retainAll(before);
     assertEquals(Set.of(), left, "old machines are left");
