Budgets: a task counts as running from when its launch was planned

Callers saw: operators who drain throw away slightly more of a team's work than its budget. Mend: counted from the plan of its launch, before which it cannot have started.

--- a/src/main/java/dapplestair/disruption/Disruption.java
+++ b/src/main/java/dapplestair/disruption/Disruption.java
@@ -197,14 +197,15 @@
   }
 
   /**
-   * Work that stopping a task would throw away, CPU seconds. How long one ran under an earlier
-   * leader is not known: then at most since its job was accepted.
+   * Most work that stopping a task can throw away, CPU seconds. That it runs may be heard some
+   * seconds late, so it counts from when it was planned. How long one ran under an earlier leader
+   * is not known: then at most since its job was accepted.
    */
   public double lossCpuS(Attempt attempt) {
     if (attempt.spec().service()) {
       return 0;
     }
-    double ran = attempt.ranS(clock.now());
+    double ran = (clock.now() - attempt.plannedAt()) / 1000.0;
     if (attempt.adopted()) {
       ran = Math.max(ran, (clock.wall() - attempt.job().acceptedWall()) / 1000.0);
     }
--- a/src/test/java/dapplestair/world/LostOrdersTest.java
+++ b/src/test/java/dapplestair/world/LostOrdersTest.java
@@ -5,6 +5,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dapplestair.json.Json;
+import dapplestair.settings.Budgets;
+import dapplestair.settings.Operator;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -62,6 +65,33 @@
     ReplacementTest.assertReplaced(w, before, replicas);
   }
 
+  /** Guards against more work thrown away than a budget allows, and against budgets never used. */
+  @ParameterizedTest(name = "seed {0}, its sender: {1}")
+  @CsvSource({"13112,GOES_ON", "13222,HEARS_NO_NEWS", "13123,ENDS_AT_ONCE", "13124,ENDS_LATER"})
+  void budgetsWithoutAnswer(long seed, LostAnswersTest.Sender sender) {
+    World w = DisruptionTest.begun(seed, 1, 1);
+    Budgets.Budget d = Budgets.USUAL.others();
+    double most = 2.0 * 60 * 8;
+    w.operator =
+        Operator.defaults()
+            .withBudgets(
+                new Budgets(Map.of(), new Budgets.Budget(1, 1, 1, 1, d.arrayTasks(), most)));
+    w.nodes.forEach(n -> n.crash(1000));
+    w.run(8000);
+    w.users.array("two", "standard", 60, 300);
+    w.run(40_000);
+    begin(w, Commits.puts("live/disruption/"), sender);
+    for (String zone : World.ZONES) {
+      OperatorsTest.order(w, "/v1/zones/" + zone + "/drain", Json.object().put("deadline_s", 1));
+    }
+    w.run(FOR_MS);
+    end(w);
+    w.run(FOR_MS);
+    double lost = w.checker.thrownAwayCpuS.getOrDefault("two", 0.0);
+    assertTrue(lost > 0, "nothing was stopped at the deadline");
+    assertTrue(lost <= most + 1e-6, lost + " CPU seconds thrown away of " + most);
+  }
+
   /** Guards against runs held past their cut-off, and marks that count twice. */
   @ParameterizedTest(name = "seed {0}, its sender: {1}")
   @CsvSource({"13122,GOES_ON", "13116,HEARS_NO_NEWS", "13110,ENDS_AT_ONCE", "13134,ENDS_LATER"})
