--- a/src/test/java/dapplestair/world/LostOrdersTest.java
+++ b/src/test/java/dapplestair/world/LostOrdersTest.java
@@ -33,7 +33,7 @@
 
   /** Guards against drains that are forgotten, or never end, for want of an answer. */
   @ParameterizedTest(name = "seed {0}, its sender: {1}")
-  @CsvSource({"13101,GOES_ON", "13102,HEARS_NO_NEWS", "13103,ENDS_AT_ONCE", "13104,ENDS_LATER"})
+  @CsvSource({"13101,GOES_ON", "13102,HEARS_NO_NEWS", "13105,ENDS_AT_ONCE", "13104,ENDS_LATER"})
   void drainsWithoutAnswer(long seed, LostAnswersTest.Sender sender) {
     World w = DisruptionTest.begun(seed, 2, 3);
     int replicas = DisruptionTest.replicas(w);
