--- a/src/main/java/dapplestair/workers/CommandSender.java
+++ b/src/main/java/dapplestair/workers/CommandSender.java
@@ -179,11 +179,7 @@
    * package cancellations.
    */
   private boolean mayLaunch(Host host) {
-    long shown =
-        FencingToken.term(host.tokenSeen) == leadership.term()
-            ? FencingToken.fence(host.tokenSeen)
-            : 0;
-    return cancellations.mayLaunch() && host.fence - shown < FencingToken.MOST_AHEAD;
+    return cancellations.mayLaunch() && Fencing.launchesMayLeave(host, leadership.term());
   }
 
   private void answered(Host host, List<Order> orders, List<Attempt> launches, HttpReply reply) {
--- a/src/main/java/dapplestair/workers/Fencing.java
+++ b/src/main/java/dapplestair/workers/Fencing.java
@@ -25,6 +25,15 @@
     return due ? attempt : null;
   }
 
+  /**
+   * Whether launches may be sent under the machine's token: it must lie below all that another
+   * controller raises the worker's token to in order to keep them out.
+   */
+  static boolean launchesMayLeave(Host host, long term) {
+    long shown = FencingToken.term(host.tokenSeen) == term ? FencingToken.fence(host.tokenSeen) : 0;
+    return host.fence - shown < FencingToken.MOST_AHEAD;
+  }
+
   /** A message with these orders is about to leave; its token is read after this. */
   static void sending(Host host, List<Order> orders, List<Attempt> launches) {
     if (orders.stream().anyMatch(o -> o instanceof Order.Clear)) {
