--- a/src/test/java/dapplestair/fleet/SupplyTest.java
+++ b/src/test/java/dapplestair/fleet/SupplyTest.java
@@ -9,14 +9,10 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/*
- * On seed 5016 of BurstTest the cloud had 60 spot machines in each of three zones. All three had
- * refused by 9.91 s, each while further rentals of the same zone were under way, and the next plan
- * wanted 342 of 180: "most machines that the cloud has shown to give" held those it had been asked
- * for and had not given. What it lacked was then not rented as steady machines.
+/**
+ * What the cloud has shown to give, beside rentals that are under way
+ * (docs/incidents/cold-burst.md).
  */
-
-/** What the cloud has shown to give, beside rentals that are under way. */
 class SupplyTest {
   private static final CapacityPool POOL = new CapacityPool(new Slot("t8", true), "a");
   private static final long BELIEVED_MS = 15_000;
--- a/src/test/java/dapplestair/world/BurstTest.java
+++ b/src/test/java/dapplestair/world/BurstTest.java
@@ -37,15 +37,10 @@
     assertTrue(rented(w) >= 290, rented(w) + " of the 360 machines that the cloud has");
   }
 
-  /*
-   * Five arrays of 600 tasks arrive while one machine is held; 375 machines would run all of them.
-   * On seed 5016 the first plan after that held 40, on 5014 19, on 5119 fewer still: of the plans
-   * on the front the slowest holds one machine and takes 13,725 s, and by that the makespans of all
-   * others are divided, so that 40 machines (358 s) seemed as good as 375 (53 s). Each later plan
-   * did the same from what the one before had brought up: a boot for each step.
+  /**
+   * The first plan that knows of a burst already asks for most of what it needs
+   * (docs/incidents/cold-burst.md).
    */
-
-  /** The first plan that knows of a burst already asks for most of what it needs. */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {5004, 5014, 5016, 5019, 5031, 5119, 5193})
   void theFirstPlanIsForTheWholeBurst(long seed) {
--- a/src/test/java/dapplestair/world/LostAnswersTest.java
+++ b/src/test/java/dapplestair/world/LostAnswersTest.java
@@ -168,13 +168,6 @@
     assertEquals(List.of(), w.state.keys("live/sheet/"), "launch batches once all is over");
   }
 
-  /*
-   * Where the leader hears no changes for five seconds after a lost answer, each further write of the
-   * claims went by the stamp that its replica still had, and was refused; three answers lost in a
-   * row took longer than the bound (3 of 90 plays on 2b59a26, seeds 9246, 9262, 9269; 4 of 90 while
-   * other days took another course, 9241, 9259, 9261, 9270). The record itself can be read.
-   */
-
   /** Nobody is stopped for a claim that may not be on record, and no rider waits for ever. */
   @ParameterizedTest(name = "seed {0}, the leader: {1}")
   @CsvSource({
--- a/src/test/java/dapplestair/world/ManyLeadersTest.java
+++ b/src/test/java/dapplestair/world/ManyLeadersTest.java
@@ -133,12 +133,6 @@
     SeededDaysTest.settle(w);
   }
 
-  /*
-   * Nobody is left who remembers what was cancelled, nor can it be read. Machines that report get no
-   * lease from such controllers, so that whatever runs there ends; one that hangs past its lease has
-   * to be returned by somebody, and nobody knows that.
-   */
-
   /** All controllers end in the outage, and are back at once, while machines hang. */
   @ParameterizedTest(name = "seed {0}, end after {1} ms")
   @CsvSource({"12201,100", "12202,3000", "12203,15000"})
--- a/src/test/java/dapplestair/world/WrongJobsTest.java
+++ b/src/test/java/dapplestair/world/WrongJobsTest.java
@@ -272,22 +272,6 @@
     assertEquals(Set.of(), faulty(w), "machines emptied");
   }
 
-  /*
-   * Why faulty machines were not blamed in time (41 of the seeds 2041 to 2240 of
-   * machinesAreBlamedForTheirOwn, up to 53 starts on one of them). Three causes, from the logs:
-   *
-   * - A job that was done took its evidence with it: "a job is over: nothing is held by it against
-   *   machines". On seed 2080 n-000031 failed one task each of three good jobs, at 39.8, 49.1 and
-   *   63.1 s; each had completed elsewhere and its job was done before the next one failed, so that
-   *   three times one step was held against the machine, and two are needed.
-   * - A verdict on a job cleared the machines for good, also when it was taken back: on seed 2111 job
-   *   27, which was good, failed six times on two faulty machines, was judged wrong, and worked after
-   *   all; what had failed of it counted no more.
-   * - A machine that fails within 0.7 s is the one with free room. On seed 2043 job 28 was started
-   *   there 16 times in five seconds, since all others were full; nor did a second and a third job
-   *   that failed there keep it from being filled at once by the next.
-   */
-
   /** Seeds on which one of the three causes, or two of them, kept a machine from being blamed. */
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {2048, 2055, 2061, 2064, 2080, 2086, 2106, 2111, 2125, 2143, 2165})
--- a/src/test/java/dapplestair/world/ZonesTest.java
+++ b/src/test/java/dapplestair/world/ZonesTest.java
@@ -57,17 +57,10 @@
     cutOnce(tenths, leaderEndsAt, 1000 + 10L * tenths + leaderEndsAt);
   }
 
-  /*
-   * Why a zone was not steady within three leases: all its machines were given up, so nobody could
-   * be heard there, and nothing was rented there either. It was taken for back by time alone: three
-   * leases in which the silence was remembered and two more, counted anew by each leader, and once
-   * more while machines that the former leader had returned still counted as the zone's. On seed 1225
-   * + 2000 (20 tenths, the leader ends at second 25) the cut is over at 87 s, the last machine is given up at
-   * 77.5 s, those that the new leader knows from records at 98.9 s, "zone c is returning" comes at
-   * 133.7 s.
+  /**
+   * Cuts after which no machine of the zone was left, with or without a new leader
+   * (docs/incidents/zone-unheard.md).
    */
-
-  /** Cuts after which no machine of the zone was left, with or without a new leader. */
   @ParameterizedTest(name = "{0} tenths of a lease, leader ends at second {1}, seed {2}")
   @CsvSource({
     "20,25,3225",
