Checker: a start that was taken back is not restored by a later one

JobBeginTest.aLaterStartDoesNotRestoreAnEarlierOne fails without this (0 where 60,000 is due). Now each start of a task replaces what was kept of the one before. UnreadJobsTest asks that jobs which are cancelled run in the zone, so that its check can't pass with none of them.

--- a/src/test/java/dapplestair/world/JobBeginTest.java
+++ b/src/test/java/dapplestair/world/JobBeginTest.java
@@ -34,6 +34,16 @@
     assertEquals(LONG_MS, job.begunAt());
   }
 
+  /** Guards against a start that was taken back and counts since a later one completes. */
+  @Test
+  void aLaterStartDoesNotRestoreAnEarlierOne() {
+    job.taskStarted(TASK, 0);
+    job.taskStopped(TASK, STOPPED_MS);
+    job.taskStarted(TASK, LONG_MS);
+    job.taskCompleted(TASK);
+    assertEquals(LONG_MS, job.begunAt());
+  }
+
   /** Guards against a completed task that hides another one whose start was taken back. */
   @Test
   void anotherTasksEndIsNone() {
--- a/src/test/java/dapplestair/world/UnreadJobsTest.java
+++ b/src/test/java/dapplestair/world/UnreadJobsTest.java
@@ -77,6 +77,7 @@
     assertTrue(running(w, zone, jobs) > 0, "none of the jobs runs in the zone");
     // The follower could accept none, and its users try again elsewhere.
     jobs.removeIf(job -> !job.accepted);
+    assertTrue(running(w, zone, jobs) > 0, "none that runs in the zone can be cancelled");
     jobs.forEach(job -> w.users.cancelAt(job, w.leader()));
     w.run(World.REPORT_MS);
     jobs.forEach(job -> assertTrue(job.aborted, job.ref + " is not cancelled"));
--- a/src/test/java/dapplestair/world/Users.java
+++ b/src/test/java/dapplestair/world/Users.java
@@ -48,6 +48,7 @@
     void taskStarted(String key, long now) {
       if (begunAt < 0) {
         settled(now);
+        stoppedStarts.remove(key);
         youngStarts.put(key, now);
       }
     }
