Logs and metrics: why an attempt may start, how it was read, why it counts as gone

The incident's records could not tell which record let a task start, from what a new leader had read its attempts, or whether a machine counted as gone with all on it: number 4 of a task was on two machines and no line of two terms named it.

Info: the revision at which a term was won, the term that ends, how many launch batches of former leaders still count, and a warning when a record that only the leader writes is not as it left it. Debug, a few lines an attempt: the record and revision on which a launch goes out, the token it leaves under, the batch it was read from, the report, session and token that prove it absent, a machine that is gone and what was on it. Counters: starts_refused by cause, tasks_unaccounted_for, both also in the leader's summary line.

--- a/src/main/java/dapplestair/leadership/Leadership.java
+++ b/src/main/java/dapplestair/leadership/Leadership.java
@@ -211,7 +211,7 @@
   }
 
   private void stepDown(String why) {
-    LOG.info("leading no more: {}", why);
+    LOG.info("leading no more: {} (term {})", why, term);
     leading = false;
     if (settings.member().equals(leaderSeen)) {
       leaderSeen = null;
@@ -368,7 +368,7 @@
             return;
           }
           leading = true;
-          LOG.info("leading term {}", wonTerm);
+          LOG.info("leading term {}, won at revision {}", wonTerm, stamp);
           listener.lead(wonTerm);
         });
   }
--- a/src/main/java/dapplestair/ledger/Attempts.java
+++ b/src/main/java/dapplestair/ledger/Attempts.java
@@ -2,9 +2,12 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The lives of attempts, from entering a machine until nothing of them is left on it. */
 final class Attempts {
+  private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
   private static final double START_COUNTS_S = 30;
 
   private final LedgerContext context;
@@ -144,6 +147,12 @@
 
   /** The machine is proved to be gone: so is all that was on it. */
   void allAbsent(Machine machine) {
+    if (!machine.attempts().isEmpty()) {
+      LOG.debug(
+          "{} is gone, and with it {}",
+          machine.id(),
+          machine.attempts().stream().map(a -> a.key() + " try " + a.number).toList());
+    }
     List.copyOf(machine.attempts()).forEach(this::absent);
   }
 }
--- a/src/main/java/dapplestair/ledger/ChunkWriter.java
+++ b/src/main/java/dapplestair/ledger/ChunkWriter.java
@@ -8,9 +8,13 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Keeps the records of attempts: puts what changed, in as few puts as may be. */
 final class ChunkWriter implements LaunchBatches.Chunks {
+  private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
+
   /** Told of what a put has settled. */
   interface Listener {
     /** A put of this job was made. True when the job is over, so that no more follow. */
@@ -211,7 +215,7 @@
         listener.over(job);
         return;
       }
-      flush.planned.forEach(a -> launch(chunk, a));
+      flush.planned.forEach(a -> launch(chunk, a, applied.stamp()));
       flush.completed.forEach(a -> settle(job, chunk, a));
       if (!listener.written(job)) {
         again(job, chunk);
@@ -236,16 +240,23 @@
       }
     }
     if (outcome instanceof Outcome.Conflict || outcome instanceof Outcome.Unknown) {
+      if (outcome instanceof Outcome.Conflict conflict) {
+        // A leader is the only one who writes it, and none of its own copies is open any more.
+        LOG.warn(
+            "{} is not as this leader left it at {}: {}",
+            Keys.run(job.spec().ref(), chunk.index),
+            chunk.stamp,
+            conflict.failed());
+      }
       readBack(job, chunk);
     } else {
       context.timers.after(context.retryMs, () -> again(job, chunk));
     }
   }
 
-  private void launch(Chunk chunk, Attempt attempt) {
+  private void launch(Chunk chunk, Attempt attempt, long revision) {
     if (chunk.live.get(attempt.step) == attempt && attempt.phase == Attempt.Phase.PLANNED) {
-      attempt.phase = Attempt.Phase.COMMITTED;
-      context.hooks.launch(attempt);
+      context.launch(attempt, Keys.run(attempt.spec().ref(), chunk.index), revision);
     }
   }
 
--- a/src/main/java/dapplestair/ledger/Evidence.java
+++ b/src/main/java/dapplestair/ledger/Evidence.java
@@ -1,9 +1,11 @@
 package dapplestair.ledger;
 
 import dapplestair.work.Report;
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -14,6 +16,10 @@
 
   private static final int MOST_HELD_STEPS = 64;
 
+  /** Causes with which a machine says that it has not started a task (PROTOCOL). */
+  private static final Set<String> REFUSALS = Set.of("full", "busy", "unknown");
+
+  private final Object2LongOpenHashMap<String> refusedStarts = new Object2LongOpenHashMap<>();
   private final LedgerContext context;
   private final Attempts attempts;
   private final ChunkWriter writer;
@@ -26,6 +32,11 @@
     this.endings = endings;
   }
 
+  /** Starts that machines have refused since this process began, by cause. */
+  Map<String, Long> refusedStarts() {
+    return refusedStarts;
+  }
+
   /** Applies a machine's newest report. Returns tasks in it that no attempt accounts for. */
   List<Report.Task> report(Machine host, Report report) {
     List<Report.Task> strays = new ArrayList<>();
@@ -46,7 +57,16 @@
         if (attempt.done) {
           continue;
         }
-        LOG.debug("{} try {} is not on {} any more", attempt.key(), attempt.number, host.id());
+        LOG.debug(
+            "{} try {} is not on {} any more: report {} of session {} under token {}, needed {} of session {}",
+            attempt.key(),
+            attempt.number,
+            host.id(),
+            report.tick(),
+            report.session(),
+            report.token(),
+            attempt.neededToken,
+            attempt.session);
         attempts.absent(attempt);
       }
     }
@@ -105,6 +125,9 @@
 
   private void exited(Machine host, Attempt attempt, Report.Task task) {
     String cause = task.cause();
+    if (REFUSALS.contains(cause)) {
+      refusedStarts.addTo(cause, 1);
+    }
     LOG.debug("{} try {} exited on {}: {}", attempt.key(), attempt.number, host.id(), cause);
     if (cause.equals("done") && !attempt.spec().service()) {
       completed(host, attempt);
--- a/src/main/java/dapplestair/ledger/LaunchBatches.java
+++ b/src/main/java/dapplestair/ledger/LaunchBatches.java
@@ -222,8 +222,7 @@
       for (Attempt attempt : flight.planned) {
         if (attempt.job.chunkOf(attempt.step).live.get(attempt.step) == attempt
             && attempt.phase == Attempt.Phase.PLANNED) {
-          attempt.phase = Attempt.Phase.COMMITTED;
-          context.hooks.launch(attempt);
+          context.launch(attempt, flight.launchBatch.key, applied.stamp());
         }
       }
     } else if (outcome instanceof Outcome.Conflict conflict) {
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -257,6 +257,11 @@
     return jobs.values().stream().mapToInt(Job::held).sum();
   }
 
+  /** Starts that machines have refused since this process began, by cause. */
+  public Map<String, Long> refusedStarts() {
+    return evidence.refusedStarts();
+  }
+
   /** What became of the jobs of each team and class since this controller leads. */
   public Served served() {
     return served;
--- a/src/main/java/dapplestair/ledger/LedgerContext.java
+++ b/src/main/java/dapplestair/ledger/LedgerContext.java
@@ -5,9 +5,13 @@
 import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import dapplestair.state.StateClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** What every part of the ledger stands on, and the term it is kept for. */
 final class LedgerContext {
+  private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
+
   final Clock clock;
   final Timers timers;
   final Settings settings;
@@ -36,6 +40,20 @@
     this.retryMs = settings.workers().reportMs() / 12;
   }
 
+  /** Sends the launch of an attempt that is on record. */
+  void launch(Attempt attempt, String key, long revision) {
+    attempt.phase = Attempt.Phase.COMMITTED;
+    LOG.debug(
+        "{} try {} may start on {} in session {}: on record in {} at {}",
+        attempt.key(),
+        attempt.number,
+        attempt.host,
+        attempt.session,
+        key,
+        revision);
+    hooks.launch(attempt);
+  }
+
   void take(long newTerm) {
     term = newTerm;
     held = true;
--- a/src/main/java/dapplestair/ledger/Takeover.java
+++ b/src/main/java/dapplestair/ledger/Takeover.java
@@ -148,11 +148,13 @@
                   writer.launchBatches().adopt(key, stamp, claims.getOrDefault(key, Set.of())));
       context.arm();
       recorded.clear();
+      int claimed = claims.size();
       claims.clear();
       LOG.info(
-          "ledger ready: {} jobs, {} attempts",
+          "ledger ready: {} jobs, {} attempts, {} launch batches that still count",
           jobs.size(),
-          jobs.values().stream().mapToInt(Job::held).sum());
+          jobs.values().stream().mapToInt(Job::held).sum(),
+          claimed);
       for (Job job : List.copyOf(jobs.values())) {
         endings.finishIfDone(job);
       }
@@ -188,6 +190,8 @@
       LaunchBatch.Entry entry = on.entry();
       Chunk chunk = job.chunkOf(entry.step());
       chunk.lastNumber = Math.max(chunk.lastNumber, entry.number());
+      LOG.debug(
+          "{}/{} try {} is read from {}", entry.ref(), entry.step(), entry.number(), on.key());
       Attempt older = chunk.live.get(entry.step());
       if (older != null) {
         attempts.retire(older);
--- a/src/main/java/dapplestair/node/ControllerMetrics.java
+++ b/src/main/java/dapplestair/node/ControllerMetrics.java
@@ -77,6 +77,15 @@
             "relayed_reports",
             "Reports of workers that this controller has passed on to a leader.",
             () -> duties.relay().relayed())
+        .gauges(
+            "starts_refused",
+            "Starts that machines have refused, by cause; full: they were emptier in the records.",
+            "cause",
+            () -> duties.ledger().refusedStarts())
+        .gauge(
+            "tasks_unaccounted_for",
+            "How often a task was reported that no record explains.",
+            () -> duties.workers().unaccountedTasks())
         .gauge("machines_drained", "Machines drained by operators.", () -> drained(duties));
   }
 
--- a/src/main/java/dapplestair/node/SelfReport.java
+++ b/src/main/java/dapplestair/node/SelfReport.java
@@ -79,8 +79,13 @@
       line += "; connections spread, %d reports relayed".formatted(relay.relayed());
     }
     return leadership.leading()
-        ? "%s; served least: %s; largest: %s"
-            .formatted(line, ledger.served().least(), ledger.served().latest())
+        ? "%s; starts refused: %s, tasks unaccounted for: %d; served least: %s; largest: %s"
+            .formatted(
+                line,
+                ledger.refusedStarts(),
+                workers.unaccountedTasks(),
+                ledger.served().least(),
+                ledger.served().latest())
         : line;
   }
 }
--- a/src/main/java/dapplestair/workers/CommandSender.java
+++ b/src/main/java/dapplestair/workers/CommandSender.java
@@ -18,6 +18,8 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Brings orders to machines, one message at a time to each, and fences off what got no answer. */
 final class CommandSender {
@@ -30,6 +32,7 @@
     void unanswered(Host host);
   }
 
+  private static final Logger LOG = LoggerFactory.getLogger(CommandSender.class);
   private static final int MOST_ORDERS = 200;
   private static final int MOST_DOUBLINGS = 4;
 
@@ -127,6 +130,9 @@
     }
     Fencing.sending(host, orders, launches);
     ObjectNode body = Order.call(token(host), host.session, orders);
+    if (!launches.isEmpty()) {
+      LOG.debug("{} launches leave for {} under token {}", launches.size(), host.id(), token(host));
+    }
     host.calling = true;
     long term = leadership.term();
     relay.command(
--- a/src/main/java/dapplestair/workers/ReportApplier.java
+++ b/src/main/java/dapplestair/workers/ReportApplier.java
@@ -25,6 +25,7 @@
   private final CommandSender commandSender;
   private final WorkerDesk.Listener listener;
   private final BooleanSupplier leading;
+  private long unaccounted;
 
   /** {@code leading} is true while this controller commands the workers. */
   ReportApplier(
@@ -96,6 +97,11 @@
     }
   }
 
+  /** How often a task was reported that no attempt accounts for, since this process began. */
+  long unaccounted() {
+    return unaccounted;
+  }
+
   private long recallAt(Report report) {
     return Double.isNaN(report.recallS())
         ? Long.MAX_VALUE
@@ -109,6 +115,7 @@
       commandSender.queue(host.id(), new Order.Clear(task.key(), task.attempt()));
     } else {
       host.strays++;
+      unaccounted++;
       LOG.warn("{} try {} on {} is unaccounted for", task.key(), task.attempt(), host.id());
       commandSender.queue(host.id(), new Order.Halt(task.key(), task.attempt(), 0));
     }
--- a/src/main/java/dapplestair/workers/WorkerDesk.java
+++ b/src/main/java/dapplestair/workers/WorkerDesk.java
@@ -285,6 +285,11 @@
     reports.beat(exchange);
   }
 
+  /** How often a task was reported that no attempt accounts for, since this process began. */
+  public long unaccountedTasks() {
+    return applier.unaccounted();
+  }
+
   /** Reports that came to this controller lately, whoever leads. */
   public int beatsLately() {
     return reports.lately();
