--- a/src/main/java/dapplestair/leadership/Leadership.java
+++ b/src/main/java/dapplestair/leadership/Leadership.java
@@ -104,6 +104,11 @@
     return leading;
   }
 
+  /** True while this controller may act as the leader of that term, as far as it knows. */
+  boolean leads(long thatTerm) {
+    return leading && term == thatTerm;
+  }
+
   /** Term of this leader. */
   public long term() {
     return term;
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -4,8 +4,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.cancellations.Cancellation;
 import dapplestair.leadership.Leadership;
+import dapplestair.leadership.TermTimers;
 import dapplestair.ports.Clock;
-import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import dapplestair.state.StateClient;
 import dapplestair.work.Report;
@@ -41,7 +41,7 @@
   /** An empty ledger; {@code withSheets} when launches of many services share one put. */
   public Ledger(
       Clock clock,
-      Timers timers,
+      TermTimers timers,
       Settings settings,
       StateClient state,
       Leadership leadership,
--- a/src/main/java/dapplestair/ledger/LedgerContext.java
+++ b/src/main/java/dapplestair/ledger/LedgerContext.java
@@ -1,8 +1,8 @@
 package dapplestair.ledger;
 
 import dapplestair.leadership.Leadership;
+import dapplestair.leadership.TermTimers;
 import dapplestair.ports.Clock;
-import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import dapplestair.state.StateClient;
 import org.slf4j.Logger;
@@ -13,7 +13,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
 
   final Clock clock;
-  final Timers timers;
+  final TermTimers timers;
   final Settings settings;
   final StateClient state;
   final Leadership leadership;
@@ -26,7 +26,7 @@
 
   LedgerContext(
       Clock clock,
-      Timers timers,
+      TermTimers timers,
       Settings settings,
       StateClient state,
       Leadership leadership,
--- a/src/main/java/dapplestair/ledger/Takeover.java
+++ b/src/main/java/dapplestair/ledger/Takeover.java
@@ -89,13 +89,16 @@
     while (job != null && job.held() == 0) {
       job = endUnread.poll();
     }
-    if (job == null || !context.still(forTerm)) {
+    if (job == null) {
       return;
     }
     Job held = job;
     context.state.get(
         Keys.over(held.spec().ref()),
         read -> {
+          if (!context.still(forTerm)) {
+            return;
+          }
           if (read.exists()) {
             overFor(held, JobRecord.overForMs(read.value(), context.clock.wall()));
           } else {
--- a/src/main/java/dapplestair/node/CoreDuties.java
+++ b/src/main/java/dapplestair/node/CoreDuties.java
@@ -6,6 +6,7 @@
 import dapplestair.events.EventLog;
 import dapplestair.events.Events;
 import dapplestair.leadership.Leadership;
+import dapplestair.leadership.TermTimers;
 import dapplestair.ledger.Ledger;
 import dapplestair.machines.MachineTypes;
 import dapplestair.metrics.Metrics;
@@ -37,6 +38,7 @@
   final Leadership leadership;
   final CloudClient cloud;
   final LedgerHooks hooks;
+  final TermTimers termTimers;
   final Ledger ledger;
   final Cancellations cancellations;
   final AcceptedJobs accepted;
@@ -81,7 +83,9 @@
         new Leadership(
             clock, timers, outside.random(), settings, state, peers, listeners.leadership);
     hooks = new LedgerHooks(clock, metrics, estimates);
-    ledger = new Ledger(clock, timers, settings, state, leadership, outside.launchBatches(), hooks);
+    termTimers = new TermTimers(timers, leadership);
+    ledger =
+        new Ledger(clock, termTimers, settings, state, leadership, outside.launchBatches(), hooks);
     cloud = new CloudClient(clock, timers, outside.http(), settings);
     cancellations =
         new Cancellations(
--- a/src/test/java/dapplestair/workers/CancellationCosts.java
+++ b/src/test/java/dapplestair/workers/CancellationCosts.java
@@ -8,6 +8,7 @@
 import dapplestair.cloud.CloudClient;
 import dapplestair.json.Json;
 import dapplestair.leadership.Leadership;
+import dapplestair.leadership.TermTimers;
 import dapplestair.ledger.AttemptRules;
 import dapplestair.ledger.Hooks;
 import dapplestair.ledger.Ledger;
@@ -154,7 +155,15 @@
             public void follow() {}
           };
       Leadership leadership = new Leadership(time, this, random, settings, state, peers, roles);
-      ledger = new Ledger(time, this, settings, state, leadership, false, noHooks());
+      ledger =
+          new Ledger(
+              time,
+              new TermTimers(this, leadership),
+              settings,
+              state,
+              leadership,
+              false,
+              noHooks());
       cancellations =
           new Cancellations(
               time,
