Leader's duties: their timers run only in the term in which they were armed

Read one by one: - Rentals: a record's read-back and a repeated question to the cloud went on with the former term's rental. The first wrote the record as the former term knew it; the second could rent machines that the new term had given up. - Fleet: a write of machine types that was refused to a former term ended the new one. - Zones, calendars, drains: marks that a write is under way were taken off for the new term's write, so that two of them could be on their way; both are conditional on the same stamp. - Lanes, weights, planning, blame, replacements: nothing wrong was found; their timers are cancelled when the lead is lost.

All of them take TermTimers by type now, so that the next timer cannot be armed otherwise. No test of its own: no broken rule is known from these, and none was seen to be reached; LeadsAgainTest plays them all.

--- a/src/main/java/dapplestair/blame/Blame.java
+++ b/src/main/java/dapplestair/blame/Blame.java
@@ -1,11 +1,11 @@
 package dapplestair.blame;
 
+import dapplestair.leadership.TermTimers;
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
-import dapplestair.ports.Timers;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerDesk;
 import java.util.LinkedHashSet;
@@ -38,7 +38,7 @@
   }
 
   private final Clock clock;
-  private final Timers timers;
+  private final TermTimers timers;
   private final Ledger ledger;
   private final WorkerDesk desk;
   private final Listener listener;
@@ -51,7 +51,7 @@
   /** No evidence yet. */
   public Blame(
       Clock clock,
-      Timers timers,
+      TermTimers timers,
       long reportMs,
       Ledger ledger,
       WorkerDesk desk,
--- a/src/main/java/dapplestair/calendar/Calendars.java
+++ b/src/main/java/dapplestair/calendar/Calendars.java
@@ -6,11 +6,11 @@
 import dapplestair.json.Json;
 import dapplestair.leadership.GuardedWriter;
 import dapplestair.leadership.Leadership;
+import dapplestair.leadership.TermTimers;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
-import dapplestair.ports.Timers;
 import dapplestair.settings.RunCalendar;
 import dapplestair.settings.Settings;
 import dapplestair.state.Keys;
@@ -43,7 +43,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Calendars.class);
 
   private final Clock clock;
-  private final Timers timers;
+  private final TermTimers timers;
   private final Settings settings;
   private final Map<String, RunCalendar> calendars = new LinkedHashMap<>();
   private final StateClient state;
@@ -69,7 +69,7 @@
   /** The calendars of the operators' file; without any, nothing here costs anything. */
   public Calendars(
       Clock clock,
-      Timers timers,
+      TermTimers timers,
       Settings settings,
       List<RunCalendar> calendars,
       StateClient state,
--- a/src/main/java/dapplestair/drain/Drains.java
+++ b/src/main/java/dapplestair/drain/Drains.java
@@ -3,9 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import dapplestair.events.Events;
 import dapplestair.leadership.Leadership;
+import dapplestair.leadership.TermTimers;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
-import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import dapplestair.state.Keys;
 import dapplestair.state.Replica;
@@ -31,7 +31,7 @@
  */
 public final class Drains implements AutoCloseable {
   private final Clock clock;
-  private final Timers timers;
+  private final TermTimers timers;
   private final Settings settings;
   private final StateClient state;
   private final Replica replica;
@@ -53,7 +53,7 @@
   /** No drains yet. */
   public Drains(
       Clock clock,
-      Timers timers,
+      TermTimers timers,
       Settings settings,
       StateClient state,
       Replica replica,
--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -6,11 +6,11 @@
 import dapplestair.events.Events;
 import dapplestair.json.Json;
 import dapplestair.leadership.Leadership;
+import dapplestair.leadership.TermTimers;
 import dapplestair.machines.MachineType;
 import dapplestair.machines.MachineTypes;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
-import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import dapplestair.silence.SilenceTimeouts;
 import dapplestair.state.Keys;
@@ -30,7 +30,7 @@
   private static final int MOST_PER_RENTAL = 50;
 
   private final Clock clock;
-  private final Timers timers;
+  private final TermTimers timers;
   private final Settings settings;
   private final StateClient state;
   private final Leadership leadership;
@@ -53,7 +53,7 @@
   /** A fleet without machines. */
   public Fleet(
       Clock clock,
-      Timers timers,
+      TermTimers timers,
       CloudClient cloud,
       Settings settings,
       StateClient state,
@@ -215,12 +215,14 @@
   private void recordTypes() {
     Txn txn =
         leadership.guard(new Txn()).when(Keys.TYPES, typesStamp).put(Keys.TYPES, types.toJson());
+    long term = leadership.term();
     state.commit(
         txn,
         Priority.LAUNCH,
         settings.workers().reportMs(),
         outcome -> {
-          if (leading) {
+          // What was refused to a former term says nothing of this one.
+          if (leadership.leads(term)) {
             leadership.deposedBy(outcome);
           }
         });
--- a/src/main/java/dapplestair/fleet/Rentals.java
+++ b/src/main/java/dapplestair/fleet/Rentals.java
@@ -5,9 +5,9 @@
 import dapplestair.events.Events;
 import dapplestair.json.Json;
 import dapplestair.leadership.Leadership;
+import dapplestair.leadership.TermTimers;
 import dapplestair.machines.MachineTypes;
 import dapplestair.ports.Clock;
-import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import dapplestair.state.Keys;
 import dapplestair.state.Outcome;
@@ -33,7 +33,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Rentals.class);
 
   private final Clock clock;
-  private final Timers timers;
+  private final TermTimers timers;
   private final Settings settings;
   private final StateClient state;
   private final Leadership leadership;
@@ -53,7 +53,7 @@
    */
   Rentals(
       Clock clock,
-      Timers timers,
+      TermTimers timers,
       Settings settings,
       StateClient state,
       Leadership leadership,
--- a/src/main/java/dapplestair/lane/ClaimWriter.java
+++ b/src/main/java/dapplestair/lane/ClaimWriter.java
@@ -6,7 +6,7 @@
 import dapplestair.json.Json;
 import dapplestair.leadership.GuardedWriter;
 import dapplestair.leadership.Leadership;
-import dapplestair.ports.Timers;
+import dapplestair.leadership.TermTimers;
 import dapplestair.settings.Settings;
 import dapplestair.state.Keys;
 import dapplestair.state.Outcome;
@@ -34,7 +34,7 @@
     void written(String lane, List<OpenClaim> claims);
   }
 
-  private final Timers timers;
+  private final TermTimers timers;
   private final Settings settings;
   private final StateClient state;
   private final GuardedWriter writer;
@@ -50,7 +50,7 @@
   private int generation;
 
   ClaimWriter(
-      Timers timers,
+      TermTimers timers,
       Settings settings,
       StateClient state,
       Replica replica,
--- a/src/main/java/dapplestair/lane/Lanes.java
+++ b/src/main/java/dapplestair/lane/Lanes.java
@@ -3,12 +3,12 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import dapplestair.disruption.Disruption;
 import dapplestair.leadership.Leadership;
+import dapplestair.leadership.TermTimers;
 import dapplestair.ledger.Attempt;
 import dapplestair.ledger.Job;
 import dapplestair.ledger.Ledger;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
-import dapplestair.ports.Timers;
 import dapplestair.settings.Lane;
 import dapplestair.settings.Settings;
 import dapplestair.state.Keys;
@@ -40,7 +40,7 @@
   private static final int BYTES_PER_CLAIM = 400;
 
   private final Clock clock;
-  private final Timers timers;
+  private final TermTimers timers;
   private final Settings settings;
   private final Map<String, Lane> lanes = new LinkedHashMap<>();
   private final Ledger ledger;
@@ -63,7 +63,7 @@
   /** The lanes of the operators' file; without any, nothing here costs anything. */
   public Lanes(
       Clock clock,
-      Timers timers,
+      TermTimers timers,
       Settings settings,
       List<Lane> lanes,
       StateClient state,
--- a/src/main/java/dapplestair/leadership/Leadership.java
+++ b/src/main/java/dapplestair/leadership/Leadership.java
@@ -105,7 +105,7 @@
   }
 
   /** True while this controller may act as the leader of that term, as far as it knows. */
-  boolean leads(long thatTerm) {
+  public boolean leads(long thatTerm) {
     return leading && term == thatTerm;
   }
 
--- a/src/main/java/dapplestair/node/OperationDuties.java
+++ b/src/main/java/dapplestair/node/OperationDuties.java
@@ -2,8 +2,8 @@
 
 import dapplestair.drain.Drains;
 import dapplestair.drain.Emptying;
+import dapplestair.leadership.TermTimers;
 import dapplestair.ports.Clock;
-import dapplestair.ports.Timers;
 import dapplestair.replacement.Replacements;
 import dapplestair.replacement.Room;
 import dapplestair.settings.Settings;
@@ -20,7 +20,7 @@
   OperationDuties(
       Settings settings, Outside outside, CoreDuties core, SchedulingDuties scheduling) {
     Clock clock = outside.clock();
-    Timers timers = outside.timers();
+    TermTimers timers = core.termTimers;
     wishes = new Wishes(clock, core.state, core.replica);
     drains =
         new Drains(
--- a/src/main/java/dapplestair/node/SchedulingDuties.java
+++ b/src/main/java/dapplestair/node/SchedulingDuties.java
@@ -6,12 +6,12 @@
 import dapplestair.disruption.LostWork;
 import dapplestair.fleet.Fleet;
 import dapplestair.lane.Lanes;
+import dapplestair.leadership.TermTimers;
 import dapplestair.placement.Departures;
 import dapplestair.placement.Placer;
 import dapplestair.planning.DemandView;
 import dapplestair.planning.Planning;
 import dapplestair.ports.Clock;
-import dapplestair.ports.Timers;
 import dapplestair.settings.Operator;
 import dapplestair.settings.Settings;
 import dapplestair.weights.Weights;
@@ -32,7 +32,7 @@
 
   SchedulingDuties(Settings settings, Operator operator, Outside outside, CoreDuties core) {
     Clock clock = outside.clock();
-    Timers timers = outside.timers();
+    TermTimers timers = core.termTimers;
     lostWork =
         new LostWork(
             clock, settings, operator.budgets(), core.state, core.replica, core.leadership);
@@ -79,7 +79,7 @@
     placer =
         new Placer(
             clock,
-            timers,
+            outside.timers(),
             settings,
             core.ledger,
             core.workers,
--- a/src/main/java/dapplestair/planning/Planning.java
+++ b/src/main/java/dapplestair/planning/Planning.java
@@ -6,11 +6,11 @@
 import dapplestair.fleet.Slot;
 import dapplestair.json.Json;
 import dapplestair.leadership.Leadership;
+import dapplestair.leadership.TermTimers;
 import dapplestair.machines.MachineTypes;
 import dapplestair.ports.Background;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
-import dapplestair.ports.Timers;
 import dapplestair.settings.Operator;
 import dapplestair.state.Keys;
 import dapplestair.state.Outcome;
@@ -41,7 +41,7 @@
   private static final double[] SHARES = {0.25, 0.5, 0.75, 1};
 
   private final Clock clock;
-  private final Timers timers;
+  private final TermTimers timers;
   private final Background background;
   private final UniformRandomProvider random;
   private final Operator operator;
@@ -66,7 +66,7 @@
   /** Plans for what {@code demand} sees. */
   public Planning(
       Clock clock,
-      Timers timers,
+      TermTimers timers,
       Background background,
       UniformRandomProvider random,
       Operator operator,
--- a/src/main/java/dapplestair/replacement/Replacements.java
+++ b/src/main/java/dapplestair/replacement/Replacements.java
@@ -8,10 +8,10 @@
 import dapplestair.events.Events;
 import dapplestair.fleet.Slot;
 import dapplestair.leadership.Leadership;
+import dapplestair.leadership.TermTimers;
 import dapplestair.machines.MachineTypes;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
-import dapplestair.ports.Timers;
 import dapplestair.replacement.Progress.Phase;
 import dapplestair.settings.Settings;
 import dapplestair.state.Keys;
@@ -37,7 +37,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Replacements.class);
 
   private final Clock clock;
-  private final Timers timers;
+  private final TermTimers timers;
   private final Settings settings;
   private final StateClient state;
   private final MachineTypes types;
@@ -54,7 +54,7 @@
   /** No orders yet. */
   public Replacements(
       Clock clock,
-      Timers timers,
+      TermTimers timers,
       Settings settings,
       StateClient state,
       Leadership leadership,
--- a/src/main/java/dapplestair/weights/Weights.java
+++ b/src/main/java/dapplestair/weights/Weights.java
@@ -5,9 +5,9 @@
 import com.google.common.hash.Hashing;
 import dapplestair.leadership.GuardedWriter;
 import dapplestair.leadership.Leadership;
+import dapplestair.leadership.TermTimers;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
-import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import dapplestair.state.Keys;
 import dapplestair.state.Outcome;
@@ -38,7 +38,7 @@
   private static final int CHANGED_LEAST = 2;
 
   private final Clock clock;
-  private final Timers timers;
+  private final TermTimers timers;
   private final Settings settings;
   private final StateClient state;
   private final GuardedWriter writer;
@@ -55,7 +55,7 @@
   /** Nothing is known. */
   public Weights(
       Clock clock,
-      Timers timers,
+      TermTimers timers,
       Settings settings,
       StateClient state,
       Leadership leadership,
--- a/src/main/java/dapplestair/zones/Zones.java
+++ b/src/main/java/dapplestair/zones/Zones.java
@@ -4,9 +4,9 @@
 import dapplestair.events.Events;
 import dapplestair.leadership.GuardedWriter;
 import dapplestair.leadership.Leadership;
+import dapplestair.leadership.TermTimers;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
-import dapplestair.ports.Timers;
 import dapplestair.settings.Settings;
 import dapplestair.silence.SilenceTimeouts;
 import dapplestair.state.Keys;
@@ -45,7 +45,7 @@
   private static final int TRIED_AGAIN_LEASES = 2;
 
   private final Clock clock;
-  private final Timers timers;
+  private final TermTimers timers;
   private final Settings settings;
   private final StateClient state;
   private final GuardedWriter writer;
@@ -67,7 +67,7 @@
    */
   public Zones(
       Clock clock,
-      Timers timers,
+      TermTimers timers,
       Settings settings,
       StateClient state,
       Replica replica,
