A machine that refuses a start as full gets nothing for a while

Callers saw one machine told to start and to forget the same tasks every 92 ms for minutes (49 and 84 attempts of two tasks), each "exited: full", each a put and two commands, while their users waited 155 s.

Cause: nothing learns from "full". A refused attempt gave its room back at once, the machine looked as empty as before, and the next turn of placing chose it again. Only "unknown" and "busy" held anything back.

Now such a machine is closed for a third of a report interval, doubling up to 16 times as long until it takes a start again (RefusedStarts), with a warning that names it. Its work goes elsewhere meanwhile, and the plan sees it as room that is not there.

The seeded world's checker breaks when a machine refuses starts of more than ten commands within four report intervals; FullMachineTest has machines that are full unknown to the records.

--- a/src/main/java/dapplestair/emulator/EmulatedWorker.java
+++ b/src/main/java/dapplestair/emulator/EmulatedWorker.java
@@ -162,6 +162,11 @@
     condition.fail();
   }
 
+  /** For a while something that is no task takes all of its room: starts are refused as full. */
+  public void crowd(long ms) {
+    condition.crowd(ms);
+  }
+
   /** Milliseconds since it sent the last report that was answered. */
   public long unansweredMs() {
     return session.leaseAgeMs();
--- a/src/main/java/dapplestair/emulator/MachineCondition.java
+++ b/src/main/java/dapplestair/emulator/MachineCondition.java
@@ -11,6 +11,7 @@
   private boolean hanging;
   private boolean failing;
   private boolean stalled;
+  private boolean crowded;
   private long deafUntil;
   private long muteUntil;
 
@@ -56,6 +57,16 @@
     failing = true;
   }
 
+  /** True while something that is no task takes all of its room. */
+  boolean crowded() {
+    return crowded;
+  }
+
+  void crowd(long ms) {
+    crowded = true;
+    world.after(ms, () -> crowded = false);
+  }
+
   void deafen(long ms) {
     deafUntil = Math.max(deafUntil, world.now() + ms);
   }
--- a/src/main/java/dapplestair/emulator/TaskObserver.java
+++ b/src/main/java/dapplestair/emulator/TaskObserver.java
@@ -8,6 +8,9 @@
   /** A task has completed. */
   void completed(String key);
 
+  /** A machine has refused to start a task, since it had no room for it. */
+  default void refusedAsFull(EmulatedWorker worker, EmulatedTask task) {}
+
   /** A machine was returned with a task that had not exited. */
   default void returned(EmulatedWorker worker, EmulatedTask task) {}
 
--- a/src/main/java/dapplestair/emulator/TaskRunner.java
+++ b/src/main/java/dapplestair/emulator/TaskRunner.java
@@ -122,7 +122,7 @@
     EmulatedTask task = new EmulatedTask(key, attempt, job);
     boolean here =
         tasks.values().stream().anyMatch(other -> other.key().equals(key) && !other.exited());
-    boolean room = type.fits(task, tasks.values());
+    boolean room = !condition.crowded() && type.fits(task, tasks.values());
     tasks.put(name, task);
     if (job == null) {
       task.exit("unknown");
@@ -130,6 +130,7 @@
       task.exit("busy");
     } else if (!room) {
       task.exit("full");
+      cloud.observer().refusedAsFull(worker, task);
     } else {
       long startedIn = session.number();
       world.after(images.fetchMs(task), () -> start(task, startedIn));
--- a/src/main/java/dapplestair/ledger/Evidence.java
+++ b/src/main/java/dapplestair/ledger/Evidence.java
@@ -1,7 +1,6 @@
 package dapplestair.ledger;
 
 import dapplestair.work.Report;
-import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -16,25 +15,23 @@
 
   private static final int MOST_HELD_STEPS = 64;
 
-  /** Causes with which a machine says that it has not started a task (PROTOCOL). */
-  private static final Set<String> REFUSALS = Set.of("full", "busy", "unknown");
-
-  private final Object2LongOpenHashMap<String> refusedStarts = new Object2LongOpenHashMap<>();
   private final LedgerContext context;
   private final Attempts attempts;
   private final ChunkWriter writer;
   private final Endings endings;
+  private final RefusedStarts refusedStarts;
 
   Evidence(LedgerContext context, Attempts attempts, ChunkWriter writer, Endings endings) {
     this.context = context;
     this.attempts = attempts;
     this.writer = writer;
     this.endings = endings;
+    this.refusedStarts = new RefusedStarts(context);
   }
 
   /** Starts that machines have refused since this process began, by cause. */
   Map<String, Long> refusedStarts() {
-    return refusedStarts;
+    return refusedStarts.byCause();
   }
 
   /** Applies a machine's newest report. Returns tasks in it that no attempt accounts for. */
@@ -87,6 +84,9 @@
 
   private void seen(Machine host, Attempt attempt, Report.Task task) {
     attempt.seenOnMachine();
+    if (attempt.status == null && task.status() != Report.Status.EXITED) {
+      refusedStarts.taken(host);
+    }
     if (attempt.status != task.status()) {
       long now = context.clock.now();
       if (attempt.status == Report.Status.RUNNING) {
@@ -125,9 +125,6 @@
 
   private void exited(Machine host, Attempt attempt, Report.Task task) {
     String cause = task.cause();
-    if (REFUSALS.contains(cause)) {
-      refusedStarts.addTo(cause, 1);
-    }
     LOG.debug("{} try {} exited on {}: {}", attempt.key(), attempt.number, host.id(), cause);
     if (cause.equals("done") && !attempt.spec().service()) {
       completed(host, attempt);
@@ -143,6 +140,8 @@
       attempt.job.keep(
           attempt.step, attempt.ranBeforeExitS - attempt.keptS(attempt.ranBeforeExitS));
     }
+    // Before its room is given back: nothing is to be placed there first.
+    refusedStarts.exited(host, cause);
     attempts.retire(attempt);
     context.hooks.clear(attempt.host, attempt.key(), attempt.number);
   }
--- a/src/main/java/dapplestair/ledger/Machine.java
+++ b/src/main/java/dapplestair/ledger/Machine.java
@@ -26,6 +26,10 @@
   private double gpusUsed;
   private double memoryUsed;
 
+  // It has refused a start as full, and nothing is started there for now; how often so in a row.
+  private boolean overfull;
+  private int timesOverfull;
+
   /** An empty machine of unknown type. */
   protected Machine(String id, long now) {
     this.id = id;
@@ -82,6 +86,25 @@
     return idleSince;
   }
 
+  /** True while nothing is to start here, since it has less room than the records say. */
+  public final boolean overfull() {
+    return overfull;
+  }
+
+  /** How often it had less room than the records say since it last took a start. */
+  final int timesOverfull() {
+    return timesOverfull;
+  }
+
+  final void overfull(boolean value) {
+    overfull = value;
+    timesOverfull += value ? 1 : 0;
+  }
+
+  final void tookStart() {
+    timesOverfull = 0;
+  }
+
   /** Attempts on it. */
   public final Collection<Attempt> attempts() {
     return attempts.values();
--- a/src/main/java/dapplestair/placement/PlacementFilter.java
+++ b/src/main/java/dapplestair/placement/PlacementFilter.java
@@ -134,7 +134,7 @@
     if (host.cordoned()) {
       return Verdict.CORDONED;
     }
-    if (!host.fits(submission)) {
+    if (host.overfull() || !host.fits(submission)) {
       return Verdict.FULL;
     }
     return kept ? Verdict.KEPT : Verdict.HELD_FOR_SERVICES;
--- a/src/main/java/dapplestair/workers/Host.java
+++ b/src/main/java/dapplestair/workers/Host.java
@@ -128,6 +128,7 @@
         || cordoned
         || recalled()
         || strays > 0
+        || overfull()
         || type() == null;
   }
 
--- a/src/test/java/dapplestair/world/Checker.java
+++ b/src/test/java/dapplestair/world/Checker.java
@@ -46,6 +46,14 @@
   /** Cancelled tasks that were still there when a machine that hung went on. */
   int resumedAfterCancellation;
 
+  /** Commands with starts that one machine may refuse as full within four report intervals. */
+  private static final int MOST_REFUSED = 10;
+
+  private static final long REFUSED_WITHIN_MS = 4 * World.REPORT_MS;
+
+  // When each machine has refused starts, as full.
+  private final Map<String, ArrayDeque<Long>> refusals = new HashMap<>();
+
   String broken;
 
   /** Told of each task that completes, on its machine and at that moment. */
@@ -202,6 +210,22 @@
     }
   }
 
+  /** A start that is refused as full is not tried there again and again. */
+  @Override
+  public void refusedAsFull(EmulatedWorker w, EmulatedTask task) {
+    long now = world.sim.now();
+    ArrayDeque<Long> times = refusals.computeIfAbsent(w.id(), id -> new ArrayDeque<>());
+    if (times.isEmpty() || times.peekLast() < now) {
+      times.add(now);
+    }
+    while (now - times.peek() > REFUSED_WITHIN_MS) {
+      times.poll();
+    }
+    if (times.size() > MOST_REFUSED) {
+      broken("refused: " + times.size() + " commands with starts on " + w.id() + ", " + task.key());
+    }
+  }
+
   /** A machine that nobody has heard for a while is given up, not chosen. */
   @Override
   public void returned(EmulatedWorker w, EmulatedTask task) {
--- /dev/null
+++ b/src/test/java/dapplestair/world/FullMachineTest.java
@@ -0,0 +1,62 @@
+package dapplestair.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dapplestair.emulator.EmulatedWorker;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Machines have less room than the records say: their starts are refused as full. */
+class FullMachineTest {
+  private static final long CROWDED_MS = 40_000;
+  private static final long BEGIN_MS = 60_000;
+
+  private static World begun(long seed) {
+    World w = new World(seed, World.Size.MIDDLE, true);
+    w.net.loss = 0;
+    w.users.quiet = true;
+    for (int i = 0; i < 4; i++) {
+      w.users.service("one", 3);
+    }
+    w.run(30_000);
+    return w;
+  }
+
+  /** The checker counts how often a machine refuses. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {16101, 16102, 16103})
+  void aStartRefusedAsFullIsNotRepeatedWithoutPause(long seed) {
+    World w = begun(seed);
+    w.cloud.machines().forEach(m -> m.crowd(CROWDED_MS));
+    Users.Told service = w.users.service("two", 3);
+    Users.Told array = w.users.array("two", "high", 12, 5);
+    w.run(CROWDED_MS);
+    w.run(BEGIN_MS);
+    assertTrue(service.begunAt() >= 0, "the service has not begun");
+    assertTrue(array.done, "the array is not done");
+  }
+
+  /** One machine alone: what it refuses runs on others, and it gets work again. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {16111, 16112, 16113})
+  void workGoesElsewhereAndTheMachineComesBackIntoUse(long seed) {
+    World w = begun(seed);
+    List<EmulatedWorker> machines = new ArrayList<>(w.cloud.machines());
+    EmulatedWorker crowded = machines.get(0);
+    crowded.crowd(CROWDED_MS);
+    Users.Told first = w.users.array("two", "high", 24, 5);
+    w.run(CROWDED_MS);
+    assertTrue(first.done, "the work of the crowded machine is not done elsewhere");
+    int before = w.checker.startsOn.getOrDefault(crowded.id(), 0);
+    // As many tasks as all machines have room for.
+    Users.Told second = w.users.array("two", "high", (int) (w.size.teamLimit() / 2), 20);
+    w.run(BEGIN_MS);
+    int after = w.checker.startsOn.getOrDefault(crowded.id(), 0);
+    assertTrue(crowded.gone() || after > before, "it got no work again");
+    SeededDaysTest.settle(w);
+    assertEquals(true, second.done);
+  }
+}
