--- a/src/main/java/dapplestair/ledger/ChunkWriter.java
+++ b/src/main/java/dapplestair/ledger/ChunkWriter.java
@@ -100,8 +100,7 @@
   @Override
   public void landed(Job job, Chunk chunk, boolean made) {
     // Its own record takes over when nobody waits for the put. Before that it must, if the launch
-    // batch
-    // may have been made without our knowing: entries of a lost one then count no more.
+    // batch may have been made without our knowing: entries of a lost one then count no more.
     chunk.urgent =
         !made || chunk.live.values().stream().anyMatch(a -> a.phase == Attempt.Phase.PLANNED);
     if (made && single(job) && !chunk.urgent && !chunk.ends) {
--- a/src/main/java/dapplestair/ledger/LaunchBatch.java
+++ b/src/main/java/dapplestair/ledger/LaunchBatch.java
@@ -21,7 +21,7 @@
   /** One recorded attempt. */
   record Entry(String ref, int step, long number, String host, String zone, long session) {}
 
-  // About what an entry takes, its names included; measured by its own encoding in SheetTest.
+  // About what an entry takes, its names included; measured by its own encoding in LaunchBatchTest.
   private static final int BYTES_PER_ENTRY = 56;
 
   final String key;
--- a/src/main/java/dapplestair/ledger/LaunchBatches.java
+++ b/src/main/java/dapplestair/ledger/LaunchBatches.java
@@ -59,8 +59,7 @@
   }
 
   // Fewer than these are recorded one by one: a launch batch is one put more in the end. The record
-  // of a
-  // single task's own is deleted in the end as well.
+  // of a single task's own is deleted in the end as well.
   private static final int FEW_REPLICAS = 4;
   private static final int FEW_SINGLES = 2;
 
--- a/src/main/java/dapplestair/ledger/Ledger.java
+++ b/src/main/java/dapplestair/ledger/Ledger.java
@@ -38,7 +38,7 @@
   private final LaunchGate launchGate;
   private final Takeover takeover;
 
-  /** An empty ledger; {@code withSheets} when launches of many services share one put. */
+  /** An empty ledger; {@code withLaunchBatches} when launches of many services share one put. */
   public Ledger(
       Clock clock,
       TermTimers timers,
