--- a/src/test/java/dapplestair/world/LeadsAgainTest.java
+++ b/src/test/java/dapplestair/world/LeadsAgainTest.java
@@ -29,7 +29,7 @@
   }
 
   @ParameterizedTest(name = "seed {0}, state service out for {1} ms before")
-  @CsvSource({"5,0", "34,0", "37,0", "5,3000", "9,3000", "14,3000", "5,6000", "8,6000"})
+  @CsvSource({"5,0", "34,0", "37,0", "5,3000", "9,3000", "14,3000", "5,6000", "8,6000", "393,6000"})
   void nothingOfTheFormerTermIsWrittenOrFreed(long seed, long outageMs) {
     World w = new World(seed, CROWDED);
     w.users.cancelledArrays = 0.4;
