--- a/src/test/java/dapplestair/world/FullMachineTest.java
+++ b/src/test/java/dapplestair/world/FullMachineTest.java
@@ -1,11 +1,8 @@
 package dapplestair.world;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dapplestair.emulator.EmulatedWorker;
-import java.util.ArrayList;
-import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -44,8 +41,7 @@
   @ValueSource(longs = {16111, 16112, 16113})
   void workGoesElsewhereAndTheMachineComesBackIntoUse(long seed) {
     World w = begun(seed);
-    List<EmulatedWorker> machines = new ArrayList<>(w.cloud.machines());
-    EmulatedWorker crowded = machines.get(0);
+    EmulatedWorker crowded = w.cloud.machines().iterator().next();
     crowded.crowd(CROWDED_MS);
     Users.Told first = w.users.array("two", "high", 24, 5);
     w.run(CROWDED_MS);
@@ -57,6 +53,6 @@
     int after = w.checker.startsOn.getOrDefault(crowded.id(), 0);
     assertTrue(crowded.gone() || after > before, "it got no work again");
     SeededDaysTest.settle(w);
-    assertEquals(true, second.done);
+    assertTrue(second.done, "the second array is not done");
   }
 }
--- a/src/test/java/dapplestair/world/LeaderChange.java
+++ b/src/test/java/dapplestair/world/LeaderChange.java
@@ -1,5 +1,8 @@
 package dapplestair.world;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dapplestair.json.Json;
+
 /** The ways in which the lead changes hands. */
 enum LeaderChange {
   /** The leader gives its hold back and ends, as for a new version. */
@@ -63,6 +66,13 @@
 
   abstract void happen(World w, World.Node leader);
 
+  /** The leader's key is lost: whoever leads is deposed, and the key can be won again at once. */
+  static void loseKey(World w) {
+    ObjectNode body = Json.object();
+    body.putArray("writes").addObject().put("remove", "live/leader");
+    w.state.request("noise", "POST", "/commit", Json.bytes(body), r -> {});
+  }
+
   /** Whoever leads now, if anybody does, leads no more. */
   void happen(World w) {
     if (w.leader() != null) {
--- a/src/test/java/dapplestair/world/LeadsAgainTest.java
+++ b/src/test/java/dapplestair/world/LeadsAgainTest.java
@@ -2,8 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import dapplestair.json.Json;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -23,9 +21,7 @@
         w.sim.after(REFUSED_MS, () -> w.state.refuse("node-" + node.index, false));
       }
     }
-    ObjectNode body = Json.object();
-    body.putArray("writes").addObject().put("remove", "live/leader");
-    w.state.request("nobody", "POST", "/commit", Json.bytes(body), r -> {});
+    LeaderChange.loseKey(w);
   }
 
   @ParameterizedTest(name = "seed {0}, state service out for {1} ms before")
--- a/src/test/java/dapplestair/world/LostAnswersTest.java
+++ b/src/test/java/dapplestair/world/LostAnswersTest.java
@@ -4,9 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.emulator.EmulatedWorker;
-import dapplestair.json.Json;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
@@ -100,9 +98,7 @@
 
   private static void depose(World w, long everyMs, long until) {
     if (w.sim.now() < until) {
-      ObjectNode body = Json.object();
-      body.putArray("writes").addObject().put("remove", "live/leader");
-      w.state.request("noise", "POST", "/commit", Json.bytes(body), r -> {});
+      LeaderChange.loseKey(w);
       w.sim.after(everyMs, () -> depose(w, everyMs, until));
     }
   }
