--- a/review/src/review/RefusingState.java
+++ b/review/src/review/RefusingState.java
@@ -14,7 +14,8 @@
 
 /**
  * The way of one controller to the state service: passes requests on, or answers all of them with
- * 503, as the state service does while it refuses this controller alone.
+ * 503, as the state service does while it refuses this controller alone; watches that are open then
+ * wait.
  */
 public final class RefusingState implements AutoCloseable {
   private final Lab lab;
@@ -51,6 +52,10 @@
                         exchange.getRequestMethod(), HttpRequest.BodyPublishers.ofByteArray(body))
                     .build(),
                 HttpResponse.BodyHandlers.ofByteArray());
+        // While it refuses, watches that were open before wait, as they do in an outage.
+        while (refuses && exchange.getRequestURI().getPath().equals("/changes")) {
+          Thread.sleep(50);
+        }
         status = response.statusCode();
         answer = response.body();
       }
