Review case 3: a controller that stood still returns machines that serve others

Cause: ages of cancellations go on while a process stands still, and CancellationEnforcer returns machines in the same turn in which it asks them, without asking the leader.

Proxies between controllers and workers hold up direct commands. Whatever goes wrong in a script now counts as "could not run", and case 1 crashes the controller 0.3 s after the probe, which leaves its restart more time before the next one.

--- a/review/src/review/CloudProxy.java
+++ b/review/src/review/CloudProxy.java
@@ -1,6 +1,7 @@
 package review;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
@@ -73,15 +74,21 @@
                       exchange.getRequestMethod(), HttpRequest.BodyPublishers.ofByteArray(body))
                   .build(),
               HttpResponse.BodyHandlers.ofByteArray());
+      byte[] answer = response.body();
       if (path.startsWith("/rentals?")) {
-        Lab.JSON
-            .readTree(response.body())
-            .path("hosts")
-            .forEach(host -> listed.add(host.path("ref").asText()));
+        JsonNode list = Lab.JSON.readTree(answer);
+        for (JsonNode host : list.path("hosts")) {
+          listed.add(host.path("ref").asText());
+          if (lab.workerLinks != null && host.path("endpoint").isTextual()) {
+            ((ObjectNode) host)
+                .put("endpoint", lab.workerLinks.proxyOf(host.get("endpoint").asText()));
+          }
+        }
+        answer = Lab.JSON.writeValueAsBytes(list);
       }
       exchange.getResponseHeaders().set("Content-Type", "application/json");
-      exchange.sendResponseHeaders(response.statusCode(), response.body().length);
-      exchange.getResponseBody().write(response.body());
+      exchange.sendResponseHeaders(response.statusCode(), answer.length);
+      exchange.getResponseBody().write(answer);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
--- a/review/src/review/ForeignAnswers.java
+++ b/review/src/review/ForeignAnswers.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -20,10 +21,11 @@
 public final class ForeignAnswers {
   private static final int ARRAYS_AT_START = 80;
   private static final int SERVICES_AT_START = 260;
-  private static final double CRASH_AFTER_S = 0.4;
+  private static final double CRASH_AFTER_S = 0.3;
   private static final String EARLIER_JOB = "wk-900000";
 
   private final Lab lab;
+  private final CountDownLatch startOfTheDay = new CountDownLatch(1);
   private LoadBalancer balancer;
   private final ExecutorService users = Executors.newCachedThreadPool();
   private final Map<String, String> accepted = new ConcurrentHashMap<>();
@@ -33,17 +35,8 @@
     this.lab = lab;
   }
 
-  public static void main(String[] args) throws Exception {
-    int result = 2;
-    try (Lab lab = new Lab(Path.of(args[0]))) {
-      try {
-        result = new ForeignAnswers(lab).run();
-      } catch (RuntimeException e) {
-        lab.note("could not run: %s", e);
-      }
-      lab.note("exit code %d", result);
-    }
-    System.exit(result);
+  public static void main(String[] args) {
+    System.exit(Lab.exitCode(Path.of(args[0]), lab -> new ForeignAnswers(lab).run()));
   }
 
   private int run() throws Exception {
@@ -60,7 +53,13 @@
     lab.await(10, balancer::allHealthy, "all nodes healthy");
     lab.note("all controllers answer; stairhost-%d leads", lab.leader());
     List<Future<?>> pending = new ArrayList<>();
-    submitLikeUser(Lab.array(EARLIER_JOB, 1, 5)).get();
+    lab.submit(1, Lab.array(EARLIER_JOB, 1, 5));
+    accepted.put(EARLIER_JOB, "200 or 201");
+    for (int i = 0; i < ARRAYS_AT_START + SERVICES_AT_START; i++) {
+      String ref = String.format("wk-%06d", i + 1);
+      pending.add(
+          submitLikeUser(i < ARRAYS_AT_START ? Lab.array(ref, 1, 5) : Lab.service(ref, 1)));
+    }
     balancer.awaitProbe(0);
     double probed = lab.seconds();
     if (lab.trouble) {
@@ -70,12 +69,8 @@
     for (int i = 0; i < Lab.CONTROLLERS; i++) {
       users.submit(() -> poll(EARLIER_JOB));
     }
-    Thread.sleep(100);
-    for (int i = 0; i < ARRAYS_AT_START + SERVICES_AT_START; i++) {
-      String ref = String.format("wk-%06d", i + 1);
-      pending.add(
-          submitLikeUser(i < ARRAYS_AT_START ? Lab.array(ref, 1, 5) : Lab.service(ref, 1)));
-    }
+    Thread.sleep(60);
+    startOfTheDay.countDown();
     // The controller is back before the balancer's next probe.
     double crashAt = probed + CRASH_AFTER_S;
     while (lab.seconds() < crashAt) {
@@ -105,7 +100,8 @@
     }
     lab.noteLogs("Leadership", "ERROR");
     lab.note(
-        "submissions answered with another user's job: %d; accepted, then 404: %d", foreign.size(), forgotten.size());
+        "submissions answered with another user's job: %d; accepted, then 404: %d",
+        foreign.size(), forgotten.size());
     users.shutdownNow();
     balancer.close();
     if (!lab.controllersAlive()) {
@@ -127,6 +123,7 @@
     return users.submit(
         () -> {
           String ref = job.get("ref").asText();
+          startOfTheDay.await();
           for (double end = lab.seconds() + 60; lab.seconds() < end; Thread.sleep(1000)) {
             LoadBalancer.Routed routed = balancer.call("POST", "/submissions", job, 5);
             Lab.Answer answer = routed.answer();
--- a/review/src/review/Lab.java
+++ b/review/src/review/Lab.java
@@ -51,6 +51,9 @@
   private final Path[] settingsFiles = new Path[CONTROLLERS];
   /** The way of the first controller to the state service. */
   public RefusingState stateOfFirst;
+  /** The network between controllers and workers, or null if they are connected directly. */
+  public WorkerLinks workerLinks;
+
   public final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 
   /** An answer; status 0 stands for none. */
@@ -66,6 +69,27 @@
     note("trouble: %s", trouble ? "yes" : "no (TROUBLE=0)");
   }
 
+  /** A case: returns 1 if the rule was broken, 0 if it held, and 2 if it could not run. */
+  public interface Case {
+    int run(Lab lab) throws Exception;
+  }
+
+  /** Runs a case with its record in this folder; whatever goes wrong on the way counts as 2. */
+  public static int exitCode(Path caseDir, Case body) {
+    int code = 2;
+    try (Lab lab = new Lab(caseDir)) {
+      try {
+        code = body.run(lab);
+      } catch (Exception e) {
+        lab.note("could not run: %s", e);
+      }
+      lab.note("exit code %d", code);
+    } catch (Exception e) {
+      System.err.println("could not run: " + e);
+    }
+    return code;
+  }
+
   /** Writes one line to record.txt, with the seconds since the start. */
   public synchronized void note(String format, Object... args) {
     String text = String.format(Locale.ROOT, format, args);
@@ -170,6 +194,11 @@
     note("all controllers answer");
   }
 
+  /** Puts proxies between controllers and workers; must be called before the start. */
+  public void useWorkerLinks() {
+    workerLinks = new WorkerLinks(this);
+  }
+
   /** Starts the stand-ins and writes the settings of all controllers. */
   public void prepare() throws IOException, InterruptedException {
     stateOfFirst = new RefusingState(this);
@@ -222,11 +251,13 @@
     command.add(settingsFiles[i].toString());
     controllers[i] = launch("stairhost-" + i, command);
     note("stairhost-%d starts", i);
+    int reportPort =
+        workerLinks == null ? userPorts[i] : workerLinks.reportsTo(userPorts[i]);
     call(
         outsidePort,
         "PUT",
         "/emulator/controllers/stairhost-" + i,
-        JSON.createObjectNode().put("endpoint", "127.0.0.1:" + userPorts[i]),
+        JSON.createObjectNode().put("endpoint", "127.0.0.1:" + reportPort),
         2);
   }
 
@@ -310,7 +341,8 @@
   public void submit(int first, ObjectNode job) throws InterruptedException {
     String ref = job.get("ref").asText();
     for (int attempt = 0; attempt < 60; attempt++) {
-      Answer answer = call(userPorts[(first + attempt) % CONTROLLERS], "POST", "/submissions", job, 5);
+      int port = userPorts[(first + attempt) % CONTROLLERS];
+      Answer answer = call(port, "POST", "/submissions", job, 5);
       if (answer.status() == 200 || answer.status() == 201) {
         note("job %s accepted: %d %s", ref, answer.status(), answer.body());
         return;
@@ -458,6 +490,9 @@
       }
     }
     proxies.forEach(CloudProxy::close);
+    if (workerLinks != null) {
+      workerLinks.close();
+    }
     if (stateOfFirst != null) {
       stateOfFirst.close();
     }
--- a/review/src/review/StaleLeader.java
+++ b/review/src/review/StaleLeader.java
@@ -12,17 +12,8 @@
 public final class StaleLeader {
   private static final double FREEZE_S = 42;
 
-  public static void main(String[] args) throws Exception {
-    int result = 2;
-    try (Lab lab = new Lab(Path.of(args[0]))) {
-      try {
-        result = run(lab);
-      } catch (RuntimeException e) {
-        lab.note("could not run: %s", e);
-      }
-      lab.note("exit code %d", result);
-    }
-    System.exit(result);
+  public static void main(String[] args) {
+    System.exit(Lab.exitCode(Path.of(args[0]), StaleLeader::run));
   }
 
   private static int run(Lab lab) throws Exception {
@@ -77,7 +68,8 @@
       }
     }
     lab.note(
-        "machines returned by a controller that does not lead while tasks were on them: %d, tasks lost: %d",
+        "machines returned by a controller that does not lead while tasks were on them: %d, "
+            + "tasks lost: %d",
         broken, lost);
     return broken > 0 ? 1 : 0;
   }
