--- a/review/src/review/ForeignAnswers.java
+++ b/review/src/review/ForeignAnswers.java
@@ -1,7 +1,6 @@
 package review;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -35,7 +34,7 @@
   }
 
   public static void main(String[] args) {
-    System.exit(Lab.exitCode(Path.of(args[0]), lab -> new ForeignAnswers(lab).run()));
+    System.exit(Lab.exitCode(args, lab -> new ForeignAnswers(lab).run()));
   }
 
   private int run() throws Exception {
--- a/review/src/review/Lab.java
+++ b/review/src/review/Lab.java
@@ -58,12 +58,14 @@
   /** The network between controllers and workers, or null if they are connected directly. */
   public WorkerLinks workerLinks;
 
-  public final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+  /** Whether the disruption takes place. */
+  public final boolean trouble;
 
   /** An answer; status 0 stands for none. */
   public record Answer(int status, JsonNode body) {}
 
-  public Lab(Path caseDir) throws IOException {
+  public Lab(Path caseDir, boolean trouble) throws IOException {
+    this.trouble = trouble;
     this.caseDir = caseDir.toAbsolutePath().normalize();
     this.root = this.caseDir.getParent().getParent();
     this.temp = Files.createTempDirectory("review");
@@ -78,10 +80,21 @@
     int run(Lab lab) throws Exception;
   }
 
-  /** Runs a case with its record in this folder; whatever goes wrong on the way counts as 2. */
-  public static int exitCode(Path caseDir, Case body) {
+  private static boolean isWithDisruption(String word) {
+    return switch (word) {
+      case "with" -> true;
+      case "without" -> false;
+      default -> throw new IllegalArgumentException("with or without the disruption: " + word);
+    };
+  }
+
+  /**
+   * Runs a case. Arguments: the folder of its record, and "with" or "without" the disruption.
+   * Whatever goes wrong on the way counts as 2.
+   */
+  public static int exitCode(String[] args, Case body) {
     int code = 2;
-    try (Lab lab = new Lab(caseDir)) {
+    try (Lab lab = new Lab(Path.of(args[0]), isWithDisruption(args[1]))) {
       try {
         code = body.run(lab);
       } catch (Exception e) {
--- a/review/src/review/StaleFollower.java
+++ b/review/src/review/StaleFollower.java
@@ -1,7 +1,6 @@
 package review;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -19,7 +18,7 @@
   private static final String CANCELLED = "wk-000500";
 
   public static void main(String[] args) {
-    System.exit(Lab.exitCode(Path.of(args[0]), StaleFollower::run));
+    System.exit(Lab.exitCode(args, StaleFollower::run));
   }
 
   private static int run(Lab lab) throws Exception {
--- a/review/src/review/StaleLeader.java
+++ b/review/src/review/StaleLeader.java
@@ -1,7 +1,6 @@
 package review;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -13,7 +12,7 @@
   private static final double FREEZE_S = 42;
 
   public static void main(String[] args) {
-    System.exit(Lab.exitCode(Path.of(args[0]), StaleLeader::run));
+    System.exit(Lab.exitCode(args, StaleLeader::run));
   }
 
   private static int run(Lab lab) throws Exception {
