--- a/review/src/review/Lab.java
+++ b/review/src/review/Lab.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -18,6 +19,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.Random;
 import java.util.stream.Stream;
 
 /**
@@ -33,6 +35,8 @@
   /** Seconds between two reports of a worker, as the deployment's page gives them. */
   public String reportS = "3.0";
 
+  private static final Random RANDOM = new Random();
+
   private final Path root;
   private final Path caseDir;
   private final Path temp;
@@ -103,10 +107,18 @@
     return (System.nanoTime() - startNanos) / 1e9;
   }
 
+  /** Returns a free port below those that the system gives to outgoing connections. */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+    for (int attempt = 0; attempt < 100; attempt++) {
+      int port = 15_000 + RANDOM.nextInt(15_000);
+      try (ServerSocket socket =
+          new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // Taken: another one is tried.
+      }
     }
+    throw new IOException("no free port");
   }
 
   // ---- settings of a small deployment: kit/sites/csah-alerta.toml ----
