Log requests between controllers by number, peer and topic

Three places could mix them up: the HTTP connections of users, the peer that carries out a relayed request, and the matching of answers between controllers. No log line and no metric told them apart: a request between controllers left no trace, and an answer that matched no request was dropped without being counted.

At debug, PeerRequests now logs each request, when a peer receives and answers it, and which request an answer completes. The metric peer_answers_unmatched counts the answers that complete none.

Nothing is mended here.

--- a/src/main/java/dapplestair/node/ControllerMetrics.java
+++ b/src/main/java/dapplestair/node/ControllerMetrics.java
@@ -23,6 +23,7 @@
   static Exposition createExposition(ControllerComponents components) {
     Exposition exposition = new Exposition(VERSION);
     addCluster(exposition, components);
+    addPeers(exposition, components);
     addState(exposition, components);
     addTeams(exposition, components);
     addClasses(exposition, components);
@@ -68,10 +69,6 @@
             "withdrawals_open_oldest_seconds",
             "For how long the oldest of them has been so.",
             () -> components.cancellations().oldestOpenMs() / 1000.0)
-        .gauge(
-            "peer_messages_refused",
-            "Messages of peers that were garbled, too large or of an unknown form.",
-            () -> components.peers().requests().refusedMessages())
         .gauge(
             "relay_on",
             "1 while the connections of workers are spread over all controllers.",
@@ -92,6 +89,19 @@
         .gauge("machines_drained", "Machines drained by operators.", () -> numDrained(components));
   }
 
+  /** Adds metrics on the messages between controllers. */
+  private static void addPeers(Exposition exposition, ControllerComponents components) {
+    exposition
+        .gauge(
+            "peer_messages_refused",
+            "Messages of peers that were garbled, too large or of an unknown form.",
+            () -> components.peers().requests().refusedMessages())
+        .gauge(
+            "peer_answers_unmatched",
+            "Answers of peers that completed no request of this process.",
+            () -> components.peers().requests().unmatchedAnswers());
+  }
+
   /** Adds metrics on the state service and on the transactions that wait for it. */
   private static void addState(Exposition exposition, ControllerComponents components) {
     exposition
--- a/src/main/java/dapplestair/peers/PeerRequests.java
+++ b/src/main/java/dapplestair/peers/PeerRequests.java
@@ -8,9 +8,13 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Requests between controllers, each of which is answered or times out. */
 public final class PeerRequests {
+  private static final Logger LOG = LoggerFactory.getLogger(PeerRequests.class);
+
   // Leaves 1 KiB of the frame for everything besides the body.
   private static final int MAX_BODY_BYTES = PeerCodec.MAX_FRAME_BYTES - 1024;
   private static final int MAX_PENDING_REQUESTS = 128;
@@ -25,6 +29,7 @@
   private final Map<String, BiConsumer<String, byte[]>> listeners = new HashMap<>();
   private long lastRequestNumber;
   private long refusedMessages;
+  private long unmatchedAnswers;
 
   PeerRequests(Timers timers, PeerNetwork network) {
     this.timers = timers;
@@ -51,6 +56,14 @@
     return refusedMessages;
   }
 
+  /**
+   * Returns the number of answers that completed no request: they came after the timeout, or from a
+   * peer that was not asked.
+   */
+  public long unmatchedAnswers() {
+    return unmatchedAnswers;
+  }
+
   /**
    * Sends a request to a peer; {@code done} gets the answer, or null if none arrives in time or the
    * request cannot be sent.
@@ -63,6 +76,7 @@
     long number = ++lastRequestNumber;
     Cancellable timer = timers.after(timeoutMs, () -> complete(number, null));
     pendingRequests.put(number, new PendingRequest(member, done, timer));
+    LOG.debug("request {} to {} on topic {}", number, member, topic);
     network.send(member, new PeerAsk(number, topic, body));
   }
 
@@ -96,10 +110,12 @@
       // A peer of another version knows topics that this controller does not.
       return;
     }
+    LOG.debug("request {} of {} on topic {} received", ask.number(), member, ask.topic());
     handler.accept(
         ask.body(),
         answer -> {
           if (answer.length <= MAX_BODY_BYTES) {
+            LOG.debug("answering request {} of {} on topic {}", ask.number(), member, ask.topic());
             network.send(member, new PeerAnswer(ask.number(), answer));
           }
         });
@@ -107,9 +123,12 @@
 
   void answerReceived(String member, PeerAnswer answer) {
     PendingRequest pending = pendingRequests.get(answer.number());
-    // Ignores answers that arrive after the timeout or from a peer that was not asked.
     if (pending != null && pending.member().equals(member)) {
+      LOG.debug("answer of {} completes request {}", member, answer.number());
       complete(answer.number(), answer.body());
+    } else {
+      LOG.debug("answer of {} to request {} matches no request", member, answer.number());
+      unmatchedAnswers++;
     }
   }
 }
