Refuse answers of peers to requests of an earlier process

What callers saw: a controller that the state service refuses relays users' requests to a peer.

Cause: every process numbered its requests to peers from 1, and an answer was matched by member and number alone. A peer sends its answer over its present link to the member, so the answer to a request of the process that had ended completed the request of the same number of the process that followed it. All topics share this numbering: the answers to "withdrawing", by which a controller leaves a cancellation to the leader or takes it for carried out, to "accepted" and to "recordless" could be mixed up alike; "withdrawn" names the process in its body and could not.

Fix: a process numbers its requests from a point that is drawn with its incarnation, so no other process uses its numbers (62 bits). A peer repeats a number unchanged whatever its version, so nothing changes on the wire: the frames are byte for byte those of the former version, and its classes decode numbers of full length (PeerCodecTest). Answers that carry no number of this process are refused, counted (peer_answers_foreign) and logged once a second; late answers to own requests are counted apart (peer_answers_late).

The simulated users compared only the status of an answer; they and ConcurrentReaders now check in every test that an answer is about the job that was asked for.

--- a/src/main/java/dapplestair/leadership/Leadership.java
+++ b/src/main/java/dapplestair/leadership/Leadership.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dapplestair.json.Json;
+import dapplestair.peers.Incarnation;
 import dapplestair.peers.Peers;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
@@ -14,7 +15,6 @@
 import dapplestair.state.TxnOutcome;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.UUID;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -45,7 +45,7 @@
   private final StateClient state;
   private final Peers peers;
   private final Listener listener;
-  private final String incarnation;
+  private final Incarnation incarnation;
   private final long holdTtlMs;
   private Replica replica;
 
@@ -67,7 +67,11 @@
   private long campaignAllowedAtMs = Long.MIN_VALUE;
   private Cancellable timer = () -> {};
 
-  /** Creates an instance that takes part in elections only after {@link #start}. */
+  /**
+   * Creates an instance that takes part in elections only after {@link #start}.
+   *
+   * @param incarnation identifies this process
+   */
   public Leadership(
       Clock clock,
       Timers timers,
@@ -75,6 +79,7 @@
       Settings settings,
       StateClient state,
       Peers peers,
+      Incarnation incarnation,
       Listener listener) {
     this.clock = clock;
     this.timers = timers;
@@ -83,14 +88,14 @@
     this.state = state;
     this.peers = peers;
     this.listener = listener;
-    this.incarnation = new UUID(random.nextLong(), random.nextLong()).toString();
+    this.incarnation = incarnation;
     // Short relative to workers' leases, which a new leader must find valid at any report interval.
     this.holdTtlMs = Math.min(settings.workers().reportMs(), settings.workers().leaseMs() / 10);
   }
 
   /** Returns a number that distinguishes this process from earlier ones of the same member. */
   public long processId() {
-    return UUID.fromString(incarnation).getMostSignificantBits();
+    return incarnation.processId();
   }
 
   /** Starts to take part in elections, based on the records of {@code followedReplica}. */
@@ -258,7 +263,7 @@
       return true;
     }
     if (settings.member().equals(recordedLeader)
-        && !incarnation.equals(recordedLeaderIncarnation)) {
+        && !incarnation.toString().equals(recordedLeaderIncarnation)) {
       // An earlier process of this member holds the leader key, and it has ended.
       return true;
     }
@@ -330,7 +335,7 @@
     var leaderValue =
         Json.object()
             .put("member", settings.member())
-            .put("incarnation", incarnation)
+            .put("incarnation", incarnation.toString())
             .put("term", nextTerm);
     Txn txn =
         new Txn()
@@ -357,7 +362,7 @@
   private void settleUnknownOutcome(long campaignTerm, StateClient.ReadResult read) {
     boolean wonByThisProcess =
         read.exists()
-            && incarnation.equals(Json.text(read.value(), "incarnation"))
+            && incarnation.toString().equals(Json.text(read.value(), "incarnation"))
             && Json.number(read.value(), "term", 0) == campaignTerm;
     if (wonByThisProcess) {
       passBarrierAndLead(campaignTerm, read.stamp());
--- a/src/main/java/dapplestair/node/ControllerMetrics.java
+++ b/src/main/java/dapplestair/node/ControllerMetrics.java
@@ -97,9 +97,13 @@
             "Messages of peers that were garbled, too large or of an unknown form.",
             () -> components.peers().requests().refusedMessages())
         .gauge(
-            "peer_answers_unmatched",
-            "Answers of peers that completed no request of this process.",
-            () -> components.peers().requests().unmatchedAnswers());
+            "peer_answers_late",
+            "Answers of peers that came after the timeout of their request.",
+            () -> components.peers().requests().lateAnswers())
+        .gauge(
+            "peer_answers_foreign",
+            "Answers of peers refused since an earlier process of this controller had asked.",
+            () -> components.peers().requests().foreignAnswers());
   }
 
   /** Adds metrics on the state service and on the transactions that wait for it. */
--- a/src/main/java/dapplestair/node/CoreComponents.java
+++ b/src/main/java/dapplestair/node/CoreComponents.java
@@ -10,6 +10,7 @@
 import dapplestair.ledger.Ledger;
 import dapplestair.machines.MachineTypes;
 import dapplestair.metrics.Metrics;
+import dapplestair.peers.Incarnation;
 import dapplestair.peers.PeerStatus;
 import dapplestair.peers.Peers;
 import dapplestair.placement.RuntimeEstimates;
@@ -76,6 +77,7 @@
       Listeners listeners) {
     Clock clock = environment.clock();
     Timers timers = environment.timers();
+    Incarnation incarnation = Incarnation.draw(environment.random());
     state = new StateClient(clock, timers, environment.http(), settings);
     peers =
         new Peers(
@@ -83,11 +85,19 @@
             timers,
             environment.peers(),
             settings,
+            incarnation,
             listeners.ownStatus,
             listeners.peerStatus);
     leadership =
         new Leadership(
-            clock, timers, environment.random(), settings, state, peers, listeners.leadership);
+            clock,
+            timers,
+            environment.random(),
+            settings,
+            state,
+            peers,
+            incarnation,
+            listeners.leadership);
     ledgerCallbacks = new LedgerCallbackRouter(clock, metrics, runtimeEstimates);
     termTimers = new TermTimers(timers, leadership);
     ledger =
--- a/src/main/java/dapplestair/peers/PeerAsk.java
+++ b/src/main/java/dapplestair/peers/PeerAsk.java
@@ -3,7 +3,8 @@
 /**
  * A request to one peer.
  *
- * @param number identifies the request and is repeated in its answer; 0 if no answer is expected
+ * @param number identifies the request among those of all processes of the sender, and is repeated
+ *     in its answer; 0 if no answer is expected
  * @param topic selects the handler at the peer
  * @param body content of the request, encoded by the topic's own codec
  */
--- a/src/main/java/dapplestair/peers/PeerRequests.java
+++ b/src/main/java/dapplestair/peers/PeerRequests.java
@@ -11,7 +11,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Requests between controllers, each of which is answered or times out. */
+/**
+ * Requests between controllers, each of which is answered or times out. The links carry no process
+ * identity: an answer to a request of an earlier process of this controller may arrive here, and is
+ * refused by its number.
+ */
 public final class PeerRequests {
   private static final Logger LOG = LoggerFactory.getLogger(PeerRequests.class);
 
@@ -19,21 +23,27 @@
   private static final int MAX_BODY_BYTES = PeerCodec.MAX_FRAME_BYTES - 1024;
   private static final int MAX_PENDING_REQUESTS = 128;
 
+  /** Answers to an earlier process arrive together, so one log line reports all of this period. */
+  private static final long FOREIGN_ANSWERS_LOG_DELAY_MS = 1000;
+
   private record PendingRequest(String member, Consumer<byte[]> done, Cancellable timer) {}
 
   private final Timers timers;
   private final PeerNetwork network;
+  private final RequestNumbers numbers;
   private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
   private final Map<String, BiConsumer<byte[], Consumer<byte[]>>> handlers =
       new Object2ObjectOpenHashMap<>();
   private final Map<String, BiConsumer<String, byte[]>> listeners = new HashMap<>();
-  private long lastRequestNumber;
   private long refusedMessages;
-  private long unmatchedAnswers;
+  private long lateAnswers;
+  private long foreignAnswers;
+  private long loggedForeignAnswers;
 
-  PeerRequests(Timers timers, PeerNetwork network) {
+  PeerRequests(Timers timers, PeerNetwork network, Incarnation incarnation) {
     this.timers = timers;
     this.network = network;
+    this.numbers = new RequestNumbers(incarnation);
   }
 
   /** Sets the handler of requests on a topic; the handler may answer later. */
@@ -56,12 +66,17 @@
     return refusedMessages;
   }
 
+  /** Returns the number of answers to requests of this process that came after the timeout. */
+  public long lateAnswers() {
+    return lateAnswers;
+  }
+
   /**
-   * Returns the number of answers that completed no request: they came after the timeout, or from a
-   * peer that was not asked.
+   * Returns the number of answers that were refused since this process sent no such request: an
+   * earlier process of this controller did, or another peer was asked.
    */
-  public long unmatchedAnswers() {
-    return unmatchedAnswers;
+  public long foreignAnswers() {
+    return foreignAnswers;
   }
 
   /**
@@ -73,17 +88,17 @@
       timers.after(0, () -> done.accept(null));
       return;
     }
-    long number = ++lastRequestNumber;
+    long number = numbers.next();
     Cancellable timer = timers.after(timeoutMs, () -> complete(number, null));
     pendingRequests.put(number, new PendingRequest(member, done, timer));
     LOG.debug("request {} to {} on topic {}", number, member, topic);
     network.send(member, new PeerAsk(number, topic, body));
   }
 
-  /** Sends a message that needs no answer; its number is 0, which no request has. */
+  /** Sends a message that needs no answer. */
   void sendWithoutAnswer(String member, String topic, byte[] body) {
     if (body.length <= MAX_BODY_BYTES) {
-      network.send(member, new PeerAsk(0, topic, body));
+      network.send(member, new PeerAsk(RequestNumbers.NO_ANSWER, topic, body));
     }
   }
 
@@ -123,12 +138,33 @@
 
   void answerReceived(String member, PeerAnswer answer) {
     PendingRequest pending = pendingRequests.get(answer.number());
-    if (pending != null && pending.member().equals(member)) {
+    boolean isOwn =
+        pending == null ? numbers.isUsed(answer.number()) : pending.member().equals(member);
+    if (!isOwn) {
+      LOG.debug(
+          "refused an answer of {} to request {} of another process", member, answer.number());
+      countForeignAnswer();
+    } else if (pending == null) {
+      LOG.debug("answer of {} to request {} came after the timeout", member, answer.number());
+      lateAnswers++;
+    } else {
       LOG.debug("answer of {} completes request {}", member, answer.number());
       complete(answer.number(), answer.body());
-    } else {
-      LOG.debug("answer of {} to request {} matches no request", member, answer.number());
-      unmatchedAnswers++;
     }
   }
+
+  private void countForeignAnswer() {
+    boolean isLogScheduled = foreignAnswers > loggedForeignAnswers;
+    foreignAnswers++;
+    if (!isLogScheduled) {
+      timers.after(FOREIGN_ANSWERS_LOG_DELAY_MS, this::logForeignAnswers);
+    }
+  }
+
+  private void logForeignAnswers() {
+    LOG.info(
+        "refused {} answers of peers to requests that this process did not send",
+        foreignAnswers - loggedForeignAnswers);
+    loggedForeignAnswers = foreignAnswers;
+  }
 }
--- a/src/main/java/dapplestair/peers/Peers.java
+++ b/src/main/java/dapplestair/peers/Peers.java
@@ -34,6 +34,7 @@
   /**
    * Creates the tracker of the peers that the settings name.
    *
+   * @param incarnation identifies this process
    * @param ownStatus supplies the status to send to the peers
    * @param statusListener receives each status that a peer sends
    */
@@ -42,6 +43,7 @@
       Timers timers,
       PeerNetwork network,
       Settings settings,
+      Incarnation incarnation,
       Supplier<PeerStatus> ownStatus,
       Consumer<PeerStatus> statusListener) {
     this.clock = clock;
@@ -50,7 +52,7 @@
     this.ownStatus = ownStatus;
     this.statusListener = statusListener;
     this.statusIntervalMs = settings.workers().reportMs() / 8;
-    this.requests = new PeerRequests(timers, network);
+    this.requests = new PeerRequests(timers, network, incarnation);
     settings.peers().forEach(peer -> peers.put(peer.member(), new PeerState()));
   }
 
--- a/src/test/java/dapplestair/peers/PeerCodecTest.java
+++ b/src/test/java/dapplestair/peers/PeerCodecTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
+import java.util.HexFormat;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
@@ -24,6 +25,24 @@
     assertArrayEquals(body, answer.body());
   }
 
+  /**
+   * Guards against a request or answer that a peer of the former version cannot read: these frames
+   * were encoded by it, and request numbers now use all their bytes.
+   */
+  @Test
+  void framesAreThoseOfTheFormerVersion() {
+    HexFormat hex = HexFormat.of();
+    byte[] body = {1, 2, 3};
+    assertEquals(
+        "030e040102031261646d69ee", hex.formatHex(codec.encode(new PeerAsk(9, "admin", body))));
+    assertEquals("030f0401020312", hex.formatHex(codec.encode(new PeerAnswer(9, body))));
+    long largest = (1L << 62) - 1;
+    byte[] ask = hex.parseHex("030e04010203feffffffffffffff7f61646d69ee");
+    assertEquals(largest, ((PeerAsk) codec.decode(ask)).number());
+    byte[] answer = hex.parseHex("030f04010203feffffffffffffff7f");
+    assertEquals(largest, ((PeerAnswer) codec.decode(answer)).number());
+  }
+
   /** Decoding corrupted frames must not throw, and frames of another version must be refused. */
   @Test
   void corruptedFramesDoNotThrowAndOtherVersionsAreRefused() {
--- a/src/test/java/dapplestair/workers/CancellationCosts.java
+++ b/src/test/java/dapplestair/workers/CancellationCosts.java
@@ -12,6 +12,7 @@
 import dapplestair.ledger.AttemptRules;
 import dapplestair.ledger.Ledger;
 import dapplestair.ledger.LedgerCallbacks;
+import dapplestair.peers.Incarnation;
 import dapplestair.peers.PeerCodec;
 import dapplestair.peers.PeerStatus;
 import dapplestair.peers.Peers;
@@ -144,8 +145,9 @@
               after(timeoutMs, () -> done.accept(HttpReply.of(HttpReply.UNKNOWN)));
       StateClient state = new StateClient(time, this, unreachableCaller, settings);
       PeerStatus status = new PeerStatus(1, null, false, true, 0, 0);
-      peers = new Peers(time, this, this, settings, () -> status, s -> {});
       var random = RandomSource.XO_RO_SHI_RO_128_PP.create(name.hashCode());
+      Incarnation incarnation = Incarnation.draw(random);
+      peers = new Peers(time, this, this, settings, incarnation, () -> status, s -> {});
       Leadership.Listener roles =
           new Leadership.Listener() {
             @Override
@@ -154,7 +156,8 @@
             @Override
             public void follow() {}
           };
-      Leadership leadership = new Leadership(time, this, random, settings, state, peers, roles);
+      Leadership leadership =
+          new Leadership(time, this, random, settings, state, peers, incarnation, roles);
       ledger =
           new Ledger(
               time,
--- a/src/test/java/dapplestair/world/ConcurrentReaders.java
+++ b/src/test/java/dapplestair/world/ConcurrentReaders.java
@@ -78,8 +78,7 @@
       SimulatedUsers.KnownJob job, String finalStatusWhenAsked, HttpReply reply) {
     if (reply.status() == 200 || reply.status() == 201) {
       statusAnswers++;
-      cluster.checker.statusReported(
-          job, finalStatusWhenAsked, Json.parse(reply.body()).path("status").asText());
+      cluster.users.checkReportedStatus(job, finalStatusWhenAsked, reply);
     }
   }
 }
--- a/src/test/java/dapplestair/world/SimulatedCluster.java
+++ b/src/test/java/dapplestair/world/SimulatedCluster.java
@@ -21,6 +21,7 @@
 import dapplestair.ports.Timers;
 import dapplestair.settings.OperatorSettings;
 import dapplestair.settings.Settings;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -473,6 +474,21 @@
       handleOperatorRequest("users", method, path, null, reply);
     }
 
+    /** Returns the value of a metric without labels; operators must be served. */
+    double metric(String name) {
+      double[] value = {Double.NaN};
+      askAsOperator(
+          "GET",
+          "/metrics",
+          reply ->
+              new String(reply.body(), StandardCharsets.UTF_8)
+                  .lines()
+                  .filter(line -> line.startsWith(name + " "))
+                  .forEach(
+                      line -> value[0] = Double.parseDouble(line.substring(name.length() + 1))));
+      return value[0];
+    }
+
     private void handleOperatorRequest(
         String from, String method, String path, byte[] body, Consumer<HttpReply> reply) {
       if (process == null) {
--- a/src/test/java/dapplestair/world/SimulatedUsers.java
+++ b/src/test/java/dapplestair/world/SimulatedUsers.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * Simulates users who submit, poll and cancel jobs, retry failed requests, and report every status
@@ -137,6 +138,9 @@
   private int createdJobs;
   boolean submissionsStopped;
 
+  /** Returns where the next submission goes: to a random controller, unless a test names one. */
+  Supplier<String> submissionAddress = this::randomClientAddress;
+
   /** No random jobs are submitted before this time. */
   long pausedUntilMs;
 
@@ -281,7 +285,9 @@
     // Answers are compared with what was known when the request was sent: two concurrent requests
     // may be answered in either order.
     String finalStatusWhenAsked = job.finalStatus();
-    callRandomNode(
+    cluster.network.call(
+        "users",
+        submissionAddress.get(),
         "POST",
         "/submissions",
         Json.bytes(job.body),
@@ -392,8 +398,13 @@
     cluster.network.call("users", randomClientAddress(), method, path, body, timeoutMs, done);
   }
 
-  private void checkReportedStatus(KnownJob job, String finalStatusWhenAsked, HttpReply reply) {
+  /** Checks the answer of a controller about a job, and that it is about this job. */
+  void checkReportedStatus(KnownJob job, String finalStatusWhenAsked, HttpReply reply) {
     JsonNode body = Json.parse(reply.body());
+    if (!body.path("ref").asText().equals(job.ref)) {
+      cluster.checker.reportViolation(
+          "wrong answer: the user of " + job.ref + " is told about " + body.path("ref").asText());
+    }
     cluster.checker.statusReported(job, finalStatusWhenAsked, body.path("status").asText());
   }
 }
