Continue after a lost event log with its oldest event

Cause: the client goes on from the number of the last event. The high part of that number is the term, which no later process uses again as long as the records are kept; a daemon whose stand-ins end with it begins at term 1 once more and uses the same numbers. Found on going through everything that is matched by something that a restarted process uses again.

Fix: a page of events names its log by the incarnation of the process, and the client gives it back with `after`. A number of the present term belongs to one log, so a reader that has it from another one has read before the records were lost, and continues with the oldest event kept. Readers of a leader of an earlier term go on as before. A former client sends no log, a former service neither names nor reads one: both are served as before.

Test: EventLogTest.readerOfAnEarlierLogSeesAllEventsOfTheNext, which failed with the number alone ("expected: <20> but was: <0>").

--- a/src/main/java/dapplestair/admin/EventViews.java
+++ b/src/main/java/dapplestair/admin/EventViews.java
@@ -26,9 +26,17 @@
   /**
    * Answers with the events after number {@code after} that match the filter. If there are none,
    * waits up to {@code waitMs} for the next one that matches.
+   *
+   * @param logId the log from which the caller has the number {@code after}, or null
    */
-  void list(Filter filter, long after, int limit, long waitMs, Consumer<AdminResponse> done) {
-    Poll poll = new Poll(filter, limit, done, after);
+  void list(
+      Filter filter,
+      long after,
+      String logId,
+      int limit,
+      long waitMs,
+      Consumer<AdminResponse> done) {
+    Poll poll = new Poll(filter, limit, done, eventLog.resumeAfter(after, logId));
     poll.answerIfAnyMatch();
     if (!poll.isAnswered) {
       poll.waitForEvents(waitMs);
@@ -93,7 +101,13 @@
       isAnswered = true;
       timer.cancel();
       eventLog.removeWaiter(wakeUp);
-      done.accept(listing.page(rows, Long.toString(lastEventNumber)));
+      done.accept(
+          listing.pageWithCursor(
+              rows,
+              generator -> {
+                generator.writeStringField("next", Long.toString(lastEventNumber));
+                generator.writeStringField("log", eventLog.id());
+              }));
     }
   }
 
--- a/src/main/java/dapplestair/admin/PagedListing.java
+++ b/src/main/java/dapplestair/admin/PagedListing.java
@@ -80,8 +80,18 @@
     done.accept(page(rows, null));
   }
 
+  /** Writes the fields by which a reader continues after a page. */
+  interface CursorWriter {
+    void write(JsonGenerator generator) throws IOException;
+  }
+
   /** Returns a page; {@code next} is the cursor of the following page, or null at the end. */
   AdminResponse page(List<byte[]> rows, String next) {
+    return pageWithCursor(rows, generator -> generator.writeStringField("next", next));
+  }
+
+  /** Returns a page with a cursor of several fields. */
+  AdminResponse pageWithCursor(List<byte[]> rows, CursorWriter cursor) {
     byte[] body =
         Json.writeBytes(
             generator -> {
@@ -92,7 +102,7 @@
                 generator.writeRawValue(new String(row, java.nio.charset.StandardCharsets.UTF_8));
               }
               generator.writeEndArray();
-              generator.writeStringField("next", next);
+              cursor.write(generator);
               generator.writeEndObject();
             });
     return new AdminResponse(200, body, 0);
--- a/src/main/java/dapplestair/admin/Routes.java
+++ b/src/main/java/dapplestair/admin/Routes.java
@@ -209,6 +209,7 @@
     events.list(
         parseFilter(request, Schema.EVENTS),
         after,
+        request.param("log"),
         parseLimit(request),
         parseWaitMs(request),
         done);
--- a/src/main/java/dapplestair/client/ClusterCommands.java
+++ b/src/main/java/dapplestair/client/ClusterCommands.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dapplestair.filter.Schema;
+import dapplestair.json.Json;
 import java.util.ArrayList;
 import java.util.List;
 import picocli.CommandLine.Command;
@@ -134,18 +135,15 @@
       String path = "/v1/events?limit=500" + filterOption.queryParameter(Schema.EVENTS);
       List<JsonNode> rows = new ArrayList<>();
       JsonNode page = api.get(path);
-      String cursor = page.path("next").asText("0");
       while (!page.path("rows").isEmpty()) {
         page.path("rows").forEach(rows::add);
-        page = api.get(path + "&after=" + cursor);
-        cursor = page.path("next").asText(cursor);
+        page = api.get(path + cursorParameters(page));
       }
       List<JsonNode> lastRows =
           rows.subList(Math.max(0, rows.size() - Math.max(0, limit)), rows.size());
       printEvents(output, lastRows, page);
       while (follow) {
-        page = api.poll(path + "&waitMs=" + POLL_WAIT_MS + "&after=" + cursor, POLL_WAIT_MS);
-        cursor = page.path("next").asText(cursor);
+        page = api.poll(path + "&waitMs=" + POLL_WAIT_MS + cursorParameters(page), POLL_WAIT_MS);
         List<JsonNode> newRows = new ArrayList<>();
         page.path("rows").forEach(newRows::add);
         if (!newRows.isEmpty()) {
@@ -155,6 +153,16 @@
       return 0;
     }
 
+    /**
+     * Returns the parameters that continue after a page. They name the log, since the numbers of
+     * its events may be those of a later one if the records are lost; a service of the former
+     * version names none.
+     */
+    private static String cursorParameters(JsonNode page) {
+      String log = Json.text(page, "log");
+      return "&after=" + page.path("next").asText("0") + (log == null ? "" : "&log=" + log);
+    }
+
     private static void printEvents(Output output, List<JsonNode> rows, JsonNode page) {
       output.printRows(
           Output.mergePages(rows, page),
--- a/src/main/java/dapplestair/events/EventLog.java
+++ b/src/main/java/dapplestair/events/EventLog.java
@@ -12,8 +12,10 @@
 import org.slf4j.spi.LoggingEventBuilder;
 
 /**
- * Bounded log of the most recent events of this controller. Each event has a number. Numbers grow
- * from one term to the next, as the term is their high part.
+ * Bounded log of the most recent events of this process. Each event has a number. Numbers grow from
+ * one term to the next, as the term is their high part. Terms begin anew when the records are lost,
+ * as those of a daemon without a state service of its own are when it ends, so a log has an id by
+ * which readers tell it from the log of an earlier process.
  */
 public final class EventLog implements Events {
   private static final Logger LOG = LoggerFactory.getLogger(EventLog.class);
@@ -31,18 +33,27 @@
   public record Event(long number, ObjectNode fields) {}
 
   private final Clock clock;
+  private final String id;
   private final ArrayDeque<Event> events = new ArrayDeque<>();
   private final List<Runnable> waiters = new ArrayList<>();
   private long lastNumber;
+  private long lastNumberBeforeTerm;
 
-  /** Creates an empty log. */
-  public EventLog(Clock clock) {
+  /** Creates an empty log; {@code id} distinguishes it from the logs of all other processes. */
+  public EventLog(Clock clock, String id) {
     this.clock = clock;
+    this.id = id;
+  }
+
+  /** Returns the id of this log. */
+  public String id() {
+    return id;
   }
 
   /** Begins a term; its events are numbered after all earlier ones. */
   public void beginTerm(long term) {
     lastNumber = Math.max(lastNumber, term << NUMBER_BITS);
+    lastNumberBeforeTerm = lastNumber;
   }
 
   @Override
@@ -74,6 +85,19 @@
     logEntry.log("event");
   }
 
+  /**
+   * Returns the number after which a reader continues here. The numbers of a term belong to one
+   * log, so a reader that knows such a number from another log has read it before the records were
+   * lost, and continues with the oldest event that is kept.
+   *
+   * @param number the number of the last event that the reader has
+   * @param logId the log from which it has the number, or null if it does not say
+   */
+  public long resumeAfter(long number, String logId) {
+    boolean isOtherLog = logId != null && !logId.equals(id);
+    return isOtherLog && number >= lastNumberBeforeTerm ? 0 : number;
+  }
+
   /** Returns the kept events with numbers above {@code number}, oldest first. */
   public Iterable<Event> after(long number) {
     List<Event> newer = new ArrayList<>();
--- a/src/main/java/dapplestair/node/CoreComponents.java
+++ b/src/main/java/dapplestair/node/CoreComponents.java
@@ -146,7 +146,8 @@
             cancellations,
             this::wasUnfinishedAtLastRead,
             listeners.workers);
-    eventLog = recordsEvents ? new EventLog(clock) : null;
+    eventLog =
+        recordsEvents ? new EventLog(clock, Long.toHexString(incarnation.processId())) : null;
     events = recordsEvents ? eventLog : Events.OFF;
     replica =
         new Replica(state, timers, environment.random(), leadership::isLeading, listeners.replica);
