Listen for peers once the port is free

What callers saw: nothing at once. A controller whose peer port was taken as it started logged "cannot listen for peers" and went on without it until its next restart: no peer's status, request or answer reached it, so it relayed nothing and answered every user 503 while the state service refused it.

Cause: the port of the links between controllers was bound once. A process that is started again within a fraction of a second can find it still held, as by the process that is ending. The users' port is not concerned: its process ends if it cannot be bound.

Fix: binding is tried again after the delay that is used for connecting anew.

--- a/src/main/java/dapplestair/netty/PeerLinks.java
+++ b/src/main/java/dapplestair/netty/PeerLinks.java
@@ -10,6 +10,8 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -57,6 +59,15 @@
 
   @Override
   public void start() {
+    bind(false);
+    peers.values().forEach(this::connect);
+  }
+
+  /**
+   * Listens for peers. The port may still be taken for a moment, such as by an earlier process that
+   * is ending, and without it this controller would receive nothing until its next restart.
+   */
+  private void bind(boolean isRetry) {
     new ServerBootstrap()
         .group(loop.group())
         .channel(NioServerSocketChannel.class)
@@ -64,16 +75,22 @@
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(framedInitializer(Incoming::new))
         .bind(settings.peerBind().host(), settings.peerBind().port())
-        .addListener(
-            f -> {
-              if (!f.isSuccess()) {
-                LOG.error(
-                    "cannot listen for peers on {}; this controller receives no messages of peers",
-                    settings.peerBind(),
-                    f.cause());
-              }
-            });
-    peers.values().forEach(this::connect);
+        .addListener((ChannelFutureListener) f -> bound(f, isRetry));
+  }
+
+  private void bound(ChannelFuture future, boolean isRetry) {
+    if (!future.isSuccess()) {
+      if (!isRetry) {
+        LOG.error(
+            "cannot listen for peers on {}; this controller receives no messages of peers until it"
+                + " can",
+            settings.peerBind(),
+            future.cause());
+      }
+      loop.after(RECONNECT_DELAY_MS, () -> bind(true));
+    } else if (isRetry) {
+      LOG.info("listening for peers on {}", settings.peerBind());
+    }
   }
 
   private ChannelInitializer<SocketChannel> framedInitializer(
@@ -98,7 +115,7 @@
         .handler(framedInitializer(Outgoing::new))
         .connect(peer.endpoint().host(), peer.endpoint().port())
         .addListener(
-            (io.netty.channel.ChannelFutureListener)
+            (ChannelFutureListener)
                 f -> {
                   if (f.isSuccess()) {
                     linkEstablished(peer, f.channel());
