Split fetching and recording of machine types from Fleet

MachineTypeRefresher takes over when the types are fetched and how they are recorded; nothing else changes.

--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -4,7 +4,6 @@
 import dapplestair.cloud.CloudClient;
 import dapplestair.disruption.DisruptionGate;
 import dapplestair.events.Events;
-import dapplestair.json.Json;
 import dapplestair.leadership.Leadership;
 import dapplestair.leadership.TermTimers;
 import dapplestair.machines.MachineType;
@@ -14,9 +13,6 @@
 import dapplestair.settings.Settings;
 import dapplestair.silence.SilenceTimeouts;
 import dapplestair.state.StateClient;
-import dapplestair.state.StateClient.Priority;
-import dapplestair.state.StateKeys;
-import dapplestair.state.Txn;
 import dapplestair.work.Submission;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerManager;
@@ -32,12 +28,11 @@
   private final Clock clock;
   private final TermTimers timers;
   private final Settings settings;
-  private final StateClient state;
-  private final Leadership leadership;
   private final MachineTypes types;
   private final WorkerManager workers;
   private final CloudClient cloud;
   private final SpotHistory spotHistory;
+  private final MachineTypeRefresher typeRefresher;
   private final Rentals rentals;
   private final FleetCapacity capacity;
   private final CapacityEstimator capacityEstimator;
@@ -45,9 +40,6 @@
   private final MachineList machineList;
   private final MachineHealthMonitor healthMonitor;
   private boolean leading;
-  private long typesStamp;
-  private long typesFetchedAtMs = Long.MIN_VALUE / 2;
-  private boolean fetchingTypes;
   private Cancellable timer = () -> {};
 
   /** Creates a fleet that knows no machines yet. */
@@ -66,11 +58,11 @@
     this.cloud = cloud;
     this.timers = timers;
     this.settings = settings;
-    this.state = state;
-    this.leadership = leadership;
     this.types = types;
     this.workers = workers;
     spotHistory = new SpotHistory(clock);
+    typeRefresher =
+        new MachineTypeRefresher(clock, cloud, settings, state, leadership, types, spotHistory);
     SilenceTimeouts timeouts = new SilenceTimeouts(settings);
     rentals =
         new Rentals(
@@ -143,10 +135,7 @@
 
   /** Applies the record of the machine types. */
   public void applyTypesRecord(JsonNode value, long stamp) {
-    typesStamp = stamp;
-    if (value != null && !types.isLoaded()) {
-      types.read(value);
-    }
+    typeRefresher.applyRecord(value, stamp);
   }
 
   /** Applies a rental's record. */
@@ -164,6 +153,7 @@
   /** Begins to lead and takes over the machines that earlier terms rented. */
   public void lead() {
     leading = true;
+    typeRefresher.lead();
     healthMonitor.lead(machineList);
     releases.lead();
     rentals.lead();
@@ -178,15 +168,11 @@
     rentals.clear();
     releases.clear();
     machineList.clear();
-    fetchingTypes = false;
-    typesFetchedAtMs = Long.MIN_VALUE / 2;
+    typeRefresher.clear();
   }
 
   private void tick() {
-    long intervalMs = types.isLoaded() ? 5 * settings.workers().reportMs() : 500;
-    if (clock.now() - typesFetchedAtMs > intervalMs && !fetchingTypes) {
-      fetchTypes();
-    }
+    typeRefresher.refresh();
     machineList.refresh();
     healthMonitor.inspectAll();
     releases.sendNextBatch();
@@ -194,44 +180,6 @@
     timer = timers.after(settings.workers().reportMs() / 8, this::tick);
   }
 
-  private void fetchTypes() {
-    fetchingTypes = true;
-    cloud.listMachineTypes(
-        reply -> {
-          fetchingTypes = false;
-          typesFetchedAtMs = clock.now();
-          if (!leading || !reply.ok()) {
-            return;
-          }
-          boolean hadNoTypes = !types.isLoaded() || typesStamp == 0;
-          if (types.read(Json.parse(reply.body()))) {
-            spotHistory.notePrices(types.all());
-            if (hadNoTypes) {
-              recordTypes();
-            }
-          }
-        });
-  }
-
-  private void recordTypes() {
-    Txn txn =
-        leadership
-            .guard(new Txn())
-            .when(StateKeys.TYPES, typesStamp)
-            .put(StateKeys.TYPES, types.toJson());
-    long term = leadership.term();
-    state.commit(
-        txn,
-        Priority.LAUNCH,
-        settings.workers().reportMs(),
-        outcome -> {
-          // A write refused to an earlier term does not show that this term has ended.
-          if (leadership.isLeadingTerm(term)) {
-            leadership.stepDownIfDeposed(outcome);
-          }
-        });
-  }
-
   /** Returns the recent spot prices and reclaims. */
   public SpotHistory spotHistory() {
     return spotHistory;
