--- a/src/main/java/dapplestair/leadership/Leadership.java
+++ b/src/main/java/dapplestair/leadership/Leadership.java
@@ -13,8 +13,6 @@
 import dapplestair.state.StateKeys;
 import dapplestair.state.Txn;
 import dapplestair.state.TxnOutcome;
-import java.util.HashMap;
-import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,8 +34,6 @@
     void follow();
   }
 
-  private static final int MAX_TERMS_KEPT = 16;
-
   private final Clock clock;
   private final Timers timers;
   private final UniformRandomProvider random;
@@ -47,6 +43,7 @@
   private final Listener listener;
   private final Incarnation incarnation;
   private final long holdTtlMs;
+  private final TermWinners termWinners;
   private Replica replica;
 
   private long highestTermSeen;
@@ -55,8 +52,6 @@
   private String recordedLeaderIncarnation;
   private long leaderRecordSeenAtMs;
   private long leaderActiveAtMs;
-  private long ignoreRefusalsUntilMs = Long.MIN_VALUE;
-  private final Map<String, Long> lastTermByIncarnation = new HashMap<>();
   private long hold;
   private long preparedHold;
   private long preparedHoldRequestedAtMs = Long.MIN_VALUE / 2;
@@ -89,8 +84,16 @@
     this.peers = peers;
     this.listener = listener;
     this.incarnation = incarnation;
-    // Short relative to workers' leases, which a new leader must find valid at any report interval.
-    this.holdTtlMs = Math.min(settings.workers().reportMs(), settings.workers().leaseMs() / 10);
+    this.holdTtlMs = holdTtlMs(settings.workers());
+    this.termWinners = new TermWinners(clock, settings.workers().leaseMs());
+  }
+
+  /**
+   * Returns the time after which a leader that does not extend its hold is deposed. It is short
+   * relative to workers' leases, which a new leader must find valid at any report interval.
+   */
+  public static long holdTtlMs(Settings.Workers workers) {
+    return Math.min(workers.reportMs(), workers.leaseMs() / 10);
   }
 
   /** Returns a number that distinguishes this process from earlier ones of the same member. */
@@ -160,29 +163,12 @@
     recordedLeaderIncarnation = Json.text(value, "incarnation");
     leaderRecordSeenAtMs = clock.now();
     leaderActiveAtMs = leaderRecordSeenAtMs;
-    recordWinner(recordedTerm);
+    termWinners.record(recordedLeaderIncarnation, recordedTerm);
     if (leading && stamp > leaderStamp) {
       stepDown("term " + recordedTerm + " belongs to " + member);
     }
   }
 
-  /**
-   * Notes who won a term. A process that wins again after another one has led was still running
-   * when it was deposed: its port refuses connections although it runs, and the ports of others may
-   * do so, too. Refused connections are then ignored for one lease; otherwise controllers whose
-   * links are filtered would depose each other every few seconds.
-   */
-  private void recordWinner(long wonTerm) {
-    Long previousTerm =
-        recordedLeaderIncarnation == null
-            ? null
-            : lastTermByIncarnation.put(recordedLeaderIncarnation, wonTerm);
-    if (previousTerm != null && previousTerm < wonTerm - 1) {
-      ignoreRefusalsUntilMs = clock.now() + settings.workers().leaseMs();
-    }
-    lastTermByIncarnation.values().removeIf(oldTerm -> oldTerm < wonTerm - MAX_TERMS_KEPT);
-  }
-
   /** Notes that the replica received a write that only a leader makes. */
   public void leaderWriteSeen() {
     leaderActiveAtMs = clock.now();
@@ -272,7 +258,7 @@
     return recordedLeader != null
         && nowMs - leaderRecordSeenAtMs > holdTtlMs
         && nowMs - leaderActiveAtMs > holdTtlMs / 4
-        && nowMs > ignoreRefusalsUntilMs
+        && termWinners.refusalsCount()
         && peers.seemsEnded(recordedLeader);
   }
 
