Return no machine on knowledge from before a pause of this process

Cause: a process that stood still runs its due timers before it reads any socket. Ages that went on meanwhile (of a boot, of a halt, of a cancellation) are compared with limits, while "not up", "not proved gone" and "the state service answers" are what it knew before. A return can be neither fenced nor undone.

Fix: PauseDetector notes a gap between two turns of the event loop of more than a quarter of the leader's hold (0.9 s with the fleets' 6 s report interval and 36 s lease). Whoever asks it notes the gap, so the order of the timers does not matter. After a pause - the leader returns machines only once a read of the records that was requested after the pause has been applied: a new leader's key in it ends its lead first; - returns queued before, in Releases or in the cloud's queue, are judged again, unless they may have been sent; - a controller that follows up a cancellation returns machines only after such a read, by which it leaves them to the leader; while the records do not answer for a report interval, returns for cancelled work go on, since that work must end in time. The machines have been asked by then, so silent ones are concerned; - ForgottenMachines counts silence from the end of the pause, and drops a survey that a pause interrupted. Metrics pauses and returns_held_back, a log line when a pause is met and when the records are read again.

--- a/src/main/java/dapplestair/admin/ControllerComponents.java
+++ b/src/main/java/dapplestair/admin/ControllerComponents.java
@@ -11,6 +11,7 @@
 import dapplestair.leadership.Leadership;
 import dapplestair.ledger.Ledger;
 import dapplestair.machines.MachineTypes;
+import dapplestair.pause.PauseDetector;
 import dapplestair.peers.Peers;
 import dapplestair.placement.Placer;
 import dapplestair.planning.Autoscaler;
@@ -52,4 +53,5 @@
     ConditionalWriter conditionalWriter,
     Cancellations cancellations,
     Relay relay,
+    PauseDetector pauses,
     EventLog events) {}
--- a/src/main/java/dapplestair/cancellations/CancellationEnforcer.java
+++ b/src/main/java/dapplestair/cancellations/CancellationEnforcer.java
@@ -5,6 +5,7 @@
 import dapplestair.cloud.CloudClient;
 import dapplestair.json.Json;
 import dapplestair.leadership.FencingToken;
+import dapplestair.pause.PauseDetector;
 import dapplestair.ports.Clock;
 import dapplestair.ports.HttpCaller;
 import dapplestair.ports.HttpReply;
@@ -51,6 +52,7 @@
   private final CloudClient cloud;
   private final Settings settings;
   private final OpenCancellations openCancellations;
+  private final PauseDetector pauses;
   private final long launchWindowMs;
   private final long callTimeoutMs;
   private final Map<String, String> addresses = new BoundedMap<>(MAX_ADDRESSES);
@@ -74,6 +76,7 @@
       CloudClient cloud,
       Settings settings,
       OpenCancellations openCancellations,
+      PauseDetector pauses,
       long launchWindowMs) {
     this.clock = clock;
     this.timers = timers;
@@ -81,6 +84,7 @@
     this.cloud = cloud;
     this.settings = settings;
     this.openCancellations = openCancellations;
+    this.pauses = pauses;
     this.launchWindowMs = launchWindowMs;
     this.callTimeoutMs = settings.workers().reportMs() / 2;
   }
@@ -238,10 +242,19 @@
         });
   }
 
+  /**
+   * Returns machines to the cloud. After a pause of this process the leader may have ended the
+   * tasks long ago and use the machines for others: the records, the leader and the machines are
+   * asked first.
+   */
   private void returnMachines(List<String> hosts) {
     if (returnBlocked || hosts.isEmpty()) {
       return;
     }
+    if (!pauses.mayActOnDeadline()) {
+      pauses.countHeldBack();
+      return;
+    }
     returnBlocked = true;
     LOG.warn(
         "machines {} may still run cancelled tasks and no leader ends them: returning the machines",
--- a/src/main/java/dapplestair/cancellations/Cancellations.java
+++ b/src/main/java/dapplestair/cancellations/Cancellations.java
@@ -2,6 +2,7 @@
 
 import dapplestair.cloud.CloudClient;
 import dapplestair.leadership.Leadership;
+import dapplestair.pause.PauseDetector;
 import dapplestair.peers.Peers;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
@@ -79,6 +80,7 @@
       Settings settings,
       Peers peers,
       Leadership leadership,
+      PauseDetector pauses,
       LongSupplier stateReadAtMs,
       Listener listener) {
     this.clock = clock;
@@ -90,7 +92,7 @@
     this.stateReadAtMs = stateReadAtMs;
     this.listener = listener;
     this.reportMs = settings.workers().reportMs();
-    this.renewalWindowMs = renewalWindowMs(settings.workers());
+    this.renewalWindowMs = RenewalWindow.ofMs(settings.workers());
     this.retentionMs = 2 * settings.workers().cancelMs();
     this.knownCancellations = new KnownCancellations(clock, retentionMs);
     this.openCancellations = new OpenCancellations(clock, knownCancellations, 2 * reportMs);
@@ -110,7 +112,7 @@
             this::learn);
     this.enforcer =
         new CancellationEnforcer(
-            clock, timers, http, cloud, settings, openCancellations, launchWindowMs());
+            clock, timers, http, cloud, settings, openCancellations, pauses, launchWindowMs());
     this.forgottenMachines =
         new ForgottenMachines(
             clock,
@@ -118,31 +120,14 @@
             cloud,
             settings,
             peers,
+            pauses,
             () -> stateReadAtMs.getAsLong() <= CancellationWatermark.NEVER);
   }
 
-  /**
-   * Returns how old a controller's knowledge of cancellations may be for it to renew leases. A
-   * lease renewed within this time still ends before a cancelled task must have ended, unless the
-   * settings leave less than two report intervals for that, of which {@link #start} warns. A
-   * sixteenth of a lease is reserved for clock drift and for messages in flight.
-   */
-  static long renewalWindowMs(Settings.Workers workers) {
-    return Math.max(timeLeftAfterLeaseMs(workers), minRenewalWindowMs(workers));
-  }
-
-  private static long timeLeftAfterLeaseMs(Settings.Workers workers) {
-    return workers.cancelMs() - workers.leaseMs() - workers.leaseMs() / 16;
-  }
-
-  private static long minRenewalWindowMs(Settings.Workers workers) {
-    return 2 * workers.reportMs();
-  }
-
   /** Starts to send requests to peers and to answer theirs. */
   public void start() {
     Settings.Workers workers = settings.workers();
-    if (timeLeftAfterLeaseMs(workers) < minRenewalWindowMs(workers)) {
+    if (RenewalWindow.isLongerThanSettingsAllow(workers)) {
       LOG.warn(
           "cancel_s ({} s) does not exceed lease_s ({} s) plus a sixteenth by at least two report "
               + "intervals: while controllers cannot reach the state service or each other, a "
--- a/src/main/java/dapplestair/cancellations/ForgottenMachines.java
+++ b/src/main/java/dapplestair/cancellations/ForgottenMachines.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import dapplestair.cloud.CloudClient;
 import dapplestair.json.Json;
+import dapplestair.pause.PauseDetector;
 import dapplestair.peers.Peers;
 import dapplestair.ports.Clock;
 import dapplestair.ports.Timers;
@@ -45,6 +46,9 @@
 
   /** What one turn finds out about controllers and machines. */
   private static final class Survey {
+    /** A pause of this process ends the turn: what it found out before is out of date. */
+    final long pauseCount;
+
     /** Zones of controllers that neither answer nor refuse connections. */
     final Set<String> unansweredZones = new HashSet<>();
 
@@ -53,6 +57,10 @@
 
     final List<SilentMachine> silentMachines = new ArrayList<>();
 
+    Survey(long pauseCount) {
+      this.pauseCount = pauseCount;
+    }
+
     /**
      * Returns the machines that are silent while others report. A zone in which neither a machine
      * nor the controller is heard is disconnected and left out, since its controller may know which
@@ -77,6 +85,7 @@
   private final CloudClient cloud;
   private final Settings settings;
   private final Peers peers;
+  private final PauseDetector pauses;
   private final BooleanSupplier hasNoRecords;
   private final Map<String, Long> lastReportAtMs = new BoundedMap<>(MAX_HEARD_MACHINES);
   private long startedAtMs;
@@ -89,12 +98,14 @@
       CloudClient cloud,
       Settings settings,
       Peers peers,
+      PauseDetector pauses,
       BooleanSupplier hasNoRecords) {
     this.clock = clock;
     this.timers = timers;
     this.cloud = cloud;
     this.settings = settings;
     this.peers = peers;
+    this.pauses = pauses;
     this.hasNoRecords = hasNoRecords;
   }
 
@@ -120,12 +131,17 @@
       lastReportAtMs.clear();
       return;
     }
-    if (!turnInProgress && clock.now() - startedAtMs >= silenceThresholdMs()) {
+    if (!turnInProgress && listeningMs() >= silenceThresholdMs()) {
       turnInProgress = true;
-      askPeers(0, new Survey());
+      askPeers(0, new Survey(pauses.pauseCount()));
     }
   }
 
+  /** Returns for how long this process has heard reports without a pause. */
+  private long listeningMs() {
+    return clock.now() - Math.max(startedAtMs, pauses.pauseEndedAtMs());
+  }
+
   private long silenceThresholdMs() {
     return settings.workers().leaseMs() / SILENCE_PERIODS_PER_LEASE;
   }
@@ -186,7 +202,7 @@
           if (page.path("more").asBoolean()) {
             listMachines(lastHost, survey);
           } else {
-            returnMachines(survey.forgottenHosts());
+            returnMachines(survey.forgottenHosts(), survey.pauseCount);
           }
         });
   }
@@ -213,8 +229,9 @@
     return "running".equals(Json.text(node, "status")) && ageMs > clock.now() - startedAtMs;
   }
 
-  private void returnMachines(List<String> hosts) {
-    if (hosts.isEmpty() || !hasNoRecords.getAsBoolean()) {
+  private void returnMachines(List<String> hosts, long pauseCount) {
+    boolean hasPaused = pauses.pauseCount() != pauseCount;
+    if (hosts.isEmpty() || hasPaused || !hasNoRecords.getAsBoolean()) {
       endTurn();
       return;
     }
@@ -223,6 +240,7 @@
     LOG.warn(
         "no controller has read records since its start; returning silent machines {} to the cloud",
         batch);
-    cloud.enforceRelease(batch, reply -> returnMachines(hosts.subList(count, hosts.size())));
+    cloud.enforceRelease(
+        batch, reply -> returnMachines(hosts.subList(count, hosts.size()), pauseCount));
   }
 }
--- a/src/main/java/dapplestair/cloud/CloudClient.java
+++ b/src/main/java/dapplestair/cloud/CloudClient.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dapplestair.json.Json;
+import dapplestair.pause.PauseDetector;
 import dapplestair.ports.Clock;
 import dapplestair.ports.HttpCaller;
 import dapplestair.ports.HttpReply;
@@ -58,6 +59,7 @@
 
   private final Timers timers;
   private final HttpCaller http;
+  private final PauseDetector pauses;
   private final String endpoint;
   private final TokenBucket bucket;
   private final long timeoutMs;
@@ -66,9 +68,11 @@
   private boolean sendScheduled;
 
   /** Creates a client of the cloud that the settings name. */
-  public CloudClient(Clock clock, Timers timers, HttpCaller http, Settings settings) {
+  public CloudClient(
+      Clock clock, Timers timers, HttpCaller http, PauseDetector pauses, Settings settings) {
     this.timers = timers;
     this.http = http;
+    this.pauses = pauses;
     this.endpoint = settings.cloudEndpoint();
     this.bucket = new TokenBucket(clock, settings.cloud().rps() * CALL_RATE_SHARE, 1);
     this.timeoutMs = settings.workers().reportMs();
@@ -124,7 +128,10 @@
     enqueue(RequestPriority.RENTALS, request);
   }
 
-  /** Gives machines back to the cloud; only for a leader. */
+  /**
+   * Gives machines back to the cloud; only for a leader. If this process pauses before the request
+   * is sent, it is not sent, since the machines may serve another leader by then.
+   */
   public void release(Collection<String> hosts, Consumer<HttpReply> done) {
     enqueue(RequestPriority.RETURNS, releaseRequest(hosts, done));
   }
@@ -138,7 +145,22 @@
     ObjectNode body = Json.object();
     ArrayNode names = body.putArray("hosts");
     hosts.forEach(names::add);
-    return new QueuedRequest("POST", "/rentals/release", Json.bytes(body), timeoutMs, done);
+    long pauseCount = pauses.pauseCount();
+    return new QueuedRequest(
+        "POST",
+        "/rentals/release",
+        Json.bytes(body),
+        timeoutMs,
+        () -> isDecidedSinceLastPause(pauseCount),
+        reply -> done.accept(reply == null ? HttpReply.of(HttpReply.NOT_SENT) : reply));
+  }
+
+  private boolean isDecidedSinceLastPause(long pauseCountWhenDecided) {
+    boolean isWanted = pauses.pauseCount() == pauseCountWhenDecided;
+    if (!isWanted) {
+      pauses.countHeldBack();
+    }
+    return isWanted;
   }
 
   /** Returns whether the cloud reports a lack of capacity, as opposed to a failure of its own. */
--- a/src/main/java/dapplestair/fleet/Fleet.java
+++ b/src/main/java/dapplestair/fleet/Fleet.java
@@ -8,6 +8,7 @@
 import dapplestair.leadership.TermTimers;
 import dapplestair.machines.MachineType;
 import dapplestair.machines.MachineTypes;
+import dapplestair.pause.PauseDetector;
 import dapplestair.ports.Cancellable;
 import dapplestair.ports.Clock;
 import dapplestair.settings.Settings;
@@ -53,6 +54,7 @@
       MachineTypes types,
       WorkerManager workers,
       DisruptionGate disruptionGate,
+      PauseDetector pauses,
       Events events) {
     this.clock = clock;
     this.cloud = cloud;
@@ -88,7 +90,7 @@
             capacity::heldOrPendingCount,
             capacity::stayingCount);
     capacityEstimator.setZoneClosedTest(z -> workers.zoneSilentMs(z) > 0);
-    releases = new Releases(workers, cloud, events);
+    releases = new Releases(workers, cloud, pauses, events);
     healthMonitor =
         new MachineHealthMonitor(
             clock,
@@ -101,6 +103,7 @@
             timeouts,
             capacityEstimator,
             disruptionGate::debitAttemptsOn,
+            pauses,
             events);
     machineList = new MachineList(clock, settings, types, workers, cloud, healthMonitor);
   }
@@ -174,6 +177,7 @@
   private void tick() {
     typeRefresher.refresh();
     machineList.refresh();
+    releases.judgeAgainAfterPause();
     healthMonitor.inspectAll();
     releases.sendNextBatch();
     rentals.cleanUp();
--- a/src/main/java/dapplestair/fleet/MachineHealthMonitor.java
+++ b/src/main/java/dapplestair/fleet/MachineHealthMonitor.java
@@ -5,6 +5,7 @@
 import dapplestair.events.Events;
 import dapplestair.ledger.Attempt;
 import dapplestair.machines.MachineTypes;
+import dapplestair.pause.PauseDetector;
 import dapplestair.ports.Clock;
 import dapplestair.settings.Settings;
 import dapplestair.silence.SilenceTimeouts;
@@ -39,6 +40,7 @@
   private final SilenceTimeouts timeouts;
   private final CapacityEstimator capacityEstimator;
   private final Consumer<Host> chargeBudgets;
+  private final PauseDetector pauses;
   private DoubleSupplier waitingCpus = () -> 0;
   private Runnable onCapacityLost = () -> {};
 
@@ -62,6 +64,7 @@
       SilenceTimeouts timeouts,
       CapacityEstimator capacityEstimator,
       Consumer<Host> chargeBudgets,
+      PauseDetector pauses,
       Events events) {
     this.clock = clock;
     this.settings = settings;
@@ -73,6 +76,7 @@
     this.timeouts = timeouts;
     this.capacityEstimator = capacityEstimator;
     this.chargeBudgets = chargeBudgets;
+    this.pauses = pauses;
     this.events = events;
   }
 
@@ -137,7 +141,7 @@
     if (host.isReleasing()) {
       return;
     }
-    if (hasOverdueHalt(host, now)) {
+    if (hasOverdueHalt(host, now) && pauses.mayActOnDeadline()) {
       LOG.info("machine {} did not stop cancelled work in time: returning it", host.id());
       giveUp(host);
     } else if (mayReturnMachines()) {
@@ -146,13 +150,14 @@
   }
 
   /**
-   * Returns true while the state service can be reached. A leader that is cut off sees all machines
-   * as silent, and its requests to the cloud may be carried out when the cut ends and another
-   * controller leads. So it returns only machines that it must return, as long as the state service
-   * does not confirm that it still leads.
+   * Returns true while the state service can be reached and has been read since the last pause of
+   * this process. After a pause another controller may lead and use the machines. A leader that is
+   * cut off sees all machines as silent, and its requests to the cloud may be carried out when the
+   * cut ends and another controller leads. So it returns only machines that it must return, as long
+   * as the state service does not confirm that it still leads.
    */
   boolean mayReturnMachines() {
-    return state.unreachableMs() == 0;
+    return state.unreachableMs() == 0 && pauses.isKnowledgeCurrent();
   }
 
   private void returnIfUnusable(Host host, long now) {
--- a/src/main/java/dapplestair/fleet/Releases.java
+++ b/src/main/java/dapplestair/fleet/Releases.java
@@ -2,6 +2,8 @@
 
 import dapplestair.cloud.CloudClient;
 import dapplestair.events.Events;
+import dapplestair.pause.PauseDetector;
+import dapplestair.ports.HttpReply;
 import dapplestair.workers.Host;
 import dapplestair.workers.WorkerManager;
 import java.util.LinkedHashSet;
@@ -19,16 +21,20 @@
   private final WorkerManager workers;
   private final CloudClient cloud;
   private final Events events;
+  private final PauseDetector pauses;
   // Replicas cannot be replaced until the release of their machine is confirmed, so machines with
   // replicas go first.
   private final Set<String> urgentIds = new LinkedHashSet<>();
   private final Set<String> waitingIds = new LinkedHashSet<>();
   private boolean leading;
+  private final Set<String> sentIds = new LinkedHashSet<>();
   private boolean requestInFlight;
+  private long judgedAtPauseCount;
 
-  Releases(WorkerManager workers, CloudClient cloud, Events events) {
+  Releases(WorkerManager workers, CloudClient cloud, PauseDetector pauses, Events events) {
     this.workers = workers;
     this.cloud = cloud;
+    this.pauses = pauses;
     this.events = events;
   }
 
@@ -40,9 +46,35 @@
     leading = false;
     urgentIds.clear();
     waitingIds.clear();
+    sentIds.clear();
     requestInFlight = false;
   }
 
+  /**
+   * Forgets the machines that were to be returned before the last pause of this process, unless the
+   * cloud may have been asked already. Whether they are to be returned must be judged anew.
+   */
+  void judgeAgainAfterPause() {
+    if (pauses.pauseCount() == judgedAtPauseCount) {
+      return;
+    }
+    judgedAtPauseCount = pauses.pauseCount();
+    for (Set<String> ids : List.of(urgentIds, waitingIds)) {
+      ids.removeIf(id -> !sentIds.contains(id) && cancelReturn(id));
+    }
+  }
+
+  /** Returns false for a machine that is gone already and only has to leave the cloud's list. */
+  private boolean cancelReturn(String id) {
+    Host host = workers.findHost(id);
+    if (host == null) {
+      return false;
+    }
+    host.setReleasing(false);
+    pauses.countHeldBack();
+    return true;
+  }
+
   /** Queues a machine to be returned, whatever runs on it. */
   void add(Host host) {
     host.setReleasing(true);
@@ -59,14 +91,20 @@
         Stream.concat(urgentIds.stream(), waitingIds.stream())
             .limit(MAX_MACHINES_PER_RELEASE)
             .toList();
-    if (requestInFlight || batch.isEmpty()) {
+    long pauseCount = pauses.pauseCount();
+    if (requestInFlight || batch.isEmpty() || pauseCount != judgedAtPauseCount) {
       return;
     }
     requestInFlight = true;
+    sentIds.addAll(batch);
     cloud.release(
         batch,
         reply -> {
           requestInFlight = false;
+          if (reply.status() == HttpReply.NOT_SENT) {
+            batch.forEach(sentIds::remove);
+            judgedAtPauseCount = pauseCount;
+          }
           if (leading && reply.status() == 200) {
             batch.forEach(this::onReturned);
             sendNextBatch();
@@ -76,6 +114,7 @@
 
   /** Records a confirmed return, which proves that nothing runs on the machine any more. */
   private void onReturned(String id) {
+    sentIds.remove(id);
     urgentIds.remove(id);
     waitingIds.remove(id);
     Host host = workers.findHost(id);
--- a/src/main/java/dapplestair/node/Controller.java
+++ b/src/main/java/dapplestair/node/Controller.java
@@ -118,6 +118,7 @@
             operations.conditionalWriter,
             core.cancellations,
             core.relay,
+            core.pauses,
             core.eventLog);
     Exposition exposition = ControllerMetrics.createExposition(components);
     core.metrics.setSink(exposition);
@@ -146,6 +147,7 @@
   /** Starts all components; this controller may be elected from then on. */
   public void start() {
     LOG.info("controller {} in zone {} starts", settings.member(), settings.zone());
+    core.pauses.start();
     core.replica.reload();
     core.workerManager.start();
     core.peers.start();
--- a/src/main/java/dapplestair/node/ControllerMetrics.java
+++ b/src/main/java/dapplestair/node/ControllerMetrics.java
@@ -24,6 +24,7 @@
     Exposition exposition = new Exposition(VERSION);
     addCluster(exposition, components);
     addPeers(exposition, components);
+    addPauses(exposition, components);
     addState(exposition, components);
     addTeams(exposition, components);
     addClasses(exposition, components);
@@ -106,6 +107,19 @@
             () -> components.peers().requests().foreignAnswers());
   }
 
+  /** Adds metrics on pauses of this process, after which it must learn the present anew. */
+  private static void addPauses(Exposition exposition, ControllerComponents components) {
+    exposition
+        .gauge(
+            "pauses",
+            "How often this process did not run for so long that another one may have led.",
+            () -> components.pauses().pauseCount())
+        .gauge(
+            "returns_held_back",
+            "Returns of machines that were not made because of a pause.",
+            () -> components.pauses().heldBackCount());
+  }
+
   /** Adds metrics on the state service and on the transactions that wait for it. */
   private static void addState(Exposition exposition, ControllerComponents components) {
     exposition
--- a/src/main/java/dapplestair/node/CoreComponents.java
+++ b/src/main/java/dapplestair/node/CoreComponents.java
@@ -10,6 +10,7 @@
 import dapplestair.ledger.Ledger;
 import dapplestair.machines.MachineTypes;
 import dapplestair.metrics.Metrics;
+import dapplestair.pause.PauseDetector;
 import dapplestair.peers.Incarnation;
 import dapplestair.peers.PeerStatus;
 import dapplestair.peers.Peers;
@@ -32,7 +33,11 @@
  * service, the connections to peers, the ledger, and the workers.
  */
 final class CoreComponents implements AutoCloseable {
+  /** A shorter time without a turn of the event loop than this part of the hold is no pause. */
+  private static final int PAUSES_PER_HOLD = 4;
+
   final StateClient state;
+  final PauseDetector pauses;
   final MachineTypes machineTypes = new MachineTypes();
   final Metrics metrics = new Metrics();
   final RuntimeEstimates runtimeEstimates = new RuntimeEstimates();
@@ -109,7 +114,15 @@
             leadership,
             environment.launchBatches(),
             ledgerCallbacks);
-    cloud = new CloudClient(clock, timers, environment.http(), settings);
+    Settings.Workers workers = settings.workers();
+    pauses =
+        new PauseDetector(
+            clock,
+            timers,
+            Leadership.holdTtlMs(workers) / PAUSES_PER_HOLD,
+            workers.reportMs(),
+            this::recordsAsOfMs);
+    cloud = new CloudClient(clock, timers, environment.http(), pauses, settings);
     cancellations =
         new Cancellations(
             clock,
@@ -119,6 +132,7 @@
             settings,
             peers,
             leadership,
+            pauses,
             this::recordsAsOfMs,
             listeners.cancellations);
     acceptedJobs =
@@ -186,6 +200,7 @@
 
   @Override
   public void close() {
+    pauses.close();
     workerManager.close();
     relay.close();
     cancellations.close();
--- a/src/main/java/dapplestair/node/SchedulingComponents.java
+++ b/src/main/java/dapplestair/node/SchedulingComponents.java
@@ -43,18 +43,7 @@
     disruptionGate =
         new DisruptionGate(
             clock, operatorSettings.budgets(), core.ledger, core.workerManager, lostWork);
-    fleet =
-        new Fleet(
-            clock,
-            timers,
-            core.cloud,
-            settings,
-            core.state,
-            core.leadership,
-            core.machineTypes,
-            core.workerManager,
-            disruptionGate,
-            core.events);
+    fleet = createFleet(clock, settings, core, disruptionGate);
     demand =
         new DemandView(
             clock,
@@ -135,6 +124,22 @@
             new FaultAttributionEvents(core.events, autoscaler::scheduleEarlyRound));
   }
 
+  private static Fleet createFleet(
+      Clock clock, Settings settings, CoreComponents core, DisruptionGate disruptionGate) {
+    return new Fleet(
+        clock,
+        core.termTimers,
+        core.cloud,
+        settings,
+        core.state,
+        core.leadership,
+        core.machineTypes,
+        core.workerManager,
+        disruptionGate,
+        core.pauses,
+        core.events);
+  }
+
   @Override
   public void close() {
     lanes.close();
--- a/src/test/java/dapplestair/cancellations/CancellationWatermarkTest.java
+++ b/src/test/java/dapplestair/cancellations/CancellationWatermarkTest.java
@@ -93,11 +93,8 @@
   @Test
   void renewalWindowLeavesTimeForOneLeaseAndASixteenth() {
     assertEquals(
-        66_000 - 36_000 - 2250,
-        Cancellations.renewalWindowMs(new Settings.Workers(6000, 36_000, 66_000)));
+        66_000 - 36_000 - 2250, RenewalWindow.ofMs(new Settings.Workers(6000, 36_000, 66_000)));
     assertEquals(
-        12_000,
-        Cancellations.renewalWindowMs(new Settings.Workers(6000, 36_000, 30_000)),
-        "minimum window");
+        12_000, RenewalWindow.ofMs(new Settings.Workers(6000, 36_000, 30_000)), "minimum window");
   }
 }
--- a/src/test/java/dapplestair/workers/CancellationCosts.java
+++ b/src/test/java/dapplestair/workers/CancellationCosts.java
@@ -12,6 +12,7 @@
 import dapplestair.ledger.AttemptRules;
 import dapplestair.ledger.Ledger;
 import dapplestair.ledger.LedgerCallbacks;
+import dapplestair.pause.PauseDetector;
 import dapplestair.peers.Incarnation;
 import dapplestair.peers.PeerCodec;
 import dapplestair.peers.PeerStatus;
@@ -167,15 +168,17 @@
               leadership,
               false,
               noCallbacks());
+      PauseDetector pauses = new PauseDetector(time, this, Long.MAX_VALUE, 0, time::now);
       cancellations =
           new Cancellations(
               time,
               this,
               unreachableCaller,
-              new CloudClient(time, this, unreachableCaller, settings),
+              new CloudClient(time, this, unreachableCaller, pauses, settings),
               settings,
               peers,
               leadership,
+              pauses,
               time::now,
               new LocationListener());
       CommandSender commandSender =
--- a/src/test/java/dapplestair/world/SimulatedCluster.java
+++ b/src/test/java/dapplestair/world/SimulatedCluster.java
@@ -413,6 +413,21 @@
     }
   }
 
+  /** In which order a process that was suspended handles due timers and what arrived meanwhile. */
+  enum ResumeOrder {
+    AS_THEY_CAME(0, 0),
+    TIMERS_FIRST(0, 5),
+    MESSAGES_FIRST(5, 0);
+
+    final long timerDelayMs;
+    final long messageDelayMs;
+
+    ResumeOrder(long timerDelayMs, long messageDelayMs) {
+      this.timerDelayMs = timerDelayMs;
+      this.messageDelayMs = messageDelayMs;
+    }
+  }
+
   /** A machine of a controller; the controller process on it may end and restart. */
   final class ControllerNode implements RequestHandler {
     final int index;
@@ -461,11 +476,17 @@
 
     /**
      * Suspends the process while its clocks run on: its timers and incoming messages are delayed
-     * until it resumes. Connections to it are accepted as before.
+     * until it resumes, in their order. Connections to it are accepted as before.
      */
     void freeze(long durationMs) {
+      freeze(durationMs, ResumeOrder.AS_THEY_CAME);
+    }
+
+    /** Suspends the process; on resuming it handles what was delayed in the given order. */
+    void freeze(long durationMs, ResumeOrder order) {
       if (process != null) {
         process.frozenUntilMs = Math.max(process.frozenUntilMs, sim.now() + durationMs);
+        process.resumeOrder = order;
       }
     }
 
@@ -548,6 +569,7 @@
     final long startedAtMs = sim.now();
     boolean dead;
     long frozenUntilMs;
+    ResumeOrder resumeOrder = ResumeOrder.AS_THEY_CAME;
     PeerNetwork.Listener listener;
 
     ControllerProcess(ControllerNode node) {
@@ -601,7 +623,7 @@
       sim.after(
           delayMs,
           () ->
-              run(
+              runTimer(
                   () -> {
                     if (!cancelled[0]) {
                       task.run();
@@ -610,13 +632,21 @@
       return () -> cancelled[0] = true;
     }
 
-    /** Runs the task now or, while the process is suspended, once it resumes. */
+    /** Handles a message now or, while the process is suspended, once it resumes. */
     void run(Runnable task) {
+      runOrDelay(task, resumeOrder.messageDelayMs);
+    }
+
+    private void runTimer(Runnable task) {
+      runOrDelay(task, resumeOrder.timerDelayMs);
+    }
+
+    private void runOrDelay(Runnable task, long resumeDelayMs) {
       if (dead) {
         return;
       }
       if (sim.now() < frozenUntilMs) {
-        sim.after(frozenUntilMs - sim.now(), () -> run(task));
+        sim.after(frozenUntilMs + resumeDelayMs - sim.now(), () -> runOrDelay(task, resumeDelayMs));
       } else {
         task.run();
       }
