Repeat an unanswered return after a pause only once the records are read

What callers would see: tasks lost on a machine that a former leader returns.

Cause: after a pause, returns that had not been sent were judged again, but one that had been sent without an answer was repeated at once, as if it had arrived. It may be lost, and another leader may use the machine since.

Fix: such a return is repeated only once a read of the records requested after the pause has been applied, by a leader that still leads then.

Test: ReleasesTest.anUnansweredReturnIsRepeatedOnlyOnceTheRecordsAreRead, which fails without the condition ("the return was repeated before the records were read").

--- a/src/main/java/dapplestair/fleet/Releases.java
+++ b/src/main/java/dapplestair/fleet/Releases.java
@@ -26,8 +26,9 @@
   // replicas go first.
   private final Set<String> urgentIds = new LinkedHashSet<>();
   private final Set<String> waitingIds = new LinkedHashSet<>();
+  // Machines for whose return the cloud was asked without a confirmation so far.
+  private final Set<String> unconfirmedIds = new LinkedHashSet<>();
   private boolean leading;
-  private final Set<String> sentIds = new LinkedHashSet<>();
   private boolean requestInFlight;
   private long judgedAtPauseCount;
 
@@ -46,13 +47,14 @@
     leading = false;
     urgentIds.clear();
     waitingIds.clear();
-    sentIds.clear();
+    unconfirmedIds.clear();
     requestInFlight = false;
   }
 
   /**
    * Forgets the machines that were to be returned before the last pause of this process, unless the
-   * cloud may have been asked already. Whether they are to be returned must be judged anew.
+   * cloud may have been asked already. Whether they are to be returned must be judged anew; the
+   * others get no work in this term, and the request is repeated if the term still lasts.
    */
   void judgeAgainAfterPause() {
     if (pauses.pauseCount() == judgedAtPauseCount) {
@@ -60,7 +62,7 @@
     }
     judgedAtPauseCount = pauses.pauseCount();
     for (Set<String> ids : List.of(urgentIds, waitingIds)) {
-      ids.removeIf(id -> !sentIds.contains(id) && cancelReturn(id));
+      ids.removeIf(id -> !unconfirmedIds.contains(id) && cancelReturn(id));
     }
   }
 
@@ -87,8 +89,11 @@
   }
 
   void sendNextBatch() {
+    // A request without an answer may not have arrived, and another leader may use the machines.
+    boolean mayRepeat = pauses.isKnowledgeCurrent();
     List<String> batch =
         Stream.concat(urgentIds.stream(), waitingIds.stream())
+            .filter(id -> mayRepeat || !unconfirmedIds.contains(id))
             .limit(MAX_MACHINES_PER_RELEASE)
             .toList();
     long pauseCount = pauses.pauseCount();
@@ -96,13 +101,13 @@
       return;
     }
     requestInFlight = true;
-    sentIds.addAll(batch);
+    unconfirmedIds.addAll(batch);
     cloud.release(
         batch,
         reply -> {
           requestInFlight = false;
           if (reply.status() == HttpReply.NOT_SENT) {
-            batch.forEach(sentIds::remove);
+            batch.forEach(unconfirmedIds::remove);
             judgedAtPauseCount = pauseCount;
           }
           if (leading && reply.status() == 200) {
@@ -114,7 +119,7 @@
 
   /** Records a confirmed return, which proves that nothing runs on the machine any more. */
   private void onReturned(String id) {
-    sentIds.remove(id);
+    unconfirmedIds.remove(id);
     urgentIds.remove(id);
     waitingIds.remove(id);
     Host host = workers.findHost(id);
