Review: a cut-off controller returns machines of a cancelled job long after its end

A user cancels at a controller that doesn't lead, which then loses the state service and the other controllers while most direct commands are late. The leader ends the tasks within seconds. Half a minute later the cut controller returns the machines with the tasks of other jobs, although the machines' own reports, which it reads every 3 s, show none of the cancelled tasks.

--- a/review/stand-ins-2/review2/World.java
+++ b/review/stand-ins-2/review2/World.java
@@ -886,7 +886,9 @@
       if (shown(task)) {
         log("task " + task.key + "#" + task.number + " starts on " + id + " session " + session);
       }
-      pool.execute(() -> checkStart(this, task, job));
+      if (shown(task)) {
+        pool.execute(() -> checkStart(this, task, job));
+      }
     }
 
     /** Of arrays of more than 500 tasks, the record shows every hundredth. */
@@ -923,6 +925,7 @@
 
     private void sendReport(byte[] body, long sentAt, long sentSession) {
       int target = at;
+      largestReport.accumulateAndGet(body.length, Math::max);
       int status = -1;
       JsonNode answer = null;
       if ((cutFrom & 1 << target) != 0) {
@@ -987,6 +990,9 @@
         return null;
       }
       long hold = holdCommandsMs;
+      if (lateCommandsShare > 0 && random.nextDouble() < lateCommandsShare) {
+        hold = 2000 + random.nextInt(14_000);
+      }
       if (hold > 0 && path.equals("/orders")) {
         log("command to " + id + " held up for " + hold + " ms: " + body);
         timers.schedule(() -> log("held command to " + id + " -> " + orders(body).status), hold, TimeUnit.MILLISECONDS);
@@ -1086,6 +1092,7 @@
 
   /** Sessions of workers that ended by their lease with tasks on the machine. */
   final java.util.concurrent.atomic.AtomicInteger leasesLost = new java.util.concurrent.atomic.AtomicInteger();
+  final java.util.concurrent.atomic.AtomicInteger largestReport = new java.util.concurrent.atomic.AtomicInteger();
   final java.util.concurrent.atomic.AtomicInteger reports400 = new java.util.concurrent.atomic.AtomicInteger();
   final Map<String, java.util.BitSet> completed = new ConcurrentHashMap<>();
 
@@ -1172,8 +1179,8 @@
   /** One controller process. */
   public final class Member {
     public final int index;
-    public final int userPort;
-    final int peerPort;
+    public volatile int userPort;
+    volatile int peerPort;
     final int statePort;
     final int cloudPort;
     Process process;
@@ -1307,6 +1314,9 @@
     }
   }
 
+  /** The share of direct commands that are held up, unanswered, and carried out 2 to 16 s late. */
+  volatile double lateCommandsShare;
+
   /** The controller whose returns of machines with running tasks are noted. */
   volatile int watchReleasesOf = -1;
 
@@ -1377,6 +1387,14 @@
     long until = now() + 25_000;
     while (now() < until) {
       boolean all = state.leader() != null;
+      for (Member m : members) {
+        if (!m.isAlive()) {
+          // Somebody else took one of its ports meanwhile.
+          m.userPort = freePort();
+          m.peerPort = freePort();
+          m.start();
+        }
+      }
       for (int i = 0; i < nodes && all; i++) {
         all = get(i, "/up", USER_WAIT).status == 200;
       }
